Lay down the shared types and the design

Cause: nothing existed. The packages that all others share (ids, sets, plug-in registry, decision log, documents, index, view, traffic messages, backend protocol) are fixed first so that the areas can be built beside each other.

--- /dev/null
+++ b/internal/core/events/events.go
@@ -0,0 +1,78 @@
+// Package events records the decisions of a process: each one becomes a log
+// line, a counter, and an entry in a short history that operators can read.
+package events
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// historySize is the number of decisions kept for operators.
+const historySize = 200
+
+// Decision is one decision that changed what callers or backend servers see.
+type Decision struct {
+	At      time.Time `json:"at"`
+	Kind    string    `json:"kind"`
+	Subject string    `json:"subject"`
+	Reason  string    `json:"reason"`
+}
+
+// Recorder records decisions. It is safe for concurrent use. A nil Recorder
+// discards them.
+type Recorder struct {
+	logger  *slog.Logger
+	set     *metrics.Set
+	mu      sync.Mutex
+	history []Decision
+}
+
+// New returns a recorder that writes to the given logger and metrics set.
+func New(logger *slog.Logger, set *metrics.Set) *Recorder {
+	return &Recorder{logger: logger, set: set}
+}
+
+// Record records a decision. kind is a short fixed word such as "lease_taken",
+// subject names what it concerns, reason says why. attrs go to the log line.
+func (r *Recorder) Record(kind, subject, reason string, attrs ...slog.Attr) {
+	if r == nil {
+		return
+	}
+	r.Count(kind)
+	r.remember(Decision{At: time.Now(), Kind: kind, Subject: subject, Reason: reason})
+	all := append([]slog.Attr{slog.String("subject", subject), slog.String("reason", reason)}, attrs...)
+	r.logger.LogAttrs(context.Background(), slog.LevelInfo, kind, all...)
+}
+
+// Count counts an event of the given kind without a log line. It is meant for
+// events that are too frequent to log.
+func (r *Recorder) Count(kind string) {
+	if r == nil {
+		return
+	}
+	r.set.GetOrCreateCounter(fmt.Sprintf("samphirestair_decisions_total{kind=%q}", kind)).Inc()
+}
+
+// History returns the latest decisions, oldest first.
+func (r *Recorder) History() []Decision {
+	if r == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Decision(nil), r.history...)
+}
+
+func (r *Recorder) remember(d Decision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history = append(r.history, d)
+	if len(r.history) > historySize {
+		r.history = r.history[len(r.history)-historySize:]
+	}
+}
--- /dev/null
+++ b/internal/core/kernel/registry.go
@@ -0,0 +1,68 @@
+// Package kernel holds the plug-ins of a process. A plug-in registers a
+// constructor under a kind and a name from an init function; the settings
+// choose one name per kind.
+package kernel
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrUnknownPlugin is returned when no plug-in has the requested name.
+var ErrUnknownPlugin = errors.New("kernel: unknown plug-in")
+
+// Registry holds the plug-ins of one kind. T is the constructor's type. A
+// Registry is safe for concurrent use.
+type Registry[T any] struct {
+	kind    string
+	mu      sync.Mutex
+	entries map[string]T
+}
+
+// NewRegistry returns an empty registry for plug-ins of the given kind.
+func NewRegistry[T any](kind string) *Registry[T] {
+	return &Registry[T]{kind: kind, entries: map[string]T{}}
+}
+
+// Register adds a plug-in. It panics if the name is taken, because two
+// plug-ins of one name are a programming error.
+func (r *Registry[T]) Register(name string, constructor T) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, taken := r.entries[name]; taken {
+		panic(fmt.Sprintf("kernel: %s %q registered twice", r.kind, name))
+	}
+	r.entries[name] = constructor
+}
+
+// Lookup returns the plug-in with the given name, or an error that wraps
+// ErrUnknownPlugin and lists the known names.
+func (r *Registry[T]) Lookup(name string) (T, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entry, ok := r.entries[name]
+	if !ok {
+		var zero T
+		return zero, errors.Wrapf(ErrUnknownPlugin, "%s %q, known: %v", r.kind, name, r.namesLocked())
+	}
+	return entry, nil
+}
+
+// Names returns the names of all plug-ins in ascending order.
+func (r *Registry[T]) Names() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.namesLocked()
+}
+
+func (r *Registry[T]) namesLocked() []string {
+	names := make([]string, 0, len(r.entries))
+	for name := range r.entries {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
