Read service documents, with all faults at once

Cause: svcdoc only defined the document; nothing read it.

Ruled out: ini.v1 alone. It reports no line numbers, stops at the first bad line, lets the last of two equal keys win and looks missing keys up in parent sections. The lines are scanned beforehand instead, and only good ones reach ini.v1.

Change: conf/strict reads INI files and collects faults with line, section, key, what is allowed and the nearest known name. svcdoc.Parse and svcdoc.Format build on it.

Conclusion: usable by the other areas.

--- /dev/null
+++ b/internal/conf/strict/getters.go
@@ -0,0 +1,138 @@
+package strict
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/coll"
+)
+
+const wordForm = "1 to 63 of a-z, 0-9, - and _, beginning with a letter or digit"
+
+var word = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,62}$`)
+
+// IsWord reports whether text has the form that Word accepts.
+func IsWord(text string) bool {
+	return word.MatchString(text)
+}
+
+// get reads a key by a function that reports whether the text is allowed. An
+// absent key without a fallback is a fault.
+func get[T any](s *Section, key string, fallback coll.Option[T], allowed string, read func(text string) (T, bool)) T {
+	var zero T
+	text, present := s.lookup(key)
+	if !present {
+		value, ok := fallback.Get()
+		if !ok && !s.absent {
+			s.Fault(key, "the key is missing", allowed)
+		}
+		return value
+	}
+	value, ok := read(text)
+	if !ok {
+		s.Fault(key, fmt.Sprintf("%q is not allowed", text), allowed)
+		return zero
+	}
+	return value
+}
+
+// Int returns a whole number from lo to hi.
+func (s *Section) Int(key string, fallback coll.Option[int], lo, hi int) int {
+	allowed := fmt.Sprintf("a whole number from %d to %d", lo, hi)
+	return get(s, key, fallback, allowed, func(text string) (int, bool) {
+		n, err := strconv.Atoi(text)
+		return n, err == nil && lo <= n && n <= hi
+	})
+}
+
+// Duration returns a time with its unit, such as 250ms, from lo to hi.
+func (s *Section) Duration(key string, fallback coll.Option[time.Duration], lo, hi time.Duration) time.Duration {
+	allowed := fmt.Sprintf("a time with its unit (us, ms, s, m) from %s to %s", lo, hi)
+	return get(s, key, fallback, allowed, func(text string) (time.Duration, bool) {
+		d, err := time.ParseDuration(text)
+		return d, err == nil && lo <= d && d <= hi
+	})
+}
+
+// Word returns a name.
+func (s *Section) Word(key string, fallback coll.Option[string]) string {
+	return get(s, key, fallback, wordForm, func(text string) (string, bool) {
+		return text, IsWord(text)
+	})
+}
+
+// Choice returns one of the given words.
+func (s *Section) Choice(key string, fallback coll.Option[string], choices ...string) string {
+	return get(s, key, fallback, strings.Join(choices, ", "), func(text string) (string, bool) {
+		return text, slices.Contains(choices, text)
+	})
+}
+
+// Words returns a list of at most limit different names, separated by commas.
+// An empty value is an empty list.
+func (s *Section) Words(key string, fallback coll.Option[[]string], limit int) []string {
+	allowed := fmt.Sprintf("at most %d different names separated by commas, each %s", limit, wordForm)
+	return get(s, key, fallback, allowed, func(text string) ([]string, bool) {
+		list := splitList(text)
+		distinct := coll.NewSet(list...)
+		ok := len(list) <= limit && len(distinct) == len(list) && !slices.ContainsFunc(list, isNotWord)
+		return list, ok
+	})
+}
+
+// Address returns an IP address with a port, in canonical form.
+func (s *Section) Address(key string, fallback coll.Option[string]) string {
+	return get(s, key, fallback, "IP:PORT such as 10.0.0.1:7000", func(text string) (string, bool) {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return "", false
+		}
+		return address.String(), address.Port() > 0 && isHost(address.Addr())
+	})
+}
+
+// IP returns an IP address in canonical form.
+func (s *Section) IP(key string, fallback coll.Option[string]) string {
+	return get(s, key, fallback, "an IP address such as 10.0.0.1", func(text string) (string, bool) {
+		ip, err := netip.ParseAddr(text)
+		if err != nil {
+			return "", false
+		}
+		return ip.String(), isHost(ip)
+	})
+}
+
+// URL returns an http URL with a host.
+func (s *Section) URL(key string, fallback coll.Option[string]) string {
+	return get(s, key, fallback, "an http URL such as http://10.0.0.1:8000", func(text string) (string, bool) {
+		u, err := url.Parse(text)
+		ok := err == nil && u.Scheme == "http" && u.Hostname() != "" && u.RawQuery == "" && u.Fragment == ""
+		return strings.TrimSuffix(text, "/"), ok
+	})
+}
+
+// isHost reports whether ip names one machine.
+func isHost(ip netip.Addr) bool {
+	return !ip.IsUnspecified() && !ip.IsMulticast() && ip.Zone() == ""
+}
+
+func isNotWord(text string) bool {
+	return !IsWord(text)
+}
+
+func splitList(text string) []string {
+	if strings.TrimSpace(text) == "" {
+		return nil
+	}
+	parts := strings.Split(text, ",")
+	for i := range parts {
+		parts[i] = strings.TrimSpace(parts[i])
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/conf/svcdoc/parse.go
@@ -0,0 +1,141 @@
+package svcdoc
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/strict"
+)
+
+// Bounds of what a document may state.
+const (
+	minDeadline    = time.Millisecond
+	maxDeadline    = 5 * time.Minute
+	maxClasses     = 16
+	maxActions     = 64
+	maxSlots       = 1000
+	maxConnections = 10000
+	maxConnectCost = 10 * time.Second
+	maxWarmAfter   = 1000000
+	maxServers     = 4000
+)
+
+// Parse reads and checks a document. It fails with strict.Faults, which list
+// everything that is wrong.
+func Parse(data []byte) (*Document, error) {
+	file := strict.Parse(data)
+	d := &Document{}
+	d.readService(file.Section("service", true))
+	d.Classes = readClasses(file.Section("callers", true))
+	d.NonIdempotent = file.Section("actions", false).Words("non_idempotent", coll.Some[[]string](nil), maxActions)
+	d.Limits = readLimits(file.Section("limits", true), coll.None[Limits]())
+	sections := file.Family("server")
+	for _, section := range sections {
+		d.Servers = append(d.Servers, d.readServer(section))
+	}
+	checkServers(file, sections, d)
+	if err := file.Err(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Document) readService(section *strict.Section) {
+	d.Service = ident.ServiceID(section.Word("name", coll.None[string]()))
+	d.Deadline = section.Duration("deadline", coll.None[time.Duration](), minDeadline, maxDeadline)
+}
+
+func readClasses(section *strict.Section) []string {
+	classes := section.Words("classes", coll.None[[]string](), maxClasses)
+	if section.Has("classes") && len(classes) == 0 {
+		section.Fault("classes", "there is no class", "at least one name")
+	}
+	return classes
+}
+
+// readLimits reads limits. Those of the document are the fallback for those of
+// its servers.
+func readLimits(section *strict.Section, fallback coll.Option[Limits]) Limits {
+	l := Limits{
+		Slots:       section.Int("slots", limitOf(fallback, func(l Limits) int { return l.Slots }), 1, maxSlots),
+		Connections: section.Int("connections", limitOf(fallback, func(l Limits) int { return l.Connections }), 1, maxConnections),
+		ConnectCost: section.Duration("connect_cost", limitOf(fallback, func(l Limits) time.Duration { return l.ConnectCost }), 0, maxConnectCost),
+		ColdSlots:   section.Int("cold_slots", limitOf(fallback, func(l Limits) int { return l.ColdSlots }), 1, maxSlots),
+		WarmAfter:   section.Int("warm_after", limitOf(fallback, func(l Limits) int { return l.WarmAfter }), 1, maxWarmAfter),
+	}
+	checkLimits(section, l)
+	return l
+}
+
+func limitOf[T any](limits coll.Option[Limits], field func(Limits) T) coll.Option[T] {
+	l, ok := limits.Get()
+	if !ok {
+		return coll.None[T]()
+	}
+	return coll.Some(field(l))
+}
+
+// checkLimits compares limits with each other. A limit of 0 has been reported
+// already, and so have limits that a server takes over from the document.
+func checkLimits(section *strict.Section, l Limits) {
+	if l.Slots > 0 && l.ColdSlots > l.Slots && (section.Has("cold_slots") || section.Has("slots")) {
+		section.Fault("cold_slots", fmt.Sprintf("%d is more than slots", l.ColdSlots), fmt.Sprintf("at most %d", l.Slots))
+	}
+	if l.Connections > 0 && l.Slots > l.Connections && (section.Has("slots") || section.Has("connections")) {
+		section.Fault("slots", fmt.Sprintf("%d is more than connections", l.Slots), fmt.Sprintf("at most %d", l.Connections))
+	}
+}
+
+func (d *Document) readServer(section *strict.Section) Server {
+	name := section.Member()
+	if !strict.IsWord(name) {
+		section.Fault("", fmt.Sprintf("%q is no server name", name), "1 to 63 of a-z, 0-9, - and _, beginning with a letter or digit")
+	}
+	return Server{
+		ID:      ident.ServerID(string(d.Service) + "/" + name),
+		Address: section.Address("address", coll.None[string]()),
+		Zone:    ident.Zone(section.Word("zone", coll.None[string]())),
+		Shard:   ident.Shard(section.Int("shard", coll.None[int](), 0, maxServers-1)),
+		Limits:  readLimits(section, coll.Some(d.Limits)),
+	}
+}
+
+// checkServers compares the servers with each other. sections and d.Servers
+// correspond.
+func checkServers(file *strict.File, sections []*strict.Section, d *Document) {
+	if len(d.Servers) == 0 || len(d.Servers) > maxServers {
+		file.Fault(fmt.Sprintf("the document has %d backend servers", len(d.Servers)), fmt.Sprintf("1 to %d sections [server NAME]", maxServers))
+		return
+	}
+	checkAddresses(sections, d.Servers)
+	checkShards(file, d)
+}
+
+func checkAddresses(sections []*strict.Section, servers []Server) {
+	users := map[string]string{}
+	for i, server := range servers {
+		if server.Address == "" {
+			continue
+		}
+		if user, taken := users[server.Address]; taken {
+			sections[i].Fault("address", fmt.Sprintf("%s is the address of [%s] already", server.Address, user), "an address of its own")
+			continue
+		}
+		users[server.Address] = sections[i].Name()
+	}
+}
+
+func checkShards(file *strict.File, d *Document) {
+	held := coll.NewSet[ident.Shard]()
+	for _, server := range d.Servers {
+		held.Add(server.Shard)
+	}
+	for shard := range ident.Shard(d.Shards()) {
+		if !held.Has(shard) {
+			file.Fault(fmt.Sprintf("no backend server holds shard %d, but one holds shard %d", shard, d.Shards()-1), "shards without a gap from 0")
+			return
+		}
+	}
+}
