Spread the configuration to VMs, forward only

Cause: nothing followed the index in the key-value service.

Ruled out: taking Heard from answers to watches. A paused process may read such an answer long after it was sent; Heard is the time before a read, and counts only once the revision read is in force. Adopting an index before its documents are read was ruled out too: the revision told to other VMs would be false.

Change: conf/spread with the decisions in a plain type (tracker) and drivers for polls, watches and peers. A document that cannot be used leaves the previous one of its service in force. conf/memkv is a key-value service in memory with faults on demand, for tests.

Conclusion: ready to be wired to heartbeats.

--- /dev/null
+++ b/internal/conf/spread/bundle.go
@@ -0,0 +1,65 @@
+package spread
+
+import (
+	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/index"
+)
+
+// Bundle is a whole configuration as one VM passes it to another.
+type Bundle struct {
+	Revision  ident.Revision   `json:"revision"`
+	Index     *index.Index     `json:"index"`
+	Documents []BundleDocument `json:"documents"`
+}
+
+// BundleDocument is the text of one document of a bundle.
+type BundleDocument struct {
+	Service ident.ServiceID `json:"service"`
+	Change  ident.ChangeID  `json:"change"`
+	Text    string          `json:"text"`
+	// Absent is set if the key-value service was found not to hold the
+	// document.
+	Absent bool `json:"absent,omitempty"`
+}
+
+func (d BundleDocument) body() text {
+	if d.Absent {
+		return coll.None[string]()
+	}
+	return coll.Some(d.Text)
+}
+
+// bundle returns the configuration in force. ok is false if there is none yet.
+func (t *tracker) bundle() (b Bundle, ok bool) {
+	current, ok := t.inForce.Get()
+	if !ok {
+		return Bundle{}, false
+	}
+	b = Bundle{Revision: current.revision, Index: current.index.Clone()}
+	for _, ref := range references(current.index) {
+		body, known := t.texts[ref].Get()
+		b.Documents = append(b.Documents, BundleDocument{
+			Service: ref.service,
+			Change:  ref.change,
+			Text:    body,
+			Absent:  !known,
+		})
+	}
+	return b, true
+}
+
+// take offers the configuration of a bundle. A text that is known already is
+// kept.
+func (t *tracker) take(b Bundle) {
+	if b.Index == nil {
+		return
+	}
+	t.offer(b.Revision, b.Index)
+	for _, document := range b.Documents {
+		ref := reference{service: document.Service, change: document.Change}
+		if _, known := t.texts[ref].Get(); !known {
+			t.learn(ref, document.body())
+		}
+	}
+}
--- /dev/null
+++ b/internal/conf/spread/export_test.go
@@ -0,0 +1,4 @@
+package spread
+
+// DocumentText returns the text of a document for tests.
+var DocumentText = documentText
--- /dev/null
+++ b/internal/conf/spread/spreader.go
@@ -0,0 +1,178 @@
+// Package spread brings the configuration in force to a VM. It follows the
+// index in the key-value service and asks other VMs while that is down. The
+// revision in force never becomes lower.
+package spread
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+	"github.com/samphirestair/samphirestair/internal/plat/store"
+)
+
+// errAbsent means that the key-value service does not hold a document that the
+// index names.
+var errAbsent = errors.New("spread: the key-value service does not hold the document")
+
+// Fetcher reads the configuration of other VMs. Implementations are safe for
+// concurrent use.
+type Fetcher interface {
+	// Fetch returns what Spreader.Bundle returns on the given VM. It ends when
+	// ctx does.
+	Fetch(ctx context.Context, from view.Member) (Bundle, error)
+}
+
+// Deps are what a Spreader works with.
+type Deps struct {
+	Store  store.Store
+	Fetch  Fetcher
+	Events *events.Recorder
+	// OnConfig receives each configuration that comes into force, in the order
+	// of their revisions. A revision comes twice if one of its documents could
+	// be read only later. It must neither block nor call the Spreader.
+	OnConfig func(*view.Config)
+}
+
+// Options tunes a Spreader. The zero value is useful.
+type Options struct {
+	// Poll is the mean time between reads of the index. 0 means 2 s.
+	Poll time.Duration
+	// WatchBound is the longest time that a watch is waited for. 0 means 30 s.
+	WatchBound time.Duration
+	// CallBound is the longest time that any other call is waited for. 0 means
+	// 2 s.
+	CallBound time.Duration
+	// Backoff is the mean time after a failed call. 0 means 500 ms.
+	Backoff time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Poll, 2*time.Second)
+	setDefault(&o.WatchBound, 30*time.Second)
+	setDefault(&o.CallBound, 2*time.Second)
+	setDefault(&o.Backoff, 500*time.Millisecond)
+	return o
+}
+
+func setDefault(d *time.Duration, fallback time.Duration) {
+	if *d == 0 {
+		*d = fallback
+	}
+}
+
+// Spreader follows the configuration. Its methods are safe for concurrent use.
+type Spreader struct {
+	deps    Deps
+	options Options
+	notices *notices
+
+	mu         sync.Mutex
+	tracker    *tracker
+	storeError error
+}
+
+// New returns a spreader that does nothing until Run is called.
+func New(deps Deps, options Options) *Spreader {
+	return &Spreader{
+		deps:    deps,
+		options: options.withDefaults(),
+		notices: newNotices(),
+		tracker: newTracker(),
+	}
+}
+
+// Run follows the configuration until ctx ends.
+func (s *Spreader) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	wg.Go(func() { s.poll(ctx) })
+	wg.Go(func() { s.watch(ctx) })
+	wg.Go(func() { s.askPeers(ctx) })
+	wg.Wait()
+}
+
+// Notice tells of the revision that is in force on another VM.
+func (s *Spreader) Notice(member view.Member, revision ident.Revision) {
+	if revision > s.Revision() {
+		s.notices.add(member, revision)
+	}
+}
+
+// Revision returns the revision in force, or 0 if there is none.
+func (s *Spreader) Revision() ident.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.revision()
+}
+
+// Bundle returns the configuration in force for another VM. ok is false if
+// there is none yet.
+func (s *Spreader) Bundle() (b Bundle, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.bundle()
+}
+
+// Heard returns the latest time at which the configuration in force is known
+// to have been the latest one in the key-value service. It is the zero time if
+// the service has not been read yet. The time is taken before the read, so that
+// a pause of the process does not make the configuration look fresher.
+func (s *Spreader) Heard() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.heard
+}
+
+// State returns what the spreader knows.
+func (s *Spreader) State() Dump {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	dump := s.tracker.dump()
+	dump.Notices = s.notices.dump()
+	if s.storeError != nil {
+		dump.StoreError = s.storeError.Error()
+	}
+	return dump
+}
+
+// settle puts the newest revision in force whose documents are all known.
+func (s *Spreader) settle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next, problems := s.tracker.advance()
+	for _, p := range problems {
+		s.deps.Events.Record("config_document_unusable", string(p.service),
+			"the document cannot be used; the previous one stays in force",
+			slog.String("change", string(p.change)), slog.String("error", p.err.Error()))
+	}
+	config, ok := next.Get()
+	if !ok {
+		return
+	}
+	s.deps.Events.Record("config_adopted", fmt.Sprintf("serial %d", config.Serial),
+		"a higher revision was accepted", slog.Uint64("revision", uint64(config.Revision)))
+	s.deps.OnConfig(config)
+}
+
+// noteStore records when the key-value service stops answering and when it
+// answers again.
+func (s *Spreader) noteStore(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.storeError
+	s.storeError = err
+	switch {
+	case before == nil && err != nil:
+		s.deps.Events.Record("config_store_lost", "key-value service", err.Error())
+	case before != nil && err == nil:
+		s.deps.Events.Record("config_store_heard", "key-value service", "it answers again")
+	}
+}
--- /dev/null
+++ b/internal/conf/spread/spreader_test.go
@@ -0,0 +1,175 @@
+package spread_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/index"
+	"github.com/samphirestair/samphirestair/internal/conf/memkv"
+	"github.com/samphirestair/samphirestair/internal/conf/spread"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+)
+
+// peers serves the bundles of other spreaders of the test.
+type peers map[ident.VMID]*spread.Spreader
+
+func (p peers) Fetch(_ context.Context, from view.Member) (spread.Bundle, error) {
+	peer, ok := p[from.Process.VM]
+	if !ok {
+		return spread.Bundle{}, errors.New("no such VM")
+	}
+	bundle, _ := peer.Bundle()
+	return bundle, nil
+}
+
+func member(vm ident.VMID) view.Member {
+	return view.Member{Process: ident.Process{VM: vm, Incarnation: 1}}
+}
+
+func refuseAll(memkv.Op, string) memkv.Effect { return memkv.Refused }
+
+// run starts a spreader that ends with the test.
+func run(t *testing.T, kv *memkv.Store, others peers) (*spread.Spreader, *[]ident.Revision) {
+	t.Helper()
+	var seen []ident.Revision
+	s := spread.New(spread.Deps{
+		Store:    kv,
+		Fetch:    others,
+		OnConfig: func(c *view.Config) { seen = append(seen, c.Revision) },
+	}, spread.Options{})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return s, &seen
+}
+
+func write(t *testing.T, kv *memkv.Store, edit func(*index.Index)) ident.Revision {
+	t.Helper()
+	entry, err := kv.Get(t.Context(), index.Key)
+	require.NoError(t, err)
+	ix, err := index.Decode(entry.Value)
+	require.NoError(t, err)
+	next := ix.Clone()
+	edit(next)
+	next.Append(index.Change{})
+	revision, err := kv.Swap(t.Context(), index.Key, entry.Revision, next.Encode())
+	require.NoError(t, err)
+	return revision
+}
+
+func zoneOut(ix *index.Index) { ix.ZonesOut["espoo"] = "c1" }
+
+func TestWatchBringsChangesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memkv.New()
+		s, seen := run(t, kv, nil)
+		synctest.Wait()
+		revision := write(t, kv, zoneOut)
+		synctest.Wait()
+		require.Equal(t, []ident.Revision{0, revision}, *seen)
+		require.Equal(t, revision, s.Revision())
+	})
+}
+
+func TestPollFindsWhatASilentWatchMisses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memkv.New()
+		kv.SetPlan(func(op memkv.Op, _ string) memkv.Effect {
+			if op == memkv.Watch {
+				return memkv.Refused
+			}
+			return memkv.Served
+		})
+		s, _ := run(t, kv, nil)
+		synctest.Wait()
+		revision := write(t, kv, zoneOut)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		require.Equal(t, revision, s.Revision())
+	})
+}
+
+func TestVMBornInAnOutageLearnsFromTheMostAdvancedPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memkv.New()
+		others := peers{}
+		write(t, kv, zoneOut)
+		behind, _ := run(t, kv, nil)
+		others["behind"] = behind
+		synctest.Wait()
+
+		down := memkv.New()
+		down.SetPlan(refuseAll)
+		kv.SetPlan(refuseAll)
+		born, _ := run(t, down, others)
+		time.Sleep(time.Minute)
+		require.False(t, born.State().Started)
+
+		born.Notice(member("gone"), 99)
+		born.Notice(member("behind"), behind.Revision())
+		synctest.Wait()
+		require.Equal(t, behind.Revision(), born.Revision())
+		require.Contains(t, born.State().StoreError, "unavailable")
+		require.True(t, born.Heard().IsZero())
+		require.Empty(t, born.State().Notices)
+	})
+}
+
+func TestHeardStandsStillDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memkv.New()
+		s, _ := run(t, kv, nil)
+		time.Sleep(time.Minute)
+		require.Less(t, time.Since(s.Heard()), 3*time.Second)
+
+		kv.SetPlan(refuseAll)
+		lost := s.Heard()
+		time.Sleep(time.Hour)
+		require.Equal(t, lost, s.Heard())
+
+		kv.SetPlan(nil)
+		time.Sleep(time.Second)
+		require.Less(t, time.Since(s.Heard()), time.Second)
+	})
+}
+
+func TestUnusableDocumentKeepsThePreviousOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memkv.New()
+		put := func(change ident.ChangeID, text string) {
+			if text != "" {
+				_, err := kv.Swap(t.Context(), index.DocumentKey("a", change), 0, []byte(text))
+				require.NoError(t, err)
+			}
+			write(t, kv, func(ix *index.Index) { ix.Documents["a"] = change })
+			synctest.Wait()
+		}
+		s, _ := run(t, kv, nil)
+		put("good", spread.DocumentText("a", 7))
+		require.Equal(t, ident.ChangeID("good"), s.State().Documents["a"].Used)
+
+		put("bad", "nonsense")
+		require.Equal(t, ident.ChangeID("good"), s.State().Documents["a"].Used)
+		require.Contains(t, s.State().Documents["a"].Problem, "missing")
+
+		put("late", "")
+		require.Contains(t, s.State().Documents["a"].Problem, "does not hold")
+		_, err := kv.Swap(t.Context(), index.DocumentKey("a", "late"), 0, []byte(spread.DocumentText("a", 8)))
+		require.NoError(t, err)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, spread.DumpedDocument{Named: "late", Used: "late"}, s.State().Documents["a"])
+	})
+}
