Add the command line

Cause: operators had no way to check, apply and look up the configuration.

Ruled out: a fixed table for the state of a VM; the admin listener's JSON is printed generically, so that a new member needs no change here.

Change: ops/cli (cobra) with check, apply, diff, show, history, change, zone, vm, server, status, state and serve; exit codes 0 to 4; ops/table and ops/admin. The store, the VM list and the process itself are given to it and are not wired in cmd/samphirestair yet.

--- /dev/null
+++ b/internal/ops/cli/cli.go
@@ -0,0 +1,166 @@
+// Package cli is the command line of samphirestair: it checks and applies
+// documents, takes VMs, zones and backend servers in and out of service, shows
+// what is in force, and starts the process of a VM.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/samphirestair/samphirestair/internal/conf/change"
+	"github.com/samphirestair/samphirestair/internal/conf/vmconf"
+	"github.com/samphirestair/samphirestair/internal/ops/admin"
+	"github.com/samphirestair/samphirestair/internal/plat/store"
+	"github.com/samphirestair/samphirestair/internal/plat/vmlist"
+)
+
+// Exit codes.
+const (
+	// ExitOK means that the command did what was asked.
+	ExitOK = 0
+	// ExitRefused means that a file has faults or that a change was rejected.
+	ExitRefused = 1
+	// ExitUsage means that the command line is wrong.
+	ExitUsage = 2
+	// ExitUnknown means that it is unknown whether a change took effect.
+	ExitUnknown = 3
+	// ExitUnavailable means that a service or VM did not answer, and that
+	// nothing was changed.
+	ExitUnavailable = 4
+)
+
+// Environment variables that stand in for flags.
+const (
+	envStore = "SAMPHIRESTAIR_STORE"
+	envVMs   = "SAMPHIRESTAIR_VMS"
+)
+
+// Deps are what the commands work with.
+type Deps struct {
+	// Serve runs the process of a VM until ctx ends.
+	Serve func(ctx context.Context, settings *vmconf.Settings) error
+	// Store connects to the key-value service at a URL.
+	Store func(url string) (store.Store, error)
+	// VMs connects to the platform's VM list at a URL.
+	VMs func(url string) (vmlist.List, error)
+	// Admin calls the VMs.
+	Admin *admin.Client
+	// PolicyNames returns the registered policies of a kind.
+	PolicyNames func(kind string) []string
+	// Change tunes the changes. The zero value is useful.
+	Change change.Options
+}
+
+// CLI is the command line. It is not safe for concurrent use.
+type CLI struct {
+	deps Deps
+	out  io.Writer
+	// Values of flags that several commands share.
+	storeURL string
+	vmsURL   string
+	timeout  time.Duration
+	json     bool
+}
+
+// New returns a command line.
+func New(deps Deps) *CLI {
+	return &CLI{deps: deps}
+}
+
+// exitError ends a command with an exit code. An empty message has been printed
+// already.
+type exitError struct {
+	code    int
+	message string
+}
+
+// Error returns the message.
+func (e *exitError) Error() string { return e.message }
+
+func fail(code int, format string, args ...any) error {
+	return &exitError{code: code, message: fmt.Sprintf(format, args...)}
+}
+
+// Run executes the command line args and returns the exit code.
+func (c *CLI) Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	c.out = stdout
+	root := c.root()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	code := exitCode(err)
+	if text := err.Error(); text != "" {
+		_, _ = fmt.Fprintln(stderr, text)
+	}
+	if code == ExitUsage {
+		_, _ = fmt.Fprintln(stderr, "run samphirestair help for the commands")
+	}
+	return code
+}
+
+// exitCode returns the code of an error. Errors that no command returned come
+// from the reading of the command line.
+func exitCode(err error) int {
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	return ExitUsage
+}
+
+// classify gives an error of a command its exit code.
+func classify(err error) error {
+	var exit *exitError
+	switch {
+	case err == nil || errors.As(err, &exit):
+		return err
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, admin.ErrUnavailable):
+		return fail(ExitUnavailable, "%v", err)
+	default:
+		return fail(ExitRefused, "%v", err)
+	}
+}
+
+// printf writes to the output. A failed write to a terminal has no remedy.
+func (c *CLI) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(c.out, format, args...)
+}
+
+// bounded adapts a command function: its context ends after the timeout.
+func (c *CLI) bounded(run func(ctx context.Context, args []string) error) func(*cobra.Command, []string) error {
+	return func(command *cobra.Command, args []string) error {
+		ctx, cancel := context.WithTimeout(command.Context(), c.timeout)
+		defer cancel()
+		return classify(run(ctx, args))
+	}
+}
+
+// store connects to the key-value service.
+func (c *CLI) store() (store.Store, error) {
+	if c.storeURL == "" {
+		return nil, fail(ExitUsage, "cli: say where the key-value service is, by --store or %s", envStore)
+	}
+	s, err := c.deps.Store(c.storeURL)
+	if err != nil {
+		return nil, fail(ExitUsage, "cli: --store: %v", err)
+	}
+	return s, nil
+}
+
+// changer connects to the configuration in the key-value service.
+func (c *CLI) changer() (*change.Changer, store.Store, error) {
+	s, err := c.store()
+	if err != nil {
+		return nil, nil, err
+	}
+	return change.New(s, c.deps.Change), s, nil
+}
--- /dev/null
+++ b/internal/ops/cli/show.go
@@ -0,0 +1,211 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pmezard/go-difflib/difflib"
+	"github.com/spf13/cobra"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/change"
+	"github.com/samphirestair/samphirestair/internal/conf/index"
+	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
+	"github.com/samphirestair/samphirestair/internal/ops/table"
+)
+
+// diffContext is the number of unchanged lines around a difference.
+const diffContext = 3
+
+func (c *CLI) showCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "show [SERVICE]",
+		Short:   "Show the document in force, or an overview",
+		Long:    "Show the document of a service that is in force. Without a service, list the services and what is out of service.",
+		Example: "  samphirestair show\n  samphirestair show agent-desk > agent-desk.ini",
+		Args:    cobra.MaximumNArgs(1),
+		RunE: c.bounded(func(ctx context.Context, args []string) error {
+			if len(args) == 0 {
+				return c.showOverview(ctx)
+			}
+			return c.showDocument(ctx, ident.ServiceID(args[0]))
+		}),
+	}
+}
+
+func (c *CLI) showDocument(ctx context.Context, service ident.ServiceID) error {
+	ix, text, err := c.documentInForce(ctx, service)
+	if err != nil {
+		return err
+	}
+	id, ok := ix.Documents[service]
+	if !ok {
+		return fail(ExitRefused, "cli: no document of service %s is in force", service)
+	}
+	c.printf("# in force at serial %d by change %s%s\n", ix.Serial, id, origin(ix, id))
+	c.printf("%s", text)
+	return nil
+}
+
+// documentInForce returns the index and the text of a document, which is empty
+// if none is in force.
+func (c *CLI) documentInForce(ctx context.Context, service ident.ServiceID) (*index.Index, string, error) {
+	changer, s, err := c.changer()
+	if err != nil {
+		return nil, "", err
+	}
+	_, ix, err := changer.Read(ctx)
+	if err != nil {
+		return nil, "", err
+	}
+	id, ok := ix.Documents[service]
+	if !ok {
+		return ix, "", nil
+	}
+	entry, err := s.Get(ctx, index.DocumentKey(service, id))
+	return ix, string(entry.Value), err
+}
+
+// origin says who made a change and when, if the index remembers it.
+func origin(ix *index.Index, id ident.ChangeID) string {
+	found, ok := ix.Find(id)
+	if !ok {
+		return ""
+	}
+	return fmt.Sprintf(", by %s at %s", found.By, found.At.UTC().Format(time.RFC3339))
+}
+
+func (c *CLI) showOverview(ctx context.Context) error {
+	changer, _, err := c.changer()
+	if err != nil {
+		return err
+	}
+	entry, ix, err := changer.Read(ctx)
+	if err != nil {
+		return err
+	}
+	if c.json {
+		return c.printJSON(ix)
+	}
+	c.printf("serial %d, revision %d\n\n", ix.Serial, entry.Revision)
+	t := table.New("KIND", "NAME", "CHANGE", "BY")
+	addRows(t, ix, "service", ix.Documents)
+	addRows(t, ix, "zone out", ix.ZonesOut)
+	addRows(t, ix, "vm out", ix.VMsOut)
+	addRows(t, ix, "server out", ix.ServersOut)
+	c.printTable(t)
+	return nil
+}
+
+func addRows[K ~string](t *table.Table, ix *index.Index, kind string, subjects map[K]ident.ChangeID) {
+	for _, subject := range slices.Sorted(maps.Keys(subjects)) {
+		id := subjects[subject]
+		found, _ := ix.Find(id)
+		t.Add(kind, string(subject), string(id), found.By)
+	}
+}
+
+func (c *CLI) diffCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "diff FILE",
+		Short:   "Compare a document with the one in force",
+		Long:    "Compare a document with the one in force. The serial that is printed can be given to apply --expect.",
+		Example: "  samphirestair diff agent-desk.ini",
+		Args:    cobra.ExactArgs(1),
+		RunE: c.bounded(func(ctx context.Context, args []string) error {
+			document, err := readDocument(args[0])
+			if err != nil {
+				return err
+			}
+			return c.diff(ctx, args[0], document)
+		}),
+	}
+}
+
+func (c *CLI) diff(ctx context.Context, path string, document *svcdoc.Document) error {
+	ix, current, err := c.documentInForce(ctx, document.Service)
+	if err != nil {
+		return err
+	}
+	proposed := string(svcdoc.Format(document))
+	if current == proposed {
+		c.printf("no difference at serial %d\n", ix.Serial)
+		return nil
+	}
+	text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A: splitLines(current), FromFile: fmt.Sprintf("in force at serial %d", ix.Serial),
+		B: splitLines(proposed), ToFile: path,
+		Context: diffContext,
+	})
+	c.printf("%s", text)
+	return err
+}
+
+// splitLines returns the lines of text with their line ends.
+func splitLines(text string) []string {
+	return slices.Collect(strings.Lines(text))
+}
+
+func (c *CLI) historyCommand() *cobra.Command {
+	limit := 0
+	command := &cobra.Command{
+		Use:     "history [SERVICE]",
+		Short:   "List accepted changes, the latest last",
+		Example: "  samphirestair history\n  samphirestair history agent-desk --limit 5",
+		Args:    cobra.MaximumNArgs(1),
+	}
+	command.Flags().IntVar(&limit, "limit", 20, "number of changes to list, 0 for all that are remembered")
+	command.RunE = c.bounded(func(ctx context.Context, args []string) error {
+		return c.history(ctx, args, limit)
+	})
+	return command
+}
+
+func (c *CLI) history(ctx context.Context, args []string, limit int) error {
+	changer, _, err := c.changer()
+	if err != nil {
+		return err
+	}
+	_, ix, err := changer.Read(ctx)
+	if err != nil {
+		return err
+	}
+	changes := ix.Changes
+	if len(args) > 0 {
+		changes = slices.DeleteFunc(changes, func(one index.Change) bool {
+			return one.Kind != string(change.Apply) || one.Subject != args[0]
+		})
+	}
+	if limit > 0 && len(changes) > limit {
+		changes = changes[len(changes)-limit:]
+	}
+	if c.json {
+		return c.printJSON(changes)
+	}
+	c.printChanges(changes)
+	return nil
+}
+
+func (c *CLI) changeCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "change ID",
+		Short: "Find out whether a change took effect",
+		Long: `Find out whether a change took effect.
+
+If it did not, the configuration is rewritten as it is, so that the change
+cannot take effect later either.`,
+		Example: "  samphirestair change 0197c3c0-6a5e-7d31-9a53-0f6f4f1e8c11",
+		Args:    cobra.ExactArgs(1),
+		RunE: c.bounded(func(ctx context.Context, args []string) error {
+			changer, _, err := c.changer()
+			if err != nil {
+				return err
+			}
+			return c.report(changer.Settle(ctx, ident.ChangeID(args[0])))
+		}),
+	}
+}
--- /dev/null
+++ b/internal/ops/table/json.go
@@ -0,0 +1,186 @@
+package table
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fastjson"
+)
+
+// field is one member of a JSON object, in the order of the text.
+type field struct {
+	name  string
+	value *fastjson.Value
+}
+
+// WriteJSON writes a JSON object as text: plain members as "name  value" lines,
+// lists of objects and objects of objects as tables, other members indented. It
+// fails if data is no JSON object, or if w fails.
+func WriteJSON(w io.Writer, data []byte) error {
+	value, err := fastjson.ParseBytes(data)
+	if err != nil {
+		return errors.Wrap(err, "table: read JSON")
+	}
+	if value.Type() != fastjson.TypeObject {
+		return errors.Newf("table: JSON %s, but an object is needed", value.Type())
+	}
+	var b strings.Builder
+	writeObject(&b, value, "")
+	_, err = io.WriteString(w, b.String())
+	return err
+}
+
+// Scalars returns the plain members of a JSON object by name, and their names in
+// the order of the text. It fails if data is no JSON object.
+func Scalars(data []byte) (names []string, values map[string]string, err error) {
+	value, err := fastjson.ParseBytes(data)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "table: read JSON")
+	}
+	values = map[string]string{}
+	for _, f := range fields(value) {
+		if isScalar(f.value) {
+			names = append(names, f.name)
+			values[f.name] = scalar(f.value)
+		}
+	}
+	return names, values, nil
+}
+
+func writeObject(b *strings.Builder, object *fastjson.Value, indent string) {
+	var nested []field
+	plain := &Table{}
+	for _, f := range fields(object) {
+		if isScalar(f.value) {
+			plain.Add(indent+f.name, scalar(f.value))
+			continue
+		}
+		nested = append(nested, f)
+	}
+	writeRows(b, plain)
+	for _, f := range nested {
+		writeNested(b, f, indent)
+	}
+}
+
+func writeNested(b *strings.Builder, f field, indent string) {
+	rows, keyed := rowsOf(f.value)
+	if len(fields(f.value)) == 0 && len(rows) == 0 {
+		fmt.Fprintf(b, "%s%s: none\n", indent, f.name)
+		return
+	}
+	fmt.Fprintf(b, "%s%s:\n", indent, f.name)
+	switch {
+	case rows != nil:
+		writeTable(b, rows, keyed, indent+"  ")
+	default:
+		writeObject(b, f.value, indent+"  ")
+	}
+}
+
+// rowsOf returns the elements of a list, or the members of an object whose
+// members are all objects. keyed tells which.
+func rowsOf(value *fastjson.Value) (rows []field, keyed bool) {
+	if value.Type() == fastjson.TypeArray {
+		for i, element := range value.GetArray() {
+			rows = append(rows, field{name: fmt.Sprint(i), value: element})
+		}
+		return rows, false
+	}
+	for _, f := range fields(value) {
+		if f.value.Type() != fastjson.TypeObject {
+			return nil, true
+		}
+		rows = append(rows, f)
+	}
+	return rows, true
+}
+
+func writeTable(b *strings.Builder, rows []field, keyed bool, indent string) {
+	columns := columnsOf(rows)
+	t := &Table{}
+	if len(columns) > 0 {
+		t.Add(tableRow(indent, keyed, "", columns)...)
+	}
+	for _, row := range rows {
+		t.Add(tableRow(indent, keyed, row.name, cells(row.value, columns))...)
+	}
+	writeRows(b, t)
+}
+
+// tableRow puts the name of a keyed row before its cells.
+func tableRow(indent string, keyed bool, name string, cells []string) []string {
+	if keyed {
+		return append([]string{indent + name}, cells...)
+	}
+	if len(cells) == 0 {
+		return []string{indent + "{}"}
+	}
+	return append([]string{indent + cmp.Or(cells[0], "-")}, cells[1:]...)
+}
+
+// columnsOf returns the names of all members of the rows, in the order in which
+// they first appear.
+func columnsOf(rows []field) []string {
+	var columns []string
+	seen := map[string]bool{}
+	for _, row := range rows {
+		for _, f := range fields(row.value) {
+			if !seen[f.name] {
+				seen[f.name] = true
+				columns = append(columns, f.name)
+			}
+		}
+	}
+	return columns
+}
+
+func cells(row *fastjson.Value, columns []string) []string {
+	if row.Type() != fastjson.TypeObject {
+		return []string{scalar(row)}
+	}
+	texts := make([]string, len(columns))
+	for i, column := range columns {
+		if value := row.Get(column); value != nil {
+			texts[i] = scalar(value)
+		}
+	}
+	return texts
+}
+
+func fields(object *fastjson.Value) []field {
+	var all []field
+	if o, err := object.Object(); err == nil {
+		o.Visit(func(key []byte, value *fastjson.Value) {
+			all = append(all, field{name: string(key), value: value})
+		})
+	}
+	return all
+}
+
+func isScalar(value *fastjson.Value) bool {
+	return value.Type() != fastjson.TypeObject && value.Type() != fastjson.TypeArray
+}
+
+func scalar(value *fastjson.Value) string {
+	switch value.Type() {
+	case fastjson.TypeString:
+		return string(value.GetStringBytes())
+	case fastjson.TypeNull:
+		return "-"
+	default:
+		return value.String()
+	}
+}
+
+// writeRows writes rows without a header.
+func writeRows(b *strings.Builder, t *Table) {
+	if len(t.rows) == 0 {
+		return
+	}
+	// A strings.Builder does not fail.
+	_ = (&Table{header: t.rows[0], rows: t.rows[1:]}).Write(b)
+}
