Add the clients of the platform and its stand-ins

The areas need the platform's services and backend servers to run against, and clients that tell a write that did not take effect from one that may have. fasthttp's own context-free calls were kept: each call runs in a goroutine of the client's wait group and ends by its timeout at the latest, and the caller leaves when its context ends. errors.Mark was ruled out for the sentinel errors, because the standard errors.Is does not see marks.

Change: store.HTTP, vmlist.HTTP over plat/httpc; lab/kvsrv, lab/vmsrv, lab/server (slots, cold start, limits of connections, faults), lab/trace.

--- /dev/null
+++ b/internal/lab/server/answers.go
@@ -0,0 +1,104 @@
+package server
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/valyala/fastjson"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+)
+
+const (
+	defaultHits = 10
+	maxHits     = 100
+)
+
+// Hit is one hit of a search.
+type Hit struct {
+	ID    string  `json:"id"`
+	Score float64 `json:"score"`
+	Doc   Doc     `json:"doc"`
+}
+
+// Doc is the document of a hit. It tells where the hit comes from.
+type Doc struct {
+	Version ident.Version `json:"version"`
+	Shard   ident.Shard   `json:"shard"`
+	Query   string        `json:"query"`
+}
+
+// Hits returns the hits of a shard, the best first. They depend on the
+// arguments only, so that a checker can compute what the answer to a search
+// must be.
+func Hits(service ident.ServiceID, doc Doc, limit int) []Hit {
+	hits := make([]Hit, limit)
+	seed := hash64(fmt.Sprintf("%s\x00%d\x00%d\x00%s", service, doc.Version, doc.Shard, doc.Query))
+	score := 1.0
+	for i := range hits {
+		seed = mix(seed)
+		score *= 1 - float64(seed>>11)/(1<<53)/scoreStep
+		hits[i] = Hit{ID: fmt.Sprintf("v%d-s%d-%d", doc.Version, doc.Shard, i), Score: score, Doc: doc}
+	}
+	return hits
+}
+
+// scoreStep divides the largest relative step between successive scores of one
+// shard.
+const scoreStep = 4
+
+// mix is one step of the SplitMix64 generator.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// query is what a caller asked for.
+type query struct {
+	text  string
+	limit int
+}
+
+// parseQuery reads {"query":TEXT,"limit":N}. A body of another form is taken
+// as the text itself.
+func parseQuery(body []byte) query {
+	q := query{text: string(body), limit: defaultHits}
+	value, err := fastjson.ParseBytes(body)
+	if err != nil {
+		return q
+	}
+	if text := value.GetStringBytes("query"); text != nil {
+		q.text = string(text)
+	}
+	if limit := value.GetInt("limit"); limit > 0 {
+		q.limit = min(limit, maxHits)
+	}
+	return q
+}
+
+type searchBody struct {
+	Hits []Hit `json:"hits"`
+}
+
+type lookupBody struct {
+	Key     string        `json:"key"`
+	Version ident.Version `json:"version"`
+	Shard   ident.Shard   `json:"shard"`
+}
+
+type actionBody struct {
+	Action string         `json:"action"`
+	Key    string         `json:"key"`
+	Server ident.ServerID `json:"server"`
+}
+
+// encode encodes an answer. The types above always have an encoding.
+func encode(body any) []byte {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/internal/lab/server/engine_test.go
@@ -0,0 +1,125 @@
+package server
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
+)
+
+const second = time.Second
+
+// steady makes all service times equal to the mean.
+var steady = Options{Mean: second, Sigma: 1e-9, Queue: 2}
+
+func newTestEngine(limits svcdoc.Limits) *engine {
+	return newEngine(svcdoc.Server{ID: "desk/a", Limits: limits}, steady)
+}
+
+// work takes and performs one job and returns the outcome and the time taken.
+func work(t *testing.T, e *engine, id string, deadline time.Duration) (outcome, time.Duration) {
+	begin := time.Now()
+	j, result := e.take(id, begin.Add(deadline))
+	require.Equal(t, taken, result)
+	end := e.perform(j)
+	e.finish(j, end)
+	return end, time.Since(begin).Round(time.Millisecond)
+}
+
+func TestSlotsBoundProgressAndQueueSheds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEngine(svcdoc.Limits{Slots: 2})
+		var group conc.WaitGroup
+		times := make([]time.Duration, 4)
+		for i := range times {
+			group.Go(func() { _, times[i] = work(t, e, string(rune('a'+i)), time.Minute) })
+		}
+		synctest.Wait()
+		_, result := e.take("late", time.Now().Add(second))
+		require.Equal(t, shed, result)
+		group.Wait()
+		require.ElementsMatch(t, []time.Duration{second, second, 2 * second, 2 * second}, times)
+		require.Equal(t, 2, e.stats().SlotExcess)
+		require.Equal(t, 4, e.stats().SlotPeak)
+	})
+}
+
+func TestColdServerFallsOverAndWarmsByCompletions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEngine(svcdoc.Limits{Slots: 2, ColdSlots: 1, WarmAfter: 2})
+		boot := e.boot()
+		var group conc.WaitGroup
+		group.Go(func() {
+			end, _ := work(t, e, "first", time.Minute)
+			require.Equal(t, lost, end)
+		})
+		synctest.Wait()
+		_, result := e.take("second", time.Now().Add(time.Minute))
+		require.Equal(t, fell, result)
+		group.Wait()
+		require.NotEqual(t, boot, e.boot())
+		require.Equal(t, 1, e.stats().ColdExcess)
+
+		for range 2 {
+			_, took := work(t, e, "again", time.Minute)
+			require.Equal(t, coldFactor*second, took)
+		}
+		require.False(t, e.stats().Cold)
+		_, took := work(t, e, "warm", time.Minute)
+		require.Equal(t, second, took)
+	})
+}
+
+func TestDeadlineAndCancellationFreeTheSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEngine(svcdoc.Limits{Slots: 1})
+		end, _ := work(t, e, "short", second/2)
+		require.Equal(t, expired, end)
+		var group conc.WaitGroup
+		group.Go(func() {
+			end, _ := work(t, e, "gone", time.Minute)
+			require.Equal(t, cancelled, end)
+		})
+		synctest.Wait()
+		e.abort("gone")
+		group.Wait()
+		end, took := work(t, e, "next", time.Minute)
+		require.Equal(t, completed, end)
+		require.Equal(t, second, took)
+	})
+}
+
+func TestConnectionsCostSlotTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEngine(svcdoc.Limits{Slots: 1, ConnectCost: 3 * second})
+		var group conc.WaitGroup
+		group.Go(e.connect)
+		synctest.Wait()
+		_, took := work(t, e, "behind", time.Minute)
+		require.Equal(t, 4*second, took)
+		group.Wait()
+	})
+}
+
+func TestRestartLosesNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEngine(svcdoc.Limits{Slots: 1})
+		var group conc.WaitGroup
+		for _, id := range []string{"a", "b", "c"} {
+			group.Go(func() {
+				end, _ := work(t, e, id, time.Minute)
+				require.Equal(t, lost, end)
+			})
+		}
+		synctest.Wait()
+		e.restart()
+		group.Wait()
+		end, took := work(t, e, "next", time.Minute)
+		require.Equal(t, completed, end)
+		require.Equal(t, second, took)
+	})
+}
--- /dev/null
+++ b/internal/lab/trace/recorder.go
@@ -0,0 +1,106 @@
+package trace
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// flushInterval is the longest time that an event waits in the buffer while
+// others follow.
+const flushInterval = 200 * time.Millisecond
+
+// Recorder writes events to one history. It is safe for concurrent use. A nil
+// Recorder discards them.
+type Recorder struct {
+	process string
+	epoch   time.Time
+	mu      sync.Mutex
+	buffer  *bufio.Writer
+	flushed time.Time
+	closer  io.Closer
+	err     error
+}
+
+// New returns a recorder for the named process that writes to w.
+func New(w io.Writer, process string) *Recorder {
+	now := time.Now()
+	return &Recorder{process: process, epoch: now, flushed: now, buffer: bufio.NewWriter(w)}
+}
+
+// Create returns a recorder that writes to the named file. An empty name gives
+// a recorder that discards the events.
+func Create(name, process string) (*Recorder, error) {
+	if name == "" {
+		return nil, nil
+	}
+	file, err := os.Create(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "trace")
+	}
+	r := New(file, process)
+	r.closer = file
+	return r, nil
+}
+
+// Now returns the present time in nanoseconds since the Unix epoch. It never
+// goes back within a recorder.
+func (r *Recorder) Now() int64 {
+	if r == nil {
+		return time.Now().UnixNano()
+	}
+	return r.epoch.UnixNano() + int64(time.Since(r.epoch))
+}
+
+// Record writes an event. It sets the process, and the time if it is absent.
+func (r *Recorder) Record(event Event) {
+	if r == nil {
+		return
+	}
+	event.Process = r.process
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if event.At == 0 {
+		event.At = r.Now()
+	}
+	r.writeLocked(event)
+}
+
+func (r *Recorder) writeLocked(event Event) {
+	if r.err != nil {
+		return
+	}
+	line, err := json.Marshal(event)
+	if err != nil {
+		r.err = errors.Wrap(err, "trace: encode")
+		return
+	}
+	if _, err := r.buffer.Write(append(line, '\n')); err != nil {
+		r.err = errors.Wrap(err, "trace: write")
+		return
+	}
+	if now := time.Now(); now.Sub(r.flushed) >= flushInterval {
+		r.flushed = now
+		r.err = errors.Wrap(r.buffer.Flush(), "trace: flush")
+	}
+}
+
+// Close writes what is buffered and returns the first error that occurred. No
+// event may be recorded afterwards.
+func (r *Recorder) Close() error {
+	if r == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	err := errors.CombineErrors(r.err, r.buffer.Flush())
+	if r.closer != nil {
+		err = errors.CombineErrors(err, r.closer.Close())
+	}
+	return err
+}
--- /dev/null
+++ b/internal/lab/vmsrv/service.go
@@ -0,0 +1,132 @@
+// Package vmsrv is a stand-in of the platform's list of VMs, with lag and
+// outages on request.
+package vmsrv
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/samphirestair/samphirestair/internal/lab/httpd"
+	"github.com/samphirestair/samphirestair/internal/plat/vmlist"
+)
+
+// PathFault accepts a Fault.
+const PathFault = "/v1/fault"
+
+// Fault is the faulty behaviour of the list. The zero value is none.
+type Fault struct {
+	// Down makes the service refuse to tell the list.
+	Down bool `json:"down"`
+	// LagMillis is the time after which the list tells a change, in
+	// milliseconds.
+	LagMillis int `json:"lag_ms"`
+}
+
+// Service is the stand-in. It is safe for concurrent use.
+type Service struct {
+	mu      sync.Mutex
+	fault   Fault
+	history []edition
+	daemon  *httpd.Daemon
+}
+
+// edition is the true list from a moment on.
+type edition struct {
+	since time.Time
+	vms   []vmlist.VM
+}
+
+// Start serves an empty list on address with the given fault.
+func Start(address string, fault Fault) (*Service, error) {
+	s := &Service{fault: fault}
+	daemon, err := httpd.Start(address, s.app())
+	if err != nil {
+		return nil, errors.Wrap(err, "vmsrv")
+	}
+	s.daemon = daemon
+	return s, nil
+}
+
+// URL returns the base URL of the service.
+func (s *Service) URL() string {
+	return s.daemon.URL()
+}
+
+// Close stops the service.
+func (s *Service) Close() error {
+	return errors.Wrap(s.daemon.Close(), "vmsrv")
+}
+
+// SetFault replaces the fault in force.
+func (s *Service) SetFault(fault Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
+// SetVMs sets the true list. Callers see it after the lag; the first list is
+// seen at once.
+func (s *Service) SetVMs(vms []vmlist.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since := time.Now()
+	if len(s.history) == 0 {
+		since = time.Time{}
+	}
+	s.history = append(s.history, edition{since: since, vms: vms})
+}
+
+// VMs returns the list as it was told the lag ago, or false if the service is
+// down.
+func (s *Service) VMs() ([]vmlist.VM, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fault.Down {
+		return nil, false
+	}
+	seen := time.Now().Add(-time.Duration(s.fault.LagMillis) * time.Millisecond)
+	vms := []vmlist.VM{}
+	for _, e := range s.history {
+		if !e.since.After(seen) {
+			vms = e.vms
+		}
+	}
+	return vms, true
+}
+
+func (s *Service) app() *fiber.App {
+	app := httpd.NewApp()
+	app.Get(vmlist.PathVMs, s.handleGet)
+	app.Put(vmlist.PathVMs, s.handlePut)
+	app.Post(PathFault, s.handleFault)
+	return app
+}
+
+func (s *Service) handleGet(c fiber.Ctx) error {
+	vms, up := s.VMs()
+	if !up {
+		return c.SendStatus(fiber.StatusServiceUnavailable)
+	}
+	return c.JSON(vms)
+}
+
+func (s *Service) handlePut(c fiber.Ctx) error {
+	vms := []vmlist.VM{}
+	if err := c.Bind().JSON(&vms); err != nil {
+		return err
+	}
+	s.SetVMs(vms)
+	return c.SendStatus(fiber.StatusNoContent)
+}
+
+func (s *Service) handleFault(c fiber.Ctx) error {
+	var fault Fault
+	if err := c.Bind().JSON(&fault); err != nil {
+		return err
+	}
+	s.SetFault(fault)
+	return c.SendStatus(fiber.StatusNoContent)
+}
