--- /dev/null
+++ b/internal/lab/load/answer.go
@@ -0,0 +1,54 @@
+package load
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/lab/server"
+	"github.com/samphirestair/samphirestair/internal/lab/trace"
+)
+
+// answer is what an entry VM answers to a request.
+type answer struct {
+	Request     string        `json:"request"`
+	Outcome     trace.Outcome `json:"outcome"`
+	Snapshot    ident.Version `json:"snapshot"`
+	Coverage    coverage      `json:"coverage"`
+	Hits        []server.Hit  `json:"hits"`
+	Reason      string        `json:"reason"`
+	RetryMillis int           `json:"retry_after_ms"`
+}
+
+type coverage struct {
+	Answered int `json:"answered"`
+	Of       int `json:"of"`
+}
+
+// parseAnswer parses the body of an answer.
+func parseAnswer(body []byte) (answer, error) {
+	var a answer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return answer{}, errors.Wrap(err, "load: answer")
+	}
+	switch a.Outcome {
+	case trace.OutcomeFull, trace.OutcomePartial, trace.OutcomeDone, trace.OutcomeNotRun, trace.OutcomeUnknown:
+		return a, nil
+	default:
+		return answer{}, errors.Newf("load: unknown outcome %q", a.Outcome)
+	}
+}
+
+// fill copies what the answer says into the record of an attempt.
+func (a answer) fill(attempt *trace.Attempt) {
+	attempt.Outcome = a.Outcome
+	attempt.Echo = a.Request
+	attempt.Snapshot = a.Snapshot
+	attempt.Answered, attempt.Of = a.Coverage.Answered, a.Coverage.Of
+	for _, hit := range a.Hits {
+		attempt.Hits = append(attempt.Hits, trace.Hit{
+			ID: hit.ID, Version: hit.Doc.Version, Shard: hit.Doc.Shard, Query: hit.Doc.Query,
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/load/caller.go
@@ -0,0 +1,103 @@
+package load
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/samphirestair/samphirestair/internal/lab/trace"
+)
+
+// caller performs whole requests: it follows the address list until one
+// address answers. It is safe for concurrent use.
+type caller struct {
+	options   Options
+	directory *directory
+	sender    *sender
+	report    *collector
+}
+
+// call performs the request of an arrival that was due at the given time.
+func (c *caller) call(a arrival, due time.Time) {
+	request, err := c.newRequest(a)
+	if err != nil {
+		c.report.broken(err)
+		return
+	}
+	result := c.follow(request)
+	result.latency = time.Since(due)
+	c.report.add(request, result)
+}
+
+// result is what came of a request in the end.
+type result struct {
+	answer  answer
+	failure trace.Failure
+	// attempt is the last attempt.
+	attempt  trace.Attempt
+	attempts int
+	latency  time.Duration
+}
+
+// newRequest returns the first attempt of a request without its address.
+func (c *caller) newRequest(a arrival) (trace.Attempt, error) {
+	name := fmt.Sprintf("%d-%d", c.options.Seed, a.Number)
+	request := trace.Attempt{Request: name, Op: a.Flow.Op, Service: a.Service, Class: a.Class}
+	switch a.Flow.Op {
+	case trace.OpSearch:
+		request.Limit = c.options.Limit
+	case trace.OpLookup:
+		request.Key = "booking-" + name
+	case trace.OpAction:
+		key, err := uuid.NewV7()
+		if err != nil {
+			return request, errors.Wrap(err, "load: key")
+		}
+		request.Action, request.Key = a.Flow.Action, key.String()
+	}
+	return request, nil
+}
+
+// follow tries addresses until one answers. An action keeps its key.
+func (c *caller) follow(request trace.Attempt) result {
+	r := result{failure: trace.FailureRefused, attempt: request}
+	for _, address := range c.directory.pick() {
+		if r.attempts == c.options.Attempts {
+			break
+		}
+		r.attempts++
+		r.attempt = nextAttempt(request, r.attempts, address)
+		r.answer, r.failure = c.try(r.attempt)
+		if r.failure == "" || r.failure == trace.FailureBad {
+			break
+		}
+	}
+	return r
+}
+
+// nextAttempt returns the n-th attempt of a request. Its id and query name the
+// attempt, so that an answer shows to which attempt it belongs.
+func nextAttempt(request trace.Attempt, n int, address string) trace.Attempt {
+	attempt := request
+	attempt.ID = fmt.Sprintf("%s-%d", request.Request, n)
+	attempt.Address = address
+	if attempt.Op == trace.OpSearch {
+		attempt.Query = "sofa " + attempt.ID
+	}
+	return attempt
+}
+
+// try performs one attempt and records it.
+func (c *caller) try(attempt trace.Attempt) (answer, trace.Failure) {
+	started := attempt
+	c.options.Recorder.Record(trace.Event{Kind: trace.KindStarted, Attempt: &started})
+	a, failure := c.sender.send(attempt)
+	attempt.Failure = failure
+	if failure == "" {
+		a.fill(&attempt)
+	}
+	c.options.Recorder.Record(trace.Event{Kind: trace.KindEnded, Attempt: &attempt})
+	return a, failure
+}
--- /dev/null
+++ b/internal/lab/load/collector.go
@@ -0,0 +1,129 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/samphirestair/samphirestair/internal/lab/trace"
+)
+
+const (
+	// maxLatency and latencyDigits are the range and precision of latencies,
+	// in microseconds and digits.
+	maxLatency    = int64(10 * time.Minute / time.Microsecond)
+	latencyDigits = 3
+)
+
+// collector counts results. It is safe for concurrent use.
+type collector struct {
+	deadline time.Duration
+	mu       sync.Mutex
+	rows     map[rowKey]*row
+	dropped  int
+	err      error
+}
+
+// rowKey is what requests are grouped by.
+type rowKey struct {
+	service string
+	op      trace.Op
+	class   string
+}
+
+// row counts the results of one group.
+type row struct {
+	histogram *hdrhistogram.Histogram
+	outcomes  map[trace.Outcome]int
+	failures  map[trace.Failure]int
+	sent      int
+	attempts  int
+	good      int
+	answered  int
+	of        int
+	crossed   int
+	mixed     int
+}
+
+func newCollector(deadline time.Duration) *collector {
+	return &collector{deadline: deadline, rows: map[rowKey]*row{}}
+}
+
+func newRow() *row {
+	return &row{
+		histogram: hdrhistogram.New(1, maxLatency, latencyDigits),
+		outcomes:  map[trace.Outcome]int{},
+		failures:  map[trace.Failure]int{},
+	}
+}
+
+// add counts the result of a request.
+func (c *collector) add(request trace.Attempt, r result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := rowKey{service: string(request.Service), op: request.Op, class: request.Class}
+	if c.rows[key] == nil {
+		c.rows[key] = newRow()
+	}
+	c.rows[key].add(r, c.deadline)
+}
+
+// drop counts an arrival that was not sent because too many were under way.
+func (c *collector) drop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropped++
+}
+
+// broken notes a failure of the tool itself.
+func (c *collector) broken(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.err = err
+}
+
+func (r *row) add(res result, deadline time.Duration) {
+	r.sent++
+	r.attempts += res.attempts
+	if res.failure != "" {
+		r.failures[res.failure]++
+		return
+	}
+	r.outcomes[res.answer.Outcome]++
+	r.countCoverage(res.answer)
+	r.countFaults(res)
+	if res.answer.Outcome == trace.OutcomeNotRun {
+		return
+	}
+	// Values out of range are clamped, so that recording does not fail.
+	micros := min(max(res.latency.Microseconds(), 1), maxLatency)
+	_ = r.histogram.RecordValue(micros)
+	complete := res.answer.Outcome == trace.OutcomeFull || res.answer.Outcome == trace.OutcomeDone
+	if complete && res.latency <= deadline {
+		r.good++
+	}
+}
+
+func (r *row) countCoverage(a answer) {
+	if a.Outcome == trace.OutcomeFull || a.Outcome == trace.OutcomePartial {
+		r.answered += a.Coverage.Answered
+		r.of += a.Coverage.Of
+	}
+}
+
+// countFaults counts answers that belong to another request or mix versions.
+func (r *row) countFaults(res result) {
+	crossed := res.answer.Request != res.attempt.ID
+	mixed := false
+	for _, hit := range res.answer.Hits {
+		crossed = crossed || hit.Doc.Query != res.attempt.Query
+		mixed = mixed || hit.Doc.Version != res.answer.Snapshot
+	}
+	if crossed {
+		r.crossed++
+	}
+	if mixed {
+		r.mixed++
+	}
+}
--- /dev/null
+++ b/internal/lab/load/options.go
@@ -0,0 +1,64 @@
+// Package load sends an open-loop load to entry VMs as callers would, and
+// reports what came back.
+package load
+
+import (
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/lab/trace"
+)
+
+// Defaults of Options.
+const (
+	defaultDeadline = 500 * time.Millisecond
+	defaultGrace    = 100 * time.Millisecond
+	defaultAttempts = 3
+	defaultLimit    = 10
+	defaultInFlight = 10000
+)
+
+// Options says what load to send. Entries and Mixes are required; the zero
+// value of the others gives the defaults.
+type Options struct {
+	// Entries are the "ip:port" addresses of entry VMs that are asked for
+	// addresses.
+	Entries []string
+	Mixes   []Mix
+	// Classes are the caller classes; each request draws one.
+	Classes  []string
+	Duration time.Duration
+	Seed     uint64
+	// Deadline is stated in each request.
+	Deadline time.Duration
+	// Grace is the time beyond the deadline after which a caller takes an
+	// address for silent.
+	Grace time.Duration
+	// Attempts is the largest number of addresses that one request tries.
+	Attempts int
+	// Limit is the number of hits that a search asks for.
+	Limit int
+	// InFlight is the largest number of requests under way. Arrivals beyond it
+	// are counted as dropped.
+	InFlight int
+	// Recorder receives the history. It may be nil.
+	Recorder *trace.Recorder
+}
+
+func (o Options) withDefaults() Options {
+	if o.Deadline <= 0 {
+		o.Deadline = defaultDeadline
+	}
+	if o.Grace <= 0 {
+		o.Grace = defaultGrace
+	}
+	if o.Attempts <= 0 {
+		o.Attempts = defaultAttempts
+	}
+	if o.Limit <= 0 {
+		o.Limit = defaultLimit
+	}
+	if o.InFlight <= 0 {
+		o.InFlight = defaultInFlight
+	}
+	return o
+}
--- /dev/null
+++ b/internal/lab/load/report.go
@@ -0,0 +1,152 @@
+package load
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/samphirestair/samphirestair/internal/lab/trace"
+)
+
+// Report is the result of a run.
+type Report struct {
+	// Seconds is the time over which the load was offered.
+	Seconds float64 `json:"seconds"`
+	// Dropped counts arrivals that were not sent because too many requests
+	// were under way.
+	Dropped int `json:"dropped"`
+	// Total sums up all requests, Rows those of each service, kind and class.
+	Total Row   `json:"total"`
+	Rows  []Row `json:"rows"`
+}
+
+// Row sums up a group of requests. Latencies are in microseconds from the
+// intended start, of requests that were answered and not refused.
+type Row struct {
+	Service  string                `json:"service,omitempty"`
+	Op       trace.Op              `json:"op,omitempty"`
+	Class    string                `json:"class,omitempty"`
+	Sent     int                   `json:"sent"`
+	Attempts int                   `json:"attempts"`
+	Outcomes map[trace.Outcome]int `json:"outcomes"`
+	Failures map[trace.Failure]int `json:"failures"`
+	// Goodput is the number of complete answers in time per second.
+	Goodput float64 `json:"goodput"`
+	// Coverage is the share of shards that answered, over the searches that
+	// were answered.
+	Coverage float64 `json:"coverage"`
+	P50      int64   `json:"p50_us"`
+	P90      int64   `json:"p90_us"`
+	P99      int64   `json:"p99_us"`
+	P999     int64   `json:"p999_us"`
+	Max      int64   `json:"max_us"`
+	// Crossed counts answers that belong to another request, Mixed those from
+	// several index versions.
+	Crossed int `json:"crossed"`
+	Mixed   int `json:"mixed"`
+}
+
+// report sums up the results of a run of the given length.
+func (c *collector) report(length time.Duration) Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	report := Report{Seconds: length.Seconds(), Dropped: c.dropped}
+	total := newRow()
+	for key, r := range c.rows {
+		total.merge(r)
+		out := r.row(length)
+		out.Service, out.Op, out.Class = key.service, key.op, key.class
+		report.Rows = append(report.Rows, out)
+	}
+	slices.SortFunc(report.Rows, compareRows)
+	report.Total = total.row(length)
+	return report
+}
+
+func compareRows(a, b Row) int {
+	return cmp.Or(
+		cmp.Compare(a.Service, b.Service),
+		cmp.Compare(a.Op, b.Op),
+		cmp.Compare(a.Class, b.Class),
+	)
+}
+
+func (r *row) merge(other *row) {
+	r.histogram.Merge(other.histogram)
+	r.sent += other.sent
+	r.attempts += other.attempts
+	r.good += other.good
+	r.answered += other.answered
+	r.of += other.of
+	r.crossed += other.crossed
+	r.mixed += other.mixed
+	for outcome, n := range other.outcomes {
+		r.outcomes[outcome] += n
+	}
+	for failure, n := range other.failures {
+		r.failures[failure] += n
+	}
+}
+
+func (r *row) row(length time.Duration) Row {
+	out := Row{
+		Sent:     r.sent,
+		Attempts: r.attempts,
+		Outcomes: r.outcomes,
+		Failures: r.failures,
+		Crossed:  r.crossed,
+		Mixed:    r.mixed,
+	}
+	out.fillLatencies(r.histogram)
+	if length > 0 {
+		out.Goodput = float64(r.good) / length.Seconds()
+	}
+	if r.of > 0 {
+		out.Coverage = float64(r.answered) / float64(r.of)
+	}
+	return out
+}
+
+func (r *Row) fillLatencies(h *hdrhistogram.Histogram) {
+	r.P50 = h.ValueAtQuantile(50)
+	r.P90 = h.ValueAtQuantile(90)
+	r.P99 = h.ValueAtQuantile(99)
+	r.P999 = h.ValueAtQuantile(99.9)
+	r.Max = h.Max()
+}
+
+// WriteText writes the report as a table.
+func (r Report) WriteText(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "service\tkind\tclass\tsent\tfull\tpartial\tdone\tnot run\tunknown\tfailed\t"+
+		"good/s\tcoverage\tp50 ms\tp90 ms\tp99 ms\tp99.9 ms\tcrossed\tmixed")
+	for _, row := range r.Rows {
+		row.writeText(table)
+	}
+	total := r.Total
+	total.Service = "all"
+	total.writeText(table)
+	_, _ = fmt.Fprintf(table, "%.1f s, %d dropped\n", r.Seconds, r.Dropped)
+	return table.Flush()
+}
+
+func (r Row) writeText(w io.Writer) {
+	failed := 0
+	for _, n := range r.Failures {
+		failed += n
+	}
+	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.4f\t%s\t%s\t%s\t%s\t%d\t%d\n",
+		r.Service, r.Op, r.Class, r.Sent,
+		r.Outcomes[trace.OutcomeFull], r.Outcomes[trace.OutcomePartial], r.Outcomes[trace.OutcomeDone],
+		r.Outcomes[trace.OutcomeNotRun], r.Outcomes[trace.OutcomeUnknown], failed,
+		r.Goodput, r.Coverage, millis(r.P50), millis(r.P90), millis(r.P99), millis(r.P999), r.Crossed, r.Mixed)
+}
+
+func millis(micros int64) string {
+	return fmt.Sprintf("%.2f", float64(micros)/1000)
+}
--- /dev/null
+++ b/internal/lab/load/schedule.go
@@ -0,0 +1,74 @@
+package load
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+)
+
+// arrival is one request of a schedule.
+type arrival struct {
+	// After is the time from the start of the run.
+	After   time.Duration
+	Number  int
+	Service ident.ServiceID
+	Flow    Flow
+	Class   string
+}
+
+// schedule draws the arrivals of a run: a Poisson process for all flows
+// together, of which each arrival takes one flow by its share. Two schedules
+// of the same options are equal. It is not safe for concurrent use.
+type schedule struct {
+	rand    *rand.Rand
+	flows   []arrival
+	total   float64
+	classes []string
+	end     time.Duration
+	now     time.Duration
+	count   int
+}
+
+func newSchedule(options Options) *schedule {
+	s := &schedule{
+		rand:    rand.New(rand.NewPCG(options.Seed, 0)),
+		classes: options.Classes,
+		end:     options.Duration,
+	}
+	for _, mix := range options.Mixes {
+		for _, flow := range mix.Flows {
+			s.flows = append(s.flows, arrival{Service: mix.Service, Flow: flow})
+			s.total += flow.Rate
+		}
+	}
+	return s
+}
+
+// next returns the next arrival, or false at the end of the run.
+func (s *schedule) next() (arrival, bool) {
+	if s.total <= 0 {
+		return arrival{}, false
+	}
+	s.now += time.Duration(s.rand.ExpFloat64() / s.total * float64(time.Second))
+	if s.now >= s.end {
+		return arrival{}, false
+	}
+	a := s.draw()
+	s.count++
+	a.After, a.Number = s.now, s.count
+	if len(s.classes) > 0 {
+		a.Class = s.classes[s.rand.IntN(len(s.classes))]
+	}
+	return a, true
+}
+
+func (s *schedule) draw() arrival {
+	at := s.rand.Float64() * s.total
+	for _, flow := range s.flows {
+		if at -= flow.Flow.Rate; at < 0 {
+			return flow
+		}
+	}
+	return s.flows[len(s.flows)-1]
+}
