Add the policies of the query path

Searches need a pinned version, a replica per shard, a bound on extra work, admission and a merge. Each is a decision on events and time, so that the process and the tests drive the same code.

A shared queue at the entry was ruled out: refusals have to be immediate, and the owners order by class and deadline already. Limits are per class and count only the same and more important classes, so that the least important class is shed first.

Unit tests of each policy pass. The policies are not yet driven by traffic.

--- /dev/null
+++ b/internal/query/admit/feasible.go
@@ -0,0 +1,123 @@
+package admit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+)
+
+func init() {
+	Policies.Register("feasible", func(o Options) Policy {
+		return &feasible{options: o.withDefaults(), services: map[ident.ServiceID]*service{}}
+	})
+}
+
+const (
+	// minRetry and maxRetry bound the time after which a refused caller may
+	// come back.
+	minRetry = 50 * time.Millisecond
+	maxRetry = 2 * time.Second
+)
+
+// feasible admits a request if its deadline can probably be met. Each class
+// has an adaptive limit on the requests of its own and of more important
+// classes, so that the least important class is shed first.
+type feasible struct {
+	options Options
+
+	mu       sync.RWMutex
+	services map[ident.ServiceID]*service
+}
+
+// service is the state of one service.
+type service struct {
+	mu      sync.Mutex
+	classes []class
+}
+
+// class is the state of one caller class of a service.
+type class struct {
+	running int
+	limit   limiter
+	wait    peak
+	run     peak
+}
+
+func (f *feasible) Admit(now time.Time, request Request) Decision {
+	s := f.service(request.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := s.class(request.Class, f.options)
+	if s.load(request.Class) >= own.limit.current(now) {
+		return refuse("too many requests", minRetry)
+	}
+	wait, run := s.expected(now, request.Class)
+	if now.Add(wait + run).After(request.Deadline) {
+		return refuse("deadline cannot be met", min(max(wait, minRetry), maxRetry))
+	}
+	own.running++
+	return Decision{Admitted: true}
+}
+
+func (f *feasible) Observe(now time.Time, id ident.ServiceID, rank ident.Class, wait, run time.Duration) {
+	s := f.service(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.class(rank, f.options)
+	c.wait.add(now, wait)
+	c.run.add(now, run)
+}
+
+func (f *feasible) Done(now time.Time, request Request, outcome Outcome) {
+	s := f.service(request.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load := s.load(request.Class)
+	own := s.class(request.Class, f.options)
+	own.running--
+	own.limit.done(now, load, outcome.InTime && !outcome.Refused)
+}
+
+func (f *feasible) service(id ident.ServiceID) *service {
+	f.mu.RLock()
+	known := f.services[id]
+	f.mu.RUnlock()
+	if known != nil {
+		return known
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.services[id] == nil {
+		f.services[id] = &service{}
+	}
+	return f.services[id]
+}
+
+// class returns the state of a class. It must not be kept across calls.
+func (s *service) class(rank ident.Class, options Options) *class {
+	for len(s.classes) <= int(rank) {
+		s.classes = append(s.classes, class{limit: newLimiter(options)})
+	}
+	return &s.classes[rank]
+}
+
+// load returns the number of running requests of the class and of all more
+// important ones.
+func (s *service) load(rank ident.Class) int {
+	load := 0
+	for i := 0; i <= int(rank) && i < len(s.classes); i++ {
+		load += s.classes[i].running
+	}
+	return load
+}
+
+// expected returns the time that a request of the class will probably wait and
+// run. A class waits at least as long as the more important ones.
+func (s *service) expected(now time.Time, rank ident.Class) (wait, run time.Duration) {
+	for i := 0; i <= int(rank) && i < len(s.classes); i++ {
+		wait = max(wait, s.classes[i].wait.value(now))
+		run = max(run, s.classes[i].run.value(now))
+	}
+	return wait, run
+}
--- /dev/null
+++ b/internal/query/choose/choose_test.go
@@ -0,0 +1,75 @@
+package choose_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/query/choose"
+)
+
+var replicas = []ident.ServerID{"s/a", "s/b"}
+
+func newPolicy(t *testing.T, name string) choose.Policy {
+	t.Helper()
+	construct, err := choose.Policies.Lookup(name)
+	require.NoError(t, err)
+	return construct(choose.Options{IntN: rand.New(rand.NewPCG(1, 2)).IntN})
+}
+
+// share returns how many of 1000 choices fall on the first replica when each
+// sub-request is answered after its server's service time.
+func share(policy choose.Policy, first, second time.Duration) int {
+	now, count := time.Unix(0, 0), 0
+	times := []time.Duration{first, second}
+	for range 1000 {
+		i := policy.Choose(now, replicas)
+		policy.Sent(now, replicas[i])
+		now = now.Add(times[i])
+		policy.Answered(now, replicas[i], choose.Sample{Completed: true, Service: times[i], Queued: 0, Slots: 2})
+		if i == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+func TestRandomSpreadsEvenly(t *testing.T) {
+	require.InDelta(t, 500, share(newPolicy(t, "random"), time.Millisecond, 20*time.Millisecond), 60)
+}
+
+func TestExpectAvoidsTheSlowServer(t *testing.T) {
+	require.Greater(t, share(newPolicy(t, "expect"), 5*time.Millisecond, 100*time.Millisecond), 980)
+}
+
+func TestExpectAvoidsTheLongQueue(t *testing.T) {
+	policy, now := newPolicy(t, "expect"), time.Unix(0, 0)
+	policy.Answered(now, "s/a", choose.Sample{Completed: true, Service: 5 * time.Millisecond, Queued: 8, Slots: 2})
+	policy.Answered(now, "s/b", choose.Sample{Completed: true, Service: 5 * time.Millisecond, Queued: 1, Slots: 2})
+	require.Equal(t, 1, policy.Choose(now, replicas))
+}
+
+func TestExpectReturnsToAServerThatWasSlowLongAgo(t *testing.T) {
+	policy := newPolicy(t, "expect")
+	share(policy, 5*time.Millisecond, 100*time.Millisecond)
+	now := time.Unix(600, 0)
+	policy.Sent(now, "s/a")
+	require.Equal(t, 1, policy.Choose(now, replicas))
+}
+
+func TestExpectSeesSilence(t *testing.T) {
+	policy, now := newPolicy(t, "expect"), time.Unix(0, 0)
+	sample := choose.Sample{Completed: true, Service: 5 * time.Millisecond, Slots: 4}
+	policy.Answered(now, "s/a", sample)
+	policy.Answered(now, "s/b", sample)
+	policy.Sent(now, "s/a")
+	policy.Sent(now, "s/b")
+	now = now.Add(40 * time.Millisecond)
+	policy.Answered(now, "s/b", sample)
+	policy.Sent(now, "s/b")
+	policy.Sent(now, "s/b")
+	require.Equal(t, 1, policy.Choose(now, replicas))
+}
--- /dev/null
+++ b/internal/query/choose/expect.go
@@ -0,0 +1,86 @@
+package choose
+
+import (
+	"sync"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+)
+
+func init() {
+	Policies.Register("expect", func(o Options) Policy {
+		return &expect{options: o.withDefaults(), servers: map[ident.ServerID]*server{}}
+	})
+}
+
+// expect chooses the replica with the lowest expected completion time.
+type expect struct {
+	options Options
+
+	mu      sync.RWMutex
+	servers map[ident.ServerID]*server
+
+	average averageTime
+}
+
+// Choose compares all replicas while it knows them well, and two random ones
+// otherwise, so that entries with old knowledge do not all take the same.
+func (e *expect) Choose(now time.Time, candidates []ident.ServerID) int {
+	if len(candidates) == 1 {
+		return 0
+	}
+	average := e.average.load()
+	start := e.options.IntN(len(candidates))
+	count := len(candidates)
+	if e.anyStale(now, candidates) {
+		count = 2
+	}
+	best, lowest := start, time.Duration(-1)
+	for i := range count {
+		index := (start + i) % len(candidates)
+		expected := e.server(candidates[index]).expected(now, average, e.options)
+		if lowest < 0 || expected < lowest {
+			best, lowest = index, expected
+		}
+	}
+	return best
+}
+
+func (e *expect) Sent(now time.Time, id ident.ServerID) {
+	e.server(id).sent(now)
+}
+
+func (e *expect) Answered(now time.Time, id ident.ServerID, sample Sample) {
+	if sample.Completed {
+		e.average.add(sample.Service)
+	}
+	e.server(id).answered(now, sample)
+}
+
+func (e *expect) Abandoned(now time.Time, id ident.ServerID, elapsed time.Duration) {
+	e.server(id).abandoned(now, elapsed)
+}
+
+func (e *expect) anyStale(now time.Time, candidates []ident.ServerID) bool {
+	for _, id := range candidates {
+		if e.server(id).stale(now, e.options.StaleAfter) {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *expect) server(id ident.ServerID) *server {
+	e.mu.RLock()
+	known := e.servers[id]
+	e.mu.RUnlock()
+	if known != nil {
+		return known
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.servers[id] == nil {
+		e.servers[id] = &server{}
+	}
+	return e.servers[id]
+}
--- /dev/null
+++ b/internal/query/choose/server.go
@@ -0,0 +1,119 @@
+package choose
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// newestWeight is the weight of one sample in a moving average.
+	newestWeight = 0.2
+	// averageWeight is the weight of one sample in the average of all servers.
+	averageWeight = 0.01
+)
+
+// server is what an entry knows of one server's speed and queue.
+type server struct {
+	mu sync.Mutex
+	// inFlight counts the sub-requests of this entry.
+	inFlight int
+	// silentSince is the time of the last answer, or of the first sub-request
+	// that was sent after it.
+	silentSince time.Time
+	service     time.Duration
+	// others is the part of the server's queue that came from other entries.
+	others    int
+	slots     int
+	updatedAt time.Time
+}
+
+func (s *server) sent(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inFlight == 0 {
+		s.silentSince = now
+	}
+	s.inFlight++
+}
+
+func (s *server) answered(now time.Time, sample Sample) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight = max(s.inFlight-1, 0)
+	s.silentSince = now
+	s.updatedAt = now
+	s.others = max(sample.Queued-s.inFlight, 0)
+	s.slots = max(sample.Slots, 1)
+	if sample.Completed {
+		s.learn(sample.Service)
+	}
+}
+
+// abandoned treats the elapsed time as a lower bound of the service time.
+func (s *server) abandoned(now time.Time, elapsed time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight = max(s.inFlight-1, 0)
+	if elapsed > s.service {
+		s.learn(elapsed)
+		s.updatedAt = now
+	}
+}
+
+func (s *server) learn(sample time.Duration) {
+	if s.service == 0 {
+		s.service = sample
+		return
+	}
+	s.service += time.Duration(newestWeight * float64(sample-s.service))
+}
+
+func (s *server) stale(now time.Time, after time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.updatedAt.IsZero() || now.Sub(s.updatedAt) > after
+}
+
+// expected returns the expected completion time of one more sub-request.
+func (s *server) expected(now time.Time, average time.Duration, options Options) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	service, others := float64(average), 0.0
+	if !s.updatedAt.IsZero() {
+		age := now.Sub(s.updatedAt)
+		service += float64(s.service-average) * decay(age, options.ServiceDecay)
+		others = float64(s.others) * decay(age, options.QueueDecay)
+	}
+	if s.inFlight > 0 {
+		service = max(service, float64(now.Sub(s.silentSince)))
+	}
+	ahead := (float64(s.inFlight) + others) / float64(max(s.slots, 1))
+	return time.Duration(service * (1 + ahead))
+}
+
+func decay(age, scale time.Duration) float64 {
+	return math.Exp(-float64(max(age, 0)) / float64(scale))
+}
+
+// averageTime is the moving average of the service time of all servers.
+type averageTime struct {
+	mu    sync.Mutex
+	value time.Duration
+}
+
+func (a *averageTime) add(sample time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.value == 0 {
+		a.value = sample
+		return
+	}
+	a.value += time.Duration(averageWeight * float64(sample-a.value))
+}
+
+func (a *averageTime) load() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return max(a.value, time.Microsecond)
+}
--- /dev/null
+++ b/internal/query/hedge/budget.go
@@ -0,0 +1,95 @@
+package hedge
+
+import (
+	"sync"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+)
+
+func init() {
+	Policies.Register("budget", func(o Options) Policy {
+		return &budget{options: o.withDefaults(), services: map[ident.ServiceID]*account{}}
+	})
+}
+
+// queueWeight is the weight of one answer in the moving average of the queue.
+const queueWeight = 0.02
+
+// budget hedges after a high quantile of the shard latency, from tokens that
+// are a share of the first attempts.
+type budget struct {
+	options Options
+
+	mu       sync.RWMutex
+	services map[ident.ServiceID]*account
+}
+
+// account is the state of one service.
+type account struct {
+	mu      sync.Mutex
+	tokens  float64
+	queue   float64
+	latency *window
+}
+
+func (b *budget) Delay(service ident.ServiceID) (time.Duration, bool) {
+	a := b.account(service)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delay, ok := a.latency.quantile()
+	return delay, ok && a.queue < b.options.LongQueue
+}
+
+func (b *budget) Sent(service ident.ServiceID, count int) {
+	a := b.account(service)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tokens = min(a.tokens+b.options.Share*float64(count), b.options.Burst)
+}
+
+func (b *budget) TakeHedge(service ident.ServiceID) bool {
+	a := b.account(service)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.tokens < 1 || a.queue >= b.options.LongQueue {
+		return false
+	}
+	a.tokens--
+	return true
+}
+
+func (b *budget) TakeRetry(service ident.ServiceID) bool {
+	a := b.account(service)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.tokens <= -b.options.Burst {
+		return false
+	}
+	a.tokens--
+	return true
+}
+
+func (b *budget) Observe(service ident.ServiceID, latency time.Duration, queued, slots int) {
+	a := b.account(service)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.latency.add(latency)
+	perSlot := float64(queued) / float64(max(slots, 1))
+	a.queue += queueWeight * (perSlot - a.queue)
+}
+
+func (b *budget) account(service ident.ServiceID) *account {
+	b.mu.RLock()
+	known := b.services[service]
+	b.mu.RUnlock()
+	if known != nil {
+		return known
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.services[service] == nil {
+		b.services[service] = &account{latency: newWindow(b.options.Quantile)}
+	}
+	return b.services[service]
+}
--- /dev/null
+++ b/internal/query/hedge/none.go
@@ -0,0 +1,24 @@
+package hedge
+
+import (
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+)
+
+func init() {
+	Policies.Register("none", func(Options) Policy { return none{} })
+}
+
+// none never hedges and always retries.
+type none struct{}
+
+func (none) Delay(ident.ServiceID) (time.Duration, bool) { return 0, false }
+
+func (none) Sent(ident.ServiceID, int) {}
+
+func (none) TakeHedge(ident.ServiceID) bool { return false }
+
+func (none) TakeRetry(ident.ServiceID) bool { return true }
+
+func (none) Observe(ident.ServiceID, time.Duration, int, int) {}
--- /dev/null
+++ b/internal/query/hedge/policy.go
@@ -0,0 +1,63 @@
+// Package hedge decides when a sub-request may be sent to a second replica,
+// and how many retries and hedges the traffic may cause. Policies are
+// plug-ins without sockets, goroutines or timers.
+package hedge
+
+import (
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/core/kernel"
+)
+
+// Policy bounds the extra sub-requests of a service. Implementations are safe
+// for concurrent use.
+type Policy interface {
+	// Delay returns the time after which an unanswered sub-request may be
+	// hedged. ok is false while the service is not hedged at all.
+	Delay(service ident.ServiceID) (delay time.Duration, ok bool)
+	// Sent notes that first attempts were sent.
+	Sent(service ident.ServiceID, count int)
+	// TakeHedge spends a token on one hedge and reports whether there was one.
+	TakeHedge(service ident.ServiceID) bool
+	// TakeRetry spends a token on one retry. Retries restore coverage, so they
+	// may borrow tokens that hedges then have to wait for.
+	TakeRetry(service ident.ServiceID) bool
+	// Observe notes a completed sub-request: the time since it was sent, and
+	// the queue and slots of the server.
+	Observe(service ident.ServiceID, latency time.Duration, queued, slots int)
+}
+
+// Options tunes policies. The zero value is useful.
+type Options struct {
+	// Share is the number of extra sub-requests per first attempt. 0 means
+	// 0.05.
+	Share float64
+	// Burst is the largest number of saved tokens, and of borrowed ones. 0
+	// means 100.
+	Burst float64
+	// Quantile of the shard latency after which hedges are sent. 0 means 0.95.
+	Quantile float64
+	// LongQueue is the mean number of sub-requests per slot of the servers
+	// from which on nothing is hedged. 0 means 2.
+	LongQueue float64
+}
+
+// Policies holds the hedging plug-ins.
+var Policies = kernel.NewRegistry[func(Options) Policy]("hedging")
+
+func (o Options) withDefaults() Options {
+	if o.Share == 0 {
+		o.Share = 0.05
+	}
+	if o.Burst == 0 {
+		o.Burst = 100
+	}
+	if o.Quantile == 0 {
+		o.Quantile = 0.95
+	}
+	if o.LongQueue == 0 {
+		o.LongQueue = 2
+	}
+	return o
+}
--- /dev/null
+++ b/internal/query/snap/table.go
@@ -0,0 +1,202 @@
+// Package snap keeps what an entry knows of the index versions that backend
+// servers hold, and pins one version per query.
+package snap
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+)
+
+const (
+	// defaultProbeInterval is the time between two probes of a server that the
+	// pinned version does not use.
+	defaultProbeInterval = time.Second
+	// untoldProbeInterval is the time between two probes of a server that has
+	// told nothing yet.
+	untoldProbeInterval = 100 * time.Millisecond
+	// awaitAtMost is the time for which queries wait for the first answer of a
+	// server.
+	awaitAtMost = 500 * time.Millisecond
+)
+
+// maxShards is the largest number of shards of one version that is believed.
+const maxShards = 1 << 16
+
+// Options tunes a Table. The zero value is useful.
+type Options struct {
+	// ProbeInterval is the least time between two probes of one server. 0
+	// means one second.
+	ProbeInterval time.Duration
+}
+
+// Table holds the index versions of all known servers. It is safe for
+// concurrent use.
+type Table struct {
+	options Options
+
+	mu      sync.Mutex
+	servers map[ident.ServerID]*knowledge
+	plans   map[ident.ServiceID]cachedPlan
+	changes map[ident.ServiceID]uint64
+}
+
+// knowledge is what one server told of itself.
+type knowledge struct {
+	told bool
+	maps []msgs.Holding
+	// firstProbed and probed are the times of the first and the last probe.
+	firstProbed time.Time
+	probed      time.Time
+}
+
+// cachedPlan is a plan with what it was computed from.
+type cachedPlan struct {
+	config  *view.Config
+	changes uint64
+	plan    *Plan
+}
+
+// New returns an empty table.
+func New(options Options) *Table {
+	if options.ProbeInterval == 0 {
+		options.ProbeInterval = defaultProbeInterval
+	}
+	return &Table{
+		options: options,
+		servers: map[ident.ServerID]*knowledge{},
+		plans:   map[ident.ServiceID]cachedPlan{},
+		changes: map[ident.ServiceID]uint64{},
+	}
+}
+
+// Learn replaces what is known of a server. Empty maps mean that the server
+// holds nothing.
+func (t *Table) Learn(service ident.ServiceID, server ident.ServerID, maps []msgs.Holding) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.serverLocked(server)
+	holdings := usable(maps)
+	if known.told && slices.Equal(known.maps, holdings) {
+		return
+	}
+	known.told = true
+	known.maps = holdings
+	t.changes[service]++
+}
+
+// Pin returns the plan for the newest version that all shards of the service
+// can serve, or else for the version with the best coverage. The plan must not
+// be changed.
+func (t *Table) Pin(config *view.Config, doc *svcdoc.Document) *Plan {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.planLocked(config, doc)
+}
+
+// Probes returns the servers that the pinned version does not use and whose
+// maps have to be asked for at now. Each is returned once per probe interval.
+func (t *Table) Probes(now time.Time, config *view.Config, doc *svcdoc.Document) []*svcdoc.Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var due []*svcdoc.Server
+	for _, server := range t.planLocked(config, doc).unused {
+		known := t.serverLocked(server.ID)
+		if !known.probeDue(now, t.options.ProbeInterval) {
+			continue
+		}
+		known.probed = now
+		if known.firstProbed.IsZero() {
+			known.firstProbed = now
+		}
+		due = append(due, server)
+	}
+	return due
+}
+
+// Awaiting reports whether a server of the service, probed lately, has yet to
+// tell what it holds.
+func (t *Table) Awaiting(now time.Time, config *view.Config, doc *svcdoc.Document) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, server := range t.planLocked(config, doc).unused {
+		known := t.serverLocked(server.ID)
+		if !known.told && now.Sub(known.firstProbed) < awaitAtMost {
+			return true
+		}
+	}
+	return false
+}
+
+// Newest returns the shard of the newest version that a server holds. ok is
+// false if nothing is known.
+func (t *Table) Newest(server ident.ServerID) (newest msgs.Holding, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.servers[server]
+	if known == nil {
+		return msgs.Holding{}, false
+	}
+	for _, holding := range known.maps {
+		if holding.Version > newest.Version {
+			newest, ok = holding, true
+		}
+	}
+	return newest, ok
+}
+
+// Holdings returns a copy of what each server told, for the state dump.
+func (t *Table) Holdings() map[ident.ServerID][]msgs.Holding {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	holdings := make(map[ident.ServerID][]msgs.Holding, len(t.servers))
+	for id, known := range t.servers {
+		if known.told {
+			holdings[id] = append([]msgs.Holding(nil), known.maps...)
+		}
+	}
+	return holdings
+}
+
+func (t *Table) planLocked(config *view.Config, doc *svcdoc.Document) *Plan {
+	changes := t.changes[doc.Service]
+	cached, ok := t.plans[doc.Service]
+	if ok && cached.config == config && cached.changes == changes {
+		return cached.plan
+	}
+	plan := t.computeLocked(config, doc)
+	t.plans[doc.Service] = cachedPlan{config: config, changes: changes, plan: plan}
+	return plan
+}
+
+func (t *Table) serverLocked(id ident.ServerID) *knowledge {
+	known := t.servers[id]
+	if known == nil {
+		known = &knowledge{}
+		t.servers[id] = known
+	}
+	return known
+}
+
+func (k *knowledge) probeDue(now time.Time, interval time.Duration) bool {
+	if !k.told {
+		interval = min(interval, untoldProbeInterval)
+	}
+	return k.probed.IsZero() || now.Sub(k.probed) >= interval
+}
+
+// usable copies the maps without those that are out of range.
+func usable(maps []msgs.Holding) []msgs.Holding {
+	var holdings []msgs.Holding
+	for _, h := range maps {
+		if h.Version != 0 && h.Shard < h.Shards && h.Shards <= maxShards {
+			holdings = append(holdings, h)
+		}
+	}
+	return holdings
+}
