Run searches, lookups and actions end to end through the mesh interface

Each request is one state machine that takes answers, losses and timers and returns messages and one result; the entry driver adds the pending table, the timers and the ordering of messages.

A query learns the index versions by a probe that no backend server sees, because answers to version 0 from several servers could not be told apart. After its version is retired it asks all servers again instead of guessing the next version. Sending under the machine's lock was ruled out: the mesh may answer a local query within the call.

The home of an action depends on the document alone. Deriving it from the pinned version was ruled out, as two entries that pin different versions would send one key to two homes.

--- a/internal/query/choose/policy.go
+++ b/internal/query/choose/policy.go
@@ -28,8 +28,9 @@
 	// Completed is false if the server did not run the sub-request.
 	Completed bool
 	Service   time.Duration
-	Queued    int
-	Slots     int
+	// Queued and Slots describe the server. Slots is 0 if they were not told.
+	Queued int
+	Slots  int
 }
 
 // Options tunes policies. The zero value is useful.
--- a/internal/query/choose/server.go
+++ b/internal/query/choose/server.go
@@ -42,9 +42,11 @@
 	defer s.mu.Unlock()
 	s.inFlight = max(s.inFlight-1, 0)
 	s.silentSince = now
-	s.updatedAt = now
-	s.others = max(sample.Queued-s.inFlight, 0)
-	s.slots = max(sample.Slots, 1)
+	if sample.Slots > 0 {
+		s.updatedAt = now
+		s.others = max(sample.Queued-s.inFlight, 0)
+		s.slots = sample.Slots
+	}
 	if sample.Completed {
 		s.learn(sample.Service)
 	}
--- /dev/null
+++ b/internal/query/entry/entry_test.go
@@ -0,0 +1,174 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/query/entry"
+	"github.com/samphirestair/samphirestair/internal/query/run"
+)
+
+// fakeMesh answers each query after a delay, as the owner of two shards would.
+type fakeMesh struct {
+	entry *entry.Entry
+	delay func(item msgs.Item) time.Duration
+
+	mu      sync.Mutex
+	cancels []msgs.Cancel
+}
+
+func (m *fakeMesh) SendQuery(to view.Member, q msgs.Query) {
+	for _, item := range q.Items {
+		answer := msgs.Answer{
+			Seq: item.Seq, Server: item.Server, Shard: item.Shard, Version: q.Version, Slots: 2,
+			Maps: []msgs.Holding{{Version: 3, Shard: item.Shard, Shards: 2}}, ServiceMicros: 1000,
+		}
+		if answer.Server == "" {
+			answer.Server = fmt.Sprint("s/a", item.Shard)
+		}
+		if q.Version == 0 {
+			answer.Status = msgs.StatusWrongVersion
+		}
+		answer.Hits = []msgs.Hit{{ID: fmt.Sprint(item.Shard), Score: float64(item.Shard), Doc: []byte("{}")}}
+		answer.Body = []byte(q.Key)
+		reply := msgs.Reply{ID: q.ID, Incarnation: 9, Answers: []msgs.Answer{answer}}
+		deliver := func() { m.entry.HandleReply(to.Process, reply) }
+		if wait := m.delay(item); wait > 0 {
+			time.AfterFunc(wait, deliver)
+			continue
+		}
+		deliver()
+	}
+}
+
+func (*fakeMesh) SendReply(view.Member, msgs.Reply) {}
+
+func (m *fakeMesh) SendCancel(_ view.Member, c msgs.Cancel) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cancels = append(m.cancels, c)
+}
+
+func newEntry(t *testing.T, delay func(msgs.Item) time.Duration) (*entry.Entry, *fakeMesh, *view.Holder) {
+	t.Helper()
+	member := view.Member{Process: ident.Process{VM: "vm", Incarnation: 9}}
+	doc := &svcdoc.Document{
+		Service: "s", Deadline: time.Second, NonIdempotent: []string{"book"},
+		Servers: []svcdoc.Server{{ID: "s/a0", Shard: 0}, {ID: "s/a1", Shard: 1}},
+	}
+	views := &view.Holder{}
+	views.Publish(&view.View{
+		Self:      member,
+		Config:    &view.Config{Services: map[ident.ServiceID]*svcdoc.Document{"s": doc}},
+		Members:   map[ident.VMID]view.Member{"vm": member},
+		GroupOf:   map[ident.ServerID]ident.GroupID{"s/a0": "g", "s/a1": "g"},
+		Owners:    map[ident.GroupID]ident.VMID{"g": "vm"},
+		Admitting: true,
+	})
+	mesh := &fakeMesh{delay: delay}
+	e, err := entry.New(entry.Deps{Self: member.Process, Views: views, Mesh: mesh}, entry.Options{})
+	require.NoError(t, err)
+	mesh.entry = e
+	return e, mesh, views
+}
+
+func always(delay time.Duration) func(msgs.Item) time.Duration {
+	return func(msgs.Item) time.Duration { return delay }
+}
+
+func TestSearchLookupAndAction(t *testing.T) {
+	for _, delay := range []time.Duration{0, 5 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			e, _, _ := newEntry(t, always(delay))
+			found := e.Search(t.Context(), entry.Request{Service: "s", Limit: 5})
+			require.Equal(t, run.OutcomeFull, found.Outcome)
+			require.Equal(t, ident.Version(3), found.Version)
+			require.Equal(t, "1", found.Hits[0].ID)
+			read := e.Lookup(t.Context(), entry.Request{Service: "s", Key: "k1"})
+			require.Equal(t, "k1", string(read.Body))
+			booked := e.Action(t.Context(), entry.Request{Service: "s", Action: "book", Key: "k2"})
+			require.Equal(t, run.OutcomeDone, booked.Outcome)
+			require.Zero(t, e.Active())
+		})
+	}
+}
+
+func TestSearchIsPartialAtTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		e, mesh, _ := newEntry(t, func(item msgs.Item) time.Duration {
+			if item.Shard == 1 && time.Since(start) > 0 {
+				return time.Hour
+			}
+			return time.Millisecond
+		})
+		deadline := start.Add(100 * time.Millisecond)
+		found := e.Search(t.Context(), entry.Request{Service: "s", Limit: 5, Deadline: deadline})
+		require.Equal(t, run.OutcomePartial, found.Outcome)
+		require.Equal(t, 1, found.Answered)
+		require.Equal(t, 98*time.Millisecond, time.Since(start))
+		synctest.Wait()
+		mesh.mu.Lock()
+		defer mesh.mu.Unlock()
+		require.Len(t, mesh.cancels, 1)
+	})
+}
+
+func TestFaultsAndRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, _, views := newEntry(t, always(0))
+		ctx := t.Context()
+		require.Equal(t, entry.FaultService, e.Search(ctx, entry.Request{Service: "x"}).Fault)
+		require.Equal(t, entry.FaultAction, e.Action(ctx, entry.Request{Service: "s", Action: "x"}).Fault)
+		past := entry.Request{Service: "s", Deadline: time.Now()}
+		require.Equal(t, entry.FaultDeadline, e.Search(ctx, past).Fault)
+		closed := *views.Load()
+		closed.Admitting, closed.Refusal = false, "leaving"
+		views.Publish(&closed)
+		refused := e.Search(ctx, entry.Request{Service: "s"})
+		require.Equal(t, run.OutcomeNotRun, refused.Outcome)
+		require.Equal(t, "leaving", refused.Reason)
+	})
+}
+
+func TestDrainWaitsForTheLastAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, _, _ := newEntry(t, always(20*time.Millisecond))
+		require.NoError(t, e.Drain(t.Context()))
+		start := time.Now()
+		results := make(chan entry.Result, 1)
+		go func() { results <- e.Search(context.Background(), entry.Request{Service: "s"}) }()
+		synctest.Wait()
+		require.Equal(t, 1, e.Active())
+		short, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		require.ErrorIs(t, e.Drain(short), context.DeadlineExceeded)
+		require.NoError(t, e.Drain(t.Context()))
+		require.Equal(t, 40*time.Millisecond, time.Since(start))
+		require.Equal(t, run.OutcomeFull, (<-results).Outcome)
+	})
+}
+
+func TestCallerThatGivesUpIsAnsweredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, _, _ := newEntry(t, always(20*time.Millisecond))
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+		defer cancel()
+		require.Equal(t, run.OutcomePartial, e.Search(ctx, entry.Request{Service: "s"}).Outcome)
+	})
+}
+
+func TestUnknownPolicyIsAnError(t *testing.T) {
+	_, err := entry.New(entry.Deps{}, entry.Options{Choose: "x"})
+	require.ErrorContains(t, err, "unknown plug-in")
+}
--- /dev/null
+++ b/internal/query/entry/reply.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"strings"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+)
+
+// HandleReply implements mesh.ReplyHandler. Answers to another process of this
+// VM, or to a request that is over, are only used for what they tell of index
+// versions.
+func (e *Entry) HandleReply(from ident.Process, reply msgs.Reply) {
+	e.learnMaps(reply.Answers)
+	if ident.Incarnation(reply.Incarnation) != e.deps.Self.Incarnation {
+		e.deps.Events.Count("query_crossed_answer")
+		return
+	}
+	f := e.pending.find(reply.ID)
+	if f == nil {
+		e.deps.Events.Count("query_late_answer")
+		return
+	}
+	f.onReply(from.VM, reply.Answers)
+}
+
+// HandleLost implements mesh.ReplyHandler.
+func (e *Entry) HandleLost(to ident.VMID, query msgs.Query, sent bool) {
+	if f := e.pending.find(query.ID); f != nil {
+		f.onLost(to, query, sent)
+	}
+}
+
+func (e *Entry) learnMaps(answers []msgs.Answer) {
+	for i := range answers {
+		answer := &answers[i]
+		if len(answer.Maps) == 0 && answer.Status != msgs.StatusWrongVersion {
+			continue
+		}
+		if answer.Server == "" {
+			continue
+		}
+		service, _, _ := strings.Cut(answer.Server, "/")
+		e.table.Learn(ident.ServiceID(service), ident.ServerID(answer.Server), answer.Maps)
+	}
+}
--- /dev/null
+++ b/internal/query/entry/request.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/query/admit"
+	"github.com/samphirestair/samphirestair/internal/query/run"
+)
+
+// Request is a request of a caller.
+type Request struct {
+	Service ident.ServiceID
+	// Class names the caller class. Unknown names rank last.
+	Class string
+	// Deadline is the latest time of the answer. Zero means the document's.
+	Deadline time.Time
+	// Key is the key of a lookup or the idempotency key of an action.
+	Key string
+	// Route selects the shard of an action. Empty means Key.
+	Route  string
+	Action string
+	// Body is kept and must not be changed afterwards.
+	Body []byte
+	// Limit is the number of hits of a search.
+	Limit int
+}
+
+// Fault says that a request could not be admitted because of the request
+// itself.
+type Fault uint8
+
+const (
+	// FaultNone means that the request is well-formed.
+	FaultNone Fault = iota
+	// FaultService means that no document is in force for the service.
+	FaultService
+	// FaultAction means that the document does not list the action.
+	FaultAction
+	// FaultDeadline means that the deadline has passed.
+	FaultDeadline
+)
+
+// Result is the answer to a request. A Fault implies that it was not run.
+type Result struct {
+	run.Result
+	Fault Fault
+}
+
+// Search runs a search over all shards. It returns by the deadline, or when
+// ctx is done.
+func (e *Entry) Search(ctx context.Context, request Request) Result {
+	return e.do(ctx, request, msgs.KindSearch)
+}
+
+// Lookup reads one key. It returns by the deadline, or when ctx is done.
+func (e *Entry) Lookup(ctx context.Context, request Request) Result {
+	request.Route = request.Key
+	return e.do(ctx, request, msgs.KindLookup)
+}
+
+// Action runs a non-idempotent action at most once. It returns by the
+// deadline, or when ctx is done.
+func (e *Entry) Action(ctx context.Context, request Request) Result {
+	if request.Route == "" {
+		request.Route = request.Key
+	}
+	return e.do(ctx, request, msgs.KindAction)
+}
+
+func (e *Entry) do(ctx context.Context, request Request, kind msgs.Kind) Result {
+	e.active.begin()
+	defer e.active.end()
+	now := time.Now()
+	current := e.deps.Views.Load()
+	if !current.Admitting {
+		return e.refuse(current.Refusal, notAdmittingRetry)
+	}
+	doc, ok := current.Config.Services[request.Service]
+	if !ok {
+		return faulty(FaultService, "unknown service")
+	}
+	if kind == msgs.KindAction && !doc.IsNonIdempotent(request.Action) {
+		return faulty(FaultAction, "unknown action")
+	}
+	spec := e.spec(now, request, kind, doc)
+	if !now.Before(spec.Deadline) {
+		return faulty(FaultDeadline, "the deadline has passed")
+	}
+	return e.admitAndRun(ctx, now, spec)
+}
+
+// notAdmittingRetry is the time after which a caller may come back to a VM
+// that takes no new work.
+const notAdmittingRetry = time.Second
+
+func (e *Entry) admitAndRun(ctx context.Context, now time.Time, spec run.Spec) Result {
+	ask := admit.Request{Service: spec.Service, Class: spec.Class, Deadline: spec.Deadline}
+	decision := e.admit.Admit(now, ask)
+	if !decision.Admitted {
+		return e.refuse(decision.Reason, decision.RetryAfter)
+	}
+	result := e.execute(ctx, spec)
+	end := time.Now()
+	e.admit.Done(end, ask, admit.Outcome{
+		InTime:  result.Outcome == run.OutcomeFull || result.Outcome == run.OutcomeDone || end.Before(spec.Deadline),
+		Refused: result.Outcome == run.OutcomeNotRun,
+	})
+	return Result{Result: result}
+}
+
+func (e *Entry) spec(now time.Time, request Request, kind msgs.Kind, doc *svcdoc.Document) run.Spec {
+	deadline := request.Deadline
+	if deadline.IsZero() {
+		deadline = now.Add(doc.Deadline)
+	}
+	return run.Spec{
+		ID:       e.lastID.Add(1),
+		Service:  request.Service,
+		Kind:     kind,
+		Class:    doc.Class(request.Class),
+		Key:      request.Key,
+		Route:    request.Route,
+		Action:   request.Action,
+		Body:     request.Body,
+		Limit:    request.Limit,
+		Deadline: deadline.Add(-min(answerMargin, deadline.Sub(now)/2)),
+	}
+}
+
+func (e *Entry) refuse(reason string, retryAfter time.Duration) Result {
+	e.deps.Events.Count("query_refused")
+	return Result{Result: run.Result{Outcome: run.OutcomeNotRun, Reason: reason, RetryAfter: retryAfter}}
+}
+
+func faulty(fault Fault, reason string) Result {
+	return Result{Fault: fault, Result: run.Result{Outcome: run.OutcomeNotRun, Reason: reason}}
+}
--- /dev/null
+++ b/internal/query/run/action_test.go
@@ -0,0 +1,82 @@
+package run_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/query/run"
+)
+
+func newAction(t tb) *world {
+	w := newWorld(t, "none")
+	w.machine = run.NewAction(w.deps(t, "none"), w.spec(msgs.KindAction))
+	w.apply(w.machine.Start(w.now))
+	return w
+}
+
+func TestActionLearnsTheVersionAndIsDone(t *testing.T) {
+	w := newAction(t)
+	w.deliverAll()
+	require.Len(t, w.results, 1)
+	require.Equal(t, run.OutcomeDone, w.results[0].Outcome)
+	require.Equal(t, 1, w.ran)
+}
+
+func TestActionIsOfferedAgainOnlyIfItDidNotReachTheHome(t *testing.T) {
+	w := newAction(t)
+	lost := w.take(0)
+	w.apply(w.machine.OnLost(w.now, lost.vm, *lost.query, false))
+	require.Empty(t, w.results)
+	w.tick()
+	require.Len(t, w.parcels, 1)
+	lost = w.take(0)
+	w.apply(w.machine.OnLost(w.now, lost.vm, *lost.query, true))
+	require.Equal(t, run.OutcomeUnknown, w.results[0].Outcome)
+}
+
+func TestActionFollowsTheHome(t *testing.T) {
+	w := newAction(t)
+	p := w.take(0)
+	w.apply(w.machine.OnReply(w.now, p.vm, []msgs.Answer{{Status: msgs.StatusWrongOwner, Owner: "vm1"}}))
+	require.Len(t, w.parcels, 1)
+	require.Equal(t, ident.VMID("vm1"), w.parcels[0].vm)
+}
+
+func TestActionWithoutAnOwnerIsNotRun(t *testing.T) {
+	w := newWorld(t, "none")
+	clear(w.view.Owners)
+	w.machine = run.NewAction(w.deps(t, "none"), w.spec(msgs.KindAction))
+	w.apply(w.machine.Start(w.now))
+	for len(w.results) == 0 {
+		w.tick()
+	}
+	require.Equal(t, run.OutcomeNotRun, w.results[0].Outcome)
+}
+
+func TestActionUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newAction(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"deliver":   func(t *rapid.T) { w.deliver(w.take(w.pick(t))) },
+			"drop":      func(t *rapid.T) { w.take(w.pick(t)) },
+			"duplicate": func(t *rapid.T) { w.duplicate(w.pick(t)) },
+			"lose": func(t *rapid.T) {
+				if p := w.take(w.pick(t)); p.query != nil {
+					w.apply(w.machine.OnLost(w.now, p.vm, *p.query, p.copied))
+				}
+			},
+			"tick": func(*rapid.T) { w.tick() },
+		})
+		for len(w.results) == 0 {
+			w.tick()
+		}
+		require.Len(t, w.results, 1)
+		if w.results[0].Outcome == run.OutcomeNotRun {
+			require.Zero(t, w.ran)
+		}
+	})
+}
--- /dev/null
+++ b/internal/query/run/learn.go
@@ -0,0 +1,174 @@
+package run
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/query/merge"
+	"github.com/samphirestair/samphirestair/internal/query/snap"
+)
+
+const (
+	// learnShare is the part of the time left that a request waits for the
+	// index versions of servers that have not told any.
+	learnShare = 4
+	// learnPoll is the time between two looks at the index versions, which
+	// other requests learn too.
+	learnPoll = 5 * time.Millisecond
+	// refreshAtMost is the time that a request waits for the index versions
+	// after its own was retired.
+	refreshAtMost = 100 * time.Millisecond
+	// maxRestarts is the number of times that a request starts again at
+	// another index version.
+	maxRestarts = 3
+)
+
+// refresh is the question to all servers for their index versions after the
+// pinned one was retired.
+type refresh struct {
+	until       time.Time
+	outstanding int
+}
+
+// learn starts the run if the index versions are known, and otherwise asks for
+// them.
+func (q *Query) learn(now time.Time) {
+	// Other requests learn concurrently: only a plan that is read afterwards
+	// holds what all servers told.
+	enough := q.knowsEnough(now)
+	plan := q.deps.Catalog.Pin()
+	q.plan = plan
+	if len(q.deps.Catalog.Servers()) == 0 {
+		q.reason = "no backend server may receive work"
+		q.finish(now)
+		return
+	}
+	asked := q.sendProbes(now)
+	if plan.Complete() || plan.Version != 0 && enough && asked == 0 {
+		q.begin(now, plan)
+		return
+	}
+	q.refresh.until = now.Add(learnPoll)
+}
+
+// sendProbes asks for the index versions that are due and returns the number
+// of servers asked.
+func (q *Query) sendProbes(now time.Time) int {
+	asked := 0
+	for _, server := range q.deps.Catalog.Probes(now) {
+		if q.probe(now, server) {
+			asked++
+		}
+	}
+	return asked
+}
+
+func (q *Query) knowsEnough(now time.Time) bool {
+	return !now.Before(q.learnUntil) || !q.deps.Catalog.Awaiting(now)
+}
+
+// probe asks the owner of a server for the index versions that it holds.
+func (q *Query) probe(now time.Time, server *svcdoc.Server) bool {
+	owner, ok := q.deps.Fleet.Owner(server.ID)
+	if !ok {
+		return false
+	}
+	message := q.message(now)
+	message.Kind, message.Version = msgs.KindSearch, 0
+	message.Key, message.Body = "", nil
+	seq := uint32(len(q.attempts))
+	q.attempts = append(q.attempts, attempt{
+		shard: probeShard, server: server.ID, number: server.Shard, owner: owner, sentAt: now, open: true,
+	})
+	q.out.query(owner, message, msgs.Item{Seq: seq, Server: string(server.ID), Shard: uint32(server.Shard)})
+	return true
+}
+
+// begin pins the plan and sends the first sub-requests.
+func (q *Query) begin(now time.Time, plan *snap.Plan) {
+	q.phase = phaseRunning
+	q.plan = plan
+	q.refresh = refresh{}
+	q.answered, q.body = 0, nil
+	q.shards = q.shards[:0]
+	if q.spec.Kind == msgs.KindLookup {
+		number := ident.Shard(xxhash.Sum64String(q.spec.Route) % uint64(max(plan.Shards, 1)))
+		q.shards = append(q.shards, shard{number: number})
+	} else {
+		q.top = merge.New(q.spec.Limit, plan.Shards)
+		for number := range plan.Shards {
+			q.shards = append(q.shards, shard{number: ident.Shard(number)})
+		}
+	}
+	q.dispatchAll(now)
+}
+
+// startRefresh asks all servers for their index versions.
+func (q *Query) startRefresh(now time.Time) {
+	q.deps.Counter.Count("query_version_retired")
+	wait := min(q.spec.Deadline.Sub(now)/learnShare, refreshAtMost)
+	q.refresh = refresh{until: now.Add(wait)}
+	for _, server := range q.deps.Catalog.Servers() {
+		if q.probe(now, server) {
+			q.refresh.outstanding++
+		}
+	}
+}
+
+func (q *Query) onProbeAnswered(now time.Time) {
+	if q.phase == phaseLearning {
+		q.learn(now)
+		return
+	}
+	if q.refresh.outstanding == 0 {
+		return
+	}
+	q.refresh.outstanding--
+	if q.refresh.outstanding == 0 {
+		q.endRefresh(now)
+	}
+}
+
+func (q *Query) onRefreshTimer(now time.Time) {
+	if !q.refresh.until.IsZero() && !now.Before(q.refresh.until) {
+		q.endRefresh(now)
+	}
+}
+
+// endRefresh starts again at another version if that promises more coverage,
+// and otherwise gives up the shards that the pinned version has lost.
+func (q *Query) endRefresh(now time.Time) {
+	q.refresh = refresh{}
+	q.restarts++
+	plan := q.deps.Catalog.Pin()
+	if plan.Version != q.plan.Version && q.promisesMore(plan) {
+		q.deps.Counter.Count("query_restarted")
+		q.closeAll(now)
+		q.begin(now, plan)
+		return
+	}
+	for i := range q.shards {
+		s := &q.shards[i]
+		if s.state == statePending && s.retired {
+			s.state = stateFailed
+			q.reason = "index version retired"
+		}
+	}
+}
+
+// promisesMore reports whether a plan can serve a greater share of its shards
+// than the pinned one still can.
+func (q *Query) promisesMore(plan *snap.Plan) bool {
+	lost := 0
+	for i := range q.shards {
+		if s := &q.shards[i]; s.state == stateFailed || s.retired {
+			lost++
+		}
+	}
+	possible := len(q.shards) - lost
+	return plan.Covered*len(q.shards) > possible*plan.Shards
+}
--- /dev/null
+++ b/internal/query/run/live.go
@@ -0,0 +1,95 @@
+package run
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/query/snap"
+)
+
+// Live is the Catalog and Fleet of one service, read from the view that is
+// current at each call. It is safe for concurrent use if its view source is.
+type Live struct {
+	table   *snap.Table
+	views   func() *view.View
+	service ident.ServiceID
+}
+
+// NewLive returns the catalog of a service.
+func NewLive(table *snap.Table, views func() *view.View, service ident.ServiceID) *Live {
+	return &Live{table: table, views: views, service: service}
+}
+
+// Pin implements Catalog.
+func (l *Live) Pin() *snap.Plan {
+	config, doc := l.document()
+	return l.table.Pin(config, doc)
+}
+
+// Probes implements Catalog.
+func (l *Live) Probes(now time.Time) []*svcdoc.Server {
+	config, doc := l.document()
+	return l.table.Probes(now, config, doc)
+}
+
+// Awaiting implements Catalog.
+func (l *Live) Awaiting(now time.Time) bool {
+	config, doc := l.document()
+	return l.table.Awaiting(now, config, doc)
+}
+
+// Servers implements Catalog.
+func (l *Live) Servers() []*svcdoc.Server {
+	config, doc := l.document()
+	servers := make([]*svcdoc.Server, 0, len(doc.Servers))
+	for i := range doc.Servers {
+		if server := &doc.Servers[i]; !config.ServerOut(server) {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
+
+// Home implements Catalog. The home depends on the document alone, so that all
+// entries agree on it while index versions change.
+func (l *Live) Home(route string) (*svcdoc.Server, msgs.Holding, bool) {
+	config, doc := l.document()
+	shards := doc.Shards()
+	if shards == 0 {
+		return nil, msgs.Holding{}, false
+	}
+	number := ident.Shard(xxhash.Sum64String(route) % uint64(shards))
+	for i := range doc.Servers {
+		server := &doc.Servers[i]
+		if server.Shard == number && !config.ServerOut(server) {
+			holding, _ := l.table.Newest(server.ID)
+			return server, holding, true
+		}
+	}
+	return nil, msgs.Holding{}, false
+}
+
+// Owner implements Fleet.
+func (l *Live) Owner(server ident.ServerID) (view.Member, bool) {
+	return l.views().Owner(server)
+}
+
+// Member implements Fleet.
+func (l *Live) Member(vm ident.VMID) (view.Member, bool) {
+	member, ok := l.views().Members[vm]
+	return member, ok
+}
+
+// document returns the service's document, empty if it is not in force.
+func (l *Live) document() (*view.Config, *svcdoc.Document) {
+	config := l.views().Config
+	if doc, ok := config.Services[l.service]; ok {
+		return config, doc
+	}
+	return config, &svcdoc.Document{Service: l.service}
+}
--- /dev/null
+++ b/internal/query/run/shard.go
@@ -0,0 +1,266 @@
+package run
+
+import (
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+)
+
+const (
+	// maxAttempts is the number of sub-requests that are sent for one shard.
+	maxAttempts = 8
+	// ownerPoll is the time between two looks for the owner of a server.
+	ownerPoll = 20 * time.Millisecond
+	// failureBackoff is the time for which a server that failed is not asked
+	// again for the same shard.
+	failureBackoff = 20 * time.Millisecond
+	// tokenPoll is the time between two tries to get a token for a retry.
+	tokenPoll = 20 * time.Millisecond
+)
+
+// state is the progress of a shard.
+type state uint8
+
+const (
+	statePending state = iota
+	stateAnswered
+	stateFailed
+)
+
+// shard is one shard of the pinned version.
+type shard struct {
+	number ident.Shard
+	state  state
+	// open is the number of attempts without an answer.
+	open    int
+	sent    int
+	trials  []trial
+	retryAt time.Time
+	hedgeAt time.Time
+	// retired is set when no server holds the shard in the pinned version.
+	retired bool
+}
+
+// trial is what one server has done for a shard.
+type trial struct {
+	server       ident.ServerID
+	blockedUntil time.Time
+	// gone is set when the server does not hold the pinned version any more.
+	gone bool
+}
+
+func (s *shard) trial(server ident.ServerID) *trial {
+	for i := range s.trials {
+		if s.trials[i].server == server {
+			return &s.trials[i]
+		}
+	}
+	s.trials = append(s.trials, trial{server: server})
+	return &s.trials[len(s.trials)-1]
+}
+
+func (s *shard) tried(server ident.ServerID) bool {
+	for i := range s.trials {
+		if s.trials[i].server == server {
+			return true
+		}
+	}
+	return false
+}
+
+// target is a server that a sub-request can go to now.
+type target struct {
+	server ident.ServerID
+	owner  view.Member
+}
+
+// options lists the servers for a shard. wait is the earliest time at which
+// another may become usable, or zero if none will.
+type options struct {
+	targets []target
+	wait    time.Time
+}
+
+// optionsFor returns the usable servers of a shard other than those of the VM
+// to avoid. Servers that were not tried yet go before all others.
+func (q *Query) optionsFor(now time.Time, s *shard, avoid ident.VMID) options {
+	var fresh, again options
+	if int(s.number) >= len(q.plan.Replicas) {
+		return fresh
+	}
+	for _, server := range q.plan.Replicas[s.number] {
+		if s.tried(server.ID) {
+			q.addOption(now, &again, server, s.trial(server.ID), avoid)
+			continue
+		}
+		q.addOption(now, &fresh, server, &trial{}, avoid)
+	}
+	if len(fresh.targets) > 0 {
+		return fresh
+	}
+	if !fresh.wait.IsZero() {
+		again.noteWait(fresh.wait)
+	}
+	return again
+}
+
+func (q *Query) addOption(now time.Time, o *options, server *svcdoc.Server, t *trial, avoid ident.VMID) {
+	if t.gone {
+		return
+	}
+	if now.Before(t.blockedUntil) {
+		o.noteWait(t.blockedUntil)
+		return
+	}
+	owner, ok := q.deps.Fleet.Owner(server.ID)
+	if !ok {
+		o.noteWait(now.Add(ownerPoll))
+		return
+	}
+	if owner.Process.VM != avoid {
+		o.targets = append(o.targets, target{server: server.ID, owner: owner})
+	}
+}
+
+func (o *options) noteWait(until time.Time) {
+	if o.wait.IsZero() || until.Before(o.wait) {
+		o.wait = until
+	}
+}
+
+// dispatchAll sends the first sub-request of each shard.
+func (q *Query) dispatchAll(now time.Time) {
+	delay, hedged := q.deps.Hedge.Delay(q.spec.Service)
+	for i := range q.shards {
+		s := &q.shards[i]
+		if hedged && int(s.number) < len(q.plan.Replicas) && len(q.plan.Replicas[s.number]) > 1 {
+			s.hedgeAt = now.Add(delay)
+		}
+		q.dispatch(now, i)
+	}
+	q.deps.Hedge.Sent(q.spec.Service, len(q.shards))
+}
+
+// dispatch sends a shard's sub-request to the best server, or notes when to
+// try again, or gives the shard up.
+func (q *Query) dispatch(now time.Time, index int) {
+	s := &q.shards[index]
+	s.retryAt = time.Time{}
+	available := q.optionsFor(now, s, "")
+	switch {
+	case s.sent >= maxAttempts:
+		q.abandonShard(now, s)
+	case len(available.targets) > 0 && s.sent > 0 && !q.deps.Hedge.TakeRetry(q.spec.Service):
+		s.retryAt = now.Add(tokenPoll)
+	case len(available.targets) > 0:
+		q.send(now, index, q.pick(now, available.targets))
+	case !available.wait.IsZero():
+		s.retryAt = available.wait
+	default:
+		q.abandonShard(now, s)
+	}
+}
+
+// abandonShard gives up a shard that has no attempt open and no server left.
+func (q *Query) abandonShard(now time.Time, s *shard) {
+	if s.open > 0 {
+		return
+	}
+	if s.lostVersion() && q.restarts < maxRestarts {
+		s.retired = true
+		if q.refresh.until.IsZero() {
+			q.startRefresh(now)
+		}
+		return
+	}
+	s.state = stateFailed
+	if q.reason == "" {
+		q.reason = "no server could answer for some shards"
+	}
+}
+
+// lostVersion reports whether a server of the shard dropped the version.
+func (s *shard) lostVersion() bool {
+	for i := range s.trials {
+		if s.trials[i].gone {
+			return true
+		}
+	}
+	return false
+}
+
+func (q *Query) pick(now time.Time, targets []target) target {
+	if len(targets) == 1 {
+		return targets[0]
+	}
+	candidates := make([]ident.ServerID, len(targets))
+	for i := range targets {
+		candidates[i] = targets[i].server
+	}
+	return targets[q.deps.Choose.Choose(now, candidates)]
+}
+
+func (q *Query) send(now time.Time, index int, to target) {
+	s := &q.shards[index]
+	s.trial(to.server)
+	s.open++
+	s.sent++
+	seq := uint32(len(q.attempts))
+	q.attempts = append(q.attempts, attempt{
+		shard: index, server: to.server, number: s.number, owner: to.owner, sentAt: now, open: true,
+	})
+	q.deps.Choose.Sent(now, to.server)
+	item := msgs.Item{Seq: seq, Server: string(to.server), Shard: uint32(s.number)}
+	q.out.query(to.owner, q.message(now), item)
+}
+
+// retryDue dispatches the shards whose time to try again has come.
+func (q *Query) retryDue(now time.Time) {
+	for i := range q.shards {
+		s := &q.shards[i]
+		if s.state == statePending && !s.retryAt.IsZero() && !now.Before(s.retryAt) {
+			q.dispatch(now, i)
+		}
+	}
+}
+
+// hedgeDue sends a second sub-request for shards that are overdue.
+func (q *Query) hedgeDue(now time.Time) {
+	for i := range q.shards {
+		s := &q.shards[i]
+		if s.state != statePending || s.hedgeAt.IsZero() || now.Before(s.hedgeAt) {
+			continue
+		}
+		s.hedgeAt = time.Time{}
+		if s.open == 1 {
+			q.hedge(now, i)
+		}
+	}
+}
+
+func (q *Query) hedge(now time.Time, index int) {
+	s := &q.shards[index]
+	available := q.optionsFor(now, s, q.ownerOf(index))
+	if len(available.targets) == 0 || s.sent >= maxAttempts {
+		return
+	}
+	if !q.deps.Hedge.TakeHedge(q.spec.Service) {
+		q.deps.Counter.Count("query_hedge_denied")
+		return
+	}
+	q.deps.Counter.Count("query_hedged")
+	q.send(now, index, q.pick(now, available.targets))
+}
+
+// ownerOf returns the VM that holds the open attempt of a shard.
+func (q *Query) ownerOf(index int) ident.VMID {
+	for i := range q.attempts {
+		if q.attempts[i].open && q.attempts[i].shard == index {
+			return q.attempts[i].owner.Process.VM
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/query/run/types.go
@@ -0,0 +1,147 @@
+// Package run executes one request as a state machine. A machine takes events
+// and the time and returns messages and at most one result; it holds no
+// socket, goroutine or timer and is not safe for concurrent use.
+package run
+
+import (
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/query/choose"
+	"github.com/samphirestair/samphirestair/internal/query/hedge"
+	"github.com/samphirestair/samphirestair/internal/query/snap"
+)
+
+// Machine is one request in execution. After a step that holds a result, all
+// further events are ignored.
+type Machine interface {
+	Start(now time.Time) Step
+	OnReply(now time.Time, from ident.VMID, answers []msgs.Answer) Step
+	// OnLost notes that a query may not have reached its receiver. sent is
+	// false if it certainly did not.
+	OnLost(now time.Time, to ident.VMID, query msgs.Query, sent bool) Step
+	OnTimer(now time.Time) Step
+	// GiveUp ends the request at once with what is known.
+	GiveUp(now time.Time, reason string) Step
+	// NextTimer returns when OnTimer has to be called next.
+	NextTimer() time.Time
+}
+
+// Spec is what a caller asked for.
+type Spec struct {
+	// ID is unique within the incarnation of the entry.
+	ID      uint64
+	Service ident.ServiceID
+	Kind    msgs.Kind
+	Class   ident.Class
+	// Key is the key of a lookup or the idempotency key of an action.
+	Key string
+	// Route selects the shard of a lookup or action.
+	Route  string
+	Action string
+	Body   []byte
+	// Limit is the number of hits to return.
+	Limit int
+	// Deadline is the latest time of the result.
+	Deadline time.Time
+}
+
+// Catalog tells what is known of the service's servers at present.
+type Catalog interface {
+	Pin() *snap.Plan
+	// Probes returns the servers whose index versions have to be asked for.
+	Probes(now time.Time) []*svcdoc.Server
+	// Awaiting reports whether a probed server has yet to answer for the first
+	// time.
+	Awaiting(now time.Time) bool
+	// Servers returns all servers that may receive work.
+	Servers() []*svcdoc.Server
+	// Home returns the server whose owner records the actions of a route, and
+	// the shard that it holds, if known.
+	Home(route string) (server *svcdoc.Server, shard msgs.Holding, ok bool)
+}
+
+// Fleet tells who owns servers at present.
+type Fleet interface {
+	Owner(server ident.ServerID) (view.Member, bool)
+	Member(vm ident.VMID) (view.Member, bool)
+}
+
+// Watcher is told of the queue wait and the run time of sub-requests.
+type Watcher interface {
+	Observe(now time.Time, service ident.ServiceID, class ident.Class, wait, run time.Duration)
+}
+
+// Counter counts events that are too frequent to log.
+type Counter interface {
+	Count(kind string)
+}
+
+// Deps is what machines depend on. All fields are required.
+type Deps struct {
+	Catalog Catalog
+	Fleet   Fleet
+	Choose  choose.Policy
+	Hedge   hedge.Policy
+	Watcher Watcher
+	Counter Counter
+}
+
+// Outcome is the truth about a request.
+type Outcome uint8
+
+const (
+	// OutcomeFull means that all shards answered.
+	OutcomeFull Outcome = iota
+	// OutcomePartial means that some shards are missing.
+	OutcomePartial
+	// OutcomeDone means that the action ran.
+	OutcomeDone
+	// OutcomeNotRun means that no backend server ran any part of the request.
+	OutcomeNotRun
+	// OutcomeUnknown means that the request may have run.
+	OutcomeUnknown
+)
+
+// String returns the outcome as callers see it.
+func (o Outcome) String() string {
+	return [...]string{"full", "partial", "done", "not run", "unknown"}[o]
+}
+
+// Result is the final answer to a request.
+type Result struct {
+	Outcome Outcome
+	// Version is the index version that all of the answer comes from.
+	Version ident.Version
+	// Answered and Of are the coverage in shards.
+	Answered int
+	Of       int
+	Hits     []msgs.Hit
+	Body     []byte
+	Reason   string
+	// RetryAfter is set if the request may be repeated after that time.
+	RetryAfter time.Duration
+}
+
+// Step is what a machine wants done after an event.
+type Step struct {
+	Sends   []Send
+	Cancels []Cancel
+	// Result is set once, when the request is over.
+	Result *Result
+}
+
+// Send is a query for the owner of servers.
+type Send struct {
+	To    view.Member
+	Query msgs.Query
+}
+
+// Cancel withdraws sub-requests from an owner.
+type Cancel struct {
+	To     view.Member
+	Cancel msgs.Cancel
+}
--- a/internal/query/snap/table.go
+++ b/internal/query/snap/table.go
@@ -119,14 +119,14 @@
 	return due
 }
 
-// Awaiting reports whether a server of the service, probed lately, has yet to
-// tell what it holds.
+// Awaiting reports whether a server of the service, not probed yet or probed
+// lately, has still to tell what it holds.
 func (t *Table) Awaiting(now time.Time, config *view.Config, doc *svcdoc.Document) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, server := range t.planLocked(config, doc).unused {
 		known := t.serverLocked(server.ID)
-		if !known.told && now.Sub(known.firstProbed) < awaitAtMost {
+		if !known.told && (known.firstProbed.IsZero() || now.Sub(known.firstProbed) < awaitAtMost) {
 			return true
 		}
 	}
--- a/internal/query/snap/table_test.go
+++ b/internal/query/snap/table_test.go
@@ -68,3 +68,14 @@
 	require.Empty(t, table.Probes(now.Add(time.Millisecond), config, doc))
 	require.Len(t, table.Probes(now.Add(2*time.Second), config, doc), 2)
 }
+
+func TestPinKeepsTheOldVersionUntilARepartitionIsWhole(t *testing.T) {
+	table, config, doc := snap.New(snap.Options{}), &view.Config{}, document()
+	table.Learn("s", "s/a0", []msgs.Holding{holds(1, 0, 2), holds(2, 0, 3)})
+	table.Learn("s", "s/a1", []msgs.Holding{holds(1, 1, 2), holds(2, 1, 3)})
+	require.Equal(t, ident.Version(1), table.Pin(config, doc).Version)
+	table.Learn("s", "s/b0", []msgs.Holding{holds(2, 2, 3)})
+	plan := table.Pin(config, doc)
+	require.Equal(t, ident.Version(2), plan.Version)
+	require.Equal(t, 3, plan.Shards)
+}
