--- /dev/null
+++ b/internal/fleet/place/plan.go
@@ -0,0 +1,186 @@
+package place
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+)
+
+// loadFactor bounds the number of groups of a VM relative to the average.
+const loadFactor = 1.25
+
+// Candidates returns the members that may be preferred as owners: those that
+// are neither leaving nor taken out with their VM or zone.
+func Candidates(members []view.Member, c *view.Config) []view.Member {
+	var candidates []view.Member
+	for _, m := range members {
+		_, vmOut := c.VMsOut[m.Process.VM]
+		_, zoneOut := c.ZonesOut[m.Zone]
+		if !m.Leaving && !vmOut && !zoneOut {
+			candidates = append(candidates, m)
+		}
+	}
+	return candidates
+}
+
+// Plan returns the preferred owner of each group among the candidates, by
+// rendezvous hashing with bounded load. In this order it avoids owners that
+// own a replica of one of the group's shards, owners in another zone, zones
+// that already own a replica, and owners above the load bound. Without
+// candidates the plan is empty.
+func Plan(candidates []view.Member, groups []view.Group) map[ident.GroupID]ident.VMID {
+	if len(candidates) == 0 {
+		return map[ident.GroupID]ident.VMID{}
+	}
+	p := newPlanner(candidates, groups)
+	for _, g := range p.ordered(groups) {
+		p.place(g)
+	}
+	return p.owners
+}
+
+// planner holds the state of one run of Plan.
+type planner struct {
+	nodes    []node
+	replicas map[shardKey][]int
+	owners   map[ident.GroupID]ident.VMID
+}
+
+// node is a candidate with its load. limit is the bound on its load.
+type node struct {
+	vm    ident.VMID
+	zone  ident.Zone
+	hash  uint64
+	load  int
+	limit int
+}
+
+// shardKey names a shard of a service.
+type shardKey struct {
+	service ident.ServiceID
+	shard   ident.Shard
+}
+
+// cost orders the candidates for a group; the lowest is chosen.
+type cost struct {
+	sharesVM   bool
+	remote     bool
+	sharesZone bool
+	overLimit  bool
+	score      uint64
+}
+
+func (c cost) compare(d cost) int {
+	return cmp.Or(
+		compareBool(c.sharesVM, d.sharesVM),
+		compareBool(c.remote, d.remote),
+		compareBool(c.sharesZone, d.sharesZone),
+		compareBool(c.overLimit, d.overLimit),
+		cmp.Compare(d.score, c.score),
+	)
+}
+
+func newPlanner(candidates []view.Member, groups []view.Group) *planner {
+	p := &planner{
+		nodes:    make([]node, len(candidates)),
+		replicas: map[shardKey][]int{},
+		owners:   make(map[ident.GroupID]ident.VMID, len(groups)),
+	}
+	vms := map[ident.Zone]int{}
+	for i, m := range candidates {
+		vms[m.Zone]++
+		vm := m.Process.VM
+		p.nodes[i] = node{vm: vm, zone: m.Zone, hash: xxhash.Sum64String(string(vm))}
+	}
+	p.setLimits(vms, groups)
+	return p
+}
+
+// setLimits gives each node its share of the groups of its zone and of the
+// groups whose zone has no candidate.
+func (p *planner) setLimits(vms map[ident.Zone]int, groups []view.Group) {
+	local := map[ident.Zone]int{}
+	orphans := 0
+	for _, g := range groups {
+		if vms[g.Zone] == 0 {
+			orphans++
+			continue
+		}
+		local[g.Zone]++
+	}
+	orphanShare := share(orphans, len(p.nodes))
+	for i := range p.nodes {
+		n := &p.nodes[i]
+		n.limit = share(local[n.zone], vms[n.zone]) + orphanShare
+	}
+}
+
+func share(groups, vms int) int {
+	return int(math.Ceil(loadFactor * float64(groups) / float64(vms)))
+}
+
+// ordered returns the groups in the order of placement: groups with a
+// candidate in their zone first, then by hash.
+func (p *planner) ordered(groups []view.Group) []*view.Group {
+	zones := map[ident.Zone]bool{}
+	for _, n := range p.nodes {
+		zones[n.zone] = true
+	}
+	ordered := make([]*view.Group, len(groups))
+	for i := range groups {
+		ordered[i] = &groups[i]
+	}
+	slices.SortFunc(ordered, func(a, b *view.Group) int {
+		return cmp.Or(
+			compareBool(zones[b.Zone], zones[a.Zone]),
+			cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID))),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	return ordered
+}
+
+func (p *planner) place(g *view.Group) {
+	hash := xxhash.Sum64String(string(g.ID))
+	rivalVMs, rivalZones := p.rivals(g)
+	best, bestCost := -1, cost{}
+	for i, n := range p.nodes {
+		c := cost{
+			sharesVM:  rivalVMs[n.vm],
+			remote:    n.zone != g.Zone,
+			overLimit: n.load >= n.limit,
+			score:     mix(hash, n.hash),
+		}
+		c.sharesZone = c.remote && rivalZones[n.zone]
+		if best < 0 || c.compare(bestCost) < 0 {
+			best, bestCost = i, c
+		}
+	}
+	p.assign(g, best)
+}
+
+func (p *planner) assign(g *view.Group, chosen int) {
+	p.nodes[chosen].load++
+	p.owners[g.ID] = p.nodes[chosen].vm
+	for _, server := range g.Servers {
+		key := shardKey{g.Service, server.Shard}
+		p.replicas[key] = append(p.replicas[key], chosen)
+	}
+}
+
+// rivals returns the VMs and zones that already own a replica of a shard of g.
+func (p *planner) rivals(g *view.Group) (map[ident.VMID]bool, map[ident.Zone]bool) {
+	vms, zones := map[ident.VMID]bool{}, map[ident.Zone]bool{}
+	for _, server := range g.Servers {
+		for _, i := range p.replicas[shardKey{g.Service, server.Shard}] {
+			vms[p.nodes[i].vm] = true
+			zones[p.nodes[i].zone] = true
+		}
+	}
+	return vms, zones
+}
