Decide leases by voters and holders

Cause: one process at a time may send work to a group, whatever pauses, is lost or restarts, and claims must survive their holder.

Ruled out: counting a process that is known gone as a grant to everyone. With one of three voters gone, two contenders need one more grant each and can both get it.

--- /dev/null
+++ b/internal/fleet/lease/voter.go
@@ -0,0 +1,195 @@
+package lease
+
+import (
+	"maps"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+)
+
+// Voter keeps one promise per group. Its memory ends with its process.
+type Voter struct {
+	options Options
+	opens   time.Time
+	groups  map[ident.GroupID]*promise
+}
+
+// promise is what a voter keeps of one group.
+type promise struct {
+	epoch  uint64
+	term   uint64
+	holder ident.Process
+	end    time.Time
+	// released is set once the holder has given up the present term.
+	released bool
+	// previousEnd is the end of the last promise to another holder or term.
+	previousEnd time.Time
+	carry       []byte
+	carryTerm   uint64
+	carrySeq    uint64
+	claims      map[string]claim
+	since       time.Time
+	synced      uint64
+}
+
+// claim is a kept record with the time of its receipt.
+type claim struct {
+	record []byte
+	at     time.Time
+}
+
+// Promise describes one promise of a voter for a dump of its state.
+type Promise struct {
+	Holder    ident.Process `json:"holder"`
+	Term      uint64        `json:"term"`
+	Epoch     uint64        `json:"epoch"`
+	Remaining time.Duration `json:"remaining"`
+	Claims    int           `json:"claims"`
+}
+
+// NewVoter returns a voter that starts at now. It grants nothing until one
+// lease length later, because an earlier run of it may have granted.
+func NewVoter(now time.Time, options Options) *Voter {
+	options = options.WithDefaults()
+	return &Voter{
+		options: options,
+		opens:   now.Add(options.Length),
+		groups:  map[ident.GroupID]*promise{},
+	}
+}
+
+// SetEpoch notes the epoch of a group. Requests of lower epochs are refused
+// from now on.
+func (v *Voter) SetEpoch(group ident.GroupID, epoch uint64) {
+	p := v.promise(group)
+	p.epoch = max(p.epoch, epoch)
+}
+
+// Handle decides a request that arrived from a process at now.
+func (v *Voter) Handle(from ident.Process, r Request, now time.Time) Answer {
+	p := v.promise(r.Group)
+	p.epoch = max(p.epoch, r.Epoch)
+	answer := Answer{Group: r.Group, Refusal: v.refusal(p, from, r, now)}
+	if answer.Refusal == Granted {
+		v.grant(p, from, r, now, &answer)
+	}
+	answer.Epoch, answer.Synced = p.epoch, p.synced
+	answer.Term = p.term
+	if p.end.After(now) {
+		answer.Holder, answer.Remaining = p.holder, p.end.Sub(now)
+	}
+	return answer
+}
+
+// Holder returns the process that has the promise of a group at now, if any,
+// and its term.
+func (v *Voter) Holder(group ident.GroupID, now time.Time) (ident.Process, uint64) {
+	p, ok := v.groups[group]
+	if !ok || !p.end.After(now) {
+		return ident.Process{}, 0
+	}
+	return p.holder, p.term
+}
+
+// Promises returns all promises that hold at now.
+func (v *Voter) Promises(now time.Time) map[ident.GroupID]Promise {
+	promises := map[ident.GroupID]Promise{}
+	for group, p := range v.groups {
+		if p.end.After(now) {
+			promises[group] = Promise{p.holder, p.term, p.epoch, p.end.Sub(now), len(p.claims)}
+		}
+	}
+	return promises
+}
+
+// Expire drops claims that are older than the retention.
+func (v *Voter) Expire(now time.Time) {
+	for _, p := range v.groups {
+		maps.DeleteFunc(p.claims, func(_ string, c claim) bool {
+			return now.Sub(c.at) > v.options.Retention
+		})
+	}
+}
+
+func (v *Voter) promise(group ident.GroupID) *promise {
+	p, ok := v.groups[group]
+	if !ok {
+		p = &promise{claims: map[string]claim{}}
+		v.groups[group] = p
+	}
+	return p
+}
+
+func (v *Voter) refusal(p *promise, from ident.Process, r Request, now time.Time) Refusal {
+	same := p.holder == from && p.term == r.Term
+	switch {
+	case now.Before(v.opens):
+		return Starting
+	case r.Kind == Release && same:
+		return Granted
+	case r.Epoch < p.epoch:
+		return Outdated
+	case p.end.After(now) && p.holder != from:
+		return Held
+	case r.Term < p.term, r.Term == p.term && (!same || p.released):
+		return OldTerm
+	default:
+		return Granted
+	}
+}
+
+func (v *Voter) grant(p *promise, from ident.Process, r Request, now time.Time, answer *Answer) {
+	if p.holder != from || p.term != r.Term {
+		p.previousEnd = earlier(p.end, now)
+	}
+	p.holder, p.term = from, r.Term
+	p.end = now.Add(v.options.Length)
+	p.released = r.Kind == Release
+	if p.released {
+		p.end = now
+	}
+	v.keep(p, r, now)
+	if r.Kind == Acquire {
+		answer.Legacy = p.legacy(now)
+	}
+}
+
+// keep stores what the request brings.
+func (v *Voter) keep(p *promise, r Request, now time.Time) {
+	if r.Seq > 0 && (r.Term > p.carryTerm || r.Seq > p.carrySeq) {
+		p.carry, p.carryTerm, p.carrySeq = r.Carry, r.Term, r.Seq
+	}
+	for key, record := range r.Claims {
+		p.claims[key] = claim{record: record, at: now}
+	}
+	if r.Since.After(p.since) {
+		p.since = r.Since
+	}
+	if r.Kind == Sync {
+		p.synced = r.Epoch
+	}
+}
+
+func (p *promise) legacy(now time.Time) *Legacy {
+	l := &Legacy{
+		Carry:  p.carry,
+		Term:   p.carryTerm,
+		Seq:    p.carrySeq,
+		Claims: make(map[string][]byte, len(p.claims)),
+		Since:  p.since,
+	}
+	for key, c := range p.claims {
+		l.Claims[key] = c.record
+	}
+	if !p.previousEnd.IsZero() {
+		l.Ended = now.Sub(p.previousEnd)
+	}
+	return l
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
