--- a/internal/conf/strict/getters.go
+++ b/internal/conf/strict/getters.go
@@ -67,6 +67,13 @@
 	})
 }
 
+// Text returns any text that is not empty.
+func (s *Section) Text(key string, fallback coll.Option[string]) string {
+	return get(s, key, fallback, "a text that is not empty", func(text string) (string, bool) {
+		return text, text != ""
+	})
+}
+
 // Choice returns one of the given words.
 func (s *Section) Choice(key string, fallback coll.Option[string], choices ...string) string {
 	return get(s, key, fallback, strings.Join(choices, ", "), func(text string) (string, bool) {
--- a/internal/conf/vmconf/parse.go
+++ b/internal/conf/vmconf/parse.go
@@ -157,5 +157,8 @@
 }
 
 func readTest(section *strict.Section) Test {
-	return Test{LinkFilter: section.Address("link_filter", coll.Some(""))}
+	return Test{
+		Faults:  section.Choice("faults", coll.Some("off"), "on", "off") == "on",
+		History: section.Text("history", coll.Some("")),
+	}
 }
--- a/internal/conf/vmconf/settings.go
+++ b/internal/conf/vmconf/settings.go
@@ -75,9 +75,11 @@
 
 // Test holds settings for tests only.
 type Test struct {
-	// LinkFilter is the address of a filter through which connections to other
-	// VMs go, or empty.
-	LinkFilter string
+	// Faults lets requests to the admin listener cut links to other VMs.
+	Faults bool
+	// History is the path of a file that receives what the process does, or
+	// empty.
+	History string
 }
 
 // CallerAddress returns the "ip:port" address for callers.
--- a/internal/ops/cli/cli.go
+++ b/internal/ops/cli/cli.go
@@ -14,7 +14,7 @@
 
 	"github.com/samphirestair/samphirestair/internal/conf/change"
 	"github.com/samphirestair/samphirestair/internal/conf/vmconf"
-	"github.com/samphirestair/samphirestair/internal/ops/admin"
+	"github.com/samphirestair/samphirestair/internal/ops/fetch"
 	"github.com/samphirestair/samphirestair/internal/plat/store"
 	"github.com/samphirestair/samphirestair/internal/plat/vmlist"
 )
@@ -48,8 +48,8 @@
 	Store func(url string) (store.Store, error)
 	// VMs connects to the platform's VM list at a URL.
 	VMs func(url string) (vmlist.List, error)
-	// Admin calls the VMs.
-	Admin *admin.Client
+	// Fetch calls the VMs.
+	Fetch *fetch.Client
 	// PolicyNames returns the registered policies of a kind.
 	PolicyNames func(kind string) []string
 	// Change tunes the changes. The zero value is useful.
@@ -123,7 +123,7 @@
 	switch {
 	case err == nil || errors.As(err, &exit):
 		return err
-	case errors.Is(err, store.ErrUnavailable), errors.Is(err, admin.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, fetch.ErrUnavailable):
 		return fail(ExitUnavailable, "%v", err)
 	default:
 		return fail(ExitRefused, "%v", err)
--- a/internal/ops/cli/cli_test.go
+++ b/internal/ops/cli/cli_test.go
@@ -19,8 +19,8 @@
 	"github.com/samphirestair/samphirestair/internal/conf/index"
 	"github.com/samphirestair/samphirestair/internal/conf/memkv"
 	"github.com/samphirestair/samphirestair/internal/conf/vmconf"
-	"github.com/samphirestair/samphirestair/internal/ops/admin"
 	"github.com/samphirestair/samphirestair/internal/ops/cli"
+	"github.com/samphirestair/samphirestair/internal/ops/fetch"
 	"github.com/samphirestair/samphirestair/internal/plat/store"
 	"github.com/samphirestair/samphirestair/internal/plat/vmlist"
 )
@@ -50,7 +50,7 @@
 		VMs: func(string) (vmlist.List, error) {
 			return fixedList{{ID: "vm-1", IP: "127.0.0.1"}, {ID: "vm-2", IP: "127.0.0.2"}}, nil
 		},
-		Admin: admin.New(),
+		Fetch: fetch.New(),
 		PolicyNames: func(kind string) []string {
 			return map[string][]string{"replica": {"expect"}, "hedge": {"budget"}, "admission": {"queue"}}[kind]
 		},
@@ -188,9 +188,9 @@
 	require.NoError(t, err)
 	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
 		switch string(ctx.Path()) {
-		case admin.PathStatus:
+		case fetch.PathStatus:
 			ctx.SetBodyString(`{"vm":"vm-1","zone":"espoo","serial":7,"admitting":true,"peers":{}}`)
-		case admin.PathState:
+		case fetch.PathState:
 			ctx.SetBodyString(`{"vm":"vm-1","config":{"serial":7},"members":[{"vm":"vm-1"}]}`)
 		}
 	}}
--- a/internal/ops/cli/status.go
+++ b/internal/ops/cli/status.go
@@ -12,7 +12,7 @@
 	"github.com/sourcegraph/conc/iter"
 	"github.com/spf13/cobra"
 
-	"github.com/samphirestair/samphirestair/internal/ops/admin"
+	"github.com/samphirestair/samphirestair/internal/ops/fetch"
 	"github.com/samphirestair/samphirestair/internal/ops/table"
 	"github.com/samphirestair/samphirestair/internal/plat/vmlist"
 )
@@ -46,7 +46,7 @@
 		if err != nil {
 			return err
 		}
-		return c.printStatus(c.ask(ctx, targets, admin.PathStatus))
+		return c.printStatus(c.ask(ctx, targets, fetch.PathStatus))
 	})
 	return command
 }
@@ -65,7 +65,7 @@
 		if err != nil {
 			return err
 		}
-		body, err := c.deps.Admin.Get(ctx, targets[0].address, admin.PathState)
+		body, err := c.deps.Fetch.Get(ctx, targets[0].address, fetch.PathState)
 		if err != nil {
 			return err
 		}
@@ -140,7 +140,7 @@
 
 func (c *CLI) ask(ctx context.Context, targets []target, path string) []answer {
 	return iter.Map(targets, func(one *target) answer {
-		body, err := c.deps.Admin.Get(ctx, one.address, path)
+		body, err := c.deps.Fetch.Get(ctx, one.address, path)
 		return answer{target: *one, body: body, err: err}
 	})
 }
--- a/internal/ops/admin/client.go
+++ b/internal/ops/fetch/client.go
@@ -1,5 +1,5 @@
-// Package admin reads what a VM's process reports on its admin listener.
-package admin
+// Package fetch reads what a VM's process reports on its admin listener.
+package fetch
 
 import (
 	"context"
@@ -18,7 +18,7 @@
 )
 
 // ErrUnavailable means that the process did not answer.
-var ErrUnavailable = errors.New("admin: the VM does not answer")
+var ErrUnavailable = errors.New("fetch: the VM does not answer")
 
 // defaultBound applies to calls whose context has no deadline.
 const defaultBound = 10 * time.Second
@@ -45,7 +45,7 @@
 		deadline = time.Now().Add(defaultBound)
 	}
 	if err := c.http.DoDeadline(request, response, deadline); err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "admin: %s", address), ErrUnavailable)
+		return nil, errors.Mark(errors.Wrapf(err, "fetch: %s", address), ErrUnavailable)
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
 		return nil, errors.Wrapf(ErrUnavailable, "%s answers with status %d", address, response.StatusCode())
