Decide how much work a backend server receives

Cause: nothing held a backend server to what its document says that it bears.

Package queue orders sub-requests by class and deadline, keeps slots in use until the server is known to be done, and refuses what cannot meet its deadline.

--- /dev/null
+++ b/internal/owner/queue/item.go
@@ -0,0 +1,67 @@
+package queue
+
+import (
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+)
+
+// state is where an item is.
+type state uint8
+
+const (
+	stateNew state = iota
+	stateWaiting
+	stateStarted
+	stateSent
+	stateGivenUp
+	stateGone
+)
+
+// Item is one sub-request. An item may be added to one queue once.
+type Item struct {
+	Class    ident.Class
+	Deadline time.Time
+	// Work belongs to the caller.
+	Work any
+
+	state state
+	index int
+	until time.Time
+}
+
+// waitHeap orders items by class, then by deadline.
+type waitHeap []*Item
+
+func (h waitHeap) Len() int { return len(h) }
+
+func (h waitHeap) Less(i, j int) bool { return before(h[i], h[j]) }
+
+func (h waitHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *waitHeap) Push(x any) {
+	item := x.(*Item)
+	item.index = len(*h)
+	*h = append(*h, item)
+}
+
+// Pop implements heap.Interface.
+func (h *waitHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
+
+// before reports whether a runs before b.
+func before(a, b *Item) bool {
+	if a.Class != b.Class {
+		return a.Class < b.Class
+	}
+	return a.Deadline.Before(b.Deadline)
+}
--- /dev/null
+++ b/internal/owner/queue/queue.go
@@ -0,0 +1,242 @@
+// Package queue decides which sub-requests one backend server receives, and
+// when. It takes events and the time as arguments and holds no clock.
+//
+// An item waits, is started (it has a slot but has not been written), is sent,
+// and ends. A sent item that the caller has given up keeps its slot until the
+// server is known to be done with it.
+package queue
+
+import (
+	"container/heap"
+	"time"
+)
+
+// DefaultMaxWaiting is the number of waiting items when Options states none.
+const DefaultMaxWaiting = 256
+
+// Options holds the settings of a queue. The zero value is useful.
+type Options struct {
+	// MaxWaiting is the number of items that may wait.
+	MaxWaiting int
+}
+
+// Queue holds the sub-requests of one backend server. Use New to make one. It
+// is not safe for concurrent use.
+type Queue struct {
+	maxWaiting int
+	bound      int
+	estimate   time.Duration
+	waiting    waitHeap
+	started    int
+	sent       int
+	givenUp    []*Item
+	carried    []time.Time
+	// nextExpiry is not later than the first time at which a waiting item can
+	// not meet its deadline any more.
+	nextExpiry time.Time
+}
+
+// New returns an empty queue that starts nothing until it has a bound.
+func New(opts Options) *Queue {
+	if opts.MaxWaiting <= 0 {
+		opts.MaxWaiting = DefaultMaxWaiting
+	}
+	return &Queue{maxWaiting: opts.MaxWaiting}
+}
+
+// SetBound sets the number of items that the server bears and the estimate of
+// its service time, 0 if unknown.
+func (q *Queue) SetBound(bound int, estimate time.Duration) {
+	q.bound = bound
+	if estimate > q.estimate {
+		q.nextExpiry = time.Time{}
+	}
+	q.estimate = estimate
+}
+
+// Bound returns the number of items that the server bears.
+func (q *Queue) Bound() int {
+	return q.bound
+}
+
+// Waiting returns the number of waiting items.
+func (q *Queue) Waiting() int {
+	return len(q.waiting)
+}
+
+// InUse returns the number of slots in use, those of a previous owner included.
+func (q *Queue) InUse() int {
+	return q.started + q.sent + len(q.givenUp) + len(q.carried)
+}
+
+// AtServer returns the number of slots that the server itself may see in use.
+func (q *Queue) AtServer() int {
+	return q.sent + len(q.givenUp) + len(q.carried)
+}
+
+// RetryAfter returns the time after which the present queue has been worked
+// off.
+func (q *Queue) RetryAfter() time.Duration {
+	return q.waitFor(len(q.waiting))
+}
+
+// Add adds an item and returns the item that must be refused for it, or nil.
+// That is the item itself if it cannot meet its deadline, or if the queue is
+// full and it comes last.
+func (q *Queue) Add(item *Item, now time.Time) *Item {
+	if !q.feasible(item, now) {
+		item.state = stateGone
+		return item
+	}
+	q.push(item)
+	if len(q.waiting) <= q.maxWaiting {
+		return nil
+	}
+	last := q.last()
+	q.remove(last)
+	return last
+}
+
+// Ready reports whether an item waits and there is a slot for it.
+func (q *Queue) Ready() bool {
+	return len(q.waiting) > 0 && q.InUse() < q.bound
+}
+
+// Start gives the next item a slot and returns it, or nil if there is no free
+// slot or nothing waits. Call Expire first.
+func (q *Queue) Start() *Item {
+	if !q.Ready() {
+		return nil
+	}
+	item := heap.Pop(&q.waiting).(*Item)
+	item.state = stateStarted
+	q.started++
+	return item
+}
+
+// Send is called right before a started item is written. If the server bears
+// less by now, it returns false and the item waits again.
+func (q *Queue) Send(item *Item) bool {
+	if item.state != stateStarted {
+		return false
+	}
+	q.started--
+	if q.AtServer() >= q.bound {
+		q.push(item)
+		return false
+	}
+	item.state = stateSent
+	q.sent++
+	return true
+}
+
+// Finish frees the slot of an item that ended. Items without a slot are left
+// alone.
+func (q *Queue) Finish(item *Item) {
+	switch item.state {
+	case stateStarted:
+		q.started--
+	case stateSent:
+		q.sent--
+	case stateGivenUp:
+		q.dropGivenUp(item)
+	default:
+		return
+	}
+	item.state = stateGone
+}
+
+// FinishGivenUp frees the slot of an item that was given up. Other items are
+// left alone.
+func (q *Queue) FinishGivenUp(item *Item) {
+	if item.state == stateGivenUp {
+		q.Finish(item)
+	}
+}
+
+// GiveUp keeps the slot of a sent item in use until the given time, or until
+// Finish.
+func (q *Queue) GiveUp(item *Item, until time.Time) {
+	if item.state != stateSent {
+		q.Finish(item)
+		return
+	}
+	q.sent--
+	item.state = stateGivenUp
+	item.until = until
+	q.givenUp = append(q.givenUp, item)
+}
+
+// Cancel removes a waiting item. It returns false if the item does not wait.
+func (q *Queue) Cancel(item *Item) bool {
+	if item.state != stateWaiting {
+		return false
+	}
+	q.remove(item)
+	return true
+}
+
+// Carry counts slots that a previous owner's work may use until the given time.
+func (q *Queue) Carry(slots int, until time.Time) {
+	for range slots {
+		q.carried = append(q.carried, until)
+	}
+}
+
+// Clear removes and returns all waiting items.
+func (q *Queue) Clear() []*Item {
+	items := []*Item(q.waiting)
+	for _, item := range items {
+		item.state = stateGone
+	}
+	q.waiting = nil
+	return items
+}
+
+// waitFor returns the expected time until a new item with the given number of
+// items before it starts.
+func (q *Queue) waitFor(ahead int) time.Duration {
+	if q.bound <= 0 {
+		return 0
+	}
+	busy := ahead + q.InUse()
+	if busy < q.bound {
+		return 0
+	}
+	return time.Duration(busy-q.bound+1) * q.estimate / time.Duration(q.bound)
+}
+
+func (q *Queue) feasible(item *Item, now time.Time) bool {
+	ahead := 0
+	for _, other := range q.waiting {
+		if before(other, item) {
+			ahead++
+		}
+	}
+	return now.Add(q.waitFor(ahead) + q.estimate).Before(item.Deadline)
+}
+
+func (q *Queue) push(item *Item) {
+	item.state = stateWaiting
+	heap.Push(&q.waiting, item)
+	expiry := item.Deadline.Add(-q.estimate)
+	if len(q.waiting) == 1 || expiry.Before(q.nextExpiry) {
+		q.nextExpiry = expiry
+	}
+}
+
+func (q *Queue) remove(item *Item) {
+	heap.Remove(&q.waiting, item.index)
+	item.state = stateGone
+}
+
+// last returns the waiting item that would run last.
+func (q *Queue) last() *Item {
+	last := q.waiting[0]
+	for _, item := range q.waiting[1:] {
+		if before(last, item) {
+			last = item
+		}
+	}
+	return last
+}
