Send sub-requests to the backend servers that a VM owns

Cause: msgs.Query had no executor.

Change: package lane carries one request at a time over one fasthttp connection that said hello first, and checks each answer. Package sender joins it with warmth and queue, checks the lease and what operators took out right before the write, groups answers, and exports and imports what owners know.

Ruled out: one HostClient per server with several connections, because it opens connections by itself and cannot ask for the boot identity before work; answering under the server's mutex, because a local mesh may call back.

--- /dev/null
+++ b/internal/owner/sender/finish.go
@@ -0,0 +1,198 @@
+package sender
+
+import (
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/owner/lane"
+)
+
+const (
+	// outageMin and outageMax bound the time for which a server is not tried
+	// again after a connection could not be opened.
+	outageMin = 100 * time.Millisecond
+	outageMax = time.Second
+	// cancelTimeout bounds one cancel.
+	cancelTimeout = 500 * time.Millisecond
+)
+
+// outage is the time during which a server that cannot be connected to is left
+// alone. The zero value is no outage.
+type outage struct {
+	until   time.Time
+	backoff time.Duration
+}
+
+func (o *outage) active(now time.Time) bool {
+	return now.Before(o.until)
+}
+
+func (o *outage) left(now time.Time) time.Duration {
+	return o.until.Sub(now)
+}
+
+// extend begins or extends an outage.
+func (o *outage) extend(now time.Time) {
+	o.backoff = min(max(2*o.backoff, outageMin), outageMax)
+	o.until = now.Add(o.backoff)
+}
+
+// finish ends a job that was handed to its connection.
+func (h *host) finish(r *runner, j *job, result *lane.Result) {
+	h.mu.Lock()
+	now := time.Now()
+	h.observe(j, result, now)
+	h.endSlot(j, result)
+	h.rebound()
+	h.release(r)
+	answered := j.answered
+	j.answered = true
+	answer := h.resultAnswer(j, result, now)
+	h.advance(now)
+	h.unlock()
+	if !answered {
+		j.answer(answer)
+	}
+}
+
+// resultAnswer makes the answer of a job from the server's result.
+func (h *host) resultAnswer(j *job, result *lane.Result, now time.Time) msgs.Answer {
+	a := msgs.Answer{
+		Status: result.Status, Version: uint64(result.Version), Hits: result.Hits, Body: result.Body,
+		WaitMicros: micros(j.sentAt.Sub(j.added)), ServiceMicros: micros(result.Service),
+	}
+	if result.Outcome == lane.OutcomeUnsent && !h.leased(now) {
+		a.Status = msgs.StatusWrongOwner
+		a.Owner = h.sender.believedOwner(h.sender.deps.Views.Load(), h.id)
+	}
+	if a.Status == msgs.StatusNotRun {
+		a.RetryMicros = micros(h.queue.RetryAfter())
+	}
+	h.complete(j, &a)
+	return a
+}
+
+// observe learns from a result.
+func (h *host) observe(j *job, result *lane.Result, now time.Time) {
+	if result.Outcome == lane.OutcomeAnswered {
+		h.observeBoot(result.Boot, result.Maps, now)
+	}
+	before := h.tracker.State().Phase
+	switch {
+	case result.Reset:
+		h.tracker.ObserveReset(now)
+	case result.Shed:
+		h.sender.deps.Events.Count("server_shed")
+		h.tracker.ObserveShed(h.queue.AtServer(), now)
+	case result.Outcome == lane.OutcomeAnswered && result.Status == msgs.StatusOK:
+		h.tracker.ObserveCompletion(measured(j, result), now)
+	case result.Outcome == lane.OutcomeSilent:
+		h.sender.deps.Events.Count("connection_silent")
+	}
+	h.notePhase(before)
+	if result.Err != nil && result.Outcome != lane.OutcomeSilent {
+		h.recordBad("request", result.Err, now)
+	}
+}
+
+// measured returns the service time if it can be compared with that of other
+// requests. Actions differ too much from reads.
+func measured(j *job, result *lane.Result) time.Duration {
+	if j.call.query.Kind == msgs.KindAction {
+		return 0
+	}
+	return result.Service
+}
+
+// endSlot frees the slot of a job, or keeps it while the server may still work.
+func (h *host) endSlot(j *job, result *lane.Result) {
+	switch result.Outcome {
+	case lane.OutcomeUnsent, lane.OutcomeAnswered:
+		h.queue.Finish(&j.item)
+	default:
+		h.queue.GiveUp(&j.item, j.workUntil)
+		if j.call.query.Kind != msgs.KindAction {
+			h.sendCancel(j)
+		}
+	}
+}
+
+// connectFailed ends a job for which no connection could be opened.
+func (h *host) connectFailed(r *runner, j *job, err error) {
+	h.mu.Lock()
+	defer h.unlock()
+	now := time.Now()
+	h.queue.Finish(&j.item)
+	if lane.IsReset(err) {
+		before := h.tracker.State().Phase
+		h.tracker.ObserveReset(now)
+		h.notePhase(before)
+		h.rebound()
+	}
+	if !lane.IsBusy(err) && h.queue.AtServer() == 0 {
+		h.beginOutage(err, now)
+	}
+	h.refuse(j, msgs.Answer{Status: msgs.StatusNotRun, RetryMicros: micros(h.down.left(now))})
+	h.release(r)
+	h.advance(now)
+}
+
+// beginOutage refuses all waiting jobs, so that they can go to other replicas.
+func (h *host) beginOutage(err error, now time.Time) {
+	if h.down.until.IsZero() {
+		h.sender.deps.Events.Record("server_unreachable", string(h.id), err.Error())
+	}
+	h.down.extend(now)
+	h.refuseWaiting(msgs.Answer{Status: msgs.StatusNotRun, RetryMicros: micros(h.down.left(now))})
+}
+
+// refuseWaiting gives all waiting jobs the same answer.
+func (h *host) refuseWaiting(a msgs.Answer) {
+	for _, item := range h.queue.Clear() {
+		h.refuse(item.Work.(*job), a)
+	}
+}
+
+// sendCancel passes a cancel on to the server.
+func (h *host) sendCancel(j *job) {
+	if h.closed || h.server.Limits.Connections < 2 {
+		return
+	}
+	if !h.canceler {
+		h.canceler = true
+		h.sender.workers.Go(h.cancelLoop)
+	}
+	select {
+	case h.cancels <- j:
+	default:
+		h.sender.deps.Events.Count("cancel_dropped")
+	}
+}
+
+func (h *host) cancelLoop() {
+	l := lane.New(h.dialer, 0)
+	defer l.Close()
+	for j := range h.cancels {
+		h.cancelAtServer(l, j)
+	}
+}
+
+// cancelAtServer sends one cancel. If the server acknowledges it and nothing
+// waits for its answer any more, the slot is free.
+func (h *host) cancelAtServer(l *lane.Lane, j *job) {
+	hello, fresh, err := l.Connect(time.Now().Add(cancelTimeout))
+	if err != nil {
+		return
+	}
+	acknowledged := l.Cancel(j.id, time.Now().Add(cancelTimeout))
+	h.mu.Lock()
+	defer h.unlock()
+	now := time.Now()
+	if fresh {
+		h.observeBoot(hello.Boot, hello.Maps, now)
+	}
+	if acknowledged {
+		h.queue.FinishGivenUp(&j.item)
+	}
+	h.advance(now)
+}
--- /dev/null
+++ b/internal/owner/sender/runner.go
@@ -0,0 +1,151 @@
+package sender
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/owner/lane"
+)
+
+const (
+	// budgetMargin is the part of the time left that the server is not told,
+	// so that its own answer to the deadline arrives in time.
+	budgetMargin = 2 * time.Millisecond
+	// maxWriteDelay is the longest time between the calculation of the budget
+	// and the write. A process that was paused in between does not write.
+	maxWriteDelay = 20 * time.Millisecond
+	// silenceFactor is the multiple of the mean service time after which a
+	// connection without an answer is taken to be silent.
+	silenceFactor = 50
+)
+
+// runner carries one job at a time over one connection.
+type runner struct {
+	host *host
+	lane *lane.Lane
+	jobs chan *job
+	// job is the present job, guarded by the host's mutex.
+	job *job
+	// request is used by the runner's goroutine only.
+	request  lane.Request
+	prepared time.Time
+}
+
+// freeRunner returns a runner without a job, or nil if all are busy. The
+// caller holds the host's mutex.
+func (h *host) freeRunner() *runner {
+	if n := len(h.idle); n > 0 {
+		r := h.idle[n-1]
+		h.idle = h.idle[:n-1]
+		return r
+	}
+	if len(h.runners) >= h.laneLimit() {
+		return nil
+	}
+	r := &runner{host: h, lane: lane.New(h.dialer, h.sender.opts.MaxBody), jobs: make(chan *job, 1)}
+	h.runners = append(h.runners, r)
+	h.sender.workers.Go(r.loop)
+	return r
+}
+
+// release takes a runner back after a job.
+func (h *host) release(r *runner) {
+	r.job = nil
+	if h.closed || len(h.runners) > h.laneLimit() {
+		h.runners = slices.DeleteFunc(h.runners, func(other *runner) bool { return other == r })
+		close(r.jobs)
+		return
+	}
+	h.idle = append(h.idle, r)
+}
+
+func (r *runner) loop() {
+	defer r.lane.Close()
+	for j := range r.jobs {
+		r.run(j)
+	}
+}
+
+// run carries one job to its end.
+func (r *runner) run(j *job) {
+	hello, fresh, err := r.lane.Connect(j.item.Deadline)
+	if err != nil {
+		r.host.connectFailed(r, j, err)
+		return
+	}
+	if !r.host.admit(r, j, hello, fresh) {
+		return
+	}
+	result := r.lane.Do(&r.request, r.mayWrite)
+	r.host.finish(r, j, &result)
+}
+
+// mayWrite is asked right before the first byte of a request is written.
+func (r *runner) mayWrite() bool {
+	now := time.Now()
+	return r.host.leased(now) && !r.host.out.Load() && now.Sub(r.prepared) < maxWriteDelay
+}
+
+// admit decides right before the write whether the job may be sent, and
+// prepares the request. If it returns false, the runner is free again.
+func (h *host) admit(r *runner, j *job, hello lane.Hello, fresh bool) bool {
+	h.mu.Lock()
+	defer h.unlock()
+	now := time.Now()
+	if fresh {
+		h.down = outage{}
+		h.observeBoot(hello.Boot, hello.Maps, now)
+	}
+	if h.mustRefuse(j, now) || !h.queue.Send(&j.item) {
+		h.release(r)
+		h.advance(now)
+		return false
+	}
+	j.sentAt = now
+	j.id = h.sender.nextID()
+	r.prepare(j, now)
+	return true
+}
+
+// mustRefuse refuses a started job that may not be sent any more, and reports
+// whether it did.
+func (h *host) mustRefuse(j *job, now time.Time) bool {
+	holding := h.holding.Load()
+	switch {
+	case j.answered:
+	case holding == nil || !holding.Valid(now):
+		v := h.sender.deps.Views.Load()
+		h.refuse(j, msgs.Answer{Status: msgs.StatusWrongOwner, Owner: h.sender.believedOwner(v, h.id)})
+	case h.closed || h.out.Load() || h.sender.deps.Views.Load().Config.ServerOut(&h.server):
+		h.refuse(j, msgs.Answer{Status: msgs.StatusNotRun})
+	default:
+		j.workUntil = earlier(j.item.Deadline, holding.Until().Add(h.sender.opts.BeyondLease))
+		if j.workUntil.Sub(now) > budgetMargin {
+			return false
+		}
+		h.refuse(j, msgs.Answer{Status: msgs.StatusNotRun})
+	}
+	h.queue.Finish(&j.item)
+	return true
+}
+
+// prepare fills the request of a job.
+func (r *runner) prepare(j *job, now time.Time) {
+	q := &j.call.query
+	r.prepared = now
+	r.request = lane.Request{
+		ID: j.id, Kind: q.Kind, Version: ident.Version(q.Version), Shard: j.shard,
+		Action: q.Action, Key: q.Key, Body: q.Body,
+		Deadline: j.workUntil, Budget: j.workUntil.Sub(now) - budgetMargin,
+		Silence: max(r.host.sender.opts.MinSilence, silenceFactor*r.host.tracker.Estimate()),
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
