--- a/internal/fleet/lease/holder.go
+++ b/internal/fleet/lease/holder.go
@@ -284,20 +284,22 @@
 
 // Settled reports whether the previous voters may be dropped: one lease length
 // ago a majority of them refused lower epochs, so that no lease of an earlier
-// epoch can be left, and the new voters hold all claims.
+// epoch can be left, and a majority of the new voters holds all claims.
 func (h *Holder) Settled(now time.Time) bool {
 	if h.phase != holding || len(h.electorate.Prev) == 0 {
 		return false
 	}
-	confirmed := map[ident.Process]bool{}
+	confirmed, synced := map[ident.Process]bool{}, map[ident.Process]bool{}
 	for p, s := range h.seen {
 		confirmed[p] = s.epoch >= h.electorate.Epoch && now.Sub(s.at) >= h.options.Length
+		synced[p] = !h.needsSync(p)
 	}
 	prev := h.remaining(h.electorate.Prev, now)
 	if len(prev) > 0 && !covers(prev, confirmed) {
 		return false
 	}
-	return !slices.ContainsFunc(h.electorate.Voters, h.needsSync)
+	voters := h.remaining(h.electorate.Voters, now)
+	return len(voters) > 0 && covers(voters, synced)
 }
 
 func (h *Holder) reset() {
@@ -315,14 +317,11 @@
 	}
 }
 
-// needsSync reports whether p is a new voter that has not received all claims.
+// needsSync reports whether p is a voter that has not received all claims
+// since the lists changed.
 func (h *Holder) needsSync(p ident.Process) bool {
 	e := h.electorate
-	if len(e.Prev) == 0 || slices.Contains(e.Prev, p) || !slices.Contains(e.Voters, p) {
-		return false
-	}
-	_, gone := h.gone[p]
-	return !gone && h.synced[p] < e.Epoch
+	return len(e.Prev) > 0 && slices.Contains(e.Voters, p) && h.synced[p] < e.Epoch
 }
 
 func (h *Holder) see(from ident.Process, a Answer, now time.Time) {
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -34,7 +34,6 @@
 	view    lease.Electorate
 	// paused hosts handle no message; their clocks run on.
 	paused bool
-	term   map[uint64]bool
 }
 
 type packet struct {
--- /dev/null
+++ b/internal/fleet/member/detector.go
@@ -0,0 +1,104 @@
+package member
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+)
+
+const (
+	defaultSuspectAfter = 1100 * time.Millisecond
+	defaultPause        = 400 * time.Millisecond
+	reprobeAfter        = 500 * time.Millisecond
+)
+
+// DetectorOptions sets when a monitor becomes suspicious.
+type DetectorOptions struct {
+	// SuspectAfter is the silence after which a member is probed. 0 means 1.1 s.
+	SuspectAfter time.Duration
+	// Pause is the gap between two checks above which the monitor takes itself
+	// to have been paused. 0 means 400 ms.
+	Pause time.Duration
+}
+
+// Detector finds the members that a monitor no longer hears.
+type Detector struct {
+	options DetectorOptions
+	watched map[ident.Process]*watch
+	checked time.Time
+}
+
+// watch is what a detector knows of one member.
+type watch struct {
+	member  view.Member
+	heard   time.Time
+	probing bool
+	failed  bool
+}
+
+// NewDetector returns a detector that watches nobody.
+func NewDetector(options DetectorOptions) *Detector {
+	options.SuspectAfter = cmp.Or(options.SuspectAfter, defaultSuspectAfter)
+	options.Pause = cmp.Or(options.Pause, defaultPause)
+	return &Detector{options: options, watched: map[ident.Process]*watch{}}
+}
+
+// Watch replaces the members to watch. New ones count as heard at now.
+func (d *Detector) Watch(members []view.Member, now time.Time) {
+	next := make(map[ident.Process]*watch, len(members))
+	for _, m := range members {
+		w, known := d.watched[m.Process]
+		if !known {
+			w = &watch{heard: now}
+		}
+		w.member = m
+		next[m.Process] = w
+	}
+	d.watched = next
+}
+
+// Heard notes a sign of life of a process.
+func (d *Detector) Heard(p ident.Process, now time.Time) {
+	if w, ok := d.watched[p]; ok {
+		w.heard, w.failed = now, false
+	}
+}
+
+// Overdue returns the members to probe on a fresh connection. Time during which
+// this process itself was paused does not count as silence.
+func (d *Detector) Overdue(now time.Time) []view.Member {
+	paused := now.Sub(d.checked)
+	if d.checked.IsZero() || paused < d.options.Pause {
+		paused = 0
+	}
+	d.checked = now
+	var overdue []view.Member
+	for _, w := range d.watched {
+		w.heard = w.heard.Add(paused)
+		if !w.probing && now.Sub(w.heard) >= d.options.SuspectAfter {
+			w.probing = true
+			overdue = append(overdue, w.member)
+		}
+	}
+	return overdue
+}
+
+// Probed takes the outcome of a probe and reports whether the member is to be
+// accused: it was silent, and a fresh connection failed too.
+func (d *Detector) Probed(p ident.Process, alive bool, now time.Time) bool {
+	w, ok := d.watched[p]
+	if !ok {
+		return false
+	}
+	w.probing = false
+	if alive {
+		w.heard, w.failed = now, false
+		return false
+	}
+	silent := now.Sub(w.heard) >= d.options.SuspectAfter
+	w.heard = now.Add(reprobeAfter - d.options.SuspectAfter)
+	w.failed = silent
+	return silent
+}
--- /dev/null
+++ b/internal/fleet/member/value.go
@@ -0,0 +1,209 @@
+// Package member decides who belongs to the fleet: the membership value in the
+// key-value service, the rules that change it, and the suspicion of failures.
+// Its types are plain state machines that take events and the time. They are
+// not safe for concurrent use.
+package member
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/fleet/lease"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+)
+
+// Key is the key of the membership value in the key-value service.
+const Key = "fleet/view"
+
+// Value is the membership value. Epoch grows by one with each change.
+type Value struct {
+	Epoch   uint64
+	Members map[ident.VMID]Record
+	Groups  map[ident.GroupID]lease.Electorate
+	// Listed holds the VMs that the platform's list has shown.
+	Listed coll.Set[ident.VMID]
+}
+
+// Record is a member and the epoch in which it joined.
+type Record struct {
+	Member view.Member
+	Joined uint64
+}
+
+// New returns the empty value.
+func New() *Value {
+	return &Value{
+		Members: map[ident.VMID]Record{},
+		Groups:  map[ident.GroupID]lease.Electorate{},
+		Listed:  coll.NewSet[ident.VMID](),
+	}
+}
+
+// Clone returns a copy that shares nothing that changes.
+func (v *Value) Clone() *Value {
+	return &Value{
+		Epoch:   v.Epoch,
+		Members: maps.Clone(v.Members),
+		Groups:  maps.Clone(v.Groups),
+		Listed:  v.Listed.Clone(),
+	}
+}
+
+// Has reports whether the process is a member.
+func (v *Value) Has(p ident.Process) bool {
+	return v.Members[p.VM].Member.Process == p
+}
+
+// List returns the members in the order of their names.
+func (v *Value) List() []view.Member {
+	members := make([]view.Member, 0, len(v.Members))
+	for _, vm := range slices.Sorted(maps.Keys(v.Members)) {
+		members = append(members, v.Members[vm].Member)
+	}
+	return members
+}
+
+// wire types define the JSON form. Processes are written as "vm#incarnation".
+type (
+	wireValue struct {
+		Epoch   uint64                      `json:"epoch"`
+		Members []wireMember                `json:"members"`
+		Groups  map[ident.GroupID]wireGroup `json:"groups"`
+		Listed  []ident.VMID                `json:"listed"`
+	}
+	wireMember struct {
+		Process string     `json:"process"`
+		Zone    ident.Zone `json:"zone"`
+		Caller  string     `json:"caller"`
+		Peer    string     `json:"peer"`
+		Control string     `json:"control"`
+		Leaving bool       `json:"leaving,omitempty"`
+		Joined  uint64     `json:"joined"`
+	}
+	wireGroup struct {
+		Epoch  uint64   `json:"epoch"`
+		Voters []string `json:"voters"`
+		Prev   []string `json:"prev,omitempty"`
+	}
+)
+
+// Encode returns the JSON form of the value.
+func (v *Value) Encode() []byte {
+	w := wireValue{
+		Epoch:  v.Epoch,
+		Groups: make(map[ident.GroupID]wireGroup, len(v.Groups)),
+		Listed: coll.Sorted(v.Listed),
+	}
+	for _, vm := range slices.Sorted(maps.Keys(v.Members)) {
+		w.Members = append(w.Members, encodeMember(v.Members[vm]))
+	}
+	for id, e := range v.Groups {
+		w.Groups[id] = wireGroup{e.Epoch, encodeProcesses(e.Voters), encodeProcesses(e.Prev)}
+	}
+	data, err := json.Marshal(w)
+	if err != nil {
+		panic(errors.Wrap(err, "member: encode"))
+	}
+	return data
+}
+
+// Decode decodes the JSON form. Empty data is the empty value.
+func Decode(data []byte) (*Value, error) {
+	v := New()
+	if len(data) == 0 {
+		return v, nil
+	}
+	var w wireValue
+	if err := json.Unmarshal(data, &w); err != nil {
+		return nil, errors.Wrap(err, "member: decode")
+	}
+	v.Epoch = w.Epoch
+	v.Listed = coll.NewSet(w.Listed...)
+	for _, m := range w.Members {
+		r, err := decodeMember(m)
+		if err != nil {
+			return nil, err
+		}
+		v.Members[r.Member.Process.VM] = r
+	}
+	for id, g := range w.Groups {
+		e, err := decodeGroup(g)
+		if err != nil {
+			return nil, err
+		}
+		v.Groups[id] = e
+	}
+	return v, nil
+}
+
+func encodeMember(r Record) wireMember {
+	m := r.Member
+	return wireMember{m.Process.String(), m.Zone, m.Caller, m.Peer, m.Control, m.Leaving, r.Joined}
+}
+
+func decodeMember(m wireMember) (Record, error) {
+	p, err := parseProcess(m.Process)
+	if err != nil {
+		return Record{}, err
+	}
+	return Record{
+		Member: view.Member{
+			Process: p,
+			Zone:    m.Zone,
+			Caller:  m.Caller,
+			Peer:    m.Peer,
+			Control: m.Control,
+			Leaving: m.Leaving,
+		},
+		Joined: m.Joined,
+	}, nil
+}
+
+func decodeGroup(g wireGroup) (lease.Electorate, error) {
+	e := lease.Electorate{Epoch: g.Epoch}
+	var err error
+	if e.Voters, err = parseProcesses(g.Voters); err != nil {
+		return e, err
+	}
+	e.Prev, err = parseProcesses(g.Prev)
+	return e, err
+}
+
+func encodeProcesses(list []ident.Process) []string {
+	var names []string
+	for _, p := range list {
+		names = append(names, p.String())
+	}
+	return names
+}
+
+func parseProcesses(names []string) ([]ident.Process, error) {
+	var list []ident.Process
+	for _, name := range names {
+		p, err := parseProcess(name)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, p)
+	}
+	return list, nil
+}
+
+func parseProcess(name string) (ident.Process, error) {
+	at := strings.LastIndexByte(name, '#')
+	if at < 0 {
+		return ident.Process{}, errors.Newf("member: process %q has no incarnation", name)
+	}
+	incarnation, err := strconv.ParseUint(name[at+1:], 10, 64)
+	if err != nil {
+		return ident.Process{}, errors.Wrapf(err, "member: process %q", name)
+	}
+	return ident.Process{VM: ident.VMID(name[:at]), Incarnation: ident.Incarnation(incarnation)}, nil
+}
