--- a/internal/conf/vmconf/parse.go
+++ b/internal/conf/vmconf/parse.go
@@ -31,11 +31,17 @@
 	defaultHedge        = "budget"
 	defaultAdmission    = "queue"
 	defaultLease        = 1500 * time.Millisecond
-	defaultHeartbeat    = 300 * time.Millisecond
+	defaultHeartbeat    = 500 * time.Millisecond
 	defaultListLifetime = 10 * time.Second
 	defaultStopBound    = time.Minute
 )
 
+// Values of settings that are either on or off.
+const (
+	on  = "on"
+	off = "off"
+)
+
 // heartbeatsPerLease is the number of heartbeats that must fit into a lease, so
 // that a lost one does not end it.
 const heartbeatsPerLease = 3
@@ -157,5 +163,5 @@
 }
 
 func readTest(section *strict.Section) Test {
-	return Test{LinkFilter: section.Address("link_filter", coll.Some(""))}
+	return Test{Faults: section.Choice("faults", coll.Some(off), on, off) == on}
 }
--- a/internal/conf/vmconf/settings.go
+++ b/internal/conf/vmconf/settings.go
@@ -75,11 +75,10 @@
 
 // Test holds settings for tests only.
 type Test struct {
-	// LinkFilter is the address of a filter through which connections to other
-	// VMs go, or empty.
-	LinkFilter string
+	// Faults allows requests to the admin listener that cut links to other
+	// VMs.
+	Faults bool
 }
-
 // CallerAddress returns the "ip:port" address for callers.
 func (s *Settings) CallerAddress() string { return s.address(s.Listen.Caller) }
 
--- /dev/null
+++ b/internal/core/node/links.go
@@ -0,0 +1,18 @@
+package node
+
+import (
+	"net"
+
+	"github.com/samphirestair/samphirestair/internal/link/cut"
+)
+
+// controlFilter applies the cut links of a test to control calls.
+type controlFilter struct {
+	table *cut.Table
+}
+
+// Allowed implements ctrl.Filter.
+func (f controlFilter) Allowed(to string) bool {
+	host, _, err := net.SplitHostPort(to)
+	return err != nil || !f.table.Blocks(host)
+}
--- /dev/null
+++ b/internal/core/node/node.go
@@ -0,0 +1,220 @@
+// Package node assembles one process of an entry VM from its parts and runs it.
+package node
+
+import (
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/spread"
+	"github.com/samphirestair/samphirestair/internal/conf/vmconf"
+	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/fleet/agent"
+	"github.com/samphirestair/samphirestair/internal/fleet/ctrl"
+	"github.com/samphirestair/samphirestair/internal/fleet/lease"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+	"github.com/samphirestair/samphirestair/internal/front/caller"
+	"github.com/samphirestair/samphirestair/internal/link/cut"
+	"github.com/samphirestair/samphirestair/internal/link/mesh"
+	"github.com/samphirestair/samphirestair/internal/ops/admin"
+	"github.com/samphirestair/samphirestair/internal/owner/home"
+	"github.com/samphirestair/samphirestair/internal/owner/sender"
+	"github.com/samphirestair/samphirestair/internal/plat/httpc"
+	"github.com/samphirestair/samphirestair/internal/plat/store"
+	"github.com/samphirestair/samphirestair/internal/plat/vmlist"
+	"github.com/samphirestair/samphirestair/internal/query/entry"
+)
+
+// Node is one process of an entry VM.
+type Node struct {
+	settings *vmconf.Settings
+	logger   *slog.Logger
+	metrics  *metrics.Set
+	events   *events.Recorder
+	self     view.Member
+	views    *view.Holder
+	cuts     *cut.Table
+
+	client   *ctrl.Client
+	control  *ctrl.Server
+	agent    *agent.Agent
+	spreader *spread.Spreader
+	mesh     *mesh.Mesh
+	sender   *sender.Sender
+	home     *home.Home
+	entry    *entry.Entry
+	caller   *caller.Server
+	admin    *admin.Server
+}
+
+// New assembles a process. Nothing runs or listens yet.
+func New(settings *vmconf.Settings, logger *slog.Logger) (*Node, error) {
+	n := &Node{
+		settings: settings,
+		logger:   logger.With(slog.String("vm", string(settings.VM.ID))),
+		metrics:  metrics.NewSet(),
+		views:    &view.Holder{},
+		self:     selfOf(settings, time.Now()),
+	}
+	if settings.Test.Faults {
+		n.cuts = &cut.Table{}
+	}
+	n.events = events.New(n.logger, n.metrics)
+	n.buildLinks()
+	if err := n.buildFleet(); err != nil {
+		return nil, err
+	}
+	if err := n.buildTraffic(); err != nil {
+		return nil, err
+	}
+	n.buildAdmin()
+	return n, nil
+}
+
+// selfOf describes the process that starts at now.
+func selfOf(settings *vmconf.Settings, now time.Time) view.Member {
+	return view.Member{
+		Process: ident.Process{VM: settings.VM.ID, Incarnation: ident.Incarnation(now.UnixNano())},
+		Zone:    settings.VM.Zone,
+		Caller:  settings.CallerAddress(),
+		Peer:    settings.PeerAddress(),
+		Control: settings.ControlAddress(),
+	}
+}
+
+func (n *Node) buildLinks() {
+	n.client = ctrl.NewClient(ctrl.ClientOptions{Metrics: n.metrics, Self: n.self.Control, Filter: n.filter()})
+	n.control = ctrl.NewServer(ctrl.ServerOptions{Logger: n.logger, Metrics: n.metrics, Filter: n.filter()})
+	n.mesh = mesh.New(n.self.Process, n.settings.VM.IP, n.logger, n.metrics, mesh.Options{Cut: n.cuts})
+}
+
+// filter returns nil unless tests may cut links.
+func (n *Node) filter() ctrl.Filter {
+	if n.cuts == nil {
+		return nil
+	}
+	return controlFilter{table: n.cuts}
+}
+
+func (n *Node) buildFleet() error {
+	kv, err := store.NewHTTP(n.settings.Platform.Store, n.metrics, store.HTTPOptions{})
+	if err != nil {
+		return errors.Wrap(err, "node: key-value service")
+	}
+	list, err := vmlist.NewHTTP(n.settings.Platform.VMs, httpc.Options{})
+	if err != nil {
+		return errors.Wrap(err, "node: VM list")
+	}
+	n.sender = sender.New(sender.Deps{Self: n.self.Process, Views: n.views, Mesh: n.mesh, Events: n.events}, sender.Options{})
+	n.agent = agent.New(agent.Deps{
+		Self:         n.self,
+		Store:        kv,
+		VMs:          list,
+		Server:       n.control,
+		Client:       n.client,
+		Views:        n.views,
+		Events:       n.events,
+		Logger:       n.logger,
+		Carry:        n.sender,
+		PeerRevision: func(peer view.Member, revision ident.Revision) { n.spreader.Notice(peer, revision) },
+	}, agent.Options{
+		Lease:     lease.Options{Length: n.settings.Fleet.Lease},
+		Heartbeat: n.settings.Fleet.Heartbeat,
+	})
+	n.spreader = spread.New(spread.Deps{
+		Store:    kv,
+		Fetch:    peerConfig{client: n.client},
+		Events:   n.events,
+		OnConfig: n.agent.SetConfig,
+	}, spread.Options{})
+	serveConfig(n.control, n.spreader)
+	n.serveBrief(n.control)
+	return nil
+}
+
+func (n *Node) buildTraffic() error {
+	n.home = home.New(home.Deps{
+		Self:   n.self.Process,
+		Views:  n.views,
+		Mesh:   n.mesh,
+		Claims: n.agent,
+		Next:   n.sender,
+		Events: n.events,
+	}, home.Options{})
+	var err error
+	n.entry, err = entry.New(
+		entry.Deps{Self: n.self.Process, Views: n.views, Mesh: n.mesh, Events: n.events},
+		entry.Options{
+			Choose: n.settings.Policies.Replica,
+			Hedge:  n.settings.Policies.Hedge,
+			Admit:  n.settings.Policies.Admission,
+		})
+	if err != nil {
+		return errors.Wrap(err, "node: policies")
+	}
+	n.mesh.Attach(n.home, &router{home: n.home, entry: n.entry})
+	n.caller = caller.New(
+		caller.Deps{Runner: n.entry, Views: n.views},
+		caller.Options{AddressLifetime: n.settings.Fleet.ListLifetime})
+	return nil
+}
+
+func (n *Node) buildAdmin() {
+	n.admin = admin.New(admin.Deps{
+		Logger:  n.logger,
+		Metrics: n.metrics,
+		Sections: map[string]admin.Section{
+			"self":      func() any { return n.self },
+			"fleet":     n.agent.State,
+			"config":    func() any { return n.spreader.State() },
+			"owner":     func() any { return n.sender.State() },
+			"home":      func() any { return n.home.State() },
+			"entry":     func() any { return n.entry.State() },
+			"decisions": func() any { return n.events.History() },
+		},
+		Status: n.status,
+		Cut:    n.cuts,
+	})
+}
+
+// listeners are the open ports of a process.
+type listeners struct {
+	caller, peer, control, admin net.Listener
+}
+
+// listen opens all ports, or none.
+func (n *Node) listen() (*listeners, error) {
+	l := &listeners{}
+	ports := []struct {
+		listener *net.Listener
+		open     func(address string) (net.Listener, error)
+		address  string
+	}{
+		{&l.caller, caller.Listen, n.settings.CallerAddress()},
+		{&l.peer, mesh.Listen, n.settings.PeerAddress()},
+		{&l.control, ctrl.Listen, n.settings.ControlAddress()},
+		{&l.admin, admin.Listen, n.settings.AdminAddress()},
+	}
+	for _, port := range ports {
+		listener, err := port.open(port.address)
+		if err != nil {
+			return nil, errors.CombineErrors(errors.Wrapf(err, "node: listen on %s", port.address), l.close())
+		}
+		*port.listener = listener
+	}
+	return l, nil
+}
+
+func (l *listeners) close() error {
+	var err error
+	for _, listener := range []net.Listener{l.caller, l.peer, l.control, l.admin} {
+		if listener != nil {
+			err = errors.CombineErrors(err, listener.Close())
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/core/node/router.go
@@ -0,0 +1,32 @@
+package node
+
+import (
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/link/mesh"
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/owner/home"
+)
+
+// router passes what arrives for queries of this process to whoever issued
+// them: the home of action keys or the entry.
+type router struct {
+	home  mesh.ReplyHandler
+	entry mesh.ReplyHandler
+}
+
+// HandleReply implements mesh.ReplyHandler.
+func (r *router) HandleReply(from ident.Process, reply msgs.Reply) {
+	r.issuer(reply.ID).HandleReply(from, reply)
+}
+
+// HandleLost implements mesh.ReplyHandler.
+func (r *router) HandleLost(to ident.VMID, query msgs.Query, sent bool) {
+	r.issuer(query.ID).HandleLost(to, query, sent)
+}
+
+func (r *router) issuer(id uint64) mesh.ReplyHandler {
+	if home.Mine(id) {
+		return r.home
+	}
+	return r.entry
+}
--- a/internal/link/mesh/transport.go
+++ b/internal/link/mesh/transport.go
@@ -89,6 +89,13 @@
 	return m
 }
 
+// Listen opens the port for traffic from other VMs. TLS between VMs would wrap
+// the listener here.
+func Listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	return listener, errors.Wrap(err, "mesh: listen")
+}
+
 // Attach sets the handlers. It must be called once, before Serve and before
 // anything is sent.
 func (m *Mesh) Attach(queries QueryHandler, replies ReplyHandler) {
@@ -96,8 +103,7 @@
 	m.replies = replies
 }
 
-// Serve accepts batches from l until Shutdown. TLS between VMs would wrap l
-// here.
+// Serve accepts batches from l until Shutdown.
 func (m *Mesh) Serve(l net.Listener) error {
 	return errors.Wrap(m.server.Serve(m.options.Cut.Listener(l)), "mesh: serve")
 }
--- a/internal/ops/admin/server.go
+++ b/internal/ops/admin/server.go
@@ -53,6 +53,13 @@
 	return s
 }
 
+// Listen opens the port for operators and collectors. TLS would wrap the
+// listener here.
+func Listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	return listener, errors.Wrap(err, "admin: listen")
+}
+
 // Serve answers requests from l until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
 	config := fiber.ListenConfig{DisableStartupMessage: true}
