Serve callers over HTTP

Callers need addresses that last as long as promised, typed errors and outcomes that they can act on.

Rejections carry the outcome "not run" too, since a client that reads only the outcome must not take a rejected action for an unknown one.

--- /dev/null
+++ b/internal/front/caller/answer.go
@@ -0,0 +1,141 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/query/entry"
+	"github.com/samphirestair/samphirestair/internal/query/run"
+)
+
+// answer is the body of every answer to a request.
+type answer struct {
+	Request      string          `json:"request"`
+	Outcome      string          `json:"outcome"`
+	Snapshot     ident.Version   `json:"snapshot,omitempty"`
+	Coverage     *coverage       `json:"coverage,omitempty"`
+	Hits         []hit           `json:"hits,omitzero"`
+	Answer       json.RawMessage `json:"answer,omitempty"`
+	Reason       string          `json:"reason,omitempty"`
+	RetryAfterMS int64           `json:"retry_after_ms,omitempty"`
+	Error        *failure        `json:"error,omitempty"`
+}
+
+type coverage struct {
+	Answered int `json:"answered"`
+	Of       int `json:"of"`
+}
+
+type hit struct {
+	ID    string          `json:"id"`
+	Score float64         `json:"score"`
+	Doc   json.RawMessage `json:"doc,omitempty"`
+}
+
+// reply answers with the result of a request.
+func reply(c fiber.Ctx, id string, result entry.Result) error {
+	if rejected := rejectionOf(result); rejected != nil {
+		return replyRejected(c, id, rejected)
+	}
+	body := answer{
+		Request:      id,
+		Outcome:      result.Outcome.String(),
+		Snapshot:     result.Version,
+		Hits:         hitsOf(result.Hits),
+		Reason:       result.Reason,
+		RetryAfterMS: result.RetryAfter.Milliseconds(),
+	}
+	if result.Of > 0 {
+		body.Coverage = &coverage{Answered: result.Answered, Of: result.Of}
+	}
+	if len(result.Body) > 0 {
+		body.Answer = value(result.Body)
+	}
+	status := http.StatusOK
+	switch result.Outcome {
+	case run.OutcomeNotRun:
+		status = http.StatusServiceUnavailable
+		body.Error = &failure{Code: codeNotRun, Message: result.Reason}
+		c.Set(fiber.HeaderRetryAfter, wholeSeconds(result.RetryAfter))
+	case run.OutcomeUnknown:
+		status = statusOfUnknown(result.Reason)
+		body.Error = &failure{Code: codeOutcomeLost, Message: result.Reason}
+	case run.OutcomeFull, run.OutcomePartial, run.OutcomeDone:
+	}
+	return send(c, status, body)
+}
+
+func statusOfUnknown(reason string) int {
+	if reason == run.ReasonDeadline {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// rejectionOf returns the rejection of a request that was faulty, or nil.
+func rejectionOf(result entry.Result) *rejection {
+	switch result.Fault {
+	case entry.FaultService:
+		return reject(http.StatusNotFound, codeUnknownName, result.Reason)
+	case entry.FaultAction:
+		return reject(http.StatusNotFound, codeUnknownAction, result.Reason)
+	case entry.FaultDeadline:
+		return reject(http.StatusRequestTimeout, codeDeadline, result.Reason)
+	case entry.FaultNone:
+	}
+	return nil
+}
+
+// replyRejected answers a request that was not run because of its own fault.
+func replyRejected(c fiber.Ctx, id string, rejected *rejection) error {
+	return send(c, rejected.status, answer{
+		Request: id,
+		Outcome: run.OutcomeNotRun.String(),
+		Error:   &rejected.failure,
+	})
+}
+
+func send(c fiber.Ctx, status int, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "caller: encode answer")
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Status(status).Send(data)
+}
+
+// hitsOf returns nil for nil, so that only searches have hits.
+func hitsOf(hits []msgs.Hit) []hit {
+	if hits == nil {
+		return nil
+	}
+	out := make([]hit, len(hits))
+	for i := range hits {
+		out[i] = hit{ID: hits[i].ID, Score: hits[i].Score, Doc: value(hits[i].Doc)}
+	}
+	return out
+}
+
+// value returns data as a JSON value: itself if it is one, else a string.
+func value(data []byte) json.RawMessage {
+	if len(data) == 0 || json.Valid(data) {
+		return data
+	}
+	text, err := json.Marshal(string(data))
+	if err != nil {
+		return nil
+	}
+	return text
+}
+
+// wholeSeconds rounds up, as the header has no smaller unit.
+func wholeSeconds(d time.Duration) string {
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
--- /dev/null
+++ b/internal/front/caller/proto.go
@@ -0,0 +1,45 @@
+package caller
+
+// Headers of requests and answers.
+const (
+	headerDeadline       = "X-Deadline-Ms"
+	headerDeadlineUnix   = "X-Deadline-Unix-Ms"
+	headerClass          = "X-Caller-Class"
+	headerRequest        = "X-Request-Id"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerRouteKey       = "Route-Key"
+	headerMoveOn         = "X-Move-On"
+)
+
+// Codes of errors.
+const (
+	codeBadBody       = "bad_body"
+	codeBadDeadline   = "bad_deadline"
+	codeBadKey        = "bad_key"
+	codeBadRequestID  = "bad_request_id"
+	codeBodyTooLarge  = "body_too_large"
+	codeDeadline      = "deadline_passed"
+	codeInternal      = "internal"
+	codeNotFound      = "not_found"
+	codeNotRun        = "not_run"
+	codeOutcomeLost   = "outcome_unknown"
+	codeBadRequest    = "bad_request"
+	codeUnknownAction = "unknown_action"
+	codeUnknownName   = "unknown_service"
+)
+
+// failure is the error of an answer.
+type failure struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+// rejection is a failure of the request itself, with its HTTP status.
+type rejection struct {
+	status int
+	failure
+}
+
+func reject(status int, code, message string) *rejection {
+	return &rejection{status: status, failure: failure{Code: code, Message: message}}
+}
--- /dev/null
+++ b/internal/front/caller/server.go
@@ -0,0 +1,127 @@
+// Package caller serves callers over HTTP: it tells them which addresses to
+// use, and takes searches, lookups and actions.
+package caller
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
+
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+	"github.com/samphirestair/samphirestair/internal/query/entry"
+)
+
+// Runner runs requests to their end.
+type Runner interface {
+	Search(ctx context.Context, request entry.Request) entry.Result
+	Lookup(ctx context.Context, request entry.Request) entry.Result
+	Action(ctx context.Context, request entry.Request) entry.Result
+}
+
+// Deps is what a Server depends on. Now and NewID may be nil.
+type Deps struct {
+	Runner Runner
+	Views  *view.Holder
+	// Now returns the time. nil means time.Now.
+	Now func() time.Time
+	// NewID returns the name of a request that has none. nil means a random
+	// UUID.
+	NewID func() string
+}
+
+// Options tunes a Server. The zero value is useful.
+type Options struct {
+	// AddressLifetime is the time for which callers may use an address list. 0
+	// means 30 s.
+	AddressLifetime time.Duration
+	// BodyLimit is the largest request body in bytes. 0 means 256 KiB.
+	BodyLimit int
+	// ReadTimeout is the time that a request may take to arrive. 0 means 10 s.
+	ReadTimeout time.Duration
+	// IdleTimeout is the time after which an unused connection is closed. 0
+	// means 90 s.
+	IdleTimeout time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.AddressLifetime == 0 {
+		o.AddressLifetime = 30 * time.Second
+	}
+	if o.BodyLimit == 0 {
+		o.BodyLimit = 256 << 10
+	}
+	if o.ReadTimeout == 0 {
+		o.ReadTimeout = 10 * time.Second
+	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = 90 * time.Second
+	}
+	return o
+}
+
+// Server is the HTTP server for callers. It is safe for concurrent use.
+type Server struct {
+	deps    Deps
+	options Options
+	app     *fiber.App
+}
+
+// New returns a server that does not listen yet.
+func New(deps Deps, options Options) *Server {
+	if deps.Now == nil {
+		deps.Now = time.Now
+	}
+	if deps.NewID == nil {
+		deps.NewID = uuid.NewString
+	}
+	s := &Server{deps: deps, options: options.withDefaults()}
+	s.app = fiber.New(fiber.Config{
+		AppName:      "samphirestair",
+		Immutable:    true,
+		BodyLimit:    s.options.BodyLimit,
+		ReadTimeout:  s.options.ReadTimeout,
+		IdleTimeout:  s.options.IdleTimeout,
+		ErrorHandler: s.handleError,
+	})
+	s.route()
+	return s
+}
+
+// Listen opens the port for callers. Transport security would be added here.
+func Listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	return listener, errors.Wrap(err, "caller: listen")
+}
+
+// Serve answers callers until Shutdown. It blocks.
+func (s *Server) Serve(listener net.Listener) error {
+	err := s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
+	return errors.Wrap(err, "caller: serve")
+}
+
+// Shutdown stops listening and waits until all requests are answered, or
+// returns the error of ctx.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return errors.Wrap(s.app.ShutdownWithContext(ctx), "caller: shutdown")
+}
+
+func (s *Server) route() {
+	s.app.Use(s.moveOn)
+	s.app.Get("/v1/addresses", s.addresses)
+	s.app.Get("/v1/ready", s.ready)
+	s.app.Post("/v1/search/:service", s.search)
+	s.app.Post("/v1/lookup/:service/:key", s.lookup)
+	s.app.Post("/v1/action/:service/:action", s.action)
+}
+
+// moveOn tells callers of a leaving VM to ask for other addresses.
+func (s *Server) moveOn(c fiber.Ctx) error {
+	if leaving(s.deps.Views.Load()) {
+		c.Set(headerMoveOn, "1")
+	}
+	return c.Next()
+}
--- a/internal/query/merge/topk.go
+++ b/internal/query/merge/topk.go
@@ -10,6 +10,9 @@
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 )
 
+// initialHits is the greatest number of hits to make room for in advance.
+const initialHits = 64
+
 // TopK keeps the best hits by descending score and then ascending id, and
 // notes which shards have answered. It is not safe for concurrent use.
 type TopK struct {
@@ -22,7 +25,11 @@
 // New returns an empty TopK that keeps limit hits of the given number of
 // shards.
 func New(limit, shards int) *TopK {
-	return &TopK{limit: limit, answered: make([]uint64, (shards+63)/64)}
+	return &TopK{
+		limit:    limit,
+		heap:     make([]msgs.Hit, 0, min(max(limit, 0), initialHits)),
+		answered: make([]uint64, (shards+63)/64),
+	}
 }
 
 // Add merges the answer of one shard. It returns false, and merges nothing, if
@@ -45,7 +52,7 @@
 	return t.count
 }
 
-// Hits sorts and returns the hits. Add must not be called afterwards.
+// Hits sorts and returns the hits, never nil. Add must not be called afterwards.
 func (t *TopK) Hits() []msgs.Hit {
 	slices.SortFunc(t.heap, func(a, b msgs.Hit) int { return compare(&a, &b) })
 	return t.heap
--- a/internal/query/run/action.go
+++ b/internal/query/run/action.go
@@ -89,7 +89,7 @@
 
 func (a *Action) finishStep(now time.Time) Step {
 	if !now.Before(a.spec.Deadline) {
-		a.endOpen("deadline")
+		a.endOpen(ReasonDeadline)
 	}
 	return a.out.take()
 }
--- a/internal/query/run/query.go
+++ b/internal/query/run/query.go
@@ -152,7 +152,7 @@
 	switch {
 	case q.phase == phaseEnded:
 	case !now.Before(q.spec.Deadline):
-		q.reason = "deadline"
+		q.reason = ReasonDeadline
 		q.finish(now)
 	case q.phase == phaseRunning && q.resolved():
 		q.finish(now)
--- a/internal/query/run/types.go
+++ b/internal/query/run/types.go
@@ -111,6 +111,9 @@
 	return [...]string{"full", "partial", "done", "not run", "unknown"}[o]
 }
 
+// ReasonDeadline is the reason of results that the deadline cut short.
+const ReasonDeadline = "deadline"
+
 // Result is the final answer to a request.
 type Result struct {
 	Outcome Outcome
