Check the ten properties from histories

The promises must be judged from what callers, backend servers and operators recorded, not from what the tier says of itself. Backend servers answer with hits that depend only on service, version, shard and query, so a checker can compute the whole answer that a full search must give. Judging coverage from the hits was ruled out: merged answers hold few hits and so miss most shards; it is judged from the sub-requests that backend servers completed.

Each checker accepts a good history, rejects a bad one and reports an empty one as not exercised, with golden files. All tests of internal/lab pass under the race detector.

Conclusion: works on hand-made histories; no history of the tier yet.

--- a/cmd/samphirelab/load.go
+++ b/cmd/samphirelab/load.go
@@ -16,7 +16,6 @@
 	options  load.Options
 	services []string
 	history  string
-	process  string
 	asJSON   bool
 }
 
@@ -47,7 +46,7 @@
 	f.IntVar(&flags.options.Limit, "limit", 10, "hits asked for by a search")
 	f.Uint64Var(&flags.options.Seed, "seed", 1, "seed of the arrivals")
 	f.StringVar(&flags.history, "history", "", "file for the history")
-	f.StringVar(&flags.process, "name", "load", "name of this process in the history")
+	f.StringVar(&flags.options.Name, "name", "load", "name of this process in ids and in the history")
 	f.BoolVar(&flags.asJSON, "json", false, "print the report as JSON")
 	return cmd
 }
@@ -61,7 +60,7 @@
 		}
 		options.Mixes = append(options.Mixes, mix)
 	}
-	recorder, err := trace.Create(flags.history, flags.process)
+	recorder, err := trace.Create(flags.history, flags.options.Name)
 	if err != nil {
 		return err
 	}
--- a/cmd/samphirelab/root.go
+++ b/cmd/samphirelab/root.go
@@ -15,6 +15,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newKV(), newVMs(), newLoad())
+	root.AddCommand(newKV(), newVMs(), newLoad(), newAudit())
 	return root
 }
--- /dev/null
+++ b/internal/lab/audit/coverage.go
@@ -0,0 +1,64 @@
+package audit
+
+import (
+	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/lab/trace"
+	"github.com/samphirestair/samphirestair/internal/plat/bknd"
+)
+
+func init() {
+	checkers.Register("coverage", checkCoverage)
+}
+
+// statusOK is the status of a completed sub-request.
+const statusOK = 200
+
+// checkCoverage checks the coverage of each answer against what backend
+// servers completed for it.
+func checkCoverage(h *History, t *tally) {
+	for _, a := range h.searches() {
+		t.seen()
+		if (a.Outcome == trace.OutcomeFull) != (a.Answered == a.Of && a.Of > 0) {
+			t.violationf("attempt %s: %s with %d of %d shards", a.ID, a.Outcome, a.Answered, a.Of)
+		}
+		completed := h.completedShards(a)
+		if a.Answered > len(completed) {
+			t.violationf("attempt %s: says that %d shards answered, %d did", a.ID, a.Answered, len(completed))
+		}
+		for _, hit := range a.Hits {
+			if !completed.Has(hit.Shard) {
+				t.violationf("attempt %s: hit %s of a shard that did not answer", a.ID, hit.ID)
+				break
+			}
+		}
+		if of := h.shards(a); of > 0 && a.Of != of {
+			t.violationf("attempt %s: says that version %d has %d shards, it has %d", a.ID, a.Snapshot, a.Of, of)
+		}
+	}
+}
+
+// completedShards returns the shards of the snapshot that were completed for
+// the attempt before it ended.
+func (h *History) completedShards(a *attempt) coll.Set[ident.Shard] {
+	shards := coll.NewSet[ident.Shard]()
+	for _, event := range h.finished[a.subject()] {
+		w := event.Work
+		if w.Status == statusOK && w.Version == a.Snapshot && event.At <= a.end+skew {
+			shards.Add(w.Shard)
+		}
+	}
+	return shards
+}
+
+// shards returns the number of shards of the snapshot as backend servers tell
+// it, or 0 if none answered.
+func (h *History) shards(a *attempt) int {
+	for _, event := range h.finished[a.subject()] {
+		w := event.Work
+		if w.Version == a.Snapshot && w.Status != bknd.StatusWrongVersion {
+			return int(w.Shards)
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/lab/audit/finding.go
@@ -0,0 +1,105 @@
+// Package audit checks histories of runs. Each checker decides one property
+// from the history alone.
+package audit
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/samphirestair/samphirestair/internal/core/kernel"
+)
+
+// Verdict is the result of a checker.
+type Verdict string
+
+// Verdicts.
+const (
+	// Held means that the property held in each event that could have broken
+	// it.
+	Held Verdict = "held"
+	// Broken means that the history shows a violation.
+	Broken Verdict = "broken"
+	// NotExercised means that no event could have broken the property.
+	NotExercised Verdict = "not exercised"
+)
+
+// maxEvidence is the number of violations that a finding describes.
+const maxEvidence = 10
+
+// Finding is what a checker found.
+type Finding struct {
+	Property string
+	Verdict  Verdict
+	// Events is the number of events that could have broken the property.
+	Events int
+	// Violations is the number of violations. Evidence describes the first of
+	// them, one a line.
+	Violations int
+	Evidence   []string
+}
+
+// String returns the finding as one line, and one more for each evidence.
+func (f Finding) String() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "property: %s %s events=%d", f.Property, f.Verdict, f.Events)
+	if f.Violations > 0 {
+		fmt.Fprintf(&text, " violations=%d", f.Violations)
+	}
+	for _, line := range f.Evidence {
+		fmt.Fprintf(&text, "\n  %s", line)
+	}
+	return text.String()
+}
+
+// tally collects a finding.
+type tally struct {
+	events     int
+	violations int
+	evidence   []string
+}
+
+// seen counts an event that could have broken the property.
+func (t *tally) seen() {
+	t.events++
+}
+
+// violationf counts a violation.
+func (t *tally) violationf(format string, args ...any) {
+	t.violations++
+	if len(t.evidence) < maxEvidence {
+		t.evidence = append(t.evidence, fmt.Sprintf(format, args...))
+	}
+}
+
+func (t *tally) finding(property string) Finding {
+	f := Finding{Property: property, Verdict: Held, Events: t.events, Violations: t.violations, Evidence: t.evidence}
+	switch {
+	case t.violations > 0:
+		f.Verdict = Broken
+	case t.events == 0:
+		f.Verdict = NotExercised
+	}
+	return f
+}
+
+// Checker counts the events of a history that could break its property, and
+// the violations.
+type Checker func(h *History, t *tally)
+
+var checkers = kernel.NewRegistry[Checker]("checker")
+
+// Names returns the names of the properties in ascending order.
+func Names() []string {
+	return checkers.Names()
+}
+
+// Check runs the checker of one property. It fails if there is none.
+func Check(property string, h *History) (Finding, error) {
+	checker, err := checkers.Lookup(property)
+	if err != nil {
+		return Finding{}, err
+	}
+	var t tally
+	checker(h, &t)
+	return t.finding(property), nil
+}
--- /dev/null
+++ b/internal/lab/audit/zone.go
@@ -0,0 +1,14 @@
+package audit
+
+import "github.com/samphirestair/samphirestair/internal/lab/trace"
+
+func init() {
+	checkers.Register("zone", checkZone)
+}
+
+// checkZone checks that backend servers of a zone that operators have taken
+// out receive no new work.
+func checkZone(h *History, t *tally) {
+	windows := h.commandWindows(trace.VerbZoneOut, trace.VerbZoneIn)
+	h.checkWindows(t, windows, func(w *trace.Work) string { return string(w.Zone) })
+}
--- a/internal/lab/load/caller.go
+++ b/internal/lab/load/caller.go
@@ -43,13 +43,11 @@
 
 // newRequest returns the first attempt of a request without its address.
 func (c *caller) newRequest(a arrival) (trace.Attempt, error) {
-	name := fmt.Sprintf("%d-%d", c.options.Seed, a.Number)
+	name := fmt.Sprintf("%s-%d-%d", c.options.Name, c.options.Seed, a.Number)
 	request := trace.Attempt{Request: name, Op: a.Flow.Op, Service: a.Service, Class: a.Class}
 	switch a.Flow.Op {
 	case trace.OpSearch:
 		request.Limit = c.options.Limit
-	case trace.OpLookup:
-		request.Key = "booking-" + name
 	case trace.OpAction:
 		key, err := uuid.NewV7()
 		if err != nil {
@@ -77,14 +75,18 @@
 	return r
 }
 
-// nextAttempt returns the n-th attempt of a request. Its id and query name the
-// attempt, so that an answer shows to which attempt it belongs.
+// nextAttempt returns the n-th attempt of a request. Its id, and what a read
+// asks for, name the attempt, so that an answer shows to which attempt it
+// belongs.
 func nextAttempt(request trace.Attempt, n int, address string) trace.Attempt {
 	attempt := request
 	attempt.ID = fmt.Sprintf("%s-%d", request.Request, n)
 	attempt.Address = address
-	if attempt.Op == trace.OpSearch {
+	switch attempt.Op {
+	case trace.OpSearch:
 		attempt.Query = "sofa " + attempt.ID
+	case trace.OpLookup:
+		attempt.Key = "booking-" + attempt.ID
 	}
 	return attempt
 }
--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -10,6 +10,7 @@
 
 // Defaults of Options.
 const (
+	defaultName     = "load"
 	defaultDeadline = 500 * time.Millisecond
 	defaultGrace    = 100 * time.Millisecond
 	defaultAttempts = 3
@@ -23,7 +24,10 @@
 	// Entries are the "ip:port" addresses of entry VMs that are asked for
 	// addresses.
 	Entries []string
-	Mixes   []Mix
+	// Name begins the ids of requests, so that several load tools can run at
+	// once.
+	Name  string
+	Mixes []Mix
 	// Classes are the caller classes; each request draws one.
 	Classes  []string
 	Duration time.Duration
@@ -45,6 +49,9 @@
 }
 
 func (o Options) withDefaults() Options {
+	if o.Name == "" {
+		o.Name = defaultName
+	}
 	if o.Deadline <= 0 {
 		o.Deadline = defaultDeadline
 	}
--- a/internal/lab/server/answers.go
+++ b/internal/lab/server/answers.go
@@ -1,8 +1,10 @@
 package server
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/valyala/fastjson"
 
@@ -43,6 +45,20 @@
 	return hits
 }
 
+// Merged returns the best hits of all shards of a version: by descending score
+// and then ascending id. The shard in doc is not used.
+func Merged(service ident.ServiceID, doc Doc, shards, limit int) []Hit {
+	var all []Hit
+	for shard := range shards {
+		doc.Shard = ident.Shard(shard)
+		all = append(all, Hits(service, doc, limit)...)
+	}
+	slices.SortFunc(all, func(a, b Hit) int {
+		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.ID, b.ID))
+	})
+	return all[:min(limit, len(all))]
+}
+
 // scoreStep divides the largest relative step between successive scores of one
 // shard.
 const scoreStep = 4
