--- a/internal/lab/server/engine.go
+++ b/internal/lab/server/engine.go
@@ -49,7 +49,9 @@
 type engine struct {
 	limits  svcdoc.Limits
 	options Options
-	id      ident.ServerID
+
+	// began is the start of the host in nanoseconds since the Unix epoch.
+	began int64
 
 	mu        sync.Mutex
 	rand      *rand.Rand
@@ -71,7 +73,7 @@
 	return &engine{
 		limits:  spec.Limits,
 		options: options,
-		id:      spec.ID,
+		began:   time.Now().UnixNano(),
 		rand:    rand.New(rand.NewPCG(options.Seed, hash64(string(spec.ID)))),
 		boots:   1,
 		died:    make(chan struct{}),
@@ -84,7 +86,7 @@
 func (e *engine) boot() ident.BootID {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return ident.BootID(fmt.Sprintf("%s-%d-%d", e.id, e.options.Seed, e.boots))
+	return ident.BootID(fmt.Sprintf("%x-%d", e.began, e.boots))
 }
 
 // take accepts a request or says why not.
