Fit the stand-ins to what the tier sends

Owners send lookups and actions without an index version, and a caller's answer names the key under "answer". The backend stand-in now serves such work from its newest version, says X-Not-Run when cancelled or late work had not begun, and its health claims lag 2 s. The whole checker compares the key of lookups and actions; the load tool can follow X-Move-On.

Ruled out: following X-Move-On by default, because callers that keep addresses for their whole lifetime are the harder case.

--- a/cmd/samphirelab/load.go
+++ b/cmd/samphirelab/load.go
@@ -43,6 +43,7 @@
 	f.DurationVar(&flags.options.Grace, "grace", 100*time.Millisecond,
 		"time beyond the deadline after which an address counts as silent")
 	f.IntVar(&flags.options.Attempts, "attempts", 3, "largest number of addresses that a request tries")
+	f.BoolVar(&flags.options.MoveOn, "move-on", false, "ask for addresses again when an answer says so")
 	f.IntVar(&flags.options.Limit, "limit", 10, "hits asked for by a search")
 	f.Uint64Var(&flags.options.Seed, "seed", 1, "seed of the arrivals")
 	f.StringVar(&flags.history, "history", "", "file for the history")
--- a/internal/lab/audit/whole.go
+++ b/internal/lab/audit/whole.go
@@ -22,10 +22,22 @@
 			t.violationf("attempt %s: answer to request %q", a.ID, a.Echo)
 			continue
 		}
+		checkKey(a, t)
 		checkHits(a, t)
 	}
 }
 
+// checkKey checks that the answer to a lookup or an action belongs to its key.
+// The answer to an action that ran before may be lost.
+func checkKey(a *attempt, t *tally) {
+	complete := a.Outcome == trace.OutcomeFull || a.Outcome == trace.OutcomeDone
+	missing := a.EchoKey == "" && a.Op == trace.OpLookup && complete
+	foreign := a.EchoKey != "" && a.EchoKey != a.Key
+	if missing || foreign {
+		t.violationf("attempt %s: key %q, answer to key %q", a.ID, a.Key, a.EchoKey)
+	}
+}
+
 func checkHits(a *attempt, t *tally) {
 	for _, hit := range a.Hits {
 		if hit.Query != a.Query {
--- a/internal/lab/load/answer.go
+++ b/internal/lab/load/answer.go
@@ -12,13 +12,22 @@
 
 // answer is what an entry VM answers to a request.
 type answer struct {
-	Request     string        `json:"request"`
-	Outcome     trace.Outcome `json:"outcome"`
-	Snapshot    ident.Version `json:"snapshot"`
-	Coverage    coverage      `json:"coverage"`
-	Hits        []server.Hit  `json:"hits"`
-	Reason      string        `json:"reason"`
-	RetryMillis int           `json:"retry_after_ms"`
+	Request  string        `json:"request"`
+	Outcome  trace.Outcome `json:"outcome"`
+	Snapshot ident.Version `json:"snapshot"`
+	Coverage coverage      `json:"coverage"`
+	Hits     []server.Hit  `json:"hits"`
+	// Answer is the backend server's answer to a lookup or an action.
+	Answer      keyed  `json:"answer"`
+	Reason      string `json:"reason"`
+	RetryMillis int    `json:"retry_after_ms"`
+	// moveOn is set if the answer tells the caller to use other addresses.
+	moveOn bool
+}
+
+// keyed is the part of an answer that names what it belongs to.
+type keyed struct {
+	Key string `json:"key"`
 }
 
 type coverage struct {
@@ -44,6 +53,7 @@
 func (a answer) fill(attempt *trace.Attempt) {
 	attempt.Outcome = a.Outcome
 	attempt.Echo = a.Request
+	attempt.EchoKey = a.Answer.Key
 	attempt.Snapshot = a.Snapshot
 	attempt.Answered, attempt.Of = a.Coverage.Answered, a.Coverage.Of
 	for _, hit := range a.Hits {
--- a/internal/lab/load/caller.go
+++ b/internal/lab/load/caller.go
@@ -96,6 +96,9 @@
 	started := attempt
 	c.options.Recorder.Record(trace.Event{Kind: trace.KindStarted, Attempt: &started})
 	a, failure := c.sender.send(attempt)
+	if a.moveOn && c.options.MoveOn {
+		c.directory.moveOn()
+	}
 	attempt.Failure = failure
 	if failure == "" {
 		a.fill(&attempt)
--- a/internal/lab/load/collector.go
+++ b/internal/lab/load/collector.go
@@ -114,7 +114,8 @@
 
 // countFaults counts answers that belong to another request or mix versions.
 func (r *row) countFaults(res result) {
-	crossed := res.answer.Request != res.attempt.ID
+	key := res.answer.Answer.Key
+	crossed := res.answer.Request != res.attempt.ID || (key != "" && key != res.attempt.Key)
 	mixed := false
 	for _, hit := range res.answer.Hits {
 		crossed = crossed || hit.Doc.Query != res.attempt.Query
--- a/internal/lab/load/directory.go
+++ b/internal/lab/load/directory.go
@@ -81,6 +81,13 @@
 	d.expires = time.Now().Add(max(lifetime, minLifetime))
 }
 
+// moveOn ends the lifetime of the present addresses.
+func (d *directory) moveOn() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expires = time.Time{}
+}
+
 // pick returns the addresses in the order in which one request tries them.
 func (d *directory) pick() []string {
 	d.mu.Lock()
--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -39,6 +39,9 @@
 	Grace time.Duration
 	// Attempts is the largest number of addresses that one request tries.
 	Attempts int
+	// MoveOn makes callers ask for addresses again when an answer tells them
+	// to. Otherwise they keep the addresses for their lifetime.
+	MoveOn bool
 	// Limit is the number of hits that a search asks for.
 	Limit int
 	// InFlight is the largest number of requests under way. Arrivals beyond it
--- a/internal/lab/load/sender.go
+++ b/internal/lab/load/sender.go
@@ -19,6 +19,7 @@
 	headerClass    = "X-Caller-Class"
 	headerRequest  = "X-Request-Id"
 	headerKey      = "Idempotency-Key"
+	headerMoveOn   = "X-Move-On"
 	pathSearch     = "/v1/search/"
 	pathLookup     = "/v1/lookup/"
 	pathAction     = "/v1/action/"
@@ -78,6 +79,7 @@
 	if err != nil {
 		return answer{}, trace.FailureBad
 	}
+	a.moveOn = len(resp.Header.Peek(headerMoveOn)) > 0
 	return a, ""
 }
 
--- a/internal/lab/server/answers.go
+++ b/internal/lab/server/answers.go
@@ -13,7 +13,7 @@
 
 const (
 	defaultHits = 10
-	maxHits     = 100
+	maxHits     = 1000
 )
 
 // Hit is one hit of a search.
--- a/internal/lab/server/handler.go
+++ b/internal/lab/server/handler.go
@@ -77,6 +77,9 @@
 		_ = ctx.Conn().Close()
 		return
 	}
+	if !j.began {
+		ctx.Response.Header.Set(bknd.HeaderNotRun, "1")
+	}
 	s.finished(work, ctx.Response.StatusCode(), j.began)
 }
 
@@ -152,13 +155,24 @@
 	if op == trace.OpSearch {
 		work.Query = parseQuery(ctx.PostBody()).text
 	}
-	for _, m := range s.maps() {
-		if m.Version == work.Version && m.Shard == work.Shard {
-			work.Shards = m.Shards
-			return work, true
+	m, ok := find(s.maps(), work.Version, work.Shard)
+	if ok {
+		work.Version, work.Shards = m.Version, m.Shards
+	}
+	return work, ok
+}
+
+// find returns the holding of a shard in the given version, or in the newest
+// if the version is 0.
+func find(holdings []bknd.Map, version ident.Version, shard ident.Shard) (bknd.Map, bool) {
+	var found bknd.Map
+	for _, m := range holdings {
+		matches := m.Version == version || version == 0
+		if matches && m.Shard == shard && m.Version > found.Version {
+			found = m
 		}
 	}
-	return work, false
+	return found, found.Version > 0
 }
 
 func readUint(ctx *fasthttp.RequestCtx, name string) uint64 {
--- a/internal/lab/server/options.go
+++ b/internal/lab/server/options.go
@@ -21,7 +21,7 @@
 	// defaultDeadline bounds requests that state no deadline.
 	defaultDeadline = 30 * time.Second
 	// claimLag is the age of what the health and load endpoints claim.
-	claimLag = 5 * time.Second
+	claimLag = 2 * time.Second
 )
 
 // Options adjusts the backend servers of a host. The zero value gives the
--- a/internal/lab/trace/event.go
+++ b/internal/lab/trace/event.go
@@ -142,9 +142,11 @@
 	Action  string          `json:"action,omitempty"`
 	Key     string          `json:"key,omitempty"`
 	// The fields below are set when the attempt ended.
-	Failure  Failure       `json:"failure,omitempty"`
-	Outcome  Outcome       `json:"outcome,omitempty"`
-	Echo     string        `json:"echo,omitempty"`
+	Failure Failure `json:"failure,omitempty"`
+	Outcome Outcome `json:"outcome,omitempty"`
+	Echo    string  `json:"echo,omitempty"`
+	// EchoKey is the key that the backend server's answer names.
+	EchoKey  string        `json:"echo_key,omitempty"`
 	Snapshot ident.Version `json:"snapshot,omitempty"`
 	Answered int           `json:"answered,omitempty"`
 	Of       int           `json:"of,omitempty"`
