Record which configuration is in force on entry VMs

The checker of the configuration needs observations from outside the tier. samphirelab watch polls the section of the state dump that holds the serial; an observation counts from the time of its question, because the answer may be as old as that. Reading the fleet's status from one VM was ruled out: it would judge the tier by what it says of other VMs.

Not yet run against an entry VM; the name of the section ("config") is a flag.

--- a/cmd/samphirelab/root.go
+++ b/cmd/samphirelab/root.go
@@ -15,6 +15,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newKV(), newVMs(), newServers(), newLoad(), newAudit())
+	root.AddCommand(newKV(), newVMs(), newServers(), newLoad(), newWatch(), newAudit())
 	return root
 }
--- /dev/null
+++ b/internal/lab/watch/watch.go
@@ -0,0 +1,126 @@
+// Package watch observes which configuration is in force on the processes of a
+// fleet and records it in a history.
+package watch
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/lab/trace"
+)
+
+// Defaults of Options.
+const (
+	defaultInterval = 200 * time.Millisecond
+	defaultTimeout  = time.Second
+	defaultSection  = "config"
+)
+
+// Target is one process by the address of its admin listener.
+type Target struct {
+	VM    ident.VMID
+	Admin string
+}
+
+// Options says what to observe. Targets is required; the zero value of the
+// others gives the defaults.
+type Options struct {
+	Targets []Target
+	// Section is the section of the state dump that holds "serial".
+	Section string
+	// Interval is the time between two observations of a process.
+	Interval time.Duration
+	// Timeout bounds one observation.
+	Timeout  time.Duration
+	Recorder *trace.Recorder
+}
+
+func (o Options) withDefaults() Options {
+	if o.Section == "" {
+		o.Section = defaultSection
+	}
+	if o.Interval <= 0 {
+		o.Interval = defaultInterval
+	}
+	if o.Timeout <= 0 {
+		o.Timeout = defaultTimeout
+	}
+	return o
+}
+
+// Run observes the targets until ctx ends. Processes that do not answer are
+// asked again after the interval.
+func Run(ctx context.Context, options Options) {
+	options = options.withDefaults()
+	client := &fasthttp.Client{}
+	defer client.CloseIdleConnections()
+	var group conc.WaitGroup
+	for _, target := range options.Targets {
+		w := &watcher{target: target, options: options, client: client}
+		group.Go(func() { w.run(ctx) })
+	}
+	group.Wait()
+}
+
+// watcher observes one process.
+type watcher struct {
+	target  Target
+	options Options
+	client  *fasthttp.Client
+}
+
+func (w *watcher) run(ctx context.Context) {
+	ticker := time.NewTicker(w.options.Interval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		w.observe()
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// observe records the serial in force. The event has the time of the question,
+// because the answer may be as old as that.
+func (w *watcher) observe() {
+	at := w.options.Recorder.Now()
+	serial, err := w.ask()
+	if err != nil {
+		return
+	}
+	w.options.Recorder.Record(trace.Event{
+		At:     at,
+		Kind:   trace.KindConfig,
+		Config: &trace.Config{VM: w.target.VM, Serial: serial},
+	})
+}
+
+// dump is the part of the state dump that is observed.
+type dump struct {
+	Serial uint64 `json:"serial"`
+}
+
+func (w *watcher) ask() (uint64, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + w.target.Admin + "/state/" + w.options.Section)
+	if err := w.client.DoTimeout(req, resp, w.options.Timeout); err != nil {
+		return 0, errors.Wrap(err, "watch")
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return 0, errors.Newf("watch: status %d", resp.StatusCode())
+	}
+	var d dump
+	if err := json.Unmarshal(resp.Body(), &d); err != nil {
+		return 0, errors.Wrap(err, "watch: decode")
+	}
+	return d.Serial, nil
+}
