--- a/internal/conf/vmconf/settings.go
+++ b/internal/conf/vmconf/settings.go
@@ -75,7 +75,8 @@
 
 // Test holds settings for tests only.
 type Test struct {
-	// Faults lets requests to the admin listener cut links to other VMs.
+	// Faults allows requests to the admin listener that cut links to other
+	// VMs.
 	Faults bool
 	// History is the path of a file that receives what the process does, or
 	// empty.
