Run non-idempotent actions at most once

Cause: nothing decided whether an action with a key may be sent.

Ruled out: replicating that a claim was released, because a late copy could hide a later claim of the key.

--- /dev/null
+++ b/internal/owner/claim/record.go
@@ -0,0 +1,94 @@
+package claim
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+)
+
+// maxRecordBody is the size in bytes of the largest outcome that is replicated.
+// After a takeover, actions with larger outcomes are unknown.
+const maxRecordBody = 256 << 10
+
+// record is the replicated form of an action.
+type record struct {
+	Issued time.Time `json:"issued"`
+	Digest uint64    `json:"digest"`
+	// Done is set if the action ran and the rest is its outcome.
+	Done    bool          `json:"done,omitempty"`
+	Server  string        `json:"server,omitempty"`
+	Shard   uint32        `json:"shard,omitempty"`
+	Version ident.Version `json:"version,omitempty"`
+	Body    []byte        `json:"body,omitempty"`
+}
+
+// Record returns the replicated form of the action with the given key, and
+// whether there is one to replicate.
+func (t *Table) Record(key Key) ([]byte, bool) {
+	e, known := t.entries[key]
+	if !known || len(e.answer.Body) > maxRecordBody {
+		return nil, false
+	}
+	r := record{Issued: e.issued, Digest: e.digest}
+	if e.state == stateDone {
+		r.Done = true
+		r.Server, r.Shard = e.answer.Server, e.answer.Shard
+		r.Version, r.Body = ident.Version(e.answer.Version), e.answer.Body
+	}
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(errors.Wrap(err, "claim: encode record"))
+	}
+	return data, true
+}
+
+// Loaded reports whether the claims of the group were loaded under the term.
+func (t *Table) Loaded(group ident.GroupID, term uint64) bool {
+	return t.loaded[group] == term
+}
+
+// Load takes over the claims that came with a new lease. Actions of an earlier
+// lease whose claim was still being replicated become unknown; their waiters
+// are returned. A record that cannot be decoded makes its key unknown.
+func (t *Table) Load(group ident.GroupID, term uint64, records map[string][]byte, now time.Time) []Waiter {
+	t.loaded[group] = term
+	waiters := t.abandon(group)
+	for id, data := range records {
+		t.load(Key{Group: group, ID: id}, data, now)
+	}
+	return waiters
+}
+
+// abandon makes the group's actions unknown whose claim is being replicated.
+func (t *Table) abandon(group ident.GroupID) []Waiter {
+	var waiters []Waiter
+	for key, e := range t.entries {
+		if key.Group == group && e.state == stateReplicating {
+			e.state = stateUnknown
+			waiters = append(waiters, e.takeWaiters()...)
+		}
+	}
+	return waiters
+}
+
+func (t *Table) load(key Key, data []byte, now time.Time) {
+	var r record
+	if err := json.Unmarshal(data, &r); err != nil {
+		r = record{Issued: now}
+	}
+	e, known := t.entries[key]
+	if !known {
+		e = &entry{state: stateUnknown, issued: r.Issued, digest: r.Digest}
+		t.entries[key] = e
+	}
+	if r.Done && e.state == stateUnknown {
+		e.state = stateDone
+		e.answer = msgs.Answer{
+			Status: msgs.StatusOK, Server: r.Server, Shard: r.Shard, Version: uint64(r.Version), Body: r.Body,
+		}
+	}
+}
--- /dev/null
+++ b/internal/owner/claim/table_test.go
@@ -0,0 +1,92 @@
+package claim_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/owner/claim"
+)
+
+func TestActionRunsAtMostOnceAndNotRunIsTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": w.ask, "claim": w.claim, "loseClaim": w.loseClaim, "deliver": w.deliver,
+			"takeOver": w.takeOver, "upset": w.upset, "pass": w.pass,
+		})
+	})
+}
+
+func TestClaimOfAnEarlierLeaseIsAbandoned(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := claim.New(claim.Options{})
+	ask := claim.Ask{Key: claim.Key{Group: "g", ID: "k"}, Issued: now, Term: 1}
+	verdict, _ := table.Begin(ask, now)
+	require.Equal(t, claim.Replicate, verdict)
+	require.Len(t, table.Load("g", 3, nil, now), 1)
+	dispatch, _, _ := table.Claimed(ask.Key, 1, false, true)
+	require.False(t, dispatch)
+	ask.Term = 3
+	verdict, answer := table.Begin(ask, now)
+	require.Equal(t, claim.Answer, verdict)
+	require.Equal(t, msgs.StatusLate, answer.Status)
+}
+
+func TestAskAgainGetsTheSameOutcome(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := claim.New(claim.Options{})
+	key := claim.Key{Group: "g", ID: "k"}
+	first := claim.Ask{Key: key, Issued: now, Digest: 1, Waiter: claim.Waiter{Query: 1}}
+	second := claim.Ask{Key: key, Issued: now, Digest: 1, Waiter: claim.Waiter{Query: 2}}
+	verdict, _ := table.Begin(first, now)
+	require.Equal(t, claim.Replicate, verdict)
+	verdict, _ = table.Begin(second, now)
+	require.Equal(t, claim.Wait, verdict)
+	dispatch, _, _ := table.Claimed(key, 0, true, true)
+	require.True(t, dispatch)
+	done := msgs.Answer{Status: msgs.StatusOK, Body: []byte("booked")}
+	require.Equal(t, []claim.Waiter{first.Waiter, second.Waiter}, table.Resolve(key, done))
+	verdict, answer := table.Begin(second, now)
+	require.Equal(t, claim.Answer, verdict)
+	require.Equal(t, done, answer)
+
+	record, ok := table.Record(key)
+	require.True(t, ok)
+	successor := claim.New(claim.Options{})
+	successor.Load("g", 2, map[string][]byte{"k": record}, now)
+	_, answer = successor.Begin(second, now)
+	require.Equal(t, done, answer)
+}
+
+func TestKeysThatMayHaveRunBeforeAreUnknown(t *testing.T) {
+	now := time.Unix(100_000, 0)
+	cases := map[time.Duration]msgs.Status{
+		-11 * time.Minute: msgs.StatusLate,
+		-6 * time.Minute:  msgs.StatusLate,
+		45 * time.Second:  msgs.StatusLate,
+		2 * time.Minute:   msgs.StatusNotRun,
+	}
+	for age, status := range cases {
+		table := claim.New(claim.Options{})
+		verdict, answer := table.Begin(claim.Ask{Issued: now.Add(age), Since: now.Add(-5 * time.Minute)}, now)
+		require.Equal(t, claim.Answer, verdict)
+		require.Equal(t, status, answer.Status)
+	}
+}
+
+func TestKeyCarriesItsIssueTime(t *testing.T) {
+	id, err := uuid.NewV7()
+	require.NoError(t, err)
+	issued, err := claim.IssuedAt(id.String())
+	require.NoError(t, err)
+	require.WithinDuration(t, time.Now(), issued, time.Minute)
+	for _, bad := range []string{"", "x", uuid.NewString(), "{" + id.String() + "}"} {
+		_, err = claim.IssuedAt(bad)
+		require.Error(t, err)
+	}
+}
