Give each message of a request its own ID

Owners drop a query whose ID they are working on, so a retry, hedge or probe to an owner that still works for the same request was lost without a word.

Making owners tell messages of one request apart was ruled out: dropping repeated IDs is what protects them from duplicate delivery. IDs are now the request's number and the message's number within it, so the pending table needs no entry per message. An answer must match message, sender, server and shard. Actions learn the index version by a probe first and are never sent without one.

--- a/internal/query/entry/flight.go
+++ b/internal/query/entry/flight.go
@@ -58,8 +58,8 @@
 	f.step(f.machine.Start)
 }
 
-func (f *flight) onReply(from ident.VMID, answers []msgs.Answer) {
-	f.step(func(now time.Time) run.Step { return f.machine.OnReply(now, from, answers) })
+func (f *flight) onReply(from ident.VMID, reply msgs.Reply) {
+	f.step(func(now time.Time) run.Step { return f.machine.OnReply(now, from, reply) })
 }
 
 func (f *flight) onLost(to ident.VMID, query msgs.Query, sent bool) {
--- a/internal/query/entry/reply.go
+++ b/internal/query/entry/reply.go
@@ -5,6 +5,7 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/query/run"
 )
 
 // HandleReply implements mesh.ReplyHandler. Answers to another process of this
@@ -16,17 +17,17 @@
 		e.deps.Events.Count("query_crossed_answer")
 		return
 	}
-	f := e.pending.find(reply.ID)
+	f := e.pending.find(run.RequestOf(reply.ID))
 	if f == nil {
 		e.deps.Events.Count("query_late_answer")
 		return
 	}
-	f.onReply(from.VM, reply.Answers)
+	f.onReply(from.VM, reply)
 }
 
 // HandleLost implements mesh.ReplyHandler.
 func (e *Entry) HandleLost(to ident.VMID, query msgs.Query, sent bool) {
-	if f := e.pending.find(query.ID); f != nil {
+	if f := e.pending.find(run.RequestOf(query.ID)); f != nil {
 		f.onLost(to, query, sent)
 	}
 }
--- a/internal/query/run/action.go
+++ b/internal/query/run/action.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 )
@@ -14,23 +15,33 @@
 
 // Action is the Machine of a non-idempotent action. It is sent to the home of
 // its key, and again only after it certainly did not reach a home or was
-// certainly not run by it.
+// certainly not run by it. Before that it learns the index version of the
+// home's server.
 type Action struct {
 	deps  Deps
 	spec  Spec
 	out   outbox
 	ended bool
 
-	// open is set while the home may have the action.
-	open    bool
+	// waiting is the message that has no answer yet.
+	waiting *inquiry
+	seq     uint32
 	sends   int
-	home    view.Member
 	retryAt time.Time
 }
 
+// inquiry is a message to the home.
+type inquiry struct {
+	message uint64
+	seq     uint32
+	to      ident.VMID
+	// probe is set if the message only asks for index versions.
+	probe bool
+}
+
 // NewAction returns the machine of an action.
 func NewAction(deps Deps, spec Spec) *Action {
-	return &Action{deps: deps, spec: spec}
+	return &Action{deps: deps, spec: spec, out: outbox{request: spec.ID}}
 }
 
 // Start sends the action to its home.
@@ -40,14 +51,20 @@
 }
 
 // OnReply takes the answer of the home.
-func (a *Action) OnReply(now time.Time, from ident.VMID, answers []msgs.Answer) Step {
-	for i := range answers {
-		if !a.expects(from, &answers[i]) {
+func (a *Action) OnReply(now time.Time, from ident.VMID, reply msgs.Reply) Step {
+	for i := range reply.Answers {
+		answer := &reply.Answers[i]
+		if !a.expects(from, reply.ID, answer.Seq) {
 			a.deps.Counter.Count("action_late_answer")
 			continue
 		}
-		a.open = false
-		a.onAnswer(now, &answers[i])
+		probe := a.waiting.probe
+		a.waiting = nil
+		if probe {
+			a.onProbeAnswered(now)
+			continue
+		}
+		a.onAnswer(now, answer)
 	}
 	return a.finishStep(now)
 }
@@ -55,14 +72,14 @@
 // OnLost ends the action as unknown unless it certainly did not reach the home.
 func (a *Action) OnLost(now time.Time, to ident.VMID, query msgs.Query, sent bool) Step {
 	for _, item := range query.Items {
-		if !a.expects(to, &msgs.Answer{Seq: item.Seq}) {
+		if !a.expects(to, query.ID, item.Seq) {
 			continue
 		}
-		if sent {
+		if sent && !a.waiting.probe {
 			a.end(Result{Outcome: OutcomeUnknown, Reason: "the connection to the home was lost"})
 			continue
 		}
-		a.open = false
+		a.waiting = nil
 		a.retryAt = now.Add(ownerPoll)
 	}
 	return a.finishStep(now)
@@ -94,9 +111,19 @@
 	return a.out.take()
 }
 
-// expects reports whether an answer is to the action as it was last sent.
-func (a *Action) expects(from ident.VMID, answer *msgs.Answer) bool {
-	return !a.ended && a.open && int64(answer.Seq) == int64(a.sends-1) && a.home.Process.VM == from
+// expects reports whether an answer is to the message that waits for one.
+func (a *Action) expects(from ident.VMID, message uint64, seq uint32) bool {
+	w := a.waiting
+	return !a.ended && w != nil && w.message == message && w.seq == seq && w.to == from
+}
+
+// onProbeAnswered offers the action if the version is known by now.
+func (a *Action) onProbeAnswered(now time.Time) {
+	if _, holding, ok := a.deps.Catalog.Home(a.spec.Route); ok && holding.Version != 0 {
+		a.offer(now)
+		return
+	}
+	a.retryAt = now.Add(ownerPoll)
 }
 
 func (a *Action) onAnswer(now time.Time, answer *msgs.Answer) {
@@ -112,72 +139,90 @@
 	case msgs.StatusWrongOwner:
 		a.onWrongOwner(now, ident.VMID(answer.Owner))
 	case msgs.StatusWrongVersion:
-		a.offer(now)
+		a.onWrongVersion(now)
 	default:
 		a.end(Result{Outcome: OutcomeUnknown, Reason: "the home could not learn the outcome"})
 	}
 }
 
+// onWrongOwner offers the action to the owner that the answer names.
 func (a *Action) onWrongOwner(now time.Time, told ident.VMID) {
 	a.deps.Counter.Count("action_wrong_owner")
-	owner, ok := a.deps.Fleet.Member(told)
-	if !ok {
+	owner, known := a.deps.Fleet.Member(told)
+	_, holding, ok := a.deps.Catalog.Home(a.spec.Route)
+	if !known || !ok || holding.Version == 0 {
 		a.retryAt = now.Add(ownerPoll)
 		return
 	}
-	a.sendTo(now, owner)
+	a.send(now, owner, holding)
 }
 
-// offer sends the action to the home as it is known at now.
+// onWrongVersion asks for the versions of the home's server once more.
+func (a *Action) onWrongVersion(now time.Time) {
+	server, owner, _, ok := a.home()
+	if !ok || a.sends >= maxActionSends {
+		a.retryAt = now.Add(ownerPoll)
+		return
+	}
+	a.probe(now, owner, server)
+}
+
+// offer sends the action to the home as it is known at now, or first asks for
+// the index version of the home's server.
 func (a *Action) offer(now time.Time) {
 	a.retryAt = now.Add(ownerPoll)
-	server, _, ok := a.deps.Catalog.Home(a.spec.Route)
-	if !ok {
-		return
+	server, owner, holding, ok := a.home()
+	switch {
+	case !ok:
+	case holding.Version == 0:
+		a.probe(now, owner, server)
+	default:
+		a.send(now, owner, holding)
 	}
-	owner, ok := a.deps.Fleet.Owner(server.ID)
+}
+
+func (a *Action) home() (*svcdoc.Server, view.Member, msgs.Holding, bool) {
+	server, holding, ok := a.deps.Catalog.Home(a.spec.Route)
 	if !ok {
-		return
+		return nil, view.Member{}, holding, false
 	}
-	a.sendTo(now, owner)
+	owner, ok := a.deps.Fleet.Owner(server.ID)
+	return server, owner, holding, ok
 }
 
-func (a *Action) sendTo(now time.Time, owner view.Member) {
-	server, holding, ok := a.deps.Catalog.Home(a.spec.Route)
-	if !ok || !now.Before(a.spec.Deadline) {
+func (a *Action) send(now time.Time, owner view.Member, holding msgs.Holding) {
+	if !now.Before(a.spec.Deadline) {
 		return
 	}
 	if a.sends >= maxActionSends {
 		a.endOpen("no home took the action")
 		return
 	}
-	if holding.Version == 0 {
-		holding.Shard = uint32(server.Shard)
-	}
-	a.retryAt = time.Time{}
-	a.home, a.open = owner, true
-	item := msgs.Item{Seq: uint32(a.sends), Shard: holding.Shard}
 	a.sends++
-	a.out.query(owner, a.message(now, holding.Version), item)
-}
-
-func (a *Action) message(now time.Time, version uint64) msgs.Query {
-	return msgs.Query{
-		ID:           a.spec.ID,
-		Kind:         msgs.KindAction,
-		Class:        uint8(a.spec.Class),
-		Service:      string(a.spec.Service),
-		Version:      version,
-		BudgetMicros: budgetMicros(now, a.spec.Deadline),
-		Action:       a.spec.Action,
-		Key:          a.spec.Key,
-		Body:         a.spec.Body,
+	message := probeMessage(now, &a.spec)
+	message.Kind, message.Version = msgs.KindAction, holding.Version
+	message.Action, message.Key, message.Body = a.spec.Action, a.spec.Key, a.spec.Body
+	a.ask(owner, message, msgs.Item{Shard: holding.Shard}, false)
+}
+
+func (a *Action) probe(now time.Time, owner view.Member, server *svcdoc.Server) {
+	item := msgs.Item{Server: string(server.ID), Shard: uint32(server.Shard)}
+	a.ask(owner, probeMessage(now, &a.spec), item, true)
+}
+
+// ask sends a message that the action then waits for.
+func (a *Action) ask(owner view.Member, message msgs.Query, item msgs.Item, probe bool) {
+	a.retryAt = time.Time{}
+	item.Seq = a.seq
+	a.seq++
+	a.waiting = &inquiry{
+		message: a.out.query(owner, message, item), seq: item.Seq, to: owner.Process.VM, probe: probe,
 	}
 }
 
 // endOpen ends the action without an answer.
 func (a *Action) endOpen(reason string) {
-	if a.open {
+	if a.waiting != nil && !a.waiting.probe {
 		a.end(Result{Outcome: OutcomeUnknown, Reason: reason})
 		return
 	}
@@ -188,6 +233,6 @@
 	if a.ended {
 		return
 	}
-	a.ended, a.open = true, false
+	a.ended, a.waiting = true, nil
 	a.out.step.Result = &result
 }
--- a/internal/query/run/answer.go
+++ b/internal/query/run/answer.go
@@ -13,13 +13,13 @@
 const minRefusalBackoff = 5 * time.Millisecond
 
 // onAnswer checks that an answer belongs to an open attempt and handles it.
-func (q *Query) onAnswer(now time.Time, from ident.VMID, answer *msgs.Answer) {
+func (q *Query) onAnswer(now time.Time, from ident.VMID, message uint64, answer *msgs.Answer) {
 	a := q.openAttempt(answer.Seq)
 	if a == nil {
 		q.deps.Counter.Count("query_late_answer")
 		return
 	}
-	if a.owner.Process.VM != from || string(a.server) != answer.Server {
+	if a.message != message || a.owner.Process.VM != from || string(a.server) != answer.Server {
 		q.deps.Counter.Count("query_crossed_answer")
 		return
 	}
--- a/internal/query/run/finish.go
+++ b/internal/query/run/finish.go
@@ -49,7 +49,7 @@
 	q.closeAttempt(a)
 	q.mayHaveRun = true
 	q.deps.Choose.Abandoned(now, a.server, now.Sub(a.sentAt))
-	q.out.cancel(a.owner, q.spec.ID, seq)
+	q.out.cancel(a.owner, a.message, seq)
 }
 
 // finish cancels what is open and sets the result.
--- a/internal/query/run/learn.go
+++ b/internal/query/run/learn.go
@@ -77,17 +77,27 @@
 	if !ok {
 		return false
 	}
-	message := q.message(now)
-	message.Kind, message.Version = msgs.KindSearch, 0
-	message.Key, message.Body = "", nil
+	message := probeMessage(now, &q.spec)
 	seq := uint32(len(q.attempts))
+	item := msgs.Item{Seq: seq, Server: string(server.ID), Shard: uint32(server.Shard)}
 	q.attempts = append(q.attempts, attempt{
-		shard: probeShard, server: server.ID, number: server.Shard, owner: owner, sentAt: now, open: true,
+		shard: probeShard, server: server.ID, number: server.Shard, owner: owner,
+		message: q.out.query(owner, message, item), sentAt: now, open: true,
 	})
-	q.out.query(owner, message, msgs.Item{Seq: seq, Server: string(server.ID), Shard: uint32(server.Shard)})
 	return true
 }
 
+// probeMessage returns a query that owners answer with the index versions of
+// the servers, without running it.
+func probeMessage(now time.Time, spec *Spec) msgs.Query {
+	return msgs.Query{
+		Kind:         msgs.KindSearch,
+		Class:        uint8(spec.Class),
+		Service:      string(spec.Service),
+		BudgetMicros: budgetMicros(now, spec.Deadline),
+	}
+}
+
 // begin pins the plan and sends the first sub-requests.
 func (q *Query) begin(now time.Time, plan *snap.Plan) {
 	q.phase = phaseRunning
--- a/internal/query/run/query.go
+++ b/internal/query/run/query.go
@@ -52,8 +52,10 @@
 	server ident.ServerID
 	number ident.Shard
 	owner  view.Member
-	sentAt time.Time
-	open   bool
+	// message is the ID of the query that carried it.
+	message uint64
+	sentAt  time.Time
+	open    bool
 }
 
 // probeShard marks attempts that ask a server only for its index versions.
@@ -61,7 +63,7 @@
 
 // NewQuery returns the machine of a search or lookup.
 func NewQuery(deps Deps, spec Spec) *Query {
-	return &Query{deps: deps, spec: spec}
+	return &Query{deps: deps, spec: spec, out: outbox{request: spec.ID}}
 }
 
 // Start sends the sub-requests, or first asks for the index versions.
@@ -73,12 +75,12 @@
 
 // OnReply takes answers of an owner. Answers to nothing that is open are
 // ignored and counted.
-func (q *Query) OnReply(now time.Time, from ident.VMID, answers []msgs.Answer) Step {
-	for i := range answers {
+func (q *Query) OnReply(now time.Time, from ident.VMID, reply msgs.Reply) Step {
+	for i := range reply.Answers {
 		if q.phase == phaseEnded {
 			break
 		}
-		q.onAnswer(now, from, &answers[i])
+		q.onAnswer(now, from, reply.ID, &reply.Answers[i])
 	}
 	return q.finishStep(now)
 }
@@ -90,7 +92,7 @@
 			break
 		}
 		a := q.openAttempt(item.Seq)
-		if a == nil || a.owner.Process.VM != to {
+		if a == nil || a.message != query.ID || a.owner.Process.VM != to {
 			continue
 		}
 		q.onLost(now, a, sent)
@@ -179,7 +181,6 @@
 // message returns the fields that all queries of the request have in common.
 func (q *Query) message(now time.Time) msgs.Query {
 	return msgs.Query{
-		ID:           q.spec.ID,
 		Kind:         q.spec.Kind,
 		Class:        uint8(q.spec.Class),
 		Service:      string(q.spec.Service),
--- a/internal/query/run/shard.go
+++ b/internal/query/run/shard.go
@@ -209,12 +209,12 @@
 	s.open++
 	s.sent++
 	seq := uint32(len(q.attempts))
+	item := msgs.Item{Seq: seq, Server: string(to.server), Shard: uint32(s.number)}
 	q.attempts = append(q.attempts, attempt{
-		shard: index, server: to.server, number: s.number, owner: to.owner, sentAt: now, open: true,
+		shard: index, server: to.server, number: s.number, owner: to.owner,
+		message: q.out.query(to.owner, q.message(now), item), sentAt: now, open: true,
 	})
 	q.deps.Choose.Sent(now, to.server)
-	item := msgs.Item{Seq: seq, Server: string(to.server), Shard: uint32(s.number)}
-	q.out.query(to.owner, q.message(now), item)
 }
 
 // retryDue dispatches the shards whose time to try again has come.
--- a/internal/query/run/types.go
+++ b/internal/query/run/types.go
@@ -19,7 +19,7 @@
 // further events are ignored.
 type Machine interface {
 	Start(now time.Time) Step
-	OnReply(now time.Time, from ident.VMID, answers []msgs.Answer) Step
+	OnReply(now time.Time, from ident.VMID, reply msgs.Reply) Step
 	// OnLost notes that a query may not have reached its receiver. sent is
 	// false if it certainly did not.
 	OnLost(now time.Time, to ident.VMID, query msgs.Query, sent bool) Step
@@ -32,7 +32,8 @@
 
 // Spec is what a caller asked for.
 type Spec struct {
-	// ID is unique within the incarnation of the entry.
+	// ID is unique within the incarnation of the entry and less than 1<<43.
+	// RequestOf finds it in the IDs of messages.
 	ID      uint64
 	Service ident.ServiceID
 	Kind    msgs.Kind
