Count failed requests and the tool's own lateness in the load report

Latencies left out requests without an answer, which made a tier that loses answers look fast; they now count until they failed. The report also tells how late the tool itself sent. A retry took its address from the list as it was at the start of the request and could outlive the lifetime; it now picks from the present list, whose lifetime counts from the question.

Ruled out: counting refusals as well, because they are immediate and would pull the percentiles down.

--- a/internal/lab/load/caller.go
+++ b/internal/lab/load/caller.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/lab/trace"
 )
 
@@ -26,6 +27,7 @@
 		c.report.broken(err)
 		return
 	}
+	c.report.start(time.Since(due))
 	result := c.follow(request)
 	result.latency = time.Since(due)
 	c.report.add(request, result)
@@ -61,10 +63,13 @@
 // follow tries addresses until one answers. An action keeps its key.
 func (c *caller) follow(request trace.Attempt) result {
 	r := result{failure: trace.FailureRefused, attempt: request}
-	for _, address := range c.directory.pick() {
-		if r.attempts == c.options.Attempts {
+	tried := coll.NewSet[string]()
+	for r.attempts < c.options.Attempts {
+		address, ok := c.directory.pick(tried)
+		if !ok {
 			break
 		}
+		tried.Add(address)
 		r.attempts++
 		r.attempt = nextAttempt(request, r.attempts, address)
 		r.answer, r.failure = c.try(r.attempt)
--- a/internal/lab/load/collector.go
+++ b/internal/lab/load/collector.go
@@ -21,6 +21,7 @@
 	deadline time.Duration
 	mu       sync.Mutex
 	rows     map[rowKey]*row
+	lateness *hdrhistogram.Histogram
 	dropped  int
 	err      error
 }
@@ -47,17 +48,34 @@
 }
 
 func newCollector(deadline time.Duration) *collector {
-	return &collector{deadline: deadline, rows: map[rowKey]*row{}}
+	return &collector{deadline: deadline, rows: map[rowKey]*row{}, lateness: newHistogram()}
 }
 
 func newRow() *row {
 	return &row{
-		histogram: hdrhistogram.New(1, maxLatency, latencyDigits),
+		histogram: newHistogram(),
 		outcomes:  map[trace.Outcome]int{},
 		failures:  map[trace.Failure]int{},
 	}
 }
 
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency, latencyDigits)
+}
+
+// record records a duration. Values out of range are clamped, so that
+// recording does not fail.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), maxLatency))
+}
+
+// start notes by how much a request was sent after its intended start.
+func (c *collector) start(late time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	record(c.lateness, late)
+}
+
 // add counts the result of a request.
 func (c *collector) add(request trace.Attempt, r result) {
 	c.mu.Lock()
@@ -88,6 +106,7 @@
 	r.attempts += res.attempts
 	if res.failure != "" {
 		r.failures[res.failure]++
+		record(r.histogram, res.latency)
 		return
 	}
 	r.outcomes[res.answer.Outcome]++
@@ -96,9 +115,7 @@
 	if res.answer.Outcome == trace.OutcomeNotRun {
 		return
 	}
-	// Values out of range are clamped, so that recording does not fail.
-	micros := min(max(res.latency.Microseconds(), 1), maxLatency)
-	_ = r.histogram.RecordValue(micros)
+	record(r.histogram, res.latency)
 	complete := res.answer.Outcome == trace.OutcomeFull || res.answer.Outcome == trace.OutcomeDone
 	if complete && res.latency <= deadline {
 		r.good++
--- a/internal/lab/load/directory.go
+++ b/internal/lab/load/directory.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 )
 
 const (
@@ -55,8 +57,9 @@
 	var err error
 	for _, address := range sources {
 		var found listing
+		asked := time.Now()
 		if found, err = d.ask(address); err == nil {
-			d.store(found)
+			d.store(found, asked)
 			return nil
 		}
 	}
@@ -73,12 +76,13 @@
 	return append(d.shuffledLocked(d.current), d.shuffledLocked(d.entries)...), true
 }
 
-func (d *directory) store(found listing) {
+// store keeps addresses whose lifetime counts from the question.
+func (d *directory) store(found listing, asked time.Time) {
 	lifetime := time.Duration(found.LifetimeMillis) * time.Millisecond
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.current = found.Addresses
-	d.expires = time.Now().Add(max(lifetime, minLifetime))
+	d.expires = asked.Add(max(lifetime, minLifetime))
 }
 
 // moveOn ends the lifetime of the present addresses.
@@ -88,11 +92,20 @@
 	d.expires = time.Time{}
 }
 
-// pick returns the addresses in the order in which one request tries them.
-func (d *directory) pick() []string {
+// pick returns one of the present addresses that has not been tried.
+func (d *directory) pick(tried coll.Set[string]) (string, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.shuffledLocked(d.current)
+	left := make([]string, 0, len(d.current))
+	for _, address := range d.current {
+		if !tried.Has(address) {
+			left = append(left, address)
+		}
+	}
+	if len(left) == 0 {
+		return "", false
+	}
+	return left[d.rand.IntN(len(left))], true
 }
 
 func (d *directory) shuffledLocked(addresses []string) []string {
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -20,13 +20,17 @@
 	// Dropped counts arrivals that were not sent because too many requests
 	// were under way.
 	Dropped int `json:"dropped"`
+	// Late99 is the 99th percentile of how late the tool itself sent requests,
+	// in microseconds. It is part of the latencies.
+	Late99 int64 `json:"late_p99_us"`
 	// Total sums up all requests, Rows those of each service, kind and class.
 	Total Row   `json:"total"`
 	Rows  []Row `json:"rows"`
 }
 
 // Row sums up a group of requests. Latencies are in microseconds from the
-// intended start, of requests that were answered and not refused.
+// intended start of all requests but refused ones; those without an answer
+// count until they failed.
 type Row struct {
 	Service  string                `json:"service,omitempty"`
 	Op       trace.Op              `json:"op,omitempty"`
@@ -55,7 +59,7 @@
 func (c *collector) report(length time.Duration) Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	report := Report{Seconds: length.Seconds(), Dropped: c.dropped}
+	report := Report{Seconds: length.Seconds(), Dropped: c.dropped, Late99: c.lateness.ValueAtQuantile(99)}
 	total := newRow()
 	for key, r := range c.rows {
 		total.merge(r)
@@ -131,7 +135,7 @@
 	total := r.Total
 	total.Service = "all"
 	total.writeText(table)
-	_, _ = fmt.Fprintf(table, "%.1f s, %d dropped\n", r.Seconds, r.Dropped)
+	_, _ = fmt.Fprintf(table, "%.1f s, %d dropped, sent late by p99 %s ms\n", r.Seconds, r.Dropped, millis(r.Late99))
 	return table.Flush()
 }
 
--- a/internal/lab/load/schedule_test.go
+++ b/internal/lab/load/schedule_test.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -43,3 +44,9 @@
 		require.Error(t, err, text)
 	}
 }
+
+func ExampleParseMix() {
+	mix, err := ParseMix("refund-desk:lookup=20,action/refund=0.5")
+	fmt.Println(mix, err)
+	// Output: {refund-desk [{lookup  20} {action refund 0.5}]} <nil>
+}
