Show the fleet from the command line

Cause: scripts and operators have to know when a change is in force everywhere and every group has an owner.

--- a/cmd/samphirestair/main.go
+++ b/cmd/samphirestair/main.go
@@ -4,14 +4,15 @@
 
 import (
 	"context"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cockroachdb/errors"
 
 	"github.com/samphirestair/samphirestair/internal/conf/vmconf"
+	"github.com/samphirestair/samphirestair/internal/core/node"
 	"github.com/samphirestair/samphirestair/internal/ops/cli"
 	"github.com/samphirestair/samphirestair/internal/ops/fetch"
 	"github.com/samphirestair/samphirestair/internal/plat/httpc"
@@ -22,8 +23,6 @@
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
 )
 
-var errNotBuilt = errors.New("samphirestair: not built in")
-
 func main() {
 	os.Exit(run())
 }
@@ -33,7 +32,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	command := cli.New(cli.Deps{
-		Serve:       func(context.Context, *vmconf.Settings) error { return errNotBuilt },
+		Serve:       serve,
 		Store:       newStore,
 		VMs:         newList,
 		Fetch:       fetch.New(),
@@ -42,6 +41,29 @@
 	return command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 }
 
+// signalsKept is the number of stop signals that a process acts upon.
+const signalsKept = 2
+
+// serve runs the process of a VM until a planned stop is complete.
+func serve(_ context.Context, settings *vmconf.Settings) error {
+	stop := make(chan os.Signal, signalsKept)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(stop)
+	process, err := node.New(settings, newLogger(settings.Log))
+	if err != nil {
+		return err
+	}
+	return process.Run(stop)
+}
+
+func newLogger(settings vmconf.Log) *slog.Logger {
+	options := &slog.HandlerOptions{Level: settings.Level}
+	if settings.Format == "json" {
+		return slog.New(slog.NewJSONHandler(os.Stderr, options))
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, options))
+}
+
 func newStore(url string) (store.Store, error) {
 	return store.NewHTTP(url, metrics.NewSet(), store.HTTPOptions{})
 }
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -176,7 +176,8 @@
 			"entry":     func() any { return n.entry.State() },
 			"decisions": func() any { return n.events.History() },
 		},
-		Status: n.status,
+		Status: func() any { return n.brief() },
+		Fleet:  n.fleet,
 		Cut:    n.cuts,
 	})
 }
--- a/internal/core/node/status.go
+++ b/internal/core/node/status.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// statusCalls is the number of VMs asked at once.
-	statusCalls = 16
+	// fleetCalls is the number of VMs asked at once.
+	fleetCalls = 16
 	// briefDecisions is the number of latest decisions in a brief.
 	briefDecisions = 10
 )
@@ -36,8 +36,8 @@
 	Decisions []events.Decision `json:"decisions"`
 }
 
-// Status is the fleet as one VM sees it and as the others answered.
-type Status struct {
+// Fleet is the fleet as one VM sees it and as the others answered.
+type Fleet struct {
 	// Serial is the highest one in force on any VM that answered, and InForce
 	// the number of VMs on which it is.
 	Serial  uint64 `json:"serial"`
@@ -83,11 +83,11 @@
 	})
 }
 
-// status asks all members for their briefs and joins them.
-func (n *Node) status(ctx context.Context) any {
+// fleet asks all members for their briefs and joins them.
+func (n *Node) fleet(ctx context.Context) any {
 	current := n.views.Load()
 	briefs, silent := n.collect(ctx, current)
-	status := Status{
+	fleet := Fleet{
 		VMs:        len(current.Members),
 		Groups:     len(current.Groups),
 		ZonesOut:   current.Config.ZonesOut,
@@ -97,25 +97,25 @@
 		Silent:     silent,
 	}
 	for _, brief := range briefs {
-		status.count(brief)
+		fleet.count(brief)
 	}
-	return status
+	return fleet
 }
 
-func (s *Status) count(brief Brief) {
-	s.Owned += len(brief.Groups)
-	if brief.Serial > s.Serial {
-		s.Serial = brief.Serial
-		s.InForce = 0
+func (f *Fleet) count(brief Brief) {
+	f.Owned += len(brief.Groups)
+	if brief.Serial > f.Serial {
+		f.Serial = brief.Serial
+		f.InForce = 0
 	}
-	if brief.Serial == s.Serial {
-		s.InForce++
+	if brief.Serial == f.Serial {
+		f.InForce++
 	}
 }
 
 func (n *Node) collect(ctx context.Context, current *view.View) (briefs []Brief, silent []ident.VMID) {
 	var mu sync.Mutex
-	calls := pool.New().WithMaxGoroutines(statusCalls)
+	calls := pool.New().WithMaxGoroutines(fleetCalls)
 	for vm, member := range current.Members {
 		calls.Go(func() {
 			brief, err := n.askBrief(ctx, member)
--- a/internal/front/caller/server.go
+++ b/internal/front/caller/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -68,6 +69,7 @@
 	deps    Deps
 	options Options
 	app     *fiber.App
+	closing atomic.Bool
 }
 
 // New returns a server that does not listen yet.
@@ -103,6 +105,13 @@
 	return errors.Wrap(err, "caller: serve")
 }
 
+// Close makes each answer from now on the last one of its connection. It is
+// called before Shutdown, so that callers do not send to a connection that is
+// about to end.
+func (s *Server) Close() {
+	s.closing.Store(true)
+}
+
 // Shutdown stops listening and waits until all requests are answered, or
 // returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
@@ -123,5 +132,8 @@
 	if leaving(s.deps.Views.Load()) {
 		c.Set(headerMoveOn, "1")
 	}
+	if s.closing.Load() {
+		c.Set(fiber.HeaderConnection, "close")
+	}
 	return c.Next()
 }
--- a/internal/ops/admin/server.go
+++ b/internal/ops/admin/server.go
@@ -15,8 +15,8 @@
 	"github.com/samphirestair/samphirestair/internal/link/cut"
 )
 
-// statusTimeout bounds the collection of the fleet's status.
-const statusTimeout = 3 * time.Second
+// fleetTimeout bounds the collection of the fleet's status.
+const fleetTimeout = 3 * time.Second
 
 // Section returns one part of the state dump as a value that can be encoded as
 // JSON. It is called concurrently.
@@ -28,8 +28,10 @@
 	Metrics *metrics.Set
 	// Sections are the parts of the state dump by name.
 	Sections map[string]Section
-	// Status collects the fleet's status. It is called concurrently.
-	Status func(ctx context.Context) any
+	// Status returns the status of this VM. It is called concurrently.
+	Status func() any
+	// Fleet collects the status of all VMs. It is called concurrently.
+	Fleet func(ctx context.Context) any
 	// Cut is set if tests may inject link failures, and nil otherwise.
 	Cut *cut.Table
 }
@@ -46,6 +48,7 @@
 	s.app.Get("/state", s.state)
 	s.app.Get("/state/:section", s.section)
 	s.app.Get("/status", s.status)
+	s.app.Get("/fleet", s.fleet)
 	s.app.Get("/metrics", s.metrics)
 	if deps.Cut != nil {
 		s.app.Post("/test/cut", s.cut)
@@ -88,9 +91,13 @@
 }
 
 func (s *Server) status(c fiber.Ctx) error {
-	ctx, cancel := context.WithTimeout(c.Context(), statusTimeout)
+	return c.JSON(s.deps.Status())
+}
+
+func (s *Server) fleet(c fiber.Ctx) error {
+	ctx, cancel := context.WithTimeout(c.Context(), fleetTimeout)
 	defer cancel()
-	return c.JSON(s.deps.Status(ctx))
+	return c.JSON(s.deps.Fleet(ctx))
 }
 
 func (s *Server) metrics(c fiber.Ctx) error {
--- a/internal/ops/fetch/client.go
+++ b/internal/ops/fetch/client.go
@@ -9,12 +9,14 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Paths of the admin listener. Both answer a JSON object.
+// Paths of the admin listener. All answer a JSON object.
 const (
 	// PathState answers with all that the process knows.
 	PathState = "/state"
 	// PathStatus answers with a summary of plain values.
 	PathStatus = "/status"
+	// PathFleet answers with the status of all VMs, collected by this one.
+	PathFleet = "/fleet"
 )
 
 // ErrUnavailable means that the process did not answer.
