--- a/internal/conf/vmconf/parse.go
+++ b/internal/conf/vmconf/parse.go
@@ -163,5 +163,8 @@
 }
 
 func readTest(section *strict.Section) Test {
-	return Test{Faults: section.Choice("faults", coll.Some(off), on, off) == on}
+	return Test{
+		Faults:  section.Choice("faults", coll.Some(off), on, off) == on,
+		History: section.Text("history", coll.Some("")),
+	}
 }
--- a/internal/conf/vmconf/settings.go
+++ b/internal/conf/vmconf/settings.go
@@ -78,7 +78,11 @@
 	// Faults allows requests to the admin listener that cut links to other
 	// VMs.
 	Faults bool
+	// History is the path of a file that receives what the process does, or
+	// empty.
+	History string
 }
+
 // CallerAddress returns the "ip:port" address for callers.
 func (s *Settings) CallerAddress() string { return s.address(s.Listen.Caller) }
 
