--- a/internal/core/node/run.go
+++ b/internal/core/node/run.go
@@ -45,7 +45,7 @@
 }
 
 func (n *Node) start(ctx context.Context, running *conc.WaitGroup, ports *listeners) {
-	running.Go(func() { n.report("agent", n.agent.Run(ctx)) })
+	running.Go(func() { n.agent.Run(ctx) })
 	running.Go(func() { n.spreader.Run(ctx) })
 	running.Go(func() { n.sender.Run(ctx) })
 	running.Go(func() { n.home.Run(ctx) })
