Show the fleet and wait for it

Cause: status printed one row per VM, but a VM's admin listener collects the whole fleet, and the scripts wait for "in force" and "owned".

Ruled out: asking every VM from the command line; an operator's machine may not reach all of them. The first VM that answers is asked.

A VM is found by the VM list, else by the membership in the key-value service. state takes a section. The client of the admin listeners is an interface, so that the golden sessions need no sockets and run under synctest.

--- a/internal/ops/cli/cli.go
+++ b/internal/ops/cli/cli.go
@@ -40,6 +40,12 @@
 	envVMs   = "SAMPHIRESTAIR_VMS"
 )
 
+// Fetcher reads what VMs report on their admin listeners.
+type Fetcher interface {
+	// Get returns the body for a path. It fails with fetch.ErrUnavailable.
+	Get(ctx context.Context, address, path string) ([]byte, error)
+}
+
 // Deps are what the commands work with.
 type Deps struct {
 	// Serve runs the process of a VM until ctx ends.
@@ -49,7 +55,7 @@
 	// VMs connects to the platform's VM list at a URL.
 	VMs func(url string) (vmlist.List, error)
 	// Fetch calls the VMs.
-	Fetch *fetch.Client
+	Fetch Fetcher
 	// PolicyNames returns the registered policies of a kind.
 	PolicyNames func(kind string) []string
 	// Change tunes the changes. The zero value is useful.
--- a/internal/ops/cli/cli_test.go
+++ b/internal/ops/cli/cli_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -12,13 +11,14 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
-	"github.com/valyala/fasthttp"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/change"
 	"github.com/samphirestair/samphirestair/internal/conf/index"
 	"github.com/samphirestair/samphirestair/internal/conf/memkv"
 	"github.com/samphirestair/samphirestair/internal/conf/vmconf"
+	"github.com/samphirestair/samphirestair/internal/fleet/member"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/ops/cli"
 	"github.com/samphirestair/samphirestair/internal/ops/fetch"
 	"github.com/samphirestair/samphirestair/internal/plat/store"
@@ -50,7 +50,6 @@
 		VMs: func(string) (vmlist.List, error) {
 			return fixedList{{ID: "vm-1", IP: "127.0.0.1"}, {ID: "vm-2", IP: "127.0.0.2"}}, nil
 		},
-		Fetch: fetch.New(),
 		PolicyNames: func(kind string) []string {
 			return map[string][]string{"replica": {"expect"}, "hedge": {"budget"}, "admission": {"queue"}}[kind]
 		},
@@ -87,6 +86,13 @@
 	}
 }
 
+// join writes the membership.
+func (s *session) join(value *member.Value) {
+	s.t.Helper()
+	_, err := s.kv.Swap(s.t.Context(), member.Key, 0, value.Encode())
+	require.NoError(s.t, err)
+}
+
 func (s *session) golden(name string) {
 	s.t.Helper()
 	goldie.New(s.t).Assert(s.t, name, []byte(s.text.String()))
@@ -182,41 +188,53 @@
 	s.golden("serve")
 }
 
-// serveAdmin answers on the admin listener of vm-1 and returns its port.
-func serveAdmin(t *testing.T) int {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
-		switch string(ctx.Path()) {
-		case fetch.PathStatus:
-			ctx.SetBodyString(`{"vm":"vm-1","zone":"espoo","serial":7,"admitting":true,"peers":{}}`)
-		case fetch.PathState:
-			ctx.SetBodyString(`{"vm":"vm-1","config":{"serial":7},"members":[{"vm":"vm-1"}]}`)
-		}
-	}}
-	done := make(chan error, 1)
-	go func() { done <- server.Serve(listener) }()
-	t.Cleanup(func() {
-		require.NoError(t, server.Shutdown())
-		require.NoError(t, <-done)
-	})
-	return listener.Addr().(*net.TCPAddr).Port
+const statusBody = `{"serial":7,"in_force":1,"vms":3,"groups":4,"owned":4,"zones_out":{"espoo":"c1"},
+"briefs":[
+ {"vm":"vm-1","zone":"espoo","serial":7,"epoch":3,"admitting":true,"groups":["a","b"],
+  "decisions":[{"at":"2026-12-03T08:00:02Z","kind":"lease_taken","subject":"a","reason":"preferred"}]},
+ {"vm":"vm-3","zone":"lahti","serial":6,"epoch":3,"admitting":false,"refusal":"isolated","groups":["c","d"],
+  "decisions":[{"at":"2026-12-03T08:00:01Z","kind":"isolated","subject":"vm-3","reason":"no majority heard"}]}],
+"silent":["vm-2"]}`
+
+// fakeVMs holds the answers of admin listeners by address and path.
+type fakeVMs map[string]string
+
+func (f fakeVMs) Get(_ context.Context, address, path string) ([]byte, error) {
+	body, ok := f[address+path]
+	if !ok {
+		return nil, errors.Wrapf(fetch.ErrUnavailable, "%s", address)
+	}
+	return []byte(body), nil
 }
 
 func TestStatusAndState(t *testing.T) {
-	s := newSession(t)
-	port := serveAdmin(t)
-	for _, line := range []string{
-		"status --admin-port PORT",
-		"status --json --admin-port PORT vm-1",
-		"status 127.0.0.1:PORT",
-		"status vm-7",
-		"state vm-1 --admin-port PORT",
-		"state 127.0.0.1:PORT --json",
-		"state vm-2 --admin-port PORT",
-	} {
-		s.run(strings.ReplaceAll(line, "PORT", fmt.Sprint(port)))
-	}
-	text := strings.ReplaceAll(s.text.String(), fmt.Sprint(port), "17003")
-	goldie.New(t).Assert(t, "status", []byte(text))
+	synctest.Test(t, func(t *testing.T) {
+		s := newSession(t)
+		s.deps.Fetch = fakeVMs{
+			"127.0.0.2:7003/status":       statusBody,
+			"127.0.0.2:7003/state":        `{"vm":"vm-2","config":{"serial":7},"members":[{"vm":"vm-1"}]}`,
+			"127.0.0.2:7003/state/config": `{"serial":7}`,
+			"127.0.0.1:9000/status":       `{"serial":1,"in_force":2,"vms":2,"groups":4,"owned":3}`,
+		}
+		s.runAll(
+			"status",
+			"status vm-2 --wait-owned",
+			"status 127.0.0.1:9000 --wait-in-force",
+			"status 127.0.0.1:9000 --wait-in-force --wait-owned --json",
+			"zone out espoo --force --by aino",
+			"zone out lahti --force --by aino",
+			"status 127.0.0.1:9000 --wait-in-force",
+			"status vm-7",
+			"state vm-2",
+			"state 127.0.0.2:7003 config --json",
+			"state vm-1",
+		)
+		t.Setenv("SAMPHIRESTAIR_VMS", "")
+		s.run("status")
+		s.join(&member.Value{Members: map[ident.VMID]member.Record{"vm-1": {Member: view.Member{
+			Process: ident.Process{VM: "vm-1", Incarnation: 1}, Control: "127.0.0.1:7002",
+		}}}})
+		s.run("status --admin-port 9000 --json")
+		s.golden("status")
+	})
 }
--- /dev/null
+++ b/internal/ops/cli/fleet.go
@@ -0,0 +1,129 @@
+package cli
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/ops/table"
+)
+
+// shownDecisions is the number of latest decisions that status shows.
+const shownDecisions = 10
+
+// fleetStatus is the part of a VM's answer to /status that the command line
+// uses.
+type fleetStatus struct {
+	Serial     uint64                            `json:"serial"`
+	InForce    int                               `json:"in_force"`
+	VMs        int                               `json:"vms"`
+	Groups     int                               `json:"groups"`
+	Owned      int                               `json:"owned"`
+	ZonesOut   map[ident.Zone]ident.ChangeID     `json:"zones_out"`
+	VMsOut     map[ident.VMID]ident.ChangeID     `json:"vms_out"`
+	ServersOut map[ident.ServerID]ident.ChangeID `json:"servers_out"`
+	Briefs     []vmStatus                        `json:"briefs"`
+	Silent     []ident.VMID                      `json:"silent"`
+}
+
+// vmStatus is what one VM tells about itself.
+type vmStatus struct {
+	VM        ident.VMID        `json:"vm"`
+	Zone      ident.Zone        `json:"zone"`
+	Serial    uint64            `json:"serial"`
+	Epoch     uint64            `json:"epoch"`
+	Admitting bool              `json:"admitting"`
+	Refusal   string            `json:"refusal"`
+	Leaving   bool              `json:"leaving"`
+	Groups    []ident.GroupID   `json:"groups"`
+	Decisions []events.Decision `json:"decisions"`
+}
+
+// missing fails if something that flags wait for is not reached yet.
+func (s *fleetStatus) missing(flags *statusFlags, serial uint64) error {
+	switch {
+	case flags.waits() && len(s.Silent) > 0:
+		return fail(ExitRefused, "cli: VMs do not answer: %s", join(s.Silent))
+	case flags.inForce && s.Serial < serial:
+		return fail(ExitRefused, "cli: serial %d is in force, but %d was accepted", s.Serial, serial)
+	case flags.inForce && s.InForce < s.VMs:
+		return fail(ExitRefused, "cli: serial %d is in force on %d of %d VMs", s.Serial, s.InForce, s.VMs)
+	case flags.owned && (s.Groups == 0 || s.Owned < s.Groups):
+		return fail(ExitRefused, "cli: %d of %d groups have an owner", s.Owned, s.Groups)
+	default:
+		return nil
+	}
+}
+
+func (s *fleetStatus) print(c *CLI) {
+	c.printf("serial %d in force on %d of %d VMs, %d of %d groups owned\n", s.Serial, s.InForce, s.VMs, s.Owned, s.Groups)
+	printNames(c, "zones out of service", slices.Sorted(maps.Keys(s.ZonesOut)))
+	printNames(c, "VMs out of service", slices.Sorted(maps.Keys(s.VMsOut)))
+	printNames(c, "backend servers out of service", slices.Sorted(maps.Keys(s.ServersOut)))
+	printNames(c, "VMs that do not answer", s.Silent)
+	c.printf("\n")
+	c.printTable(s.vmTable())
+	if latest := s.latest(); len(latest) > 0 {
+		c.printf("\n")
+		c.printTable(decisionTable(latest))
+	}
+}
+
+func printNames[K ~string](c *CLI, title string, names []K) {
+	if len(names) > 0 {
+		c.printf("%s: %s\n", title, join(names))
+	}
+}
+
+func join[K ~string](names []K) string {
+	texts := make([]string, len(names))
+	for i, name := range names {
+		texts[i] = string(name)
+	}
+	return strings.Join(texts, ", ")
+}
+
+func (s *fleetStatus) vmTable() *table.Table {
+	t := table.New("VM", "ZONE", "SERIAL", "EPOCH", "GROUPS", "ADMITTING", "LEAVING", "REFUSAL")
+	for _, vm := range s.Briefs {
+		t.Add(string(vm.VM), string(vm.Zone), fmt.Sprint(vm.Serial), fmt.Sprint(vm.Epoch),
+			fmt.Sprint(len(vm.Groups)), fmt.Sprint(vm.Admitting), fmt.Sprint(vm.Leaving), vm.Refusal)
+	}
+	return t
+}
+
+// decision is a decision with the VM that took it.
+type decision struct {
+	events.Decision
+	vm ident.VMID
+}
+
+// latest returns the latest decisions of all VMs.
+func (s *fleetStatus) latest() []decision {
+	var all []decision
+	for _, vm := range s.Briefs {
+		for _, one := range vm.Decisions {
+			all = append(all, decision{Decision: one, vm: vm.VM})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b decision) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.vm, b.vm))
+	})
+	if excess := len(all) - shownDecisions; excess > 0 {
+		all = all[excess:]
+	}
+	return all
+}
+
+func decisionTable(decisions []decision) *table.Table {
+	t := table.New("AT", "VM", "DECISION", "SUBJECT", "REASON")
+	for _, one := range decisions {
+		t.Add(one.At.UTC().Format(time.RFC3339), string(one.vm), one.Kind, one.Subject, one.Reason)
+	}
+	return t
+}
--- a/internal/ops/cli/status.go
+++ b/internal/ops/cli/status.go
@@ -3,212 +3,139 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"net"
-	"net/netip"
-	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc/iter"
 	"github.com/spf13/cobra"
 
 	"github.com/samphirestair/samphirestair/internal/ops/fetch"
-	"github.com/samphirestair/samphirestair/internal/ops/table"
-	"github.com/samphirestair/samphirestair/internal/plat/vmlist"
 )
 
-const defaultAdminPort = 7003
+const (
+	// askBound is the longest time that one VM is waited for before the next
+	// one is asked.
+	askBound = 4 * time.Second
+	// waitInterval is the time between looks at the fleet while waiting.
+	waitInterval = 200 * time.Millisecond
+)
 
-// target is a VM to ask.
-type target struct {
-	name    string
-	address string
+// statusFlags says what status waits for.
+type statusFlags struct {
+	targetFlags
+	inForce bool
+	owned   bool
 }
 
-// answer is what a VM returned.
-type answer struct {
-	target
-	body []byte
-	err  error
+func (f *statusFlags) waits() bool {
+	return f.inForce || f.owned
 }
 
 func (c *CLI) statusCommand() *cobra.Command {
-	port := 0
+	flags := &statusFlags{}
 	command := &cobra.Command{
-		Use:     "status [VM|ADDR]...",
-		Short:   "Summarize VMs, one a line",
-		Long:    "Summarize the given VMs, or all of the VM list. VMs that do not answer are listed with the reason, and the exit code is 4.",
-		Example: "  samphirestair status\n  samphirestair status vm-3 10.0.0.7:7003",
-	}
-	command.Flags().IntVar(&port, "admin-port", defaultAdminPort, "port of the VMs' admin listeners")
+		Use:   "status [VM|ADDR]",
+		Short: "Show the whole fleet",
+		Long: `Show the whole fleet as one VM sees it: which serial is in force on how many
+VMs, what is out of service, each VM, and the latest decisions. Without a VM, the
+first one that answers is asked.
+
+With --wait-in-force or --wait-owned, the command ends once that is reached, and
+with exit code 1 after the time of --timeout.`,
+		Example: "  samphirestair status\n  samphirestair status --wait-in-force --timeout 30s",
+		Args:    cobra.MaximumNArgs(1),
+	}
+	flags.register(command)
+	command.Flags().BoolVar(&flags.inForce, "wait-in-force", false, "wait until the latest configuration is in force on all VMs")
+	command.Flags().BoolVar(&flags.owned, "wait-owned", false, "wait until each group of backend servers has an owner")
 	command.RunE = c.bounded(func(ctx context.Context, args []string) error {
-		targets, err := c.targets(ctx, args, port)
-		if err != nil {
-			return err
-		}
-		return c.printStatus(c.ask(ctx, targets, fetch.PathStatus))
+		return c.status(ctx, args, flags)
 	})
 	return command
 }
 
-func (c *CLI) stateCommand() *cobra.Command {
-	port := 0
-	command := &cobra.Command{
-		Use:     "state VM|ADDR",
-		Short:   "Show all that the process of a VM knows",
-		Example: "  samphirestair state vm-3\n  samphirestair state 10.0.0.7:7003 --json",
-		Args:    cobra.ExactArgs(1),
+func (c *CLI) status(ctx context.Context, args []string, flags *statusFlags) error {
+	serial, err := c.serialToWaitFor(ctx, flags)
+	if err != nil {
+		return err
 	}
-	command.Flags().IntVar(&port, "admin-port", defaultAdminPort, "port of the VMs' admin listeners")
-	command.RunE = c.bounded(func(ctx context.Context, args []string) error {
-		targets, err := c.targets(ctx, args, port)
-		if err != nil {
-			return err
-		}
-		body, err := c.deps.Fetch.Get(ctx, targets[0].address, fetch.PathState)
-		if err != nil {
-			return err
+	for {
+		body, status, err := c.askStatus(ctx, args, flags)
+		if err == nil {
+			err = status.missing(flags, serial)
 		}
-		if c.json {
-			return c.printJSON(json.RawMessage(body))
+		if err == nil {
+			return c.printStatus(body, status)
 		}
-		return table.WriteJSON(c.out, body)
-	})
-	return command
-}
-
-// targets returns the VMs that args name, or all of the VM list.
-func (c *CLI) targets(ctx context.Context, args []string, port int) ([]target, error) {
-	var named []target
-	for _, arg := range args {
-		if _, err := netip.ParseAddrPort(arg); err != nil {
-			named = nil
-			break
+		if !flags.waits() || !pause(ctx, waitInterval) {
+			return err
 		}
-		named = append(named, target{name: arg, address: arg})
 	}
-	if len(named) > 0 {
-		return named, nil
-	}
-	vms, err := c.vms(ctx)
-	if err != nil {
-		return nil, err
-	}
-	return pick(vms, args, port)
 }
 
-func (c *CLI) vms(ctx context.Context) ([]vmlist.VM, error) {
-	if c.vmsURL == "" {
-		return nil, fail(ExitUsage, "cli: give IP:PORT addresses, or say where the VM list is, by --vms or %s", envVMs)
+// serialToWaitFor returns the serial in the key-value service, or 0 if nobody
+// waits for it.
+func (c *CLI) serialToWaitFor(ctx context.Context, flags *statusFlags) (uint64, error) {
+	if !flags.inForce || c.storeURL == "" {
+		return 0, nil
 	}
-	list, err := c.deps.VMs(c.vmsURL)
+	changer, _, err := c.changer()
 	if err != nil {
-		return nil, fail(ExitUsage, "cli: --vms: %v", err)
+		return 0, err
 	}
-	vms, err := list.VMs(ctx)
+	_, ix, err := changer.Read(ctx)
 	if err != nil {
-		return nil, fail(ExitUnavailable, "cli: the VM list does not answer: %v", err)
+		return 0, err
 	}
-	return vms, nil
+	return ix.Serial, nil
 }
 
-// pick returns the VMs of the list that args name, or all of them.
-func pick(vms []vmlist.VM, args []string, port int) ([]target, error) {
-	byName := map[string]target{}
-	var all []target
-	for _, vm := range vms {
-		one := target{name: string(vm.ID), address: net.JoinHostPort(vm.IP, strconv.Itoa(port))}
-		byName[one.name] = one
-		all = append(all, one)
-	}
-	if len(args) == 0 {
-		return all, nil
+// askStatus returns the answer of the first VM that gives one.
+func (c *CLI) askStatus(ctx context.Context, args []string, flags *statusFlags) ([]byte, *fleetStatus, error) {
+	targets, err := c.targets(ctx, args, &flags.targetFlags)
+	if err != nil {
+		return nil, nil, err
 	}
-	var picked []target
-	for _, arg := range args {
-		one, ok := byName[arg]
-		if _, err := netip.ParseAddrPort(arg); err == nil {
-			one, ok = target{name: arg, address: arg}, true
-		}
-		if !ok {
-			return nil, fail(ExitRefused, "cli: the VM list has no VM %q", arg)
+	failure := fail(ExitUnavailable, "cli: no VM is known")
+	for _, one := range targets {
+		body, status, err := c.askOne(ctx, one)
+		if err == nil {
+			return body, status, nil
 		}
-		picked = append(picked, one)
+		failure = err
 	}
-	return picked, nil
-}
-
-func (c *CLI) ask(ctx context.Context, targets []target, path string) []answer {
-	return iter.Map(targets, func(one *target) answer {
-		body, err := c.deps.Fetch.Get(ctx, one.address, path)
-		return answer{target: *one, body: body, err: err}
-	})
+	return nil, nil, failure
 }
 
-// printStatus prints one row per VM, with a column for each plain member of any
-// answer.
-func (c *CLI) printStatus(answers []answer) error {
-	if c.json {
-		return c.printStatusJSON(answers)
-	}
-	rows := make([]map[string]string, len(answers))
-	columns := []string{}
-	seen := map[string]bool{}
-	for i, one := range answers {
-		var names []string
-		names, rows[i] = summary(one)
-		for _, name := range names {
-			if !seen[name] {
-				seen[name] = true
-				columns = append(columns, name)
-			}
-		}
-	}
-	t := table.New(append([]string{"target"}, columns...)...)
-	for i, one := range answers {
-		cells := []string{one.name}
-		for _, column := range columns {
-			cells = append(cells, rows[i][column])
-		}
-		t.Add(cells...)
+func (c *CLI) askOne(ctx context.Context, from target) ([]byte, *fleetStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, askBound)
+	defer cancel()
+	body, err := c.deps.Fetch.Get(ctx, from.address, fetch.PathStatus)
+	if err != nil {
+		return nil, nil, err
 	}
-	c.printTable(t)
-	return silent(answers)
-}
-
-// summary returns the plain members of an answer, or the failure as one.
-func summary(one answer) ([]string, map[string]string) {
-	if one.err == nil {
-		var names []string
-		var values map[string]string
-		names, values, one.err = table.Scalars(one.body)
-		if one.err == nil {
-			return names, values
-		}
+	status := &fleetStatus{}
+	if err := json.Unmarshal(body, status); err != nil {
+		return nil, nil, errors.Wrapf(err, "cli: the status that %s returns", from.name)
 	}
-	return []string{"failure"}, map[string]string{"failure": one.err.Error()}
+	return body, status, nil
 }
 
-func (c *CLI) printStatusJSON(answers []answer) error {
-	all := map[string]json.RawMessage{}
-	for _, one := range answers {
-		if one.err == nil && json.Valid(one.body) {
-			all[one.name] = one.body
-		}
+// pause waits for d and reports whether ctx still runs.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
 	}
-	return errors.CombineErrors(silent(answers), c.printJSON(all))
 }
 
-// silent fails if a VM did not answer.
-func silent(answers []answer) error {
-	count := 0
-	for _, one := range answers {
-		if one.err != nil {
-			count++
-		}
-	}
-	if count == 0 {
-		return nil
+func (c *CLI) printStatus(body []byte, status *fleetStatus) error {
+	if c.json {
+		return c.printJSON(json.RawMessage(body))
 	}
-	return fail(ExitUnavailable, "%s", fmt.Sprintf("%d of %d VMs did not answer", count, len(answers)))
+	status.print(c)
+	return nil
 }
--- a/internal/ops/fetch/client.go
+++ b/internal/ops/fetch/client.go
@@ -45,7 +45,7 @@
 		deadline = time.Now().Add(defaultBound)
 	}
 	if err := c.http.DoDeadline(request, response, deadline); err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "fetch: %s", address), ErrUnavailable)
+		return nil, errors.Wrapf(ErrUnavailable, "%s: %v", address, err)
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
 		return nil, errors.Wrapf(ErrUnavailable, "%s answers with status %d", address, response.StatusCode())
--- a/internal/ops/table/json.go
+++ b/internal/ops/table/json.go
@@ -33,23 +33,6 @@
 	return err
 }
 
-// Scalars returns the plain members of a JSON object by name, and their names in
-// the order of the text. It fails if data is no JSON object.
-func Scalars(data []byte) (names []string, values map[string]string, err error) {
-	value, err := fastjson.ParseBytes(data)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "table: read JSON")
-	}
-	values = map[string]string{}
-	for _, f := range fields(value) {
-		if isScalar(f.value) {
-			names = append(names, f.name)
-			values[f.name] = scalar(f.value)
-		}
-	}
-	return names, values, nil
-}
-
 func writeObject(b *strings.Builder, object *fastjson.Value, indent string) {
 	var nested []field
 	plain := &Table{}
