Refuse to take out a VM that nobody knows

Cause: a mistyped VM name was accepted and took nothing out of service. Ruled out: checking in conf/change; the membership is not part of the configuration.

--- a/internal/ops/cli/changes.go
+++ b/internal/ops/cli/changes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os/user"
+	"slices"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -118,11 +119,29 @@
 	}
 	flags.register(command)
 	command.RunE = c.bounded(func(ctx context.Context, args []string) error {
+		if kind == change.VMOut && !flags.force {
+			if err := c.requireVM(ctx, args[0]); err != nil {
+				return err
+			}
+		}
 		return c.do(ctx, flags.request(change.Request{Kind: kind, Subject: args[0]}))
 	})
 	return command
 }
 
+// requireVM refuses a VM that neither the VM list nor the fleet knows, because
+// its name may be mistyped.
+func (c *CLI) requireVM(ctx context.Context, name string) error {
+	known, err := c.allTargets(ctx, &targetFlags{})
+	if err != nil {
+		return err
+	}
+	if slices.ContainsFunc(known, func(one target) bool { return one.name == name }) {
+		return nil
+	}
+	return fail(ExitRefused, "cli: VM %q is not known; --force takes it out nevertheless", name)
+}
+
 // do carries out a change and reports its outcome.
 func (c *CLI) do(ctx context.Context, r change.Request) error {
 	changer, _, err := c.changer()
--- a/internal/ops/cli/cli_test.go
+++ b/internal/ops/cli/cli_test.go
@@ -129,6 +129,8 @@
 		"zone out espoo --by veikko",
 		"server out agent-desk/a0 --by veikko",
 		"vm out vm-2 --by veikko",
+		"vm out vm-9 --by veikko",
+		"vm in vm-9 --by veikko",
 		"show",
 		"zone in espoo --by aino",
 		"zone in lahti --by aino",
