--- a/internal/ops/cli/status.go
+++ b/internal/ops/cli/status.go
@@ -3,139 +3,90 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/iter"
 	"github.com/spf13/cobra"
 
 	"github.com/samphirestair/samphirestair/internal/ops/fetch"
+	"github.com/samphirestair/samphirestair/internal/ops/table"
 )
 
-const (
-	// askBound is the longest time that one VM is waited for before the next
-	// one is asked.
-	askBound = 4 * time.Second
-	// waitInterval is the time between looks at the fleet while waiting.
-	waitInterval = 200 * time.Millisecond
-)
-
-// statusFlags says what status waits for.
-type statusFlags struct {
-	targetFlags
-	inForce bool
-	owned   bool
-}
-
-func (f *statusFlags) waits() bool {
-	return f.inForce || f.owned
+// answer is what a VM returned.
+type answer struct {
+	target
+	body []byte
+	err  error
 }
 
 func (c *CLI) statusCommand() *cobra.Command {
-	flags := &statusFlags{}
+	flags := &targetFlags{}
 	command := &cobra.Command{
-		Use:   "status [VM|ADDR]",
-		Short: "Show the whole fleet",
-		Long: `Show the whole fleet as one VM sees it: which serial is in force on how many
-VMs, what is out of service, each VM, and the latest decisions. Without a VM, the
-first one that answers is asked.
-
-With --wait-in-force or --wait-owned, the command ends once that is reached, and
-with exit code 1 after the time of --timeout.`,
-		Example: "  samphirestair status\n  samphirestair status --wait-in-force --timeout 30s",
-		Args:    cobra.MaximumNArgs(1),
+		Use:   "status [VM|ADDR]...",
+		Short: "Ask each VM for its own status",
+		Long: `Ask the given VMs, or all, for their own status, one a line. Unlike fleet, this
+does not depend on the links between VMs. VMs that do not answer are listed with
+the reason, and the exit code is 4.`,
+		Example: "  samphirestair status\n  samphirestair status vm-3 10.0.0.7:7003",
 	}
 	flags.register(command)
-	command.Flags().BoolVar(&flags.inForce, "wait-in-force", false, "wait until the latest configuration is in force on all VMs")
-	command.Flags().BoolVar(&flags.owned, "wait-owned", false, "wait until each group of backend servers has an owner")
 	command.RunE = c.bounded(func(ctx context.Context, args []string) error {
-		return c.status(ctx, args, flags)
-	})
-	return command
-}
-
-func (c *CLI) status(ctx context.Context, args []string, flags *statusFlags) error {
-	serial, err := c.serialToWaitFor(ctx, flags)
-	if err != nil {
-		return err
-	}
-	for {
-		body, status, err := c.askStatus(ctx, args, flags)
-		if err == nil {
-			err = status.missing(flags, serial)
-		}
-		if err == nil {
-			return c.printStatus(body, status)
-		}
-		if !flags.waits() || !pause(ctx, waitInterval) {
+		targets, err := c.targets(ctx, args, flags)
+		if err != nil {
 			return err
 		}
-	}
+		return c.printStatus(c.ask(ctx, targets))
+	})
+	return command
 }
 
-// serialToWaitFor returns the serial in the key-value service, or 0 if nobody
-// waits for it.
-func (c *CLI) serialToWaitFor(ctx context.Context, flags *statusFlags) (uint64, error) {
-	if !flags.inForce || c.storeURL == "" {
-		return 0, nil
-	}
-	changer, _, err := c.changer()
-	if err != nil {
-		return 0, err
-	}
-	_, ix, err := changer.Read(ctx)
-	if err != nil {
-		return 0, err
-	}
-	return ix.Serial, nil
+func (c *CLI) ask(ctx context.Context, targets []target) []answer {
+	ctx, cancel := context.WithTimeout(ctx, askBound)
+	defer cancel()
+	return iter.Map(targets, func(one *target) answer {
+		body, err := c.deps.Fetch.Get(ctx, one.address, fetch.PathStatus)
+		return answer{target: *one, body: body, err: err}
+	})
 }
 
-// askStatus returns the answer of the first VM that gives one.
-func (c *CLI) askStatus(ctx context.Context, args []string, flags *statusFlags) ([]byte, *fleetStatus, error) {
-	targets, err := c.targets(ctx, args, &flags.targetFlags)
-	if err != nil {
-		return nil, nil, err
+func (c *CLI) printStatus(answers []answer) error {
+	if c.json {
+		return errors.CombineErrors(silent(answers), c.printStatusJSON(answers))
 	}
-	failure := fail(ExitUnavailable, "cli: no VM is known")
-	for _, one := range targets {
-		body, status, err := c.askOne(ctx, one)
-		if err == nil {
-			return body, status, nil
+	var rows table.Rows
+	for _, one := range answers {
+		if one.err != nil {
+			rows.AddText(one.name, "failure", one.err.Error())
+			continue
+		}
+		if err := rows.AddJSON(one.name, one.body); err != nil {
+			rows.AddText(one.name, "failure", err.Error())
 		}
-		failure = err
 	}
-	return nil, nil, failure
+	c.printTable(rows.Table("asked"))
+	return silent(answers)
 }
 
-func (c *CLI) askOne(ctx context.Context, from target) ([]byte, *fleetStatus, error) {
-	ctx, cancel := context.WithTimeout(ctx, askBound)
-	defer cancel()
-	body, err := c.deps.Fetch.Get(ctx, from.address, fetch.PathStatus)
-	if err != nil {
-		return nil, nil, err
-	}
-	status := &fleetStatus{}
-	if err := json.Unmarshal(body, status); err != nil {
-		return nil, nil, errors.Wrapf(err, "cli: the status that %s returns", from.name)
+func (c *CLI) printStatusJSON(answers []answer) error {
+	all := map[string]json.RawMessage{}
+	for _, one := range answers {
+		if one.err == nil && json.Valid(one.body) {
+			all[one.name] = one.body
+		}
 	}
-	return body, status, nil
+	return c.printJSON(all)
 }
 
-// pause waits for d and reports whether ctx still runs.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
+// silent fails if a VM did not answer.
+func silent(answers []answer) error {
+	count := 0
+	for _, one := range answers {
+		if one.err != nil {
+			count++
+		}
 	}
-}
-
-func (c *CLI) printStatus(body []byte, status *fleetStatus) error {
-	if c.json {
-		return c.printJSON(json.RawMessage(body))
+	if count == 0 {
+		return nil
 	}
-	status.print(c)
-	return nil
+	return fail(ExitUnavailable, "cli: %d of %d VMs did not answer", count, len(answers))
 }
