Prove the configuration by watches, read the index rarely

Cause: each VM read the whole index every 2 s.

Ruled out: remembering fewer changes; a lost answer could then not be resolved. Proving by answers that arrive late; the time before the watch began counts.

Change: a watch that ends unchanged proves the configuration and puts reads off; reads come only after 1.5 s without an answer, or while a document is missing. Waits after failures double up to eight times. A VM that hears of a higher revision waits 300 ms before it asks the peer. Events that repeat are recorded once and then counted. A lower revision from a restored service is ignored (test).

With watches of 1 s, the test sees at most 1 read in 60 s and Heard at most 3 s old.

To do by the node: watches should wait 1 to 2 s (store.HTTPOptions.Wait), as Heard is up to two waits old.

--- a/internal/conf/memkv/store.go
+++ b/internal/conf/memkv/store.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/plat/store"
@@ -46,6 +47,7 @@
 	entries  map[string]store.Entry
 	revision ident.Revision
 	changed  chan struct{}
+	wait     time.Duration
 }
 
 var _ store.Store = (*Store)(nil)
@@ -64,6 +66,22 @@
 	s.wake()
 }
 
+// SetWait bounds watches that begin afterwards. 0 means no bound.
+func (s *Store) SetWait(wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wait = wait
+}
+
+// Restore replaces the contents by those of a backup that is empty.
+func (s *Store) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries = map[string]store.Entry{}
+	s.revision = 0
+	s.wake()
+}
+
 // Get implements store.Store.
 func (s *Store) Get(_ context.Context, key string) (store.Entry, error) {
 	s.mu.Lock()
@@ -92,8 +110,10 @@
 	return revision, err
 }
 
-// Watch implements store.Store. It waits without a bound of its own.
+// Watch implements store.Store.
 func (s *Store) Watch(ctx context.Context, key string, after ident.Revision) (store.Entry, error) {
+	ended, stop := s.timer()
+	defer stop()
 	for {
 		entry, changed, err := s.look(key, after)
 		if err != nil || entry.Revision > after {
@@ -102,11 +122,24 @@
 		select {
 		case <-ctx.Done():
 			return store.Entry{}, store.ErrUnavailable
+		case <-ended:
+			return store.Entry{}, store.ErrUnchanged
 		case <-changed:
 		}
 	}
 }
 
+// timer returns a channel that fires when the wait of a watch is over.
+func (s *Store) timer() (<-chan time.Time, func() bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.wait == 0 {
+		return nil, func() bool { return false }
+	}
+	timer := time.NewTimer(s.wait)
+	return timer.C, timer.Stop
+}
+
 func (s *Store) look(key string, after ident.Revision) (store.Entry, chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/conf/spread/follow.go
+++ b/internal/conf/spread/follow.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
@@ -18,65 +18,85 @@
 // documentFetches is the number of documents that are read at once.
 const documentFetches = 4
 
-// poll reads the index at jittered intervals. It finds what a silent watch
-// misses, and it is what proves that the configuration is the latest one.
+// poll reads the index while no watch is answered, so that a silent watch or a
+// failed read of a document delays nothing for long.
 func (s *Spreader) poll(ctx context.Context) {
+	var failures backoff
 	for ctx.Err() == nil {
-		err := s.read(ctx)
-		wait := s.options.Poll
-		if err != nil {
-			wait = s.options.Backoff
+		if s.pollDue(time.Now()) {
+			failures.note(s.read(ctx))
 		}
-		sleep(ctx, jitter(wait))
+		failures.sleep(ctx, s.options.Backoff)
 	}
 }
 
+// pollDue reports whether the key-value service has been quiet for too long.
+func (s *Spreader) pollDue(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	quiet := now.Sub(s.answered)
+	_, pending := s.tracker.candidate.Get()
+	return quiet >= s.options.Poll || pending && quiet >= s.options.Backoff
+}
+
 // read reads the index once, and the documents that it needs.
 func (s *Spreader) read(ctx context.Context) error {
-	started := time.Now()
-	before := s.Revision()
+	started, before := time.Now(), s.Revision()
 	callCtx, cancel := context.WithTimeout(ctx, s.options.CallBound)
 	defer cancel()
 	entry, err := s.deps.Store.Get(callCtx, index.Key)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	s.noteStore(err)
 	if err != nil {
+		s.noteLost(err)
 		return err
 	}
+	s.noteAnswer()
 	if entry.Revision < before {
-		s.deps.Events.Record("config_store_behind", "key-value service",
-			"it returned a lower revision than the one in force; ignored",
-			slog.Uint64("returned", uint64(entry.Revision)), slog.Uint64("in_force", uint64(before)))
+		s.recordOnce("config_store_behind", fmt.Sprintf("revision %d", entry.Revision),
+			"the key-value service returned a lower revision than the one in force; ignored",
+			slog.Uint64("in_force", uint64(before)))
 		return nil
 	}
-	if err := s.offer(entry); err != nil {
-		return err
-	}
-	s.prove(entry.Revision, started)
-	return s.fetchDocuments(ctx)
+	return s.accept(ctx, entry, started)
 }
 
 // watch waits for changes of the index.
 func (s *Spreader) watch(ctx context.Context) {
+	var failures backoff
 	for ctx.Err() == nil {
-		if err := s.watchOnce(ctx); err != nil {
-			sleep(ctx, jitter(s.options.Backoff))
+		err := s.watchOnce(ctx)
+		failures.note(err)
+		if err != nil {
+			failures.sleep(ctx, s.options.Backoff)
 		}
 	}
 }
 
 func (s *Spreader) watchOnce(ctx context.Context) error {
+	started, after := time.Now(), s.newest()
 	watchCtx, cancel := context.WithTimeout(ctx, s.options.WatchBound)
 	defer cancel()
-	entry, err := s.deps.Store.Watch(watchCtx, index.Key, s.newest())
+	entry, err := s.deps.Store.Watch(watchCtx, index.Key, after)
+	if errors.Is(err, store.ErrUnchanged) {
+		s.noteAnswer()
+		s.prove(after, started)
+		return s.fetchDocuments(ctx)
+	}
 	if err != nil {
 		return err
 	}
+	s.noteAnswer()
+	return s.accept(ctx, entry, started)
+}
+
+// accept takes an entry of the index that was asked for at started.
+func (s *Spreader) accept(ctx context.Context, entry store.Entry, started time.Time) error {
 	if err := s.offer(entry); err != nil {
 		return err
 	}
+	s.prove(entry.Revision, started)
 	return s.fetchDocuments(ctx)
 }
 
@@ -90,7 +110,7 @@
 func (s *Spreader) offer(entry store.Entry) error {
 	ix, err := index.Decode(entry.Value)
 	if err != nil {
-		s.deps.Events.Record("config_index_unusable", fmt.Sprintf("revision %d", entry.Revision), err.Error())
+		s.recordOnce("config_index_unusable", fmt.Sprintf("revision %d", entry.Revision), err.Error())
 		return err
 	}
 	s.mu.Lock()
@@ -135,18 +155,3 @@
 	s.tracker.learn(ref, body)
 	return nil
 }
-
-// jitter returns a random time between three and five quarters of d.
-func jitter(d time.Duration) time.Duration {
-	return d*3/4 + rand.N(d/2+1)
-}
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/conf/spread/notices.go
+++ b/internal/conf/spread/notices.go
@@ -74,6 +74,7 @@
 			return
 		case <-s.notices.changed:
 		}
+		sleep(ctx, jitter(s.options.PeerDelay))
 		for ctx.Err() == nil {
 			next, ok := s.notices.take(s.Revision())
 			if !ok {
@@ -89,7 +90,7 @@
 	defer cancel()
 	bundle, err := s.deps.Fetch.Fetch(callCtx, from.member)
 	if err != nil {
-		s.deps.Events.Record("config_peer_failed", string(from.member.Process.VM), err.Error(),
+		s.recordOnce("config_peer_failed", string(from.member.Process.VM), err.Error(),
 			slog.Uint64("revision", uint64(from.revision)))
 		return
 	}
--- a/internal/conf/spread/spreader.go
+++ b/internal/conf/spread/spreader.go
@@ -44,22 +44,28 @@
 
 // Options tunes a Spreader. The zero value is useful.
 type Options struct {
-	// Poll is the mean time between reads of the index. 0 means 2 s.
+	// Poll is the time without an answer to a watch after which the index is
+	// read. 0 means 1500 ms. Watches that end sooner make reads rare.
 	Poll time.Duration
 	// WatchBound is the longest time that a watch is waited for. 0 means 30 s.
 	WatchBound time.Duration
 	// CallBound is the longest time that any other call is waited for. 0 means
 	// 2 s.
 	CallBound time.Duration
-	// Backoff is the mean time after a failed call. 0 means 500 ms.
+	// Backoff is the mean time after a failed call. It doubles with further
+	// failures, up to eight times. 0 means 400 ms.
 	Backoff time.Duration
+	// PeerDelay is the mean time between a notice and the question to the peer,
+	// in which the key-value service usually answers. 0 means 300 ms.
+	PeerDelay time.Duration
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Poll, 2*time.Second)
+	setDefault(&o.Poll, 1500*time.Millisecond)
 	setDefault(&o.WatchBound, 30*time.Second)
 	setDefault(&o.CallBound, 2*time.Second)
-	setDefault(&o.Backoff, 500*time.Millisecond)
+	setDefault(&o.Backoff, 400*time.Millisecond)
+	setDefault(&o.PeerDelay, 300*time.Millisecond)
 	return o
 }
 
@@ -75,9 +81,13 @@
 	options Options
 	notices *notices
 
-	mu         sync.Mutex
-	tracker    *tracker
+	mu      sync.Mutex
+	tracker *tracker
+	// answered is when the key-value service last answered.
+	answered   time.Time
 	storeError error
+	// repeated holds the last subject of each kind of repeated event.
+	repeated map[string]string
 }
 
 // New returns a spreader that does nothing until Run is called.
@@ -87,6 +97,8 @@
 		options: options.withDefaults(),
 		notices: newNotices(),
 		tracker: newTracker(),
+
+		repeated: map[string]string{},
 	}
 }
 
@@ -123,8 +135,9 @@
 
 // Heard returns the latest time at which the configuration in force is known
 // to have been the latest one in the key-value service. It is the zero time if
-// the service has not been read yet. The time is taken before the read, so that
-// a pause of the process does not make the configuration look fresher.
+// the service has not been read yet. The time is taken before a read or watch
+// begins, so that a pause of the process does not make the configuration look
+// fresher. While the service answers, it is up to two waits of a watch ago.
 func (s *Spreader) Heard() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -162,17 +175,37 @@
 	s.deps.OnConfig(config)
 }
 
-// noteStore records when the key-value service stops answering and when it
-// answers again.
-func (s *Spreader) noteStore(err error) {
+// noteLost records that the key-value service stopped answering.
+func (s *Spreader) noteLost(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before := s.storeError
-	s.storeError = err
-	switch {
-	case before == nil && err != nil:
+	if s.storeError == nil {
 		s.deps.Events.Record("config_store_lost", "key-value service", err.Error())
-	case before != nil && err == nil:
+	}
+	s.storeError = err
+}
+
+// noteAnswer records that the key-value service answers, or does so again.
+func (s *Spreader) noteAnswer() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answered = time.Now()
+	if s.storeError != nil {
 		s.deps.Events.Record("config_store_heard", "key-value service", "it answers again")
 	}
+	s.storeError = nil
+}
+
+// recordOnce records an event that may repeat many times. Repetitions for the
+// same subject are only counted.
+func (s *Spreader) recordOnce(kind, subject, reason string, attrs ...slog.Attr) {
+	s.mu.Lock()
+	before, known := s.repeated[kind]
+	s.repeated[kind] = subject
+	s.mu.Unlock()
+	if known && before == subject {
+		s.deps.Events.Count(kind)
+		return
+	}
+	s.deps.Events.Record(kind, subject, reason, attrs...)
 }
