Avoid servers that refuse, and let coverage borrow from hedges

The expected-completion policy now avoids servers that refused or left three sub-requests in a row unanswered, for 20 to 500 ms. Extra sub-requests have a reason: hedges need saved tokens, overdue and failed ones may borrow, and what was certainly not run is never refused, since it cost backend servers nothing. A larger share for all was ruled out: it would let hedging itself exceed 5 %.

Unit tests pass. The effect under load was not measured here.

--- a/internal/query/choose/choose_test.go
+++ b/internal/query/choose/choose_test.go
@@ -73,3 +73,23 @@
 	policy.Sent(now, "s/b")
 	require.Equal(t, 1, policy.Choose(now, replicas))
 }
+
+func TestExpectAvoidsAServerThatRefuses(t *testing.T) {
+	policy, now := newPolicy(t, "expect"), time.Unix(0, 0)
+	sample := choose.Sample{Completed: true, Service: 5 * time.Millisecond, Queued: 20, Slots: 2}
+	policy.Answered(now, "s/b", sample)
+	policy.Answered(now, "s/a", choose.Sample{Refused: true, RetryAfter: 100 * time.Millisecond, Slots: 2})
+	require.Equal(t, 1, policy.Choose(now.Add(99*time.Millisecond), replicas))
+	require.Equal(t, 0, policy.Choose(now.Add(101*time.Millisecond), replicas))
+}
+
+func TestExpectAvoidsAServerThatNeverAnswers(t *testing.T) {
+	policy, now := newPolicy(t, "expect"), time.Unix(0, 0)
+	policy.Answered(now, "s/b", choose.Sample{Completed: true, Service: 5 * time.Millisecond, Queued: 20, Slots: 2})
+	for range 3 {
+		policy.Sent(now, "s/a")
+		policy.Abandoned(now, "s/a", time.Millisecond)
+	}
+	require.Equal(t, 1, policy.Choose(now, replicas))
+	require.Equal(t, 0, policy.Choose(now.Add(21*time.Millisecond), replicas))
+}
--- a/internal/query/choose/expect.go
+++ b/internal/query/choose/expect.go
@@ -25,19 +25,21 @@
 
 // Choose compares all replicas while it knows them well, and two random ones
 // otherwise, so that entries with old knowledge do not all take the same.
+// Servers that refused or did not answer lately are the last resort.
 func (e *expect) Choose(now time.Time, candidates []ident.ServerID) int {
-	if len(candidates) == 1 {
-		return 0
+	usable := e.usable(now, candidates)
+	if len(usable) == 1 {
+		return usable[0]
 	}
-	average := e.average.load()
-	start := e.options.IntN(len(candidates))
-	count := len(candidates)
+	count := len(usable)
 	if e.anyStale(now, candidates) {
 		count = 2
 	}
-	best, lowest := start, time.Duration(-1)
+	average := e.average.load()
+	start := e.options.IntN(len(usable))
+	best, lowest := usable[start], time.Duration(-1)
 	for i := range count {
-		index := (start + i) % len(candidates)
+		index := usable[(start+i)%len(usable)]
 		expected := e.server(candidates[index]).expected(now, average, e.options)
 		if lowest < 0 || expected < lowest {
 			best, lowest = index, expected
@@ -46,6 +48,23 @@
 	return best
 }
 
+// usable returns the indexes of the servers that are not avoided, or of all if
+// all are.
+func (e *expect) usable(now time.Time, candidates []ident.ServerID) []int {
+	usable := make([]int, 0, len(candidates))
+	all := make([]int, len(candidates))
+	for i, id := range candidates {
+		all[i] = i
+		if !e.server(id).avoided(now) {
+			usable = append(usable, i)
+		}
+	}
+	if len(usable) == 0 {
+		return all
+	}
+	return usable
+}
+
 func (e *expect) Sent(now time.Time, id ident.ServerID) {
 	e.server(id).sent(now)
 }
--- a/internal/query/choose/policy.go
+++ b/internal/query/choose/policy.go
@@ -25,9 +25,13 @@
 
 // Sample is what an answer told about its server.
 type Sample struct {
-	// Completed is false if the server did not run the sub-request.
+	// Completed is set if the server ran the sub-request.
 	Completed bool
 	Service   time.Duration
+	// Refused is set if it was not run. RetryAfter says when to come back, if
+	// that was told.
+	Refused    bool
+	RetryAfter time.Duration
 	// Queued and Slots describe the server. Slots is 0 if they were not told.
 	Queued int
 	Slots  int
--- a/internal/query/choose/server.go
+++ b/internal/query/choose/server.go
@@ -11,6 +11,13 @@
 	newestWeight = 0.2
 	// averageWeight is the weight of one sample in the average of all servers.
 	averageWeight = 0.01
+	// minAvoid and maxAvoid bound the time for which a server is avoided after
+	// it refused or did not answer. It doubles each time in a row.
+	minAvoid = 20 * time.Millisecond
+	maxAvoid = 500 * time.Millisecond
+	// unansweredLimit is the number of abandoned sub-requests in a row after
+	// which a server is avoided.
+	unansweredLimit = 3
 )
 
 // server is what an entry knows of one server's speed and queue.
@@ -26,6 +33,10 @@
 	others    int
 	slots     int
 	updatedAt time.Time
+	// unanswered counts the sub-requests abandoned since the last answer.
+	unanswered int
+	avoidance  time.Duration
+	avoidUntil time.Time
 }
 
 func (s *server) sent(now time.Time) {
@@ -47,8 +58,13 @@
 		s.others = max(sample.Queued-s.inFlight, 0)
 		s.slots = sample.Slots
 	}
-	if sample.Completed {
+	s.unanswered = 0
+	switch {
+	case sample.Completed:
 		s.learn(sample.Service)
+		s.avoidance, s.avoidUntil = 0, time.Time{}
+	case sample.Refused:
+		s.avoid(now, sample.RetryAfter)
 	}
 }
 
@@ -61,6 +77,26 @@
 		s.learn(elapsed)
 		s.updatedAt = now
 	}
+	s.unanswered++
+	if s.unanswered >= unansweredLimit {
+		s.avoid(now, 0)
+	}
+}
+
+// avoid keeps sub-requests away for a while. Refusals that arrive meanwhile
+// belong to the same occasion and do not double the time again.
+func (s *server) avoid(now time.Time, atLeast time.Duration) {
+	if now.Before(s.avoidUntil) {
+		return
+	}
+	s.avoidance = min(max(2*s.avoidance, minAvoid), maxAvoid)
+	s.avoidUntil = now.Add(min(max(s.avoidance, atLeast), maxAvoid))
+}
+
+func (s *server) avoided(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.avoidUntil)
 }
 
 func (s *server) learn(sample time.Duration) {
--- a/internal/query/hedge/budget.go
+++ b/internal/query/hedge/budget.go
@@ -48,26 +48,32 @@
 	a.tokens = min(a.tokens+b.options.Share*float64(count), b.options.Burst)
 }
 
-func (b *budget) TakeHedge(service ident.ServiceID) bool {
+// Take spends one token. Hedges need a saved one. Retries restore coverage and
+// may borrow, so that hedges have to wait afterwards. What was not run costs
+// backend servers nothing and is never refused.
+func (b *budget) Take(service ident.ServiceID, reason Reason) bool {
 	a := b.account(service)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.tokens < 1 || a.queue >= b.options.LongQueue {
+	if !b.allows(a, reason) {
 		return false
 	}
-	a.tokens--
+	a.tokens = max(a.tokens-1, -b.options.Borrow)
 	return true
 }
 
-func (b *budget) TakeRetry(service ident.ServiceID) bool {
-	a := b.account(service)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.tokens <= -b.options.Burst {
-		return false
+func (b *budget) allows(a *account, reason Reason) bool {
+	short := a.queue < b.options.LongQueue
+	switch reason {
+	case Hedge:
+		return short && a.tokens >= 1
+	case Overdue:
+		return short && a.tokens > -b.options.Borrow
+	case Failed:
+		return a.tokens > -b.options.Borrow
+	default:
+		return true
 	}
-	a.tokens--
-	return true
 }
 
 func (b *budget) Observe(service ident.ServiceID, latency time.Duration, queued, slots int) {
--- a/internal/query/hedge/none.go
+++ b/internal/query/hedge/none.go
@@ -17,8 +17,8 @@
 
 func (none) Sent(ident.ServiceID, int) {}
 
-func (none) TakeHedge(ident.ServiceID) bool { return false }
-
-func (none) TakeRetry(ident.ServiceID) bool { return true }
+func (none) Take(_ ident.ServiceID, reason Reason) bool {
+	return reason == Failed || reason == NotRun
+}
 
 func (none) Observe(ident.ServiceID, time.Duration, int, int) {}
--- a/internal/query/hedge/policy.go
+++ b/internal/query/hedge/policy.go
@@ -10,6 +10,20 @@
 	"github.com/samphirestair/samphirestair/internal/core/kernel"
 )
 
+// Reason says why a shard needs one more sub-request.
+type Reason uint8
+
+const (
+	// Hedge means that the last one has not been answered yet.
+	Hedge Reason = iota
+	// Overdue means that the last one is probably lost.
+	Overdue
+	// Failed means that the last one failed; it may have run.
+	Failed
+	// NotRun means that the last one was certainly not run.
+	NotRun
+)
+
 // Policy bounds the extra sub-requests of a service. Implementations are safe
 // for concurrent use.
 type Policy interface {
@@ -18,11 +32,9 @@
 	Delay(service ident.ServiceID) (delay time.Duration, ok bool)
 	// Sent notes that first attempts were sent.
 	Sent(service ident.ServiceID, count int)
-	// TakeHedge spends a token on one hedge and reports whether there was one.
-	TakeHedge(service ident.ServiceID) bool
-	// TakeRetry spends a token on one retry. Retries restore coverage, so they
-	// may borrow tokens that hedges then have to wait for.
-	TakeRetry(service ident.ServiceID) bool
+	// Take reports whether one more sub-request may be sent, and counts it if
+	// so.
+	Take(service ident.ServiceID, reason Reason) bool
 	// Observe notes a completed sub-request: the time since it was sent, and
 	// the queue and slots of the server.
 	Observe(service ident.ServiceID, latency time.Duration, queued, slots int)
@@ -33,9 +45,10 @@
 	// Share is the number of extra sub-requests per first attempt. 0 means
 	// 0.05.
 	Share float64
-	// Burst is the largest number of saved tokens, and of borrowed ones. 0
-	// means 100.
+	// Burst is the largest number of saved tokens. 0 means 100.
 	Burst float64
+	// Borrow is the largest number of borrowed tokens. 0 means 400.
+	Borrow float64
 	// Quantile of the shard latency after which hedges are sent. 0 means 0.95.
 	Quantile float64
 	// LongQueue is the mean number of sub-requests per slot of the servers
@@ -53,6 +66,9 @@
 	if o.Burst == 0 {
 		o.Burst = 100
 	}
+	if o.Borrow == 0 {
+		o.Borrow = 400
+	}
 	if o.Quantile == 0 {
 		o.Quantile = 0.95
 	}
--- a/internal/query/run/answer.go
+++ b/internal/query/run/answer.go
@@ -6,6 +6,7 @@
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 	"github.com/samphirestair/samphirestair/internal/query/choose"
+	"github.com/samphirestair/samphirestair/internal/query/hedge"
 )
 
 // minRefusalBackoff is the least time for which a server that refused is not
@@ -50,11 +51,11 @@
 		q.onWrongOwner(now, index, server, answer)
 	case msgs.StatusWrongVersion:
 		s.trial(server).gone = true
-		q.again(now, index)
+		q.again(now, index, hedge.NotRun)
 	default:
 		q.mayHaveRun = true
 		s.trial(server).blockedUntil = now.Add(failureBackoff)
-		q.again(now, index)
+		q.again(now, index, hedge.Failed)
 	}
 }
 
@@ -65,7 +66,7 @@
 	if answer.Version != uint64(q.plan.Version) {
 		q.deps.Counter.Count("query_other_version")
 		s.trial(a.server).gone = true
-		q.again(now, index)
+		q.again(now, index, hedge.Failed)
 		return
 	}
 	q.observe(now, a, answer)
@@ -86,7 +87,7 @@
 	backoff := max(time.Duration(answer.RetryMicros)*time.Microsecond, minRefusalBackoff)
 	q.retryAfter = max(q.retryAfter, backoff)
 	q.shards[index].trial(server).blockedUntil = now.Add(backoff)
-	q.again(now, index)
+	q.again(now, index, hedge.NotRun)
 }
 
 // onWrongOwner sends the sub-request to the owner that the answer names. It
@@ -95,12 +96,12 @@
 	q.deps.Counter.Count("query_wrong_owner")
 	s := &q.shards[index]
 	owner, ok := q.deps.Fleet.Member(ident.VMID(answer.Owner))
-	if ok && s.state == statePending && s.sent < maxAttempts && q.deps.Hedge.TakeRetry(q.spec.Service) {
+	if ok && s.state == statePending && s.sent < maxAttempts && q.deps.Hedge.Take(q.spec.Service, hedge.NotRun) {
 		q.send(now, index, target{server: server, owner: owner})
 		return
 	}
 	s.trial(server).blockedUntil = now.Add(ownerPoll)
-	q.again(now, index)
+	q.again(now, index, hedge.NotRun)
 }
 
 // onLost handles an attempt whose query did not arrive, or may not have.
@@ -114,14 +115,19 @@
 	q.deps.Counter.Count("query_lost")
 	q.closeAttempt(a)
 	q.deps.Choose.Abandoned(now, server, now.Sub(a.sentAt))
-	q.mayHaveRun = q.mayHaveRun || sent
+	cause := hedge.NotRun
+	if sent {
+		q.mayHaveRun = true
+		cause = hedge.Failed
+	}
 	q.shards[index].trial(server).blockedUntil = now.Add(failureBackoff)
-	q.again(now, index)
+	q.again(now, index, cause)
 }
 
 // again dispatches a shard whose last open attempt has ended.
-func (q *Query) again(now time.Time, index int) {
+func (q *Query) again(now time.Time, index int, cause hedge.Reason) {
 	s := &q.shards[index]
+	s.cause = cause
 	if s.state == statePending && s.open == 0 {
 		q.dispatch(now, index)
 	}
@@ -137,10 +143,18 @@
 }
 
 func sampleOf(answer *msgs.Answer) choose.Sample {
-	return choose.Sample{
-		Completed: answer.Status == msgs.StatusOK,
-		Service:   time.Duration(answer.ServiceMicros) * time.Microsecond,
-		Queued:    int(answer.Queued),
-		Slots:     int(answer.Slots),
+	sample := choose.Sample{
+		Service: time.Duration(answer.ServiceMicros) * time.Microsecond,
+		Queued:  int(answer.Queued),
+		Slots:   int(answer.Slots),
+	}
+	switch answer.Status {
+	case msgs.StatusOK:
+		sample.Completed = true
+	case msgs.StatusNotRun, msgs.StatusWrongOwner:
+		sample.Refused = true
+		sample.RetryAfter = time.Duration(answer.RetryMicros) * time.Microsecond
+	default:
 	}
+	return sample
 }
--- a/internal/query/run/query.go
+++ b/internal/query/run/query.go
@@ -36,6 +36,7 @@
 	body     []byte
 	answered int
 
+	hedgeDelay time.Duration
 	learnUntil time.Time
 	refresh    refresh
 	restarts   int
--- a/internal/query/run/shard.go
+++ b/internal/query/run/shard.go
@@ -7,6 +7,7 @@
 	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/query/hedge"
 )
 
 const (
@@ -19,6 +20,9 @@
 	failureBackoff = 20 * time.Millisecond
 	// tokenPoll is the time between two tries to get a token for a retry.
 	tokenPoll = 20 * time.Millisecond
+	// overdueFactor is the multiple of the hedging delay after which an
+	// unanswered sub-request is probably lost.
+	overdueFactor = 3
 )
 
 // state is the progress of a shard.
@@ -39,7 +43,12 @@
 	sent    int
 	trials  []trial
 	retryAt time.Time
+	// cause is the reason of the next retry.
+	cause   hedge.Reason
 	hedgeAt time.Time
+	// overdue is set when the next hedge is for a sub-request that is
+	// probably lost.
+	overdue bool
 	// retired is set when no server holds the shard in the pinned version.
 	retired bool
 }
@@ -134,6 +143,7 @@
 // dispatchAll sends the first sub-request of each shard.
 func (q *Query) dispatchAll(now time.Time) {
 	delay, hedged := q.deps.Hedge.Delay(q.spec.Service)
+	q.hedgeDelay = delay
 	for i := range q.shards {
 		s := &q.shards[i]
 		if hedged && int(s.number) < len(q.plan.Replicas) && len(q.plan.Replicas[s.number]) > 1 {
@@ -153,7 +163,7 @@
 	switch {
 	case s.sent >= maxAttempts:
 		q.abandonShard(now, s)
-	case len(available.targets) > 0 && s.sent > 0 && !q.deps.Hedge.TakeRetry(q.spec.Service):
+	case len(available.targets) > 0 && s.sent > 0 && !q.deps.Hedge.Take(q.spec.Service, s.cause):
 		s.retryAt = now.Add(tokenPoll)
 	case len(available.targets) > 0:
 		q.send(now, index, q.pick(now, available.targets))
@@ -247,12 +257,20 @@
 	if len(available.targets) == 0 || s.sent >= maxAttempts {
 		return
 	}
-	if !q.deps.Hedge.TakeHedge(q.spec.Service) {
-		q.deps.Counter.Count("query_hedge_denied")
+	reason := hedge.Hedge
+	if s.overdue {
+		reason = hedge.Overdue
+	}
+	if q.deps.Hedge.Take(q.spec.Service, reason) {
+		q.deps.Counter.Count("query_hedged")
+		q.send(now, index, q.pick(now, available.targets))
 		return
 	}
-	q.deps.Counter.Count("query_hedged")
-	q.send(now, index, q.pick(now, available.targets))
+	q.deps.Counter.Count("query_hedge_denied")
+	if !s.overdue {
+		s.overdue = true
+		s.hedgeAt = now.Add((overdueFactor - 1) * q.hedgeDelay)
+	}
 }
 
 // ownerOf returns the VM that holds the open attempt of a shard.
