Match the home's reading of actions; add state, metrics and closing

The home finds a key's group by the document's shard numbers and the first server in the document's order, whether or not it is out, and tries several replicas itself. The entry skipped servers that were out and sent the shard of the index version, so it asked the wrong VM first.

The entry now sends the document's shard, and the version that most replicas of that shard hold, newest of equals; the pinned version of searches was ruled out, as it may lack this shard while another version has it.

The entry reports its state and request histograms, and the caller's server announces the end of connections before it closes them.

--- a/internal/front/caller/server.go
+++ b/internal/front/caller/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -68,6 +69,7 @@
 	deps    Deps
 	options Options
 	app     *fiber.App
+	closing atomic.Bool
 }
 
 // New returns a server that does not listen yet.
@@ -103,6 +105,12 @@
 	return errors.Wrap(err, "caller: serve")
 }
 
+// Close announces on each further answer that its connection ends, so that
+// callers do not send on it while Shutdown closes it.
+func (s *Server) Close() {
+	s.closing.Store(true)
+}
+
 // Shutdown stops listening and waits until all requests are answered, or
 // returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
@@ -118,10 +126,14 @@
 	s.app.Post("/v1/action/:service/:action", s.action)
 }
 
-// moveOn tells callers of a leaving VM to ask for other addresses.
+// moveOn tells callers of a leaving VM to ask for other addresses, and those of
+// a closing one to use another connection.
 func (s *Server) moveOn(c fiber.Ctx) error {
 	if leaving(s.deps.Views.Load()) {
 		c.Set(headerMoveOn, "1")
 	}
+	if s.closing.Load() {
+		c.RequestCtx().SetConnectionClose()
+	}
 	return c.Next()
 }
--- a/internal/front/caller/server_test.go
+++ b/internal/front/caller/server_test.go
@@ -66,6 +66,7 @@
 	http   *http.Client
 	views  *view.Holder
 	runner *fakeRunner
+	server *caller.Server
 }
 
 func newClient(t *testing.T) *client {
@@ -77,6 +78,7 @@
 		Now:   func() time.Time { return now },
 		NewID: func() string { return "generated" },
 	}, caller.Options{BodyLimit: 1000})
+	c.server = server
 	listener := fasthttputil.NewInmemoryListener()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
@@ -188,6 +190,21 @@
 	goldie.New(t).Assert(t, "addresses", []byte(text.String()))
 }
 
+func TestClosingServerEndsConnections(t *testing.T) {
+	c := newClient(t)
+	for _, closing := range []bool{false, true} {
+		if closing {
+			c.server.Close()
+		}
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://vm1/v1/ready", nil)
+		require.NoError(t, err)
+		answer, err := c.http.Do(request)
+		require.NoError(t, err)
+		require.NoError(t, answer.Body.Close())
+		require.Equal(t, closing, answer.Close)
+	}
+}
+
 func TestRequestReachesTheRunnerWhole(t *testing.T) {
 	c := newClient(t)
 	c.do(t, http.MethodPost, "/v1/action/desk/book", "body", "Idempotency-Key: 01890A5D-AC96-774B-BCCE-B302099A8057",
--- a/internal/query/entry/drain.go
+++ b/internal/query/entry/drain.go
@@ -19,13 +19,6 @@
 	}
 }
 
-// Active returns the number of requests in execution.
-func (e *Entry) Active() int {
-	e.active.mu.Lock()
-	defer e.active.mu.Unlock()
-	return e.active.count
-}
-
 // tracker counts requests and tells when there are none. The zero value is
 // ready.
 type tracker struct {
@@ -65,3 +58,9 @@
 	t.waiting = append(t.waiting, done)
 	return done
 }
+
+func (t *tracker) active() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.count
+}
--- a/internal/query/entry/entry.go
+++ b/internal/query/entry/entry.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
@@ -32,12 +33,14 @@
 // answer to the caller.
 const answerMargin = 2 * time.Millisecond
 
-// Deps is what an Entry depends on. Events may be nil; all else is required.
+// Deps is what an Entry depends on. Events and Metrics may be nil; all else is
+// required.
 type Deps struct {
-	Self   ident.Process
-	Views  *view.Holder
-	Mesh   mesh.Sender
-	Events *events.Recorder
+	Self    ident.Process
+	Views   *view.Holder
+	Mesh    mesh.Sender
+	Events  *events.Recorder
+	Metrics *metrics.Set
 }
 
 // Options tunes an Entry. The zero value is useful.
@@ -56,12 +59,14 @@
 // Entry runs the requests of callers. It is safe for concurrent use. It
 // implements mesh.ReplyHandler for queries whose ID has no top bit.
 type Entry struct {
-	deps    Deps
-	choose  choose.Policy
-	hedge   hedge.Policy
-	admit   admit.Policy
-	table   *snap.Table
-	pending *pending
+	deps     Deps
+	policies Policies
+	choose   choose.Policy
+	hedge    hedge.Policy
+	admit    admit.Policy
+	table    *snap.Table
+	pending  *pending
+	meters   meters
 
 	lastID   atomic.Uint64
 	mu       sync.Mutex
@@ -79,6 +84,7 @@
 		pending:  newPending(),
 		services: map[ident.ServiceID]run.Deps{},
 	}
+	e.meters.set = deps.Metrics
 	if err := e.build(options); err != nil {
 		return nil, errors.Wrap(err, "entry: policies")
 	}
@@ -86,15 +92,20 @@
 }
 
 func (e *Entry) build(options Options) error {
-	newChoose, err := choose.Policies.Lookup(nameOr(options.Choose, DefaultChoose))
+	e.policies = Policies{
+		Choose: nameOr(options.Choose, DefaultChoose),
+		Hedge:  nameOr(options.Hedge, DefaultHedge),
+		Admit:  nameOr(options.Admit, DefaultAdmit),
+	}
+	newChoose, err := choose.Policies.Lookup(e.policies.Choose)
 	if err != nil {
 		return err
 	}
-	newHedge, err := hedge.Policies.Lookup(nameOr(options.Hedge, DefaultHedge))
+	newHedge, err := hedge.Policies.Lookup(e.policies.Hedge)
 	if err != nil {
 		return err
 	}
-	newAdmit, err := admit.Policies.Lookup(nameOr(options.Admit, DefaultAdmit))
+	newAdmit, err := admit.Policies.Lookup(e.policies.Admit)
 	if err != nil {
 		return err
 	}
--- a/internal/query/entry/entry_test.go
+++ b/internal/query/entry/entry_test.go
@@ -98,7 +98,9 @@
 			require.Equal(t, "k1", string(read.Body))
 			booked := e.Action(t.Context(), entry.Request{Service: "s", Action: "book", Key: "k2"})
 			require.Equal(t, run.OutcomeDone, booked.Outcome)
-			require.Zero(t, e.Active())
+			state := e.State()
+			require.Zero(t, state.Active)
+			require.Equal(t, entry.Pinned{Version: 3, Shards: 2, Covered: 2}, state.Pinned["s"])
 		})
 	}
 }
@@ -149,7 +151,7 @@
 		results := make(chan entry.Result, 1)
 		go func() { results <- e.Search(context.Background(), entry.Request{Service: "s"}) }()
 		synctest.Wait()
-		require.Equal(t, 1, e.Active())
+		require.Equal(t, 1, e.State().Active)
 		short, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 		defer cancel()
 		require.ErrorIs(t, e.Drain(short), context.DeadlineExceeded)
--- a/internal/query/entry/request.go
+++ b/internal/query/entry/request.go
@@ -105,6 +105,7 @@
 	}
 	result := e.execute(ctx, spec)
 	end := time.Now()
+	e.meters.observe(spec.Service, spec.Kind, &result, end.Sub(now))
 	e.admit.Done(end, ask, admit.Outcome{
 		InTime:  result.Outcome == run.OutcomeFull || result.Outcome == run.OutcomeDone || end.Before(spec.Deadline),
 		Refused: result.Outcome == run.OutcomeNotRun,
--- a/internal/query/run/action.go
+++ b/internal/query/run/action.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
-	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 )
@@ -13,30 +12,35 @@
 // that did not take it.
 const maxActionSends = 8
 
+// probeEvery is the time between two questions of an action for the index
+// versions of its shard.
+const probeEvery = 100 * time.Millisecond
+
 // Action is the Machine of a non-idempotent action. It is sent to the home of
 // its key, and again only after it certainly did not reach a home or was
-// certainly not run by it. Before that it learns the index version of the
-// home's server.
+// certainly not run by it. Before that it learns the index version.
 type Action struct {
 	deps  Deps
 	spec  Spec
 	out   outbox
 	ended bool
 
-	// waiting is the message that has no answer yet.
-	waiting *inquiry
+	// waiting is the offer that has no answer yet.
+	waiting *offer
 	seq     uint32
 	sends   int
 	retryAt time.Time
+	probeAt time.Time
+	// retired is a version that the home could not use.
+	retired ident.Version
 }
 
-// inquiry is a message to the home.
-type inquiry struct {
+// offer is the action as it was sent to a home.
+type offer struct {
 	message uint64
 	seq     uint32
 	to      ident.VMID
-	// probe is set if the message only asks for index versions.
-	probe bool
+	version ident.Version
 }
 
 // NewAction returns the machine of an action.
@@ -50,21 +54,19 @@
 	return a.finishStep(now)
 }
 
-// OnReply takes the answer of the home.
+// OnReply takes the answer of the home. Answers to probes have been learned
+// from before.
 func (a *Action) OnReply(now time.Time, from ident.VMID, reply msgs.Reply) Step {
+	if a.waiting == nil {
+		a.offer(now)
+		return a.finishStep(now)
+	}
 	for i := range reply.Answers {
-		answer := &reply.Answers[i]
-		if !a.expects(from, reply.ID, answer.Seq) {
+		if !a.expects(from, reply.ID, reply.Answers[i].Seq) {
 			a.deps.Counter.Count("action_late_answer")
 			continue
 		}
-		probe := a.waiting.probe
-		a.waiting = nil
-		if probe {
-			a.onProbeAnswered(now)
-			continue
-		}
-		a.onAnswer(now, answer)
+		a.onAnswer(now, &reply.Answers[i])
 	}
 	return a.finishStep(now)
 }
@@ -75,7 +77,7 @@
 		if !a.expects(to, query.ID, item.Seq) {
 			continue
 		}
-		if sent && !a.waiting.probe {
+		if sent {
 			a.end(Result{Outcome: OutcomeUnknown, Reason: "the connection to the home was lost"})
 			continue
 		}
@@ -87,7 +89,7 @@
 
 // OnTimer offers the action again if it is due.
 func (a *Action) OnTimer(now time.Time) Step {
-	if !a.ended && !a.retryAt.IsZero() && !now.Before(a.retryAt) {
+	if !a.retryAt.IsZero() && !now.Before(a.retryAt) {
 		a.offer(now)
 	}
 	return a.finishStep(now)
@@ -111,22 +113,15 @@
 	return a.out.take()
 }
 
-// expects reports whether an answer is to the message that waits for one.
+// expects reports whether an answer is to the offer that waits for one.
 func (a *Action) expects(from ident.VMID, message uint64, seq uint32) bool {
 	w := a.waiting
-	return !a.ended && w != nil && w.message == message && w.seq == seq && w.to == from
-}
-
-// onProbeAnswered offers the action if the version is known by now.
-func (a *Action) onProbeAnswered(now time.Time) {
-	if _, holding, ok := a.deps.Catalog.Home(a.spec.Route); ok && holding.Version != 0 {
-		a.offer(now)
-		return
-	}
-	a.retryAt = now.Add(ownerPoll)
+	return w != nil && w.message == message && w.seq == seq && w.to == from
 }
 
 func (a *Action) onAnswer(now time.Time, answer *msgs.Answer) {
+	offered := a.waiting
+	a.waiting = nil
 	switch answer.Status {
 	case msgs.StatusOK:
 		a.end(Result{
@@ -139,7 +134,8 @@
 	case msgs.StatusWrongOwner:
 		a.onWrongOwner(now, ident.VMID(answer.Owner))
 	case msgs.StatusWrongVersion:
-		a.onWrongVersion(now)
+		a.retired, a.probeAt = offered.version, time.Time{}
+		a.offer(now)
 	default:
 		a.end(Result{Outcome: OutcomeUnknown, Reason: "the home could not learn the outcome"})
 	}
@@ -148,49 +144,40 @@
 // onWrongOwner offers the action to the owner that the answer names.
 func (a *Action) onWrongOwner(now time.Time, told ident.VMID) {
 	a.deps.Counter.Count("action_wrong_owner")
+	home, ok := a.deps.Catalog.Home(a.spec.Route)
 	owner, known := a.deps.Fleet.Member(told)
-	_, holding, ok := a.deps.Catalog.Home(a.spec.Route)
-	if !known || !ok || holding.Version == 0 {
+	if !ok || !known || !a.usable(home.Version) {
 		a.retryAt = now.Add(ownerPoll)
 		return
 	}
-	a.send(now, owner, holding)
-}
-
-// onWrongVersion asks for the versions of the home's server once more.
-func (a *Action) onWrongVersion(now time.Time) {
-	server, owner, _, ok := a.home()
-	if !ok || a.sends >= maxActionSends {
-		a.retryAt = now.Add(ownerPoll)
-		return
-	}
-	a.probe(now, owner, server)
+	a.send(now, owner, home)
 }
 
 // offer sends the action to the home as it is known at now, or first asks for
-// the index version of the home's server.
+// the index version of its shard.
 func (a *Action) offer(now time.Time) {
+	if a.ended {
+		return
+	}
 	a.retryAt = now.Add(ownerPoll)
-	server, owner, holding, ok := a.home()
-	switch {
-	case !ok:
-	case holding.Version == 0:
-		a.probe(now, owner, server)
-	default:
-		a.send(now, owner, holding)
+	home, ok := a.deps.Catalog.Home(a.spec.Route)
+	if !ok {
+		return
+	}
+	if !a.usable(home.Version) {
+		a.probe(now, home)
+		return
+	}
+	if owner, ok := a.deps.Fleet.Owner(home.Server); ok {
+		a.send(now, owner, home)
 	}
 }
 
-func (a *Action) home() (*svcdoc.Server, view.Member, msgs.Holding, bool) {
-	server, holding, ok := a.deps.Catalog.Home(a.spec.Route)
-	if !ok {
-		return nil, view.Member{}, holding, false
-	}
-	owner, ok := a.deps.Fleet.Owner(server.ID)
-	return server, owner, holding, ok
+func (a *Action) usable(version ident.Version) bool {
+	return version != 0 && version != a.retired
 }
 
-func (a *Action) send(now time.Time, owner view.Member, holding msgs.Holding) {
+func (a *Action) send(now time.Time, owner view.Member, home Home) {
 	if !now.Before(a.spec.Deadline) {
 		return
 	}
@@ -199,30 +186,39 @@
 		return
 	}
 	a.sends++
+	a.retryAt = time.Time{}
 	message := probeMessage(now, &a.spec)
-	message.Kind, message.Version = msgs.KindAction, holding.Version
+	message.Kind, message.Version = msgs.KindAction, uint64(home.Version)
 	message.Action, message.Key, message.Body = a.spec.Action, a.spec.Key, a.spec.Body
-	a.ask(owner, message, msgs.Item{Shard: holding.Shard}, false)
+	item := msgs.Item{Seq: a.nextSeq(), Shard: uint32(home.Shard)}
+	a.waiting = &offer{
+		message: a.out.query(owner, message, item), seq: item.Seq, to: owner.Process.VM, version: home.Version,
+	}
 }
 
-func (a *Action) probe(now time.Time, owner view.Member, server *svcdoc.Server) {
-	item := msgs.Item{Server: string(server.ID), Shard: uint32(server.Shard)}
-	a.ask(owner, probeMessage(now, &a.spec), item, true)
+// probe asks for the index versions of the replicas, at most once per
+// probeEvery.
+func (a *Action) probe(now time.Time, home Home) {
+	if now.Before(a.probeAt) {
+		return
+	}
+	a.probeAt = now.Add(probeEvery)
+	for _, server := range home.Replicas {
+		if owner, ok := a.deps.Fleet.Owner(server.ID); ok {
+			item := msgs.Item{Seq: a.nextSeq(), Server: string(server.ID), Shard: uint32(server.Shard)}
+			a.out.query(owner, probeMessage(now, &a.spec), item)
+		}
+	}
 }
 
-// ask sends a message that the action then waits for.
-func (a *Action) ask(owner view.Member, message msgs.Query, item msgs.Item, probe bool) {
-	a.retryAt = time.Time{}
-	item.Seq = a.seq
+func (a *Action) nextSeq() uint32 {
 	a.seq++
-	a.waiting = &inquiry{
-		message: a.out.query(owner, message, item), seq: item.Seq, to: owner.Process.VM, probe: probe,
-	}
+	return a.seq
 }
 
 // endOpen ends the action without an answer.
 func (a *Action) endOpen(reason string) {
-	if a.waiting != nil && !a.waiting.probe {
+	if a.waiting != nil {
 		a.end(Result{Outcome: OutcomeUnknown, Reason: reason})
 		return
 	}
--- a/internal/query/run/live.go
+++ b/internal/query/run/live.go
@@ -8,7 +8,6 @@
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
-	"github.com/samphirestair/samphirestair/internal/link/msgs"
 	"github.com/samphirestair/samphirestair/internal/query/snap"
 )
 
@@ -56,22 +55,28 @@
 }
 
 // Home implements Catalog. The home depends on the document alone, so that all
-// entries agree on it while index versions change.
-func (l *Live) Home(route string) (*svcdoc.Server, msgs.Holding, bool) {
+// entries agree on it while index versions change and servers are taken out.
+func (l *Live) Home(route string) (Home, bool) {
 	config, doc := l.document()
 	shards := doc.Shards()
 	if shards == 0 {
-		return nil, msgs.Holding{}, false
+		return Home{}, false
 	}
-	number := ident.Shard(xxhash.Sum64String(route) % uint64(shards))
+	home := Home{Shard: ident.Shard(xxhash.Sum64String(route) % uint64(shards))}
 	for i := range doc.Servers {
 		server := &doc.Servers[i]
-		if server.Shard == number && !config.ServerOut(server) {
-			holding, _ := l.table.Newest(server.ID)
-			return server, holding, true
+		if server.Shard != home.Shard {
+			continue
+		}
+		if home.Server == "" {
+			home.Server = server.ID
+		}
+		if !config.ServerOut(server) {
+			home.Replicas = append(home.Replicas, server)
 		}
 	}
-	return nil, msgs.Holding{}, false
+	home.Version = l.table.VersionFor(home.Replicas, home.Shard)
+	return home, home.Server != ""
 }
 
 // Owner implements Fleet.
--- a/internal/query/run/types.go
+++ b/internal/query/run/types.go
@@ -60,9 +60,20 @@
 	Awaiting(now time.Time) bool
 	// Servers returns all servers that may receive work.
 	Servers() []*svcdoc.Server
-	// Home returns the server whose owner records the actions of a route, and
-	// the shard that it holds, if known.
-	Home(route string) (server *svcdoc.Server, shard msgs.Holding, ok bool)
+	// Home returns where actions of a route are recorded. ok is false if the
+	// service has no servers.
+	Home(route string) (home Home, ok bool)
+}
+
+// Home is the place of a route's actions.
+type Home struct {
+	// Server is the server whose owner records the actions. It may have been
+	// taken out; the actions run at any of Replicas.
+	Server   ident.ServerID
+	Shard    ident.Shard
+	Replicas []*svcdoc.Server
+	// Version is the index version that replicas hold, or 0 if none is known.
+	Version ident.Version
 }
 
 // Fleet tells who owns servers at present.
--- a/internal/query/snap/table.go
+++ b/internal/query/snap/table.go
@@ -133,21 +133,30 @@
 	return false
 }
 
-// Newest returns the shard of the newest version that a server holds. ok is
-// false if nothing is known.
-func (t *Table) Newest(server ident.ServerID) (newest msgs.Holding, ok bool) {
+// VersionFor returns the version in which the most of the servers hold the
+// shard, the newest of equals, or 0 if none is known to hold it.
+func (t *Table) VersionFor(servers []*svcdoc.Server, shard ident.Shard) ident.Version {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.servers[server]
-	if known == nil {
-		return msgs.Holding{}, false
+	counts := map[ident.Version]int{}
+	for _, server := range servers {
+		known := t.servers[server.ID]
+		if known == nil {
+			continue
+		}
+		for _, holding := range known.maps {
+			if ident.Shard(holding.Shard) == shard {
+				counts[ident.Version(holding.Version)]++
+			}
+		}
 	}
-	for _, holding := range known.maps {
-		if holding.Version > newest.Version {
-			newest, ok = holding, true
+	var best ident.Version
+	for version, count := range counts {
+		if count > counts[best] || count == counts[best] && version > best {
+			best = version
 		}
 	}
-	return newest, ok
+	return best
 }
 
 // Holdings returns a copy of what each server told, for the state dump.
--- a/internal/query/snap/table_test.go
+++ b/internal/query/snap/table_test.go
@@ -79,3 +79,13 @@
 	require.Equal(t, ident.Version(2), plan.Version)
 	require.Equal(t, 3, plan.Shards)
 }
+
+func TestVersionForTakesWhatMostServersHold(t *testing.T) {
+	table, doc := snap.New(snap.Options{}), document()
+	servers := []*svcdoc.Server{&doc.Servers[0], &doc.Servers[2]}
+	require.Zero(t, table.VersionFor(servers, 0))
+	table.Learn("s", "s/a0", []msgs.Holding{holds(1, 0, 2), holds(2, 0, 2)})
+	require.Equal(t, ident.Version(2), table.VersionFor(servers, 0))
+	table.Learn("s", "s/b0", []msgs.Holding{holds(1, 0, 2)})
+	require.Equal(t, ident.Version(1), table.VersionFor(servers, 0))
+}
