Allocate less per sub-request at the entry

At 42,000 sub-requests a second the entry's own work decides how many messages a core carries. The profile showed slice growth and the choice's temporary slices.

Pools were ruled out for now: the messages are kept by the mesh, so their return would need counting. The slices are sized in advance or live in the request instead.

Search of 210 shards with 10 hits each, one core of a shared machine, mesh replaced by an immediate answer: 865 us and 1625 allocations before, 571 to 762 us and 243 allocations in three runs after (2.7 to 3.6 us a sub-request).

--- a/internal/query/choose/expect.go
+++ b/internal/query/choose/expect.go
@@ -13,6 +13,10 @@
 	})
 }
 
+// usualReplicas is the number of replicas up to which a choice does not
+// allocate.
+const usualReplicas = 4
+
 // expect chooses the replica with the lowest expected completion time.
 type expect struct {
 	options Options
@@ -27,7 +31,8 @@
 // otherwise, so that entries with old knowledge do not all take the same.
 // Servers that refused or did not answer lately are the last resort.
 func (e *expect) Choose(now time.Time, candidates []ident.ServerID) int {
-	usable := e.usable(now, candidates)
+	var room [usualReplicas]int
+	usable := e.usable(now, candidates, room[:0])
 	if len(usable) == 1 {
 		return usable[0]
 	}
@@ -48,19 +53,19 @@
 	return best
 }
 
-// usable returns the indexes of the servers that are not avoided, or of all if
+// usable appends the indexes of the servers that are not avoided, or of all if
 // all are.
-func (e *expect) usable(now time.Time, candidates []ident.ServerID) []int {
-	usable := make([]int, 0, len(candidates))
-	all := make([]int, len(candidates))
+func (e *expect) usable(now time.Time, candidates []ident.ServerID, usable []int) []int {
 	for i, id := range candidates {
-		all[i] = i
 		if !e.server(id).avoided(now) {
 			usable = append(usable, i)
 		}
 	}
-	if len(usable) == 0 {
-		return all
+	if len(usable) > 0 {
+		return usable
+	}
+	for i := range candidates {
+		usable = append(usable, i)
 	}
 	return usable
 }
--- a/internal/query/run/learn.go
+++ b/internal/query/run/learn.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,6 +26,9 @@
 	// maxRestarts is the number of times that a request starts again at
 	// another index version.
 	maxRestarts = 3
+	// spareAttempts is the number of shards per additional attempt to make
+	// room for.
+	spareAttempts = 10
 )
 
 // refresh is the question to all servers for their index versions after the
@@ -104,16 +108,17 @@
 	q.plan = plan
 	q.refresh = refresh{}
 	q.answered, q.body = 0, nil
-	q.shards = q.shards[:0]
 	if q.spec.Kind == msgs.KindLookup {
-		number := ident.Shard(xxhash.Sum64String(q.spec.Route) % uint64(max(plan.Shards, 1)))
-		q.shards = append(q.shards, shard{number: number})
+		number := xxhash.Sum64String(q.spec.Route) % uint64(max(plan.Shards, 1))
+		q.shards = []shard{{number: ident.Shard(number)}}
 	} else {
 		q.top = merge.New(q.spec.Limit, plan.Shards)
-		for number := range plan.Shards {
-			q.shards = append(q.shards, shard{number: ident.Shard(number)})
+		q.shards = make([]shard, plan.Shards)
+		for number := range q.shards {
+			q.shards[number].number = ident.Shard(number)
 		}
 	}
+	q.attempts = slices.Grow(q.attempts, len(q.shards)+len(q.shards)/spareAttempts)
 	q.dispatchAll(now)
 }
 
--- a/internal/query/run/outbox.go
+++ b/internal/query/run/outbox.go
@@ -12,6 +12,9 @@
 // messages of one request.
 const messageBits = 20
 
+// usualItems is the number of items to make room for in a query.
+const usualItems = 5
+
 // RequestOf returns the ID of the request that a message belongs to.
 func RequestOf(messageID uint64) uint64 {
 	return messageID >> messageBits
@@ -46,6 +49,7 @@
 		i = len(o.step.Sends)
 		o.sends[key] = i
 		template.ID = o.nextID()
+		template.Items = make([]msgs.Item, 0, usualItems)
 		o.step.Sends = append(o.step.Sends, Send{To: to, Query: template})
 	}
 	query := &o.step.Sends[i].Query
--- a/internal/query/run/query.go
+++ b/internal/query/run/query.go
@@ -32,6 +32,7 @@
 	// shards holds the shards that the request touches, all or one.
 	shards   []shard
 	attempts []attempt
+	room     room
 	top      *merge.TopK
 	body     []byte
 	answered int
--- a/internal/query/run/shard.go
+++ b/internal/query/run/shard.go
@@ -39,9 +39,11 @@
 	number ident.Shard
 	state  state
 	// open is the number of attempts without an answer.
-	open    int
-	sent    int
-	trials  []trial
+	open   int
+	sent   int
+	trials []trial
+	// room holds the first trials.
+	room    [2]trial
 	retryAt time.Time
 	// cause is the reason of the next retry.
 	cause   hedge.Reason
@@ -67,6 +69,9 @@
 			return &s.trials[i]
 		}
 	}
+	if s.trials == nil {
+		s.trials = s.room[:0]
+	}
 	s.trials = append(s.trials, trial{server: server})
 	return &s.trials[len(s.trials)-1]
 }
@@ -86,6 +91,12 @@
 	owner  view.Member
 }
 
+// room holds the targets and candidates of one choice at a time.
+type room struct {
+	fresh, again [4]target
+	candidates   [4]ident.ServerID
+}
+
 // options lists the servers for a shard. wait is the earliest time at which
 // another may become usable, or zero if none will.
 type options struct {
@@ -96,7 +107,7 @@
 // optionsFor returns the usable servers of a shard other than those of the VM
 // to avoid. Servers that were not tried yet go before all others.
 func (q *Query) optionsFor(now time.Time, s *shard, avoid ident.VMID) options {
-	var fresh, again options
+	fresh, again := options{targets: q.room.fresh[:0]}, options{targets: q.room.again[:0]}
 	if int(s.number) >= len(q.plan.Replicas) {
 		return fresh
 	}
@@ -206,9 +217,9 @@
 	if len(targets) == 1 {
 		return targets[0]
 	}
-	candidates := make([]ident.ServerID, len(targets))
+	candidates := q.room.candidates[:0]
 	for i := range targets {
-		candidates[i] = targets[i].server
+		candidates = append(candidates, targets[i].server)
 	}
 	return targets[q.deps.Choose.Choose(now, candidates)]
 }
