--- a/internal/query/run/query.go
+++ b/internal/query/run/query.go
@@ -32,10 +32,12 @@
 	// shards holds the shards that the request touches, all or one.
 	shards   []shard
 	attempts []attempt
+	room     room
 	top      *merge.TopK
 	body     []byte
 	answered int
 
+	hedgeDelay time.Duration
 	learnUntil time.Time
 	refresh    refresh
 	restarts   int
