Drive the fleet from one control goroutine

Cause: the decisions of place, lease and member need clocks, calls and a key-value service around them, and traffic needs one published view.

Ruled out: asking for each lease on its own; requests of one task to one voter go out as one heartbeat. Ruled out: each starting process writing itself; one does and then writes for all that ask it. Ruled out: keeping a learned route until something else is learned; it lapses, because a group may move on without traffic.

Change: package agent. It joins, also while the key-value service is down; heartbeats monitors and voters; takes, renews, hands over and releases groups; spreads rumors; replaces voters; refuses new work when isolated; replicates claims.

Conclusion: usable; longer runs and the cost per heartbeat are not measured yet.

--- /dev/null
+++ b/internal/fleet/agent/agent_test.go
@@ -0,0 +1,181 @@
+package agent_test
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/fleet/agent"
+	"github.com/samphirestair/samphirestair/internal/fleet/place"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+)
+
+// formed returns a fleet of 8 processes that own all groups of 10 services.
+func formed(t *testing.T) (*fleet, int) {
+	f := newFleet(t, config(10))
+	for i := range 8 {
+		f.start(i, 1)
+	}
+	groups := 20
+	took := f.eventually(func() bool { return f.agreed(groups) }, "the fleet does not form")
+	t.Logf("formed in %v with %d writes", took, f.store.writes)
+	return f, groups
+}
+
+func TestFleetForms(t *testing.T) {
+	f, _ := formed(t)
+	_, err := json.Marshal(f.nodes["vm0"].agent.State())
+	require.NoError(t, err)
+}
+
+func TestTakeoverWhileStoreIsDown(t *testing.T) {
+	f, groups := formed(t)
+	held := f.holders()
+	victim := ident.VMID("vm3")
+	f.eventually(func() bool {
+		for _, l := range f.nodes[victim].agent.State().(agent.State).Leases {
+			if l.Held && l.Carried < 3 {
+				return false
+			}
+		}
+		return true
+	}, "the carry does not reach the voters")
+	f.store.setDown(true)
+	f.kill(victim)
+	took := f.eventually(func() bool { return f.agreed(groups, victim) }, "no takeover")
+	t.Logf("taken over in %v", took)
+	for group, vm := range f.holders() {
+		if held[group] == victim {
+			require.Equal(t, "of vm3", f.nodes[vm].notes.got(group))
+		}
+	}
+}
+
+func TestPlannedLeaveHandsOver(t *testing.T) {
+	f, groups := formed(t)
+	n := f.nodes["vm5"]
+	require.NoError(t, n.agent.Leave(context.Background()))
+	require.Empty(t, n.views.Load().Holdings)
+	f.kill("vm5")
+	f.eventually(func() bool { return f.agreed(groups, "vm5") }, "no handover")
+	for _, other := range f.nodes {
+		for _, d := range other.events.History() {
+			require.NotEqual(t, "lease_lost", d.Kind)
+			require.NotEqual(t, "member_suspected", d.Kind)
+		}
+	}
+}
+
+func TestSuspicionBetweenTwoRemovesNobody(t *testing.T) {
+	f, groups := formed(t)
+	var members []view.Member
+	for _, n := range f.nodes {
+		members = append(members, n.self)
+	}
+	a := f.nodes["vm0"]
+	b := f.nodes[place.Monitors(members, "vm0")[0].Process.VM]
+	f.links.set(a.self.Control, b.self.Control, true)
+	f.links.set(b.self.Control, a.self.Control, true)
+	f.eventually(func() bool { return b.saw("member_suspected", a.self.Process.String()) }, "no suspicion")
+	f.eventually(func() bool { return a.agent.State().(agent.State).Rumors != nil }, "no refutation")
+	for _, n := range f.nodes {
+		require.Len(t, n.views.Load().Members, 8)
+		require.False(t, n.saw("member_removed", a.self.Process.String()))
+	}
+	require.Len(t, f.holders(), groups)
+}
+
+func TestIsolatedProcessRefusesAndRejoins(t *testing.T) {
+	f, groups := formed(t)
+	n := f.nodes["vm2"]
+	f.isolate("vm2", true)
+	f.eventually(func() bool { return n.views.Load().Refusal == "isolated" }, "not isolated")
+	f.eventually(func() bool {
+		_, listed := f.nodes["vm1"].views.Load().Members["vm2"]
+		return !listed && len(f.holders()) == groups
+	}, "not replaced")
+	require.Empty(t, n.views.Load().Holdings)
+	f.isolate("vm2", false)
+	f.eventually(func() bool { return f.agreed(groups) && len(f.nodes["vm1"].views.Load().Members) == 8 }, "no return")
+	require.Equal(t, n.self.Process, n.views.Load().Members["vm2"].Process)
+}
+
+func TestZoneOutOwnsNothingButStaysReachable(t *testing.T) {
+	f, groups := formed(t)
+	out := *f.config
+	out.Serial++
+	out.Revision++
+	out.ZonesOut = map[ident.Zone]ident.ChangeID{"zone1": "change"}
+	for _, n := range f.nodes {
+		n.agent.SetConfig(&out)
+	}
+	f.eventually(func() bool { return f.agreed(groups, "vm1", "vm5") }, "the zone keeps groups")
+	require.Contains(t, f.nodes["vm0"].views.Load().Members, ident.VMID("vm1"))
+}
+
+func TestNewcomerWhileStoreIsDown(t *testing.T) {
+	f, groups := formed(t)
+	f.store.setDown(true)
+	n := f.start(8, 1)
+	f.eventually(func() bool {
+		return f.agreed(groups) && len(n.views.Load().Members) == 9 && len(f.nodes["vm0"].views.Load().Members) == 9
+	}, "the newcomer takes no part")
+	f.store.setDown(false)
+	f.eventually(func() bool { return n.saw("member_joined", n.self.Process.String()) }, "not listed")
+}
+
+func TestRestartedVMIsReplacedAsVoter(t *testing.T) {
+	f, groups := formed(t)
+	f.kill("vm6")
+	n := f.start(6, 2)
+	f.eventually(func() bool {
+		for _, e := range f.nodes["vm0"].agent.State().(agent.State).Voters {
+			if len(e.Prev) > 0 || slices.Contains(e.Voters, ident.Process{VM: "vm6", Incarnation: 1}) {
+				return false
+			}
+		}
+		return f.agreed(groups)
+	}, "the old process still votes")
+	require.Contains(t, f.nodes["vm0"].views.Load().Members, n.self.Process.VM)
+}
+
+func TestManyStartAtOnce(t *testing.T) {
+	f := newFleet(t, config(20))
+	for i := range 24 {
+		f.start(i, 1)
+	}
+	took := f.eventually(func() bool { return f.agreed(40) }, "the fleet does not form")
+	t.Logf("24 processes formed in %v with %d writes", took, f.store.writes)
+	require.LessOrEqual(t, f.store.writes, 24)
+}
+
+func TestClaimsOutliveTheOwner(t *testing.T) {
+	f, groups := formed(t)
+	group, owner := ident.GroupID(""), ident.VMID("")
+	for g, vm := range f.holders() {
+		group, owner = g, vm
+		break
+	}
+	n := f.nodes[owner]
+	term := n.views.Load().Holdings[group].Term
+	ctx := context.Background()
+	require.NoError(t, n.agent.Replicate(ctx, group, term, "key", []byte("record")))
+	require.ErrorIs(t, n.agent.Replicate(ctx, group, term+1, "key", nil), agent.ErrNotOwner)
+	f.store.setDown(true)
+	f.kill(owner)
+	f.eventually(func() bool { return f.agreed(groups, owner) }, "no takeover")
+	successor := f.nodes[f.holders()[group]]
+	require.Equal(t, []byte("record"), successor.agent.Claims(group)["key"])
+	require.Zero(t, successor.agent.ClaimsSince(group))
+	for vm, other := range f.nodes {
+		if other.alive && vm != successor.self.Process.VM {
+			m, err := other.agent.Resolve(ctx, group)
+			require.NoError(t, err)
+			require.Equal(t, successor.self.Process, m.Process)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/agent/fleet_test.go
@@ -0,0 +1,385 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
+	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/fleet/agent"
+	"github.com/samphirestair/samphirestair/internal/fleet/ctrl"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+	"github.com/samphirestair/samphirestair/internal/plat/store"
+	"github.com/samphirestair/samphirestair/internal/plat/vmlist"
+)
+
+const patience = 30 * time.Second
+
+// memory is a key-value service in memory.
+type memory struct {
+	mu      sync.Mutex
+	entries map[string]store.Entry
+	changed chan struct{}
+	down    bool
+	writes  int
+}
+
+func newMemory() *memory {
+	return &memory{entries: map[string]store.Entry{}, changed: make(chan struct{})}
+}
+
+func (m *memory) setDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+	m.notifyLocked()
+}
+
+func (m *memory) notifyLocked() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *memory) Get(_ context.Context, key string) (store.Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return store.Entry{}, store.ErrUnavailable
+	}
+	return m.entries[key], nil
+}
+
+func (m *memory) Swap(_ context.Context, key string, expect ident.Revision, value []byte) (ident.Revision, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return 0, store.ErrUnavailable
+	}
+	if m.entries[key].Revision != expect {
+		return 0, store.ErrConflict
+	}
+	m.writes++
+	m.entries[key] = store.Entry{Value: value, Revision: expect + 1}
+	m.notifyLocked()
+	return expect + 1, nil
+}
+
+func (m *memory) Watch(ctx context.Context, key string, after ident.Revision) (store.Entry, error) {
+	for {
+		m.mu.Lock()
+		entry, changed, down := m.entries[key], m.changed, m.down
+		m.mu.Unlock()
+		if down {
+			return store.Entry{}, store.ErrUnavailable
+		}
+		if entry.Revision > after {
+			return entry, nil
+		}
+		select {
+		case <-changed:
+		case <-time.After(time.Second):
+			return store.Entry{}, store.ErrUnchanged
+		case <-ctx.Done():
+			return store.Entry{}, store.ErrUnavailable
+		}
+	}
+}
+
+// access is one process's way to the key-value service.
+type access struct {
+	*memory
+	cut atomic.Bool
+}
+
+func (s *access) Get(ctx context.Context, key string) (store.Entry, error) {
+	if s.cut.Load() {
+		return store.Entry{}, store.ErrUnavailable
+	}
+	return s.memory.Get(ctx, key)
+}
+
+func (s *access) Swap(ctx context.Context, key string, expect ident.Revision, value []byte) (ident.Revision, error) {
+	if s.cut.Load() {
+		return 0, store.ErrUnavailable
+	}
+	return s.memory.Swap(ctx, key, expect, value)
+}
+
+func (s *access) Watch(ctx context.Context, key string, after ident.Revision) (store.Entry, error) {
+	entry, err := s.memory.Watch(ctx, key, after)
+	if s.cut.Load() {
+		return store.Entry{}, store.ErrUnavailable
+	}
+	return entry, err
+}
+
+// platform is the list of VMs.
+type platform struct {
+	mu  sync.Mutex
+	vms map[ident.VMID]vmlist.VM
+}
+
+func (p *platform) VMs(context.Context) ([]vmlist.VM, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []vmlist.VM
+	for _, vm := range p.vms {
+		list = append(list, vm)
+	}
+	return list, nil
+}
+
+// links cuts links between processes, one way each.
+type links struct {
+	mu  sync.Mutex
+	cut map[[2]string]bool
+}
+
+func (l *links) set(from, to string, cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut[[2]string{from, to}] = cut
+}
+
+// from is the filter of one process.
+type from struct {
+	links *links
+	addr  string
+}
+
+func (f from) Allowed(to string) bool {
+	f.links.mu.Lock()
+	defer f.links.mu.Unlock()
+	return !f.links.cut[[2]string{f.addr, to}]
+}
+
+// notes is a CarryKeeper that remembers one note per group.
+type notes struct {
+	mu       sync.Mutex
+	note     string
+	imported map[ident.GroupID]string
+}
+
+func (n *notes) Export(ident.GroupID) []byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return []byte(n.note)
+}
+
+func (n *notes) Import(group ident.GroupID, carry []byte, _ time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.imported[group] = string(carry)
+}
+
+func (n *notes) got(group ident.GroupID) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.imported[group]
+}
+
+// node is one process of the fleet under test.
+type node struct {
+	agent  *agent.Agent
+	views  *view.Holder
+	events *events.Recorder
+	notes  *notes
+	store  *access
+	self   view.Member
+	set    *metrics.Set
+	cancel context.CancelFunc
+	done   conc.WaitGroup
+	alive  bool
+}
+
+// fleet is a number of processes with a platform of their own.
+type fleet struct {
+	t      *testing.T
+	store  *memory
+	list   *platform
+	links  *links
+	config *view.Config
+	nodes  map[ident.VMID]*node
+}
+
+func newFleet(t *testing.T, config *view.Config) *fleet {
+	f := &fleet{
+		t:      t,
+		store:  newMemory(),
+		list:   &platform{vms: map[ident.VMID]vmlist.VM{}},
+		links:  &links{cut: map[[2]string]bool{}},
+		config: config,
+		nodes:  map[ident.VMID]*node{},
+	}
+	t.Cleanup(func() {
+		for _, n := range f.nodes {
+			n.cancel()
+		}
+		for _, n := range f.nodes {
+			n.done.Wait()
+		}
+	})
+	return f
+}
+
+func (f *fleet) start(i, incarnation int) *node {
+	l, err := ctrl.Listen("127.0.0.1:0")
+	require.NoError(f.t, err)
+	addr := l.Addr().String()
+	vm := ident.VMID(fmt.Sprint("vm", i))
+	self := view.Member{
+		Process: ident.Process{VM: vm, Incarnation: ident.Incarnation(incarnation)},
+		Zone:    ident.Zone(fmt.Sprint("zone", i%4)),
+		Caller:  addr,
+		Peer:    addr,
+		Control: addr,
+	}
+	logs := io.Discard
+	if os.Getenv("FLEET_LOGS") != "" {
+		logs = os.Stderr
+	}
+	logger := slog.New(slog.NewTextHandler(logs, nil)).With("self", vm)
+	filter := from{f.links, addr}
+	n := &node{self: self, store: &access{memory: f.store}, views: &view.Holder{}, set: metrics.NewSet(), alive: true}
+	n.events = events.New(logger, n.set)
+	n.notes = &notes{note: "of " + string(vm), imported: map[ident.GroupID]string{}}
+	server := ctrl.NewServer(ctrl.ServerOptions{Metrics: n.set, Filter: filter})
+	client := ctrl.NewClient(ctrl.ClientOptions{Metrics: n.set, Filter: filter, Self: addr})
+	n.agent = agent.New(agent.Deps{
+		Self: self, Store: n.store, VMs: f.list, Server: server, Client: client,
+		Views: n.views, Events: n.events, Logger: logger, Carry: n.notes,
+	}, agent.Options{JoinJitter: 300 * time.Millisecond, ListEvery: 500 * time.Millisecond})
+	n.agent.SetConfig(f.config)
+	f.list.mu.Lock()
+	f.list.vms[vm] = vmlist.VM{ID: vm, Zone: self.Zone, IP: addr, State: vmlist.Live}
+	f.list.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = func() { cancel(); client.Close() }
+	n.done.Go(func() { _ = server.Serve(ctx, l) })
+	n.done.Go(func() { n.agent.Run(ctx) })
+	f.nodes[vm] = n
+	return n
+}
+
+// isolate cuts a process off from all others and from the key-value service, or
+// connects it again.
+func (f *fleet) isolate(vm ident.VMID, cut bool) {
+	n := f.nodes[vm]
+	n.store.cut.Store(cut)
+	for _, other := range f.nodes {
+		f.links.set(n.self.Control, other.self.Control, cut)
+		f.links.set(other.self.Control, n.self.Control, cut)
+	}
+}
+
+// saw reports whether the process recorded a decision.
+func (n *node) saw(kind, subject string) bool {
+	return slices.ContainsFunc(n.events.History(), func(d events.Decision) bool {
+		return d.Kind == kind && d.Subject == subject
+	})
+}
+
+// kill stops a process without notice.
+func (f *fleet) kill(vm ident.VMID) {
+	n := f.nodes[vm]
+	n.alive = false
+	n.cancel()
+	n.done.Wait()
+}
+
+// holders returns who holds each group, and fails the test if two do.
+func (f *fleet) holders() map[ident.GroupID]ident.VMID {
+	held := map[ident.GroupID]ident.VMID{}
+	now := time.Now()
+	for vm, n := range f.nodes {
+		if !n.alive {
+			continue
+		}
+		for group, h := range n.views.Load().Holdings {
+			if !h.Valid(now) {
+				continue
+			}
+			require.NotContains(f.t, held, group, "held by %s and %s", held[group], vm)
+			held[group] = vm
+		}
+	}
+	return held
+}
+
+// agreed reports whether all groups are held and all live views route to their
+// holders, and none are held by excluded VMs.
+func (f *fleet) agreed(groups int, excluded ...ident.VMID) bool {
+	held := f.holders()
+	if len(held) != groups {
+		return false
+	}
+	for _, vm := range held {
+		for _, x := range excluded {
+			if vm == x {
+				return false
+			}
+		}
+	}
+	for _, n := range f.nodes {
+		v := n.views.Load()
+		if n.alive && (!v.Admitting || !maps.Equal(v.Owners, held)) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) eventually(condition func() bool, message string) time.Duration {
+	started := time.Now()
+	for !condition() {
+		if time.Since(started) > patience {
+			f.report()
+			require.Fail(f.t, message)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+// report logs the holders and each live process that routes elsewhere.
+func (f *fleet) report() {
+	held := f.holders()
+	f.t.Logf("holders: %v", held)
+	for vm, n := range f.nodes {
+		v := n.views.Load()
+		if n.alive && (!v.Admitting || !maps.Equal(v.Owners, held)) {
+			f.t.Logf("%s: %d members, refusal %q, owners %v", vm, len(v.Members), v.Refusal, v.Owners)
+		}
+	}
+}
+
+// config has services of two servers each, one group per server.
+func config(services int) *view.Config {
+	c := &view.Config{Revision: 1, Serial: 1, Services: map[ident.ServiceID]*svcdoc.Document{}}
+	for s := range services {
+		id := ident.ServiceID(fmt.Sprint("service", s))
+		doc := &svcdoc.Document{Service: id}
+		for i := range 2 {
+			doc.Servers = append(doc.Servers, svcdoc.Server{
+				ID:   ident.ServerID(fmt.Sprintf("%s/%d", id, i)),
+				Zone: ident.Zone(fmt.Sprint("zone", (s+i)%4)),
+			})
+		}
+		c.Services[id] = doc
+	}
+	return c
+}
--- /dev/null
+++ b/internal/fleet/agent/handover.go
@@ -0,0 +1,93 @@
+package agent
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+)
+
+// handOver moves groups to VMs that the plan prefers by now.
+func (a *Agent) handOver(now time.Time) {
+	budget := a.options.HandoverPace
+	for group, t := range a.tenures {
+		if t.holding == nil || t.offering {
+			continue
+		}
+		successor, ok := a.successor(group, now)
+		if !ok {
+			continue
+		}
+		if budget--; budget < 0 {
+			return
+		}
+		a.offer(group, t, successor)
+	}
+}
+
+// successor returns the VM that should take a held group, once it has been
+// preferred for long enough.
+func (a *Agent) successor(group ident.GroupID, now time.Time) (view.Member, bool) {
+	vm, ok := a.roster.plan[group]
+	if !ok || vm == a.self.Process.VM {
+		delete(a.roster.planned, group)
+		return view.Member{}, false
+	}
+	since, noted := a.roster.planned[group]
+	if !noted {
+		a.roster.planned[group] = now
+		since = now
+	}
+	if now.Sub(since) < a.options.HandoverDelay && !a.leaving {
+		return view.Member{}, false
+	}
+	m, alive := a.roster.byVM[vm]
+	return m, alive
+}
+
+// offer asks the successor whether it is ready, then releases the lease.
+func (a *Agent) offer(group ident.GroupID, t *tenure, to view.Member) {
+	t.offering = true
+	call(a, to.Control, methodOffer, offer{Group: group}, func(r offerReply, err error) {
+		t.offering = false
+		if err != nil || !r.Ready || t.holding == nil || a.tenures[group] != t {
+			return
+		}
+		a.release(group, t, to)
+	})
+}
+
+// release stops work on a group and passes it to the successor. Traffic sees
+// the new view before the voters are told.
+func (a *Agent) release(group ident.GroupID, t *tenure, to view.Member) {
+	t.holding = nil
+	t.retry = time.Now().Add(a.options.HandoverDelay)
+	a.setRoute(group, to.Process.VM, learnedRoute)
+	a.publish(time.Now())
+	if a.deps.Carry != nil {
+		t.holder.SetCarry(a.deps.Carry.Export(group))
+	}
+	a.sendRelease(t)
+	a.record("lease_handed_over", string(group), "another VM is preferred", slog.String("to", string(to.Process.VM)))
+	call(a, to.Control, methodOffer, offer{Group: group, Released: true}, func(offerReply, error) {})
+}
+
+// handleOffer answers an owner that wants to hand a group over.
+func (a *Agent) handleOffer(o offer) offerReply {
+	now := time.Now()
+	_, known := a.value.Groups[o.Group]
+	ready := known && a.joined && !a.leaving && !a.isolated && a.roster.plan[o.Group] == a.self.Process.VM
+	if !ready || !o.Released {
+		return offerReply{Ready: ready}
+	}
+	t := a.tenure(o.Group, now)
+	t.retry = time.Time{}
+	if !t.holder.Active() {
+		a.attempt(o.Group, "handed over", now)
+		return offerReply{Ready: true}
+	}
+	t.why = "handed over"
+	a.ask(o.Group, t, now)
+	return offerReply{Ready: true}
+}
--- a/internal/fleet/lease/holder.go
+++ b/internal/fleet/lease/holder.go
@@ -44,6 +44,8 @@
 	grants   map[ident.Process]time.Time
 	legacies map[ident.Process]*Legacy
 	rival    Rival
+	// overtaken is set when a voter has granted the present term to another.
+	overtaken bool
 	// floor is the end of the lease under earlier electorates.
 	floor time.Time
 
@@ -141,6 +143,12 @@
 	return h.term
 }
 
+// Overtaken reports whether a voter refused the present term as too low. Start
+// begins a higher one.
+func (h *Holder) Overtaken() bool {
+	return h.overtaken
+}
+
 // Rival returns the last process that a voter reported as holder.
 func (h *Holder) Rival() Rival {
 	return h.rival
@@ -163,6 +171,17 @@
 	h.carrySeq++
 }
 
+// Carried returns the number of voters that keep the present carry.
+func (h *Holder) Carried() int {
+	count := 0
+	for _, seq := range h.carried {
+		if seq == h.carrySeq {
+			count++
+		}
+	}
+	return count
+}
+
 // Request returns what to ask of a peer now. Before the call the sender notes
 // the time, which Handle takes.
 func (h *Holder) Request(to ident.Process) Request {
@@ -217,6 +236,7 @@
 func (h *Holder) Handle(from ident.Process, r Request, a Answer, sent, now time.Time) {
 	h.maxTerm = max(h.maxTerm, a.Term)
 	h.see(from, a, now)
+	h.overtaken = h.overtaken || a.Refusal == OldTerm && r.Term == h.term
 	if a.Refusal == Held && a.Holder != h.self {
 		h.rival = Rival{Process: a.Holder, Until: now.Add(a.Remaining)}
 	}
@@ -308,6 +328,7 @@
 	h.legacies = map[ident.Process]*Legacy{}
 	h.carried = map[ident.Process]uint64{}
 	h.rival = Rival{}
+	h.overtaken = false
 	h.floor = time.Time{}
 }
 
--- a/internal/fleet/member/detector.go
+++ b/internal/fleet/member/detector.go
@@ -12,6 +12,8 @@
 	defaultSuspectAfter = 1100 * time.Millisecond
 	defaultPause        = 400 * time.Millisecond
 	reprobeAfter        = 500 * time.Millisecond
+	maxReprobe          = 30 * time.Second
+	maxBackoffSteps     = 8
 )
 
 // DetectorOptions sets when a monitor becomes suspicious.
@@ -35,7 +37,8 @@
 	member  view.Member
 	heard   time.Time
 	probing bool
-	failed  bool
+	// failures counts the probes that failed in a row.
+	failures int
 }
 
 // NewDetector returns a detector that watches nobody.
@@ -62,7 +65,7 @@
 // Heard notes a sign of life of a process.
 func (d *Detector) Heard(p ident.Process, now time.Time) {
 	if w, ok := d.watched[p]; ok {
-		w.heard, w.failed = now, false
+		w.heard, w.failures = now, 0
 	}
 }
 
@@ -94,11 +97,12 @@
 	}
 	w.probing = false
 	if alive {
-		w.heard, w.failed = now, false
+		w.heard, w.failures = now, 0
 		return false
 	}
 	silent := now.Sub(w.heard) >= d.options.SuspectAfter
-	w.heard = now.Add(reprobeAfter - d.options.SuspectAfter)
-	w.failed = silent
+	wait := min(reprobeAfter<<min(w.failures, maxBackoffSteps), maxReprobe)
+	w.heard = now.Add(wait - d.options.SuspectAfter)
+	w.failures++
 	return silent
 }
