Show earlier documents and complete names in the shell

Cause: going back to an earlier document needed the file; names had to be typed. Ruled out: a command that reverts a change; an earlier document applied again is an ordinary change that other operators can see and object to.

--- a/internal/conf/change/changer.go
+++ b/internal/conf/change/changer.go
@@ -14,6 +14,7 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/index"
+	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/plat/store"
 )
 
@@ -109,6 +110,13 @@
 	return entry, ix, err
 }
 
+// Documents returns the documents that an index names, in the order of their
+// services. Absent and unusable ones are left out. It fails with
+// store.ErrUnavailable.
+func (c *Changer) Documents(ctx context.Context, ix *index.Index) ([]*svcdoc.Document, error) {
+	return newCatalog(c.store).load(ctx, ix)
+}
+
 // pause waits before the next attempt and reports whether there may be one.
 func (c *Changer) pause(ctx context.Context) bool {
 	timer := time.NewTimer(c.options.Backoff/2 + rand.N(c.options.Backoff))
--- a/internal/ops/cli/changes.go
+++ b/internal/ops/cli/changes.go
@@ -78,13 +78,24 @@
 	example string
 	out     change.Kind
 	in      change.Kind
+	// inService and outOfService list the names for completion.
+	inService, outOfService names
 }
 
 func (c *CLI) outInCommands() []*cobra.Command {
 	pairs := []outIn{
-		{word: "zone", long: "availability zone", subject: "ZONE", example: "espoo", out: change.ZoneOut, in: change.ZoneIn},
-		{word: "vm", long: "VM", subject: "VM", example: "vm-3", out: change.VMOut, in: change.VMIn},
-		{word: "server", long: "backend server", subject: "SERVICE/SERVER", example: "agent-desk/a0", out: change.ServerOut, in: change.ServerIn},
+		{
+			word: "zone", long: "availability zone", subject: "ZONE", example: "espoo",
+			out: change.ZoneOut, in: change.ZoneIn, inService: zonesInService, outOfService: zonesOut,
+		},
+		{
+			word: "vm", long: "VM", subject: "VM", example: "vm-3",
+			out: change.VMOut, in: change.VMIn, inService: noNames, outOfService: vmsOut,
+		},
+		{
+			word: "server", long: "backend server", subject: "SERVICE/SERVER", example: "agent-desk/a0",
+			out: change.ServerOut, in: change.ServerIn, inService: serversInService, outOfService: serversOut,
+		},
 	}
 	commands := make([]*cobra.Command, len(pairs))
 	for i, pair := range pairs {
@@ -103,19 +114,21 @@
 		},
 	}
 	parent.AddCommand(
-		c.subjectCommand(pair, "out", "Take a "+pair.long+" out of service", pair.out),
-		c.subjectCommand(pair, "in", "Bring a "+pair.long+" back into service", pair.in),
+		c.subjectCommand(pair, "out", "Take a "+pair.long+" out of service", pair.out, pair.inService),
+		c.subjectCommand(pair, "in", "Bring a "+pair.long+" back into service", pair.in, pair.outOfService),
 	)
 	return parent
 }
 
-func (c *CLI) subjectCommand(pair outIn, verb, short string, kind change.Kind) *cobra.Command {
+func (c *CLI) subjectCommand(pair outIn, verb, short string, kind change.Kind, list names) *cobra.Command {
 	flags := &changeFlags{}
 	command := &cobra.Command{
 		Use:     verb + " " + pair.subject,
 		Short:   short,
 		Example: strings.Join([]string{"  samphirestair", pair.word, verb, pair.example}, " "),
 		Args:    cobra.ExactArgs(1),
+
+		ValidArgsFunction: c.complete(list),
 	}
 	flags.register(command)
 	command.RunE = c.bounded(func(ctx context.Context, args []string) error {
--- a/internal/ops/cli/cli_test.go
+++ b/internal/ops/cli/cli_test.go
@@ -69,7 +69,7 @@
 func (s *session) run(line string) {
 	s.t.Helper()
 	var out, errs strings.Builder
-	code := cli.New(s.deps).Run(s.t.Context(), strings.Fields(line), &out, &errs)
+	code := cli.New(s.deps).Run(s.t.Context(), strings.Split(line, " "), &out, &errs)
 	fmt.Fprintf(&s.text, "$ samphirestair %s\n%s", line, out.String())
 	for _, text := range strings.Split(strings.TrimSuffix(errs.String(), "\n"), "\n") {
 		if text != "" {
@@ -114,6 +114,8 @@
 		"apply testdata/desk.ini --by aino --expect 1",
 		"show agent-desk",
 		"show order-track",
+		"show agent-desk --change change-1",
+		"show agent-desk --change change-2",
 		"history agent-desk",
 		"history --json --limit 1",
 	)
@@ -132,6 +134,12 @@
 		"vm out vm-9 --by veikko",
 		"vm in vm-9 --by veikko",
 		"show",
+		"__complete zone out ",
+		"__complete zone in ",
+		"__complete server out agent",
+		"__complete server in ",
+		"__complete vm in ",
+		"__complete show ",
 		"zone in espoo --by aino",
 		"zone in lahti --by aino",
 		"server in agent-desk/a0 --by aino --json",
--- a/internal/ops/cli/show.go
+++ b/internal/ops/cli/show.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -22,35 +23,63 @@
 const diffContext = 3
 
 func (c *CLI) showCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:     "show [SERVICE]",
-		Short:   "Show the document in force, or an overview",
-		Long:    "Show the document of a service that is in force. Without a service, list the services and what is out of service.",
-		Example: "  samphirestair show\n  samphirestair show agent-desk > agent-desk.ini",
-		Args:    cobra.MaximumNArgs(1),
-		RunE: c.bounded(func(ctx context.Context, args []string) error {
-			if len(args) == 0 {
-				return c.showOverview(ctx)
-			}
-			return c.showDocument(ctx, ident.ServiceID(args[0]))
-		}),
-	}
+	var id string
+	command := &cobra.Command{
+		Use:   "show [SERVICE]",
+		Short: "Show the document in force, or an overview",
+		Long: `Show the document of a service that is in force, or the one that an earlier
+change put in force. Without a service, list the services and what is out of
+service.`,
+		Example: `  samphirestair show
+  samphirestair show agent-desk > agent-desk.ini
+  samphirestair show agent-desk --change 0197c3c0-6a5e-7d31-9a53-0f6f4f1e8c11`,
+		Args:              cobra.MaximumNArgs(1),
+		ValidArgsFunction: c.complete(services),
+	}
+	command.Flags().StringVar(&id, "change", "", "`ID` of the change that put the document in force")
+	command.RunE = c.bounded(func(ctx context.Context, args []string) error {
+		if len(args) == 0 {
+			return c.showOverview(ctx)
+		}
+		return c.showDocument(ctx, ident.ServiceID(args[0]), ident.ChangeID(id))
+	})
+	return command
 }
 
-func (c *CLI) showDocument(ctx context.Context, service ident.ServiceID) error {
-	ix, text, err := c.documentInForce(ctx, service)
+// showDocument shows the document of the given change, or the one in force if
+// the id is empty.
+func (c *CLI) showDocument(ctx context.Context, service ident.ServiceID, id ident.ChangeID) error {
+	changer, s, err := c.changer()
 	if err != nil {
 		return err
 	}
-	id, ok := ix.Documents[service]
-	if !ok {
+	_, ix, err := changer.Read(ctx)
+	if err != nil {
+		return err
+	}
+	current := ix.Documents[service]
+	id = cmp.Or(id, current)
+	if id == "" {
 		return fail(ExitRefused, "cli: no document of service %s is in force", service)
 	}
-	c.printf("# in force at serial %d by change %s%s\n", ix.Serial, id, origin(ix, id))
-	c.printf("%s", text)
+	entry, err := s.Get(ctx, index.DocumentKey(service, id))
+	if err != nil {
+		return err
+	}
+	if entry.Revision == 0 {
+		return fail(ExitRefused, "cli: change %s holds no document of service %s", id, service)
+	}
+	c.printf("# %s at serial %d: change %s%s\n%s", standing(id, current), ix.Serial, id, origin(ix, id), entry.Value)
 	return nil
 }
 
+func standing(id, current ident.ChangeID) string {
+	if id == current {
+		return "in force"
+	}
+	return "not in force"
+}
+
 // documentInForce returns the index and the text of a document, which is empty
 // if none is in force.
 func (c *CLI) documentInForce(ctx context.Context, service ident.ServiceID) (*index.Index, string, error) {
@@ -157,6 +186,8 @@
 		Short:   "List accepted changes, the latest last",
 		Example: "  samphirestair history\n  samphirestair history agent-desk --limit 5",
 		Args:    cobra.MaximumNArgs(1),
+
+		ValidArgsFunction: c.complete(services),
 	}
 	command.Flags().IntVar(&limit, "limit", 20, "number of changes to list, 0 for all that are remembered")
 	command.RunE = c.bounded(func(ctx context.Context, args []string) error {
