--- a/internal/front/caller/server.go
+++ b/internal/front/caller/server.go
@@ -105,9 +105,8 @@
 	return errors.Wrap(err, "caller: serve")
 }
 
-// Close makes each answer from now on the last one of its connection. It is
-// called before Shutdown, so that callers do not send to a connection that is
-// about to end.
+// Close announces on each further answer that its connection ends, so that
+// callers do not send on it while Shutdown closes it.
 func (s *Server) Close() {
 	s.closing.Store(true)
 }
@@ -127,13 +126,14 @@
 	s.app.Post("/v1/action/:service/:action", s.action)
 }
 
-// moveOn tells callers of a leaving VM to ask for other addresses.
+// moveOn tells callers of a leaving VM to ask for other addresses, and those of
+// a closing one to use another connection.
 func (s *Server) moveOn(c fiber.Ctx) error {
 	if leaving(s.deps.Views.Load()) {
 		c.Set(headerMoveOn, "1")
 	}
 	if s.closing.Load() {
-		c.Set(fiber.HeaderConnection, "close")
+		c.RequestCtx().SetConnectionClose()
 	}
 	return c.Next()
 }
