--- a/internal/conf/spread/backoff.go
+++ b/internal/conf/spread/backoff.go
@@ -7,7 +7,7 @@
 )
 
 // maxDoublings bounds the growth of waits after failures.
-const maxDoublings = 3
+const maxDoublings = 2
 
 // backoff counts failures in a row. Waits double with each of them, up to a
 // bound. The zero value has seen none.
--- a/internal/conf/spread/spreader.go
+++ b/internal/conf/spread/spreader.go
@@ -53,7 +53,7 @@
 	// 2 s.
 	CallBound time.Duration
 	// Backoff is the mean time after a failed call. It doubles with further
-	// failures, up to eight times. 0 means 400 ms.
+	// failures, up to four times. 0 means 400 ms.
 	Backoff time.Duration
 	// PeerDelay is the mean time between a notice and the question to the peer,
 	// in which the key-value service usually answers. 0 means 300 ms.
