Inject schedules of faults into a running fleet

The schedule of faults existed, but nothing carried it out, and scripts/demo called a command for keys that did not exist.

Zones and backend servers stay out for at least 5 s, so that the checkers have something to check.

samphirelab chaos runs it together with the observation of the configuration; samphirelab key prints a key. No fleet was run yet.

--- a/cmd/samphirelab/root.go
+++ b/cmd/samphirelab/root.go
@@ -15,6 +15,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newKV(), newVMs(), newServers(), newLoad(), newWatch(), newAudit())
+	root.AddCommand(newKV(), newVMs(), newServers(), newLoad(), newWatch(), newAudit(), newChaos(), newKey())
 	return root
 }
--- a/internal/lab/chaos/plan.go
+++ b/internal/lab/chaos/plan.go
@@ -3,6 +3,7 @@
 package chaos
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -70,6 +71,9 @@
 	// lastMin and lastSpread bound how long a fault lasts.
 	lastMin    = 500 * time.Millisecond
 	lastSpread = 5 * time.Second
+	// outMin is the least time that operators leave something out of service,
+	// above the time within which that must be in force.
+	outMin = 5 * time.Second
 	// pairShare is the share of draws that inject two faults at once.
 	pairShare = 0.3
 )
@@ -83,7 +87,8 @@
 }
 
 // Step is one fault of a schedule. Target names a VM, a backend server, a zone
-// or a service; Other is the second VM of a cut.
+// or a service; Other is the second VM of a cut. A cut of a VM from itself cuts
+// it from all others.
 type Step struct {
 	At     time.Duration
 	For    time.Duration
@@ -92,6 +97,19 @@
 	Other  string
 }
 
+// String returns the step as one line.
+func (s Step) String() string {
+	text := fmt.Sprintf("%8s %-13s for %-8s %s", round(s.At), s.Fault, round(s.For), s.Target)
+	if s.Other != "" {
+		text += " " + s.Other
+	}
+	return text
+}
+
+func round(d time.Duration) time.Duration {
+	return d.Round(time.Millisecond)
+}
+
 // Plan draws the steps of a run of the given length. The same arguments give
 // the same plan.
 func Plan(seed uint64, length time.Duration, kinds []Fault, targets Targets) []Step {
@@ -120,7 +138,11 @@
 }
 
 func (p *planner) step(at, most time.Duration, fault Fault) Step {
-	step := Step{At: at, For: min(p.between(lastMin, lastSpread), most), Fault: fault}
+	step := Step{At: at, For: p.between(lastMin, lastSpread), Fault: fault}
+	if fault == ZoneOut || fault == ServerOut {
+		step.For += outMin
+	}
+	step.For = min(step.For, most)
 	switch fault {
 	case KillVM, FreezeVM, StopVM:
 		step.Target = string(pick(p.random, p.targets.VMs))
