--- a/internal/ops/cli/fleet.go
+++ b/internal/ops/cli/fleet.go
@@ -9,96 +9,128 @@
 	"github.com/spf13/cobra"
 
 	"github.com/samphirestair/samphirestair/internal/ops/fetch"
-	"github.com/samphirestair/samphirestair/internal/ops/table"
 )
 
-// waitStep is the time between two looks at the fleet while waiting.
-const waitStep = 100 * time.Millisecond
-
-// fleetSummary is the part of a VM's answer about the fleet that is printed and
-// waited for.
-type fleetSummary struct {
-	Serial  uint64            `json:"serial"`
-	InForce int               `json:"in_force"`
-	VMs     int               `json:"vms"`
-	Groups  int               `json:"groups"`
-	Owned   int               `json:"owned"`
-	Silent  []string          `json:"silent"`
-	Zones   map[string]string `json:"zones_out"`
-	Out     map[string]string `json:"vms_out"`
-	Servers map[string]string `json:"servers_out"`
-}
+const (
+	// askBound is the longest time that one VM is waited for before the next
+	// one is asked.
+	askBound = 4 * time.Second
+	// waitInterval is the time between looks at the fleet while waiting.
+	waitInterval = 200 * time.Millisecond
+)
 
-// settled reports whether the newest configuration is in force on every VM and
-// every group of backend servers has one owner.
-func (f fleetSummary) settled() bool {
-	return f.VMs > 0 && f.InForce == f.VMs && f.Owned == f.Groups
+// fleetFlags are the flags of fleet.
+type fleetFlags struct {
+	targetFlags
+	wait bool
 }
 
 func (c *CLI) fleetCommand() *cobra.Command {
-	port := 0
-	wait := false
+	flags := &fleetFlags{}
 	command := &cobra.Command{
 		Use:   "fleet [VM|ADDR]",
-		Short: "Show where the configuration is in force and which groups have owners",
-		Long: `Ask one VM, or the first of the VM list that answers, to collect the status of the
-whole fleet. With --wait, wait until the newest configuration is in force on every
-VM and every group of backend servers has an owner.`,
-		Example: "  samphirestair fleet\n  samphirestair fleet 10.0.0.7:7003 --wait",
+		Short: "Show the whole fleet as one VM sees it",
+		Long: `Show the whole fleet as one VM sees it: which serial is in force on how many
+VMs, what is out of service, each VM, and the latest decisions. Without a VM, the
+first one that answers is asked.
+
+With --wait, the command ends once the latest configuration is in force on every
+VM and each group of backend servers has an owner, and with exit code 1 if that is
+not so within --timeout.`,
+		Example: "  samphirestair fleet\n  samphirestair fleet 10.0.0.7:7003 --wait --timeout 30s",
 		Args:    cobra.MaximumNArgs(1),
 	}
-	command.Flags().IntVar(&port, "admin-port", defaultAdminPort, "port of the VMs' admin listeners")
-	command.Flags().BoolVar(&wait, "wait", false, "wait until the fleet is settled")
+	flags.register(command)
+	command.Flags().BoolVar(&flags.wait, "wait", false, "wait until the fleet is settled")
 	command.RunE = c.bounded(func(ctx context.Context, args []string) error {
-		return c.showFleet(ctx, args, port, wait)
+		return c.fleet(ctx, args, flags)
 	})
 	return command
 }
 
-func (c *CLI) showFleet(ctx context.Context, args []string, port int, wait bool) error {
+func (c *CLI) fleet(ctx context.Context, args []string, flags *fleetFlags) error {
+	serial, err := c.serialToWaitFor(ctx, flags)
+	if err != nil {
+		return err
+	}
 	for {
-		body, summary, err := c.askFleet(ctx, args, port)
-		if !wait || (err == nil && summary.settled()) {
-			return errors.CombineErrors(err, c.printFleet(body, summary))
+		body, found, err := c.askFleet(ctx, args, flags)
+		if err == nil && flags.wait {
+			err = found.unsettled(serial)
 		}
-		select {
-		case <-time.After(waitStep):
-		case <-ctx.Done():
-			return fail(ExitUnavailable, "cli: the fleet did not settle: serial %d on %d of %d VMs, %d of %d groups owned",
-				summary.Serial, summary.InForce, summary.VMs, summary.Owned, summary.Groups)
+		if err == nil {
+			return c.printFleet(body, found)
 		}
+		if !flags.wait || !pause(ctx, waitInterval) {
+			return err
+		}
+	}
+}
+
+// serialToWaitFor returns the serial in the key-value service, or 0 if nobody
+// waits for it.
+func (c *CLI) serialToWaitFor(ctx context.Context, flags *fleetFlags) (uint64, error) {
+	if !flags.wait || c.storeURL == "" {
+		return 0, nil
+	}
+	changer, _, err := c.changer()
+	if err != nil {
+		return 0, err
+	}
+	_, ix, err := changer.Read(ctx)
+	if err != nil {
+		return 0, err
 	}
+	return ix.Serial, nil
 }
 
-// askFleet asks the VMs in turn until one answers.
-func (c *CLI) askFleet(ctx context.Context, args []string, port int) ([]byte, fleetSummary, error) {
-	targets, err := c.targets(ctx, args, port)
+// askFleet returns the answer of the first VM that gives one.
+func (c *CLI) askFleet(ctx context.Context, args []string, flags *fleetFlags) ([]byte, *summary, error) {
+	targets, err := c.targets(ctx, args, &flags.targetFlags)
 	if err != nil {
-		return nil, fleetSummary{}, err
+		return nil, nil, err
 	}
-	err = fail(ExitUnavailable, "cli: the VM list is empty")
+	failure := fail(ExitUnavailable, "cli: no VM is known")
 	for _, one := range targets {
-		var body []byte
-		if body, err = c.deps.Fetch.Get(ctx, one.address, fetch.PathFleet); err != nil {
-			continue
-		}
-		var summary fleetSummary
-		if err = json.Unmarshal(body, &summary); err == nil {
-			return body, summary, nil
+		body, found, err := c.askOne(ctx, one)
+		if err == nil {
+			return body, found, nil
 		}
+		failure = err
 	}
-	return nil, fleetSummary{}, err
+	return nil, nil, failure
 }
 
-func (c *CLI) printFleet(body []byte, summary fleetSummary) error {
-	if body == nil {
-		return nil
+func (c *CLI) askOne(ctx context.Context, from target) ([]byte, *summary, error) {
+	ctx, cancel := context.WithTimeout(ctx, askBound)
+	defer cancel()
+	body, err := c.deps.Fetch.Get(ctx, from.address, fetch.PathFleet)
+	if err != nil {
+		return nil, nil, err
+	}
+	found := &summary{}
+	if err := json.Unmarshal(body, found); err != nil {
+		return nil, nil, errors.Wrapf(err, "cli: the fleet that %s returns", from.name)
 	}
+	return body, found, nil
+}
+
+// pause waits for d and reports whether ctx still runs.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (c *CLI) printFleet(body []byte, found *summary) error {
 	if c.json {
 		return c.printJSON(json.RawMessage(body))
 	}
-	c.printf("serial %d in force on %d of %d VMs; %d of %d groups owned; silent: %v\n",
-		summary.Serial, summary.InForce, summary.VMs, summary.Owned, summary.Groups, summary.Silent)
-	c.printf("out: zones %v, VMs %v, backend servers %v\n\n", summary.Zones, summary.Out, summary.Servers)
-	return table.WriteJSON(c.out, body)
+	found.print(c)
+	return nil
 }
--- a/internal/query/choose/expect.go
+++ b/internal/query/choose/expect.go
@@ -13,6 +13,10 @@
 	})
 }
 
+// usualReplicas is the number of replicas up to which a choice does not
+// allocate.
+const usualReplicas = 4
+
 // expect chooses the replica with the lowest expected completion time.
 type expect struct {
 	options Options
@@ -25,19 +29,22 @@
 
 // Choose compares all replicas while it knows them well, and two random ones
 // otherwise, so that entries with old knowledge do not all take the same.
+// Servers that refused or did not answer lately are the last resort.
 func (e *expect) Choose(now time.Time, candidates []ident.ServerID) int {
-	if len(candidates) == 1 {
-		return 0
+	var room [usualReplicas]int
+	usable := e.usable(now, candidates, room[:0])
+	if len(usable) == 1 {
+		return usable[0]
 	}
-	average := e.average.load()
-	start := e.options.IntN(len(candidates))
-	count := len(candidates)
+	count := len(usable)
 	if e.anyStale(now, candidates) {
 		count = 2
 	}
-	best, lowest := start, time.Duration(-1)
+	average := e.average.load()
+	start := e.options.IntN(len(usable))
+	best, lowest := usable[start], time.Duration(-1)
 	for i := range count {
-		index := (start + i) % len(candidates)
+		index := usable[(start+i)%len(usable)]
 		expected := e.server(candidates[index]).expected(now, average, e.options)
 		if lowest < 0 || expected < lowest {
 			best, lowest = index, expected
@@ -46,6 +53,23 @@
 	return best
 }
 
+// usable appends the indexes of the servers that are not avoided, or of all if
+// all are.
+func (e *expect) usable(now time.Time, candidates []ident.ServerID, usable []int) []int {
+	for i, id := range candidates {
+		if !e.server(id).avoided(now) {
+			usable = append(usable, i)
+		}
+	}
+	if len(usable) > 0 {
+		return usable
+	}
+	for i := range candidates {
+		usable = append(usable, i)
+	}
+	return usable
+}
+
 func (e *expect) Sent(now time.Time, id ident.ServerID) {
 	e.server(id).sent(now)
 }
--- a/internal/query/run/shard.go
+++ b/internal/query/run/shard.go
@@ -7,6 +7,7 @@
 	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/query/hedge"
 )
 
 const (
@@ -19,6 +20,9 @@
 	failureBackoff = 20 * time.Millisecond
 	// tokenPoll is the time between two tries to get a token for a retry.
 	tokenPoll = 20 * time.Millisecond
+	// overdueFactor is the multiple of the hedging delay after which an
+	// unanswered sub-request is probably lost.
+	overdueFactor = 3
 )
 
 // state is the progress of a shard.
@@ -35,11 +39,18 @@
 	number ident.Shard
 	state  state
 	// open is the number of attempts without an answer.
-	open    int
-	sent    int
-	trials  []trial
+	open   int
+	sent   int
+	trials []trial
+	// room holds the first trials.
+	room    [2]trial
 	retryAt time.Time
+	// cause is the reason of the next retry.
+	cause   hedge.Reason
 	hedgeAt time.Time
+	// overdue is set when the next hedge is for a sub-request that is
+	// probably lost.
+	overdue bool
 	// retired is set when no server holds the shard in the pinned version.
 	retired bool
 }
@@ -58,6 +69,9 @@
 			return &s.trials[i]
 		}
 	}
+	if s.trials == nil {
+		s.trials = s.room[:0]
+	}
 	s.trials = append(s.trials, trial{server: server})
 	return &s.trials[len(s.trials)-1]
 }
@@ -77,6 +91,12 @@
 	owner  view.Member
 }
 
+// room holds the targets and candidates of one choice at a time.
+type room struct {
+	fresh, again [4]target
+	candidates   [4]ident.ServerID
+}
+
 // options lists the servers for a shard. wait is the earliest time at which
 // another may become usable, or zero if none will.
 type options struct {
@@ -87,7 +107,7 @@
 // optionsFor returns the usable servers of a shard other than those of the VM
 // to avoid. Servers that were not tried yet go before all others.
 func (q *Query) optionsFor(now time.Time, s *shard, avoid ident.VMID) options {
-	var fresh, again options
+	fresh, again := options{targets: q.room.fresh[:0]}, options{targets: q.room.again[:0]}
 	if int(s.number) >= len(q.plan.Replicas) {
 		return fresh
 	}
@@ -134,6 +154,7 @@
 // dispatchAll sends the first sub-request of each shard.
 func (q *Query) dispatchAll(now time.Time) {
 	delay, hedged := q.deps.Hedge.Delay(q.spec.Service)
+	q.hedgeDelay = delay
 	for i := range q.shards {
 		s := &q.shards[i]
 		if hedged && int(s.number) < len(q.plan.Replicas) && len(q.plan.Replicas[s.number]) > 1 {
@@ -153,7 +174,7 @@
 	switch {
 	case s.sent >= maxAttempts:
 		q.abandonShard(now, s)
-	case len(available.targets) > 0 && s.sent > 0 && !q.deps.Hedge.TakeRetry(q.spec.Service):
+	case len(available.targets) > 0 && s.sent > 0 && !q.deps.Hedge.Take(q.spec.Service, s.cause):
 		s.retryAt = now.Add(tokenPoll)
 	case len(available.targets) > 0:
 		q.send(now, index, q.pick(now, available.targets))
@@ -196,9 +217,9 @@
 	if len(targets) == 1 {
 		return targets[0]
 	}
-	candidates := make([]ident.ServerID, len(targets))
+	candidates := q.room.candidates[:0]
 	for i := range targets {
-		candidates[i] = targets[i].server
+		candidates = append(candidates, targets[i].server)
 	}
 	return targets[q.deps.Choose.Choose(now, candidates)]
 }
@@ -247,12 +268,20 @@
 	if len(available.targets) == 0 || s.sent >= maxAttempts {
 		return
 	}
-	if !q.deps.Hedge.TakeHedge(q.spec.Service) {
-		q.deps.Counter.Count("query_hedge_denied")
+	reason := hedge.Hedge
+	if s.overdue {
+		reason = hedge.Overdue
+	}
+	if q.deps.Hedge.Take(q.spec.Service, reason) {
+		q.deps.Counter.Count("query_hedged")
+		q.send(now, index, q.pick(now, available.targets))
 		return
 	}
-	q.deps.Counter.Count("query_hedged")
-	q.send(now, index, q.pick(now, available.targets))
+	q.deps.Counter.Count("query_hedge_denied")
+	if !s.overdue {
+		s.overdue = true
+		s.hedgeAt = now.Add((overdueFactor - 1) * q.hedgeDelay)
+	}
 }
 
 // ownerOf returns the VM that holds the open attempt of a shard.
