--- a/cmd/samphirelab/chaos.go
+++ b/cmd/samphirelab/chaos.go
@@ -27,6 +27,7 @@
 	faults    []string
 	history   string
 	dry       bool
+	mutant    string
 	endpoints chaos.Endpoints
 }
 
@@ -54,6 +55,7 @@
 	f.StringSliceVar(&flags.faults, "fault", nil, "kinds of faults; all if none is given")
 	f.StringVar(&flags.history, "history", "", "file for the history")
 	f.BoolVar(&flags.dry, "dry", false, "only print the schedule")
+	f.StringVar(&flags.mutant, "mutant", "", "deliberate mistake that the checkers must find: hard-stop or pretend")
 	f.StringVar(&flags.endpoints.Store, "store", "http://127.0.10.1:7400", "URL of the key-value service")
 	f.StringVar(&flags.endpoints.List, "vms", "http://127.0.10.2:7401", "URL of the VM list")
 	f.StringVar(&flags.endpoints.Servers, "servers", "http://127.0.10.3:7402", "control URL of the backend servers")
@@ -92,6 +94,9 @@
 	}
 	deps.Logger = slog.New(slog.NewTextHandler(cmd.ErrOrStderr(), nil))
 	deps.Controls, deps.Operator = remote, change.New(kv, change.Options{})
+	if deps, err = chaos.Mutate(deps, chaos.Mutant(flags.mutant)); err != nil {
+		return err
+	}
 	report := injectAndWatch(cmd.Context(), deps, flags, steps)
 	return errors.CombineErrors(printCounts(cmd, report), deps.Recorder.Close())
 }
--- a/cmd/samphirelab/servers.go
+++ b/cmd/samphirelab/servers.go
@@ -28,8 +28,8 @@
 "action" and, to select servers, "server", "service" or "zone".
 
 Actions: restart, freeze, thaw, silent, kill, revive, slow ("factor"), shed,
-drain, lie, garbage ("garbage": json, request, version, large or deaf;
-"every"), versions ("maps"). "off":true ends slow, shed, drain and lie;
+drain, lie, garbage ("garbage": json, request, version, large, deaf,
+or what no client can see: mixed, crossed, shard, denied; "every"), versions ("maps"). "off":true ends slow, shed, drain and lie;
 garbage ends with an empty "garbage".`,
 		Example: `  samphirelab servers --documents conf/ --control 127.0.0.1:9300 --history servers.jsonl
   curl -X POST 127.0.0.1:9300/v1/fault -d '{"server":"agent-desk/a0","action":"slow","factor":20}'
--- a/internal/lab/chaos/inject_test.go
+++ b/internal/lab/chaos/inject_test.go
@@ -191,3 +191,12 @@
 		}
 	})
 }
+
+func TestMutantsAreNamed(t *testing.T) {
+	_, err := chaos.Mutate(chaos.Deps{}, "soft-stop")
+	require.ErrorIs(t, err, chaos.ErrUnknownMutant)
+	deps, err := chaos.Mutate(chaos.Deps{}, chaos.Pretend)
+	require.NoError(t, err)
+	outcome := deps.Operator.Do(t.Context(), change.Request{})
+	require.Equal(t, change.Accepted, outcome.Status)
+}
--- a/internal/lab/server/garble.go
+++ b/internal/lab/server/garble.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/lab/trace"
 	"github.com/samphirestair/samphirestair/internal/plat/bknd"
 )
 
@@ -21,6 +22,14 @@
 	GarbageRequest Garbage = "request"
 	// GarbageVersion answers from another index version than asked for.
 	GarbageVersion Garbage = "version"
+	// GarbageMixed gives the hits of another version than the answer names,
+	// GarbageCrossed those of another query or key, and GarbageShard those of a
+	// shard that does not exist. No client can see that; the checkers must.
+	GarbageMixed   Garbage = "mixed"
+	GarbageCrossed Garbage = "crossed"
+	GarbageShard   Garbage = "shard"
+	// GarbageDenied says that work which ran did not run.
+	GarbageDenied Garbage = "denied"
 	// GarbageLarge sends a body of largeBody bytes.
 	GarbageLarge Garbage = "large"
 	// GarbageDeaf ignores cancellations, so that answers come after them.
@@ -58,6 +67,23 @@
 	return g.kind
 }
 
+// shardOffset is added to the shards of GarbageShard.
+const shardOffset = 1000
+
+// distort returns the work whose answer is given in place of that to work.
+func distort(work trace.Work, kind Garbage) trace.Work {
+	switch kind {
+	case GarbageMixed:
+		work.Version++
+	case GarbageCrossed:
+		work.Query += " crossed"
+		work.Key += "-crossed"
+	case GarbageShard:
+		work.Shard += shardOffset
+	}
+	return work
+}
+
 // spoil changes a complete answer.
 func spoil(ctx *fasthttp.RequestCtx, kind Garbage) {
 	switch kind {
@@ -66,6 +92,9 @@
 		ctx.SetBody(bytes.Clone(body[:len(body)/2]))
 	case GarbageRequest:
 		ctx.Response.Header.Set(bknd.HeaderRequest, "0")
+	case GarbageDenied:
+		ctx.Response.Header.Set(bknd.HeaderNotRun, "1")
+		ctx.SetStatusCode(bknd.StatusShed)
 	case GarbageLarge:
 		ctx.SetBody(bytes.Repeat([]byte(" "), largeBody))
 	}
--- a/internal/lab/server/handler.go
+++ b/internal/lab/server/handler.go
@@ -90,7 +90,7 @@
 		ctx.Response.Header.Set(bknd.HeaderVersion, strconv.FormatUint(uint64(work.Version), 10))
 	}
 	ctx.SetContentType("application/json")
-	ctx.SetBody(encode(s.body(ctx, work)))
+	ctx.SetBody(encode(s.body(ctx, distort(work, garbage))))
 	spoil(ctx, garbage)
 }
 
