Make the test of silent connections wait for the first transfer

Cause: the second query could leave on a new connection while the first transfer still waited for its answer; a blocked dial is then truly reported as not sent, and the test failed. Ruled out: a wrong report by the mesh. Change: the test's meshes use one transfer at a time, so the second query must use the silent connection; the expectation is the same.

--- a/internal/link/mesh/mesh_test.go
+++ b/internal/link/mesh/mesh_test.go
@@ -55,7 +55,7 @@
 		replies: make(chan msgs.Reply, 10),
 		lost:    make(chan lostQuery, 10),
 	}
-	e.mesh = mesh.New(process, ip, slog.New(slog.DiscardHandler), metrics.NewSet(), mesh.Options{Cut: e.cuts})
+	e.mesh = mesh.New(process, ip, slog.New(slog.DiscardHandler), metrics.NewSet(), mesh.Options{Cut: e.cuts, Transfers: 1})
 	e.mesh.Attach(e, e)
 	var served sync.WaitGroup
 	served.Go(func() { _ = e.mesh.Serve(listener) })
