Open the port for callers once the VM admits work

Cause: in scripts/demo a VM that had just been replaced refused 4 requests of callers that still had its address: the port was open before the VM had joined. Ruled out: letting the load tool try elsewhere, since real callers obey when to come back. Change: the port opens with the first view that admits work; until then callers get a refused connection and use the next address of their list.

--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -182,9 +182,9 @@
 	})
 }
 
-// listeners are the open ports of a process.
+// listeners are the ports that are open while a process runs.
 type listeners struct {
-	caller, peer, control, admin net.Listener
+	peer, control, admin net.Listener
 }
 
 // listen opens all ports, or none.
@@ -195,7 +195,6 @@
 		open     func(address string) (net.Listener, error)
 		address  string
 	}{
-		{&l.caller, caller.Listen, n.settings.CallerAddress()},
 		{&l.peer, mesh.Listen, n.settings.PeerAddress()},
 		{&l.control, ctrl.Listen, n.settings.ControlAddress()},
 		{&l.admin, admin.Listen, n.settings.AdminAddress()},
@@ -212,7 +211,7 @@
 
 func (l *listeners) close() error {
 	var err error
-	for _, listener := range []net.Listener{l.caller, l.peer, l.control, l.admin} {
+	for _, listener := range []net.Listener{l.peer, l.control, l.admin} {
 		if listener != nil {
 			err = errors.CombineErrors(err, listener.Close())
 		}
--- a/internal/core/node/run.go
+++ b/internal/core/node/run.go
@@ -5,14 +5,21 @@
 	"log/slog"
 	"net"
 	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+
+	"github.com/samphirestair/samphirestair/internal/front/caller"
 )
 
+// admitPoll is the time between two looks whether this VM admits work.
+const admitPoll = 20 * time.Millisecond
+
 // Run runs the process until a planned stop is complete. The first value on
 // stop begins it; the second skips the wait for callers to move to other VMs.
-// Run returns nil if no request was cut off.
+// Run returns nil if no request was cut off, and an error at once if a port
+// can't be opened.
 func (n *Node) Run(stop <-chan os.Signal) error {
 	ports, err := n.listen()
 	if err != nil {
@@ -22,9 +29,15 @@
 	defer cancel()
 	var running conc.WaitGroup
 	n.start(ctx, &running, ports)
+	failed := make(chan error, 1)
+	running.Go(func() { failed <- n.serveCallers(ctx) })
 	n.events.Record("process_started", n.self.Process.String(), "settings read")
-	<-stop
-	err = n.stop(stop)
+	select {
+	case <-stop:
+		err = n.stop(stop)
+	case err = <-failed:
+		n.shutdown()
+	}
 	cancel()
 	n.client.Close()
 	running.Wait()
@@ -38,10 +51,27 @@
 	running.Go(func() { n.home.Run(ctx) })
 	running.Go(func() { n.report("control", n.control.Serve(ctx, ports.control)) })
 	n.serve(running, "mesh", n.mesh.Serve, ports.peer)
-	n.serve(running, "caller", n.caller.Serve, ports.caller)
 	n.serve(running, "admin", n.admin.Serve, ports.admin)
 }
 
+// serveCallers opens the port for callers once this VM admits work, so that
+// callers that come before use another address of their list at once. It
+// returns when the port can't be opened or is closed again.
+func (n *Node) serveCallers(ctx context.Context) error {
+	for !n.views.Load().Admitting && ctx.Err() == nil {
+		sleep(ctx, admitPoll)
+	}
+	if ctx.Err() != nil {
+		return errors.Wrap(ctx.Err(), "node: stopped before it joined")
+	}
+	listener, err := caller.Listen(n.settings.CallerAddress())
+	if err != nil {
+		return err
+	}
+	n.events.Record("callers_admitted", n.settings.CallerAddress(), "joined the fleet")
+	return n.caller.Serve(listener)
+}
+
 func (n *Node) serve(running *conc.WaitGroup, part string, serve func(net.Listener) error, l net.Listener) {
 	running.Go(func() { n.report(part, serve(l)) })
 }
