Keep no lock while a configuration is handed on

Cause: OnConfig was called under the spreader's lock. The agent's SetConfig waits for room in the queue of its control goroutine, and that goroutine may be in Notice, which took the same lock: both would wait for ever.

Ruled out: asking receivers not to block; a bounded queue in the receiver is right.

Change: OnConfig runs under a lock of its own that only orders the calls; Revision and Notice take no lock that is held for long.

--- a/internal/conf/spread/spreader.go
+++ b/internal/conf/spread/spreader.go
@@ -8,11 +8,13 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
@@ -38,7 +40,7 @@
 	Events *events.Recorder
 	// OnConfig receives each configuration that comes into force, in the order
 	// of their revisions. A revision comes twice if one of its documents could
-	// be read only later. It must neither block nor call the Spreader.
+	// be read only later. It may call the Spreader.
 	OnConfig func(*view.Config)
 }
 
@@ -80,6 +82,10 @@
 	deps    Deps
 	options Options
 	notices *notices
+	// revision is the one in force. It is read without a lock.
+	revision atomic.Uint64
+	// publishing orders the calls of OnConfig. It is taken before mu.
+	publishing sync.Mutex
 
 	mu      sync.Mutex
 	tracker *tracker
@@ -111,18 +117,18 @@
 	wg.Wait()
 }
 
-// Notice tells of the revision that is in force on another VM.
+// Notice tells of the revision that is in force on another VM. It does not
+// block.
 func (s *Spreader) Notice(member view.Member, revision ident.Revision) {
 	if revision > s.Revision() {
 		s.notices.add(member, revision)
 	}
 }
 
-// Revision returns the revision in force, or 0 if there is none.
+// Revision returns the revision in force, or 0 if there is none. It does not
+// block.
 func (s *Spreader) Revision() ident.Revision {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.tracker.revision()
+	return ident.Revision(s.revision.Load())
 }
 
 // Bundle returns the configuration in force for another VM. ok is false if
@@ -156,11 +162,13 @@
 	return dump
 }
 
-// settle puts the newest revision in force whose documents are all known.
+// settle puts the newest revision in force whose documents are all known. mu is
+// not held while OnConfig runs, because the receiver may wait for a goroutine
+// that calls the Spreader.
 func (s *Spreader) settle() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	next, problems := s.tracker.advance()
+	s.publishing.Lock()
+	defer s.publishing.Unlock()
+	next, problems := s.advance()
 	for _, p := range problems {
 		s.deps.Events.Record("config_document_unusable", string(p.service),
 			"the document cannot be used; the previous one stays in force",
@@ -170,11 +178,18 @@
 	if !ok {
 		return
 	}
+	s.revision.Store(uint64(config.Revision))
 	s.deps.Events.Record("config_adopted", fmt.Sprintf("serial %d", config.Serial),
 		"a higher revision was accepted", slog.Uint64("revision", uint64(config.Revision)))
 	s.deps.OnConfig(config)
 }
 
+func (s *Spreader) advance() (coll.Option[*view.Config], []problem) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.advance()
+}
+
 // noteLost records that the key-value service stopped answering.
 func (s *Spreader) noteLost(err error) {
 	s.mu.Lock()
--- a/internal/conf/spread/spreader_test.go
+++ b/internal/conf/spread/spreader_test.go
@@ -84,6 +84,30 @@
 	})
 }
 
+func TestReceiverMayWaitForCallsOfTheSpreader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := memkv.New()
+		revision := write(t, kv, zoneOut)
+		var s *spread.Spreader
+		received := make(chan ident.Revision, 1)
+		s = spread.New(spread.Deps{Store: kv, Fetch: peers{}, OnConfig: func(*view.Config) {
+			other := make(chan struct{})
+			go func() {
+				defer close(other)
+				s.Notice(member("other"), 99)
+				s.Heard()
+				s.State()
+			}()
+			<-other
+			received <- s.Revision()
+		}}, spread.Options{})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go s.Run(ctx)
+		require.Equal(t, revision, <-received)
+	})
+}
+
 func TestPollFindsWhatASilentWatchMisses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		kv := memkv.New()
