Print lists and nested members of the state as tables

Cause: "state VM owner" failed, because that section is a list, and nested members of rows were printed as raw JSON. Found on a running fleet. Change: lists at the top become tables; members of members become columns such as warmth.phase.

--- a/internal/ops/table/json.go
+++ b/internal/ops/table/json.go
@@ -16,23 +16,33 @@
 	value *fastjson.Value
 }
 
-// WriteJSON writes a JSON object as text: plain members as "name  value" lines,
-// lists of objects and objects of objects as tables, other members indented. It
-// fails if data is no JSON object, or if w fails.
+// WriteJSON writes a JSON value as text: plain members of an object as "name
+// value" lines, lists of objects and objects of objects as tables, other members
+// indented. It fails if data is no JSON, or if w fails.
 func WriteJSON(w io.Writer, data []byte) error {
 	value, err := fastjson.ParseBytes(data)
 	if err != nil {
 		return errors.Wrap(err, "table: read JSON")
 	}
-	if value.Type() != fastjson.TypeObject {
-		return errors.Newf("table: JSON %s, but an object is needed", value.Type())
-	}
 	var b strings.Builder
-	writeObject(&b, value, "")
+	writeValue(&b, value)
 	_, err = io.WriteString(w, b.String())
 	return err
 }
 
+func writeValue(b *strings.Builder, value *fastjson.Value) {
+	switch rows, _ := rowsOf(value); {
+	case value.Type() == fastjson.TypeObject:
+		writeObject(b, value, "")
+	case len(rows) > 0:
+		writeTable(b, rows, false, "")
+	case value.Type() == fastjson.TypeArray:
+		b.WriteString("none\n")
+	default:
+		fmt.Fprintln(b, scalar(value))
+	}
+}
+
 func writeObject(b *strings.Builder, object *fastjson.Value, indent string) {
 	var nested []field
 	plain := &Table{}
@@ -111,7 +121,7 @@
 	var columns []string
 	seen := map[string]bool{}
 	for _, row := range rows {
-		for _, f := range fields(row.value) {
+		for _, f := range flatten(row.value) {
 			if !seen[f.name] {
 				seen[f.name] = true
 				columns = append(columns, f.name)
@@ -121,15 +131,33 @@
 	return columns
 }
 
+// flatten returns the members of an object. Those of members that are objects
+// themselves take their place, with names such as "outer.inner".
+func flatten(object *fastjson.Value) []field {
+	var all []field
+	for _, outer := range fields(object) {
+		inner := fields(outer.value)
+		if len(inner) == 0 {
+			all = append(all, outer)
+		}
+		for _, f := range inner {
+			all = append(all, field{name: outer.name + "." + f.name, value: f.value})
+		}
+	}
+	return all
+}
+
 func cells(row *fastjson.Value, columns []string) []string {
 	if row.Type() != fastjson.TypeObject {
 		return []string{scalar(row)}
 	}
+	values := map[string]string{}
+	for _, f := range flatten(row) {
+		values[f.name] = scalar(f.value)
+	}
 	texts := make([]string, len(columns))
 	for i, column := range columns {
-		if value := row.Get(column); value != nil {
-			texts[i] = scalar(value)
-		}
+		texts[i] = values[column]
 	}
 	return texts
 }
