--- a/internal/conf/spread/spreader.go
+++ b/internal/conf/spread/spreader.go
@@ -8,11 +8,13 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
@@ -38,7 +40,7 @@
 	Events *events.Recorder
 	// OnConfig receives each configuration that comes into force, in the order
 	// of their revisions. A revision comes twice if one of its documents could
-	// be read only later. It must neither block nor call the Spreader.
+	// be read only later. It may call the Spreader.
 	OnConfig func(*view.Config)
 }
 
@@ -47,6 +49,10 @@
 	// Poll is the time without an answer to a watch after which the index is
 	// read. 0 means 1500 ms. Watches that end sooner make reads rare.
 	Poll time.Duration
+	// Audit is the longest time between reads of the index while watches are
+	// answered. A read finds out that the service lost what it had accepted. 0
+	// means 5 min.
+	Audit time.Duration
 	// WatchBound is the longest time that a watch is waited for. 0 means 30 s.
 	WatchBound time.Duration
 	// CallBound is the longest time that any other call is waited for. 0 means
@@ -62,6 +68,7 @@
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.Poll, 1500*time.Millisecond)
+	setDefault(&o.Audit, 5*time.Minute)
 	setDefault(&o.WatchBound, 30*time.Second)
 	setDefault(&o.CallBound, 2*time.Second)
 	setDefault(&o.Backoff, 400*time.Millisecond)
@@ -80,11 +87,17 @@
 	deps    Deps
 	options Options
 	notices *notices
+	// revision is the one in force. It is read without a lock.
+	revision atomic.Uint64
+	// publishing orders the calls of OnConfig. It is taken before mu.
+	publishing sync.Mutex
 
 	mu      sync.Mutex
 	tracker *tracker
 	// answered is when the key-value service last answered.
-	answered   time.Time
+	answered time.Time
+	// lastRead is when the index was last read.
+	lastRead   time.Time
 	storeError error
 	// repeated holds the last subject of each kind of repeated event.
 	repeated map[string]string
@@ -111,18 +124,18 @@
 	wg.Wait()
 }
 
-// Notice tells of the revision that is in force on another VM.
+// Notice tells of the revision that is in force on another VM. It does not
+// block.
 func (s *Spreader) Notice(member view.Member, revision ident.Revision) {
 	if revision > s.Revision() {
 		s.notices.add(member, revision)
 	}
 }
 
-// Revision returns the revision in force, or 0 if there is none.
+// Revision returns the revision in force, or 0 if there is none. It does not
+// block.
 func (s *Spreader) Revision() ident.Revision {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.tracker.revision()
+	return ident.Revision(s.revision.Load())
 }
 
 // Bundle returns the configuration in force for another VM. ok is false if
@@ -156,11 +169,13 @@
 	return dump
 }
 
-// settle puts the newest revision in force whose documents are all known.
+// settle puts the newest revision in force whose documents are all known. mu is
+// not held while OnConfig runs, because the receiver may wait for a goroutine
+// that calls the Spreader.
 func (s *Spreader) settle() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	next, problems := s.tracker.advance()
+	s.publishing.Lock()
+	defer s.publishing.Unlock()
+	next, problems := s.advance()
 	for _, p := range problems {
 		s.deps.Events.Record("config_document_unusable", string(p.service),
 			"the document cannot be used; the previous one stays in force",
@@ -170,11 +185,18 @@
 	if !ok {
 		return
 	}
+	s.revision.Store(uint64(config.Revision))
 	s.deps.Events.Record("config_adopted", fmt.Sprintf("serial %d", config.Serial),
 		"a higher revision was accepted", slog.Uint64("revision", uint64(config.Revision)))
 	s.deps.OnConfig(config)
 }
 
+func (s *Spreader) advance() (coll.Option[*view.Config], []problem) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.advance()
+}
+
 // noteLost records that the key-value service stopped answering.
 func (s *Spreader) noteLost(err error) {
 	s.mu.Lock()
@@ -196,6 +218,12 @@
 	s.storeError = nil
 }
 
+func (s *Spreader) noteRead() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastRead = time.Now()
+}
+
 // recordOnce records an event that may repeat many times. Repetitions for the
 // same subject are only counted.
 func (s *Spreader) recordOnce(kind, subject, reason string, attrs ...slog.Attr) {
