--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -29,6 +29,10 @@
 	"github.com/samphirestair/samphirestair/internal/query/entry"
 )
 
+// watchWait is the time after which a watch of the key-value service without a
+// change is renewed, which proves that the configuration is still in force.
+const watchWait = 2 * time.Second
+
 // Node is one process of an entry VM.
 type Node struct {
 	settings *vmconf.Settings
@@ -101,7 +105,7 @@
 }
 
 func (n *Node) buildFleet() error {
-	kv, err := store.NewHTTP(n.settings.Platform.Store, n.metrics, store.HTTPOptions{})
+	kv, err := store.NewHTTP(n.settings.Platform.Store, n.metrics, store.HTTPOptions{Wait: watchWait})
 	if err != nil {
 		return errors.Wrap(err, "node: key-value service")
 	}
