Cut admission limits before deadlines are missed

With one service of 20 shards on 40 stand-in servers and 1.7 times the load they bear (800 searches a second), 644 of 2632 admitted searches were cut off by their deadline: work for nothing.

A request now counts as good only if it took at most three quarters of its time and no owner refused parts of it. A fixed limit was ruled out: the bearable number differs per service and changes.

--- a/internal/query/admit/admit_test.go
+++ b/internal/query/admit/admit_test.go
@@ -29,7 +29,7 @@
 		refused := policy.Admit(now, request(now, 0))
 		require.False(t, refused.Admitted)
 		require.Positive(t, refused.RetryAfter)
-		policy.Done(now, request(now, 0), admit.Outcome{InTime: true})
+		policy.Done(now, request(now, 0), admit.Outcome{})
 		require.True(t, policy.Admit(now, request(now, 0)).Admitted)
 	}
 }
@@ -65,7 +65,7 @@
 			}
 			for i, r := range admitted {
 				inTime := i < room
-				policy.Done(now.Add(50*time.Millisecond), r, admit.Outcome{InTime: inTime})
+				policy.Done(now.Add(50*time.Millisecond), r, admit.Outcome{Took: 50 * time.Millisecond, Late: !inTime})
 				if inTime {
 					good[class]++
 				}
--- a/internal/query/admit/feasible.go
+++ b/internal/query/admit/feasible.go
@@ -18,6 +18,9 @@
 	// come back.
 	minRetry = 50 * time.Millisecond
 	maxRetry = 2 * time.Second
+	// spareShare is the part of its time that a request may take before its
+	// class is admitted less.
+	spareShare = 0.75
 )
 
 // feasible admits a request if its deadline can probably be met. Each class
@@ -49,7 +52,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	own := s.class(request.Class, f.options)
-	if s.load(request.Class) >= own.limit.current(now) {
+	if !own.limit.admits(now, s.load(request.Class)) {
 		return refuse("too many requests", minRetry)
 	}
 	wait, run := s.expected(now, request.Class)
@@ -76,7 +79,14 @@
 	load := s.load(request.Class)
 	own := s.class(request.Class, f.options)
 	own.running--
-	own.limit.done(now, load, outcome.InTime && !outcome.Refused)
+	own.limit.done(now, now.Add(-outcome.Took), load, good(now, request, outcome))
+}
+
+// good reports whether a request ended with time to spare. Limits that were cut
+// only after deadlines were missed would react too late.
+func good(now time.Time, request Request, outcome Outcome) bool {
+	budget := request.Deadline.Sub(now) + outcome.Took
+	return !outcome.Late && !outcome.Refused && float64(outcome.Took) <= spareShare*float64(budget)
 }
 
 func (f *feasible) service(id ident.ServiceID) *service {
--- a/internal/query/admit/policy.go
+++ b/internal/query/admit/policy.go
@@ -28,9 +28,11 @@
 
 // Outcome says how an admitted request ended.
 type Outcome struct {
-	// InTime is false if the deadline passed before the request was whole.
-	InTime bool
-	// Refused is true if backend servers or owners refused part of it.
+	// Took is the time since it was admitted.
+	Took time.Duration
+	// Late is set if the deadline cut it short, and Refused if owners refused
+	// parts of it for lack of room.
+	Late    bool
 	Refused bool
 }
 
--- a/internal/query/entry/request.go
+++ b/internal/query/entry/request.go
@@ -107,8 +107,9 @@
 	end := time.Now()
 	e.meters.observe(spec.Service, spec.Kind, &result, end.Sub(now))
 	e.admit.Done(end, ask, admit.Outcome{
-		InTime:  result.Outcome == run.OutcomeFull || result.Outcome == run.OutcomeDone || end.Before(spec.Deadline),
-		Refused: result.Outcome == run.OutcomeNotRun,
+		Took:    end.Sub(now),
+		Late:    result.Reason == run.ReasonDeadline,
+		Refused: result.Refused,
 	})
 	return Result{Result: result}
 }
--- a/internal/query/run/action.go
+++ b/internal/query/run/action.go
@@ -130,7 +130,10 @@
 		})
 	case msgs.StatusNotRun:
 		retry := time.Duration(answer.RetryMicros) * time.Microsecond
-		a.end(Result{Outcome: OutcomeNotRun, Reason: "refused by the home", RetryAfter: max(retry, defaultRetryAfter)})
+		a.end(Result{
+			Outcome: OutcomeNotRun, Reason: "refused by the home",
+			Refused: true, RetryAfter: max(retry, defaultRetryAfter),
+		})
 	case msgs.StatusWrongOwner:
 		a.onWrongOwner(now, ident.VMID(answer.Owner))
 	case msgs.StatusWrongVersion:
--- a/internal/query/run/finish.go
+++ b/internal/query/run/finish.go
@@ -57,7 +57,10 @@
 	q.closeAll(now)
 	q.phase = phaseEnded
 	q.out.step.Sends = nil
-	result := &Result{Version: q.plan.Version, Answered: q.answered, Of: q.denominator(), Reason: q.reason}
+	result := &Result{
+		Version: q.plan.Version, Answered: q.answered, Of: q.denominator(), Reason: q.reason,
+		Refused: q.retryAfter > 0,
+	}
 	switch {
 	case result.Of > 0 && result.Answered == result.Of:
 		result.Outcome, result.Reason = OutcomeFull, ""
--- a/internal/query/run/types.go
+++ b/internal/query/run/types.go
@@ -137,6 +137,9 @@
 	Hits     []msgs.Hit
 	Body     []byte
 	Reason   string
+	// Refused is set if owners or servers refused parts of the request, even
+	// if others took them in the end.
+	Refused bool
 	// RetryAfter is set if the request may be repeated after that time.
 	RetryAfter time.Duration
 }
