Size admission limits by latency, and not by outages

Limits fell while an owner VM was frozen, so work was refused that capacity did not force. And under 1.7 to 2 times the load they came down too slowly: each cut waits for a whole round of requests.

Slow requests now count only while owners tell of long queues, and refusals only if the refusing server's queue is long. A cut divides by how far the request passed half of its time, since in saturation time is in proportion to the number of requests. Cutting by a fixed factor more often was ruled out: it undershot and left servers idle.

--- a/internal/query/admit/admit_test.go
+++ b/internal/query/admit/admit_test.go
@@ -65,6 +65,7 @@
 			}
 			for i, r := range admitted {
 				inTime := i < room
+				policy.Observe(now, "s", r.Class, waitOf(inTime), time.Millisecond)
 				policy.Done(now.Add(50*time.Millisecond), r, admit.Outcome{Took: 50 * time.Millisecond, Late: !inTime})
 				if inTime {
 					good[class]++
@@ -77,6 +78,37 @@
 	return good
 }
 
+func TestFeasibleOpensForALoadThatServersBear(t *testing.T) {
+	policy, now := newPolicy(t, "feasible", admit.Options{}), time.Unix(0, 0)
+	running := 0
+	for range 20 {
+		for policy.Admit(now, request(now, 0)).Admitted {
+			running++
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	require.Equal(t, 512, running)
+}
+
+// waitOf returns the queue wait of a sub-request of the toy service.
+func waitOf(inTime bool) time.Duration {
+	if inTime {
+		return time.Millisecond
+	}
+	return 100 * time.Millisecond
+}
+
+func TestFeasibleAdmitsWhileServersAreOutOfReach(t *testing.T) {
+	policy, now := newPolicy(t, "feasible", admit.Options{}), time.Unix(0, 0)
+	for range 1000 {
+		require.True(t, policy.Admit(now, request(now, 0)).Admitted)
+		policy.Observe(now, "s", 0, time.Millisecond, time.Millisecond)
+		late := now.Add(200 * time.Millisecond)
+		policy.Done(late, request(now, 0), admit.Outcome{Took: 200 * time.Millisecond, Late: true})
+		now = late
+	}
+}
+
 func TestFeasibleShedsTheLeastImportantClass(t *testing.T) {
 	policy := newPolicy(t, "feasible", admit.Options{})
 	good := overload(policy, time.Unix(0, 0), [2]int{15, 60}, 200)
--- a/internal/query/admit/feasible.go
+++ b/internal/query/admit/feasible.go
@@ -21,6 +21,11 @@
 	// spareShare is the part of its time that a request may take before its
 	// class is admitted less.
 	spareShare = 0.75
+	// congestedShare is the part of a request's time that sub-requests wait in
+	// queues from which on they are long.
+	congestedShare = 0.15
+	// relaxedShare is that up to which they are short.
+	relaxedShare = 0.05
 )
 
 // feasible admits a request if its deadline can probably be met. Each class
@@ -52,10 +57,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	own := s.class(request.Class, f.options)
-	if !own.limit.admits(now, s.load(request.Class)) {
+	wait, run := s.expected(now, request.Class)
+	relaxed := float64(wait) < relaxedShare*float64(request.Deadline.Sub(now))
+	if !own.limit.admits(now, s.load(request.Class), relaxed) {
 		return refuse("too many requests", minRetry)
 	}
-	wait, run := s.expected(now, request.Class)
 	if now.Add(wait + run).After(request.Deadline) {
 		return refuse("deadline cannot be met", min(max(wait, minRetry), maxRetry))
 	}
@@ -79,14 +85,21 @@
 	load := s.load(request.Class)
 	own := s.class(request.Class, f.options)
 	own.running--
-	own.limit.done(now, now.Add(-outcome.Took), load, good(now, request, outcome))
+	wait, _ := s.expected(now, request.Class)
+	admitted := now.Add(-outcome.Took)
+	budget := request.Deadline.Sub(admitted)
+	good := isGood(budget, outcome, wait)
+	own.limit.done(now, admitted, load, good, float64(outcome.Took)/float64(max(budget, 1)))
 }
 
-// good reports whether a request ended with time to spare. Limits that were cut
-// only after deadlines were missed would react too late.
-func good(now time.Time, request Request, outcome Outcome) bool {
-	budget := request.Deadline.Sub(now) + outcome.Took
-	return !outcome.Late && !outcome.Refused && float64(outcome.Took) <= spareShare*float64(budget)
+// isGood reports whether a request gives no reason to admit less. One that took
+// most of its time does if queues are long; otherwise servers are slow or out
+// of reach, and fewer requests would not help. Limits that were cut only after
+// deadlines were missed would react too late.
+func isGood(budget time.Duration, outcome Outcome, wait time.Duration) bool {
+	slow := outcome.Late || float64(outcome.Took) > spareShare*float64(budget)
+	congested := float64(wait) > congestedShare*float64(budget)
+	return !outcome.Overloaded && (!slow || !congested)
 }
 
 func (f *feasible) service(id ident.ServiceID) *service {
--- a/internal/query/admit/policy.go
+++ b/internal/query/admit/policy.go
@@ -30,10 +30,10 @@
 type Outcome struct {
 	// Took is the time since it was admitted.
 	Took time.Duration
-	// Late is set if the deadline cut it short, and Refused if owners refused
-	// parts of it for lack of room.
-	Late    bool
-	Refused bool
+	// Late is set if the deadline cut it short, and Overloaded if owners with
+	// long queues refused parts of it.
+	Late       bool
+	Overloaded bool
 }
 
 // Decision is the answer to one request.
--- a/internal/query/entry/request.go
+++ b/internal/query/entry/request.go
@@ -107,9 +107,9 @@
 	end := time.Now()
 	e.meters.observe(spec.Service, spec.Kind, &result, end.Sub(now))
 	e.admit.Done(end, ask, admit.Outcome{
-		Took:    end.Sub(now),
-		Late:    result.Reason == run.ReasonDeadline,
-		Refused: result.Refused,
+		Took:       end.Sub(now),
+		Late:       result.Reason == run.ReasonDeadline,
+		Overloaded: result.Overloaded,
 	})
 	return Result{Result: result}
 }
--- a/internal/query/run/action.go
+++ b/internal/query/run/action.go
@@ -132,7 +132,7 @@
 		retry := time.Duration(answer.RetryMicros) * time.Microsecond
 		a.end(Result{
 			Outcome: OutcomeNotRun, Reason: "refused by the home",
-			Refused: true, RetryAfter: max(retry, defaultRetryAfter),
+			Overloaded: isOverload(answer), RetryAfter: max(retry, defaultRetryAfter),
 		})
 	case msgs.StatusWrongOwner:
 		a.onWrongOwner(now, ident.VMID(answer.Owner))
--- a/internal/query/run/answer.go
+++ b/internal/query/run/answer.go
@@ -13,6 +13,10 @@
 // asked again for the same shard.
 const minRefusalBackoff = 5 * time.Millisecond
 
+// longQueue is the number of sub-requests per slot from which on a server that
+// refuses is overloaded.
+const longQueue = 2
+
 // onAnswer checks that an answer belongs to an open attempt and handles it.
 func (q *Query) onAnswer(now time.Time, from ident.VMID, message uint64, answer *msgs.Answer) {
 	a := q.openAttempt(answer.Seq)
@@ -86,10 +90,17 @@
 func (q *Query) onNotRun(now time.Time, index int, server ident.ServerID, answer *msgs.Answer) {
 	backoff := max(time.Duration(answer.RetryMicros)*time.Microsecond, minRefusalBackoff)
 	q.retryAfter = max(q.retryAfter, backoff)
+	q.overloaded = q.overloaded || isOverload(answer)
 	q.shards[index].trial(server).blockedUntil = now.Add(backoff)
 	q.again(now, index, hedge.NotRun)
 }
 
+// isOverload reports whether a server was refused because of its queue, and not
+// because it is out of reach or out of service.
+func isOverload(answer *msgs.Answer) bool {
+	return answer.Queued >= longQueue*max(answer.Slots, 1)
+}
+
 // onWrongOwner sends the sub-request to the owner that the answer names. It
 // counts as a retry.
 func (q *Query) onWrongOwner(now time.Time, index int, server ident.ServerID, answer *msgs.Answer) {
--- a/internal/query/run/query.go
+++ b/internal/query/run/query.go
@@ -43,6 +43,7 @@
 	restarts   int
 
 	mayHaveRun bool
+	overloaded bool
 	retryAfter time.Duration
 	reason     string
 }
--- a/internal/query/run/types.go
+++ b/internal/query/run/types.go
@@ -137,9 +137,9 @@
 	Hits     []msgs.Hit
 	Body     []byte
 	Reason   string
-	// Refused is set if owners or servers refused parts of the request, even
-	// if others took them in the end.
-	Refused bool
+	// Overloaded is set if owners with long queues refused parts of the
+	// request, even if others took them in the end.
+	Overloaded bool
 	// RetryAfter is set if the request may be repeated after that time.
 	RetryAfter time.Duration
 }
