Back off instead of giving a shard up, and hedge from the start

In the demo (a zone out and back, one VM killed) 7 of 658 searches were partial long before their deadline: both replicas refused during a handover, and eight attempts 5 ms apart were soon used up. A service with few requests was not hedged at all before its 64th answer.

A server that refused or failed for a shard is now left alone for 5 to 80 ms, doubling, until the deadline. Hedging starts with a delay of 50 ms. Waiting for a change of the view was ruled out, as refusals also come from queues.

--- a/internal/query/hedge/budget.go
+++ b/internal/query/hedge/budget.go
@@ -37,8 +37,11 @@
 	a := b.account(service)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	delay, ok := a.latency.quantile()
-	return delay, ok && a.queue < b.options.LongQueue
+	delay, known := a.latency.quantile()
+	if !known {
+		delay = b.options.InitialDelay
+	}
+	return delay, a.queue < b.options.LongQueue
 }
 
 func (b *budget) Sent(service ident.ServiceID, count int) {
--- a/internal/query/hedge/hedge_test.go
+++ b/internal/query/hedge/hedge_test.go
@@ -27,12 +27,13 @@
 
 func TestBudgetDelaysByTheQuantile(t *testing.T) {
 	policy := newPolicy(t, "budget")
-	_, ok := policy.Delay("s")
-	require.False(t, ok)
+	delay, ok := policy.Delay("s")
+	require.True(t, ok)
+	require.Equal(t, 50*time.Millisecond, delay)
 	for i := range 10_000 {
 		policy.Observe("s", time.Duration(i%100+1)*time.Millisecond, 1, 2)
 	}
-	delay, ok := policy.Delay("s")
+	delay, ok = policy.Delay("s")
 	require.True(t, ok)
 	require.InEpsilon(t, 95*time.Millisecond, delay, 0.03)
 }
--- a/internal/query/hedge/policy.go
+++ b/internal/query/hedge/policy.go
@@ -51,6 +51,9 @@
 	Borrow float64
 	// Quantile of the shard latency after which hedges are sent. 0 means 0.95.
 	Quantile float64
+	// InitialDelay is used until a service has answered often enough. 0 means
+	// 50 ms.
+	InitialDelay time.Duration
 	// LongQueue is the mean number of sub-requests per slot of the servers
 	// from which on nothing is hedged. 0 means 2.
 	LongQueue float64
@@ -72,6 +75,9 @@
 	if o.Quantile == 0 {
 		o.Quantile = 0.95
 	}
+	if o.InitialDelay == 0 {
+		o.InitialDelay = 50 * time.Millisecond
+	}
 	if o.LongQueue == 0 {
 		o.LongQueue = 2
 	}
--- a/internal/query/run/answer.go
+++ b/internal/query/run/answer.go
@@ -9,10 +9,6 @@
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
 )
 
-// minRefusalBackoff is the least time for which a server that refused is not
-// asked again for the same shard.
-const minRefusalBackoff = 5 * time.Millisecond
-
 // longQueue is the number of sub-requests per slot from which on a server that
 // refuses is overloaded.
 const longQueue = 2
@@ -58,7 +54,7 @@
 		q.again(now, index, hedge.NotRun)
 	default:
 		q.mayHaveRun = true
-		s.trial(server).blockedUntil = now.Add(failureBackoff)
+		s.trial(server).block(now, 0)
 		q.again(now, index, hedge.Failed)
 	}
 }
@@ -88,10 +84,9 @@
 }
 
 func (q *Query) onNotRun(now time.Time, index int, server ident.ServerID, answer *msgs.Answer) {
-	backoff := max(time.Duration(answer.RetryMicros)*time.Microsecond, minRefusalBackoff)
-	q.retryAfter = max(q.retryAfter, backoff)
+	told := time.Duration(answer.RetryMicros) * time.Microsecond
+	q.retryAfter = max(q.retryAfter, q.shards[index].trial(server).block(now, told))
 	q.overloaded = q.overloaded || isOverload(answer)
-	q.shards[index].trial(server).blockedUntil = now.Add(backoff)
 	q.again(now, index, hedge.NotRun)
 }
 
@@ -111,7 +106,7 @@
 		q.send(now, index, target{server: server, owner: owner})
 		return
 	}
-	s.trial(server).blockedUntil = now.Add(ownerPoll)
+	s.trial(server).block(now, ownerPoll)
 	q.again(now, index, hedge.NotRun)
 }
 
@@ -131,7 +126,7 @@
 		q.mayHaveRun = true
 		cause = hedge.Failed
 	}
-	q.shards[index].trial(server).blockedUntil = now.Add(failureBackoff)
+	q.shards[index].trial(server).block(now, 0)
 	q.again(now, index, cause)
 }
 
--- a/internal/query/run/shard.go
+++ b/internal/query/run/shard.go
@@ -12,12 +12,13 @@
 
 const (
 	// maxAttempts is the number of sub-requests that are sent for one shard.
-	maxAttempts = 8
+	maxAttempts = 20
 	// ownerPoll is the time between two looks for the owner of a server.
 	ownerPoll = 20 * time.Millisecond
-	// failureBackoff is the time for which a server that failed is not asked
-	// again for the same shard.
-	failureBackoff = 20 * time.Millisecond
+	// minBackoff and maxBackoff bound the time for which a server that refused
+	// or failed is not asked again for the same shard. It doubles each time.
+	minBackoff = 5 * time.Millisecond
+	maxBackoff = 80 * time.Millisecond
 	// tokenPoll is the time between two tries to get a token for a retry.
 	tokenPoll = 20 * time.Millisecond
 	// overdueFactor is the multiple of the hedging delay after which an
@@ -59,10 +60,19 @@
 type trial struct {
 	server       ident.ServerID
 	blockedUntil time.Time
+	backoff      time.Duration
 	// gone is set when the server does not hold the pinned version any more.
 	gone bool
 }
 
+// block keeps the server from being asked again for a while, which it returns.
+func (t *trial) block(now time.Time, atLeast time.Duration) time.Duration {
+	t.backoff = min(max(2*t.backoff, minBackoff), maxBackoff)
+	wait := max(t.backoff, atLeast)
+	t.blockedUntil = now.Add(wait)
+	return wait
+}
+
 func (s *shard) trial(server ident.ServerID) *trial {
 	for i := range s.trials {
 		if s.trials[i].server == server {
