Follow a told owner once, and keep trying while nothing ran

A redirect is followed once; after that the entry waits 20 ms or more, or takes another replica. Only attempts that may have run count towards giving a shard up. Ignoring told owners altogether was ruled out: after most moves they save the wait for the next view.

--- a/internal/query/run/action.go
+++ b/internal/query/run/action.go
@@ -8,13 +8,13 @@
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 )
 
-// maxActionSends is the number of times that an action is offered to homes
-// that did not take it.
-const maxActionSends = 8
-
-// probeEvery is the time between two questions of an action for the index
-// versions of its shard.
-const probeEvery = 100 * time.Millisecond
+const (
+	// maxRetired is the number of index versions that an action tries.
+	maxRetired = 8
+	// probeEvery is the time between two questions of an action for the index
+	// versions of its shard.
+	probeEvery = 100 * time.Millisecond
+)
 
 // Action is the Machine of a non-idempotent action. It is sent to the home of
 // its key, and again only after it certainly did not reach a home or was
@@ -28,11 +28,15 @@
 	// waiting is the offer that has no answer yet.
 	waiting *offer
 	seq     uint32
-	sends   int
 	retryAt time.Time
 	probeAt time.Time
-	// retired is a version that the home could not use.
-	retired ident.Version
+	// retired is the last version that the home could not use, and
+	// retirements counts them.
+	retired     ident.Version
+	retirements int
+	// redirected is set while the offer went to an owner that another VM
+	// named. During a handover two VMs may name each other.
+	redirected bool
 }
 
 // offer is the action as it was sent to a home.
@@ -137,8 +141,7 @@
 	case msgs.StatusWrongOwner:
 		a.onWrongOwner(now, ident.VMID(answer.Owner))
 	case msgs.StatusWrongVersion:
-		a.retired, a.probeAt = offered.version, time.Time{}
-		a.offer(now)
+		a.onWrongVersion(now, offered.version)
 	default:
 		a.end(Result{Outcome: OutcomeUnknown, Reason: "the home could not learn the outcome"})
 	}
@@ -149,11 +152,23 @@
 	a.deps.Counter.Count("action_wrong_owner")
 	home, ok := a.deps.Catalog.Home(a.spec.Route)
 	owner, known := a.deps.Fleet.Member(told)
-	if !ok || !known || !a.usable(home.Version) {
+	if !ok || !known || a.redirected || !a.usable(home.Version) {
 		a.retryAt = now.Add(ownerPoll)
 		return
 	}
 	a.send(now, owner, home)
+	a.redirected = true
+}
+
+// onWrongVersion asks for the index versions again.
+func (a *Action) onWrongVersion(now time.Time, version ident.Version) {
+	a.retirements++
+	if a.retirements >= maxRetired {
+		a.endOpen("the index version changes too often")
+		return
+	}
+	a.retired, a.probeAt = version, time.Time{}
+	a.offer(now)
 }
 
 // offer sends the action to the home as it is known at now, or first asks for
@@ -184,12 +199,8 @@
 	if !now.Before(a.spec.Deadline) {
 		return
 	}
-	if a.sends >= maxActionSends {
-		a.endOpen("no home took the action")
-		return
-	}
-	a.sends++
 	a.retryAt = time.Time{}
+	a.redirected = false
 	message := probeMessage(now, &a.spec)
 	message.Kind, message.Version = msgs.KindAction, uint64(home.Version)
 	message.Action, message.Key, message.Body = a.spec.Action, a.spec.Key, a.spec.Body
--- a/internal/query/run/action_test.go
+++ b/internal/query/run/action_test.go
@@ -50,6 +50,29 @@
 	require.Equal(t, ident.VMID("vm1"), w.parcels[0].vm)
 }
 
+func TestActionOutlastsAHandover(t *testing.T) {
+	w := newAction(t)
+	handedOver := w.now.Add(worldDeadline / 2)
+	sent := 0
+	for len(w.results) == 0 {
+		if len(w.parcels) == 0 {
+			w.tick()
+			continue
+		}
+		p := w.take(0)
+		if !w.now.Before(handedOver) {
+			w.deliver(p)
+			continue
+		}
+		sent++
+		answer := msgs.Answer{Seq: p.query.Items[0].Seq, Status: msgs.StatusWrongOwner, Owner: "vm1"}
+		w.apply(w.machine.OnReply(w.now, p.vm, msgs.Reply{ID: p.query.ID, Answers: []msgs.Answer{answer}}))
+	}
+	require.Equal(t, run.OutcomeDone, w.results[0].Outcome)
+	require.Less(t, sent, 20)
+	require.Equal(t, 1, w.ran)
+}
+
 func TestActionFollowsTheVersionOfItsHome(t *testing.T) {
 	w := newAction(t)
 	for _, server := range w.doc.Servers {
--- a/internal/query/run/answer.go
+++ b/internal/query/run/answer.go
@@ -101,12 +101,14 @@
 func (q *Query) onWrongOwner(now time.Time, index int, server ident.ServerID, answer *msgs.Answer) {
 	q.deps.Counter.Count("query_wrong_owner")
 	s := &q.shards[index]
-	owner, ok := q.deps.Fleet.Member(ident.VMID(answer.Owner))
-	if ok && s.state == statePending && s.sent < maxAttempts && q.deps.Hedge.Take(q.spec.Service, hedge.NotRun) {
+	t := s.trial(server)
+	owner, known := q.deps.Fleet.Member(ident.VMID(answer.Owner))
+	if known && !t.redirected && s.state == statePending && q.deps.Hedge.Take(q.spec.Service, hedge.NotRun) {
+		t.redirected = true
 		q.send(now, index, target{server: server, owner: owner})
 		return
 	}
-	s.trial(server).block(now, ownerPoll)
+	t.block(now, ownerPoll)
 	q.again(now, index, hedge.NotRun)
 }
 
@@ -134,6 +136,9 @@
 func (q *Query) again(now time.Time, index int, cause hedge.Reason) {
 	s := &q.shards[index]
 	s.cause = cause
+	if cause == hedge.Failed {
+		s.failures++
+	}
 	if s.state == statePending && s.open == 0 {
 		q.dispatch(now, index)
 	}
--- a/internal/query/run/query_test.go
+++ b/internal/query/run/query_test.go
@@ -203,6 +203,30 @@
 	}
 }
 
+func TestQueryOutlastsAHandover(t *testing.T) {
+	w := newWorld(t, "none")
+	w.known()
+	handedOver := w.now.Add(worldDeadline / 2)
+	sent := 0
+	for len(w.results) == 0 {
+		if len(w.parcels) == 0 {
+			w.tick()
+			continue
+		}
+		p := w.take(0)
+		reply := w.answer(p)
+		if w.now.Before(handedOver) {
+			for i := range reply.Answers {
+				reply.Answers[i].Status, reply.Answers[i].Owner = msgs.StatusWrongOwner, "vm0"
+				sent++
+			}
+		}
+		w.apply(w.machine.OnReply(w.now, p.vm, *reply))
+	}
+	require.Equal(t, run.OutcomeFull, w.check(t).Outcome)
+	require.Less(t, sent, 20*worldShards)
+}
+
 func TestGiveUpAnswersAtOnce(t *testing.T) {
 	w := newWorld(t, "none")
 	w.known()
--- a/internal/query/run/shard.go
+++ b/internal/query/run/shard.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// maxAttempts is the number of sub-requests that are sent for one shard.
-	maxAttempts = 20
+	// maxFailures is the number of sub-requests of one shard that may fail at
+	// backend servers before the shard is given up.
+	maxFailures = 8
 	// ownerPoll is the time between two looks for the owner of a server.
 	ownerPoll = 20 * time.Millisecond
 	// minBackoff and maxBackoff bound the time for which a server that refused
@@ -40,9 +41,11 @@
 	number ident.Shard
 	state  state
 	// open is the number of attempts without an answer.
-	open   int
-	sent   int
-	trials []trial
+	open int
+	sent int
+	// failures counts the attempts that may have run without an answer.
+	failures int
+	trials   []trial
 	// room holds the first trials.
 	room    [2]trial
 	retryAt time.Time
@@ -63,6 +66,9 @@
 	backoff      time.Duration
 	// gone is set when the server does not hold the pinned version any more.
 	gone bool
+	// redirected is set once an answer named another owner. During a handover
+	// two VMs may name each other.
+	redirected bool
 }
 
 // block keeps the server from being asked again for a while, which it returns.
@@ -182,7 +188,7 @@
 	s.retryAt = time.Time{}
 	available := q.optionsFor(now, s, "")
 	switch {
-	case s.sent >= maxAttempts:
+	case s.failures >= maxFailures:
 		q.abandonShard(now, s)
 	case len(available.targets) > 0 && s.sent > 0 && !q.deps.Hedge.Take(q.spec.Service, s.cause):
 		s.retryAt = now.Add(tokenPoll)
@@ -275,7 +281,7 @@
 func (q *Query) hedge(now time.Time, index int) {
 	s := &q.shards[index]
 	available := q.optionsFor(now, s, q.ownerOf(index))
-	if len(available.targets) == 0 || s.sent >= maxAttempts {
+	if len(available.targets) == 0 || s.failures >= maxFailures {
 		return
 	}
 	reason := hedge.Hedge
