--- a/internal/query/admit/policy.go
+++ b/internal/query/admit/policy.go
@@ -28,10 +28,12 @@
 
 // Outcome says how an admitted request ended.
 type Outcome struct {
-	// InTime is false if the deadline passed before the request was whole.
-	InTime bool
-	// Refused is true if backend servers or owners refused part of it.
-	Refused bool
+	// Took is the time since it was admitted.
+	Took time.Duration
+	// Late is set if the deadline cut it short, and Overloaded if owners with
+	// long queues refused parts of it.
+	Late       bool
+	Overloaded bool
 }
 
 // Decision is the answer to one request.
