Try idle servers however slow they seemed, and test lanes

Cause: a server whose mean service time rose above all deadlines received no work any more, so a recovery was never seen. In the tests, the fake server's Shutdown could come before its Serve, which then waited for ever (seen twice in 100 runs of the package under load, in TestLostLeaseSendsNothing, and once as a run of ten minutes).

Change: an item that finds the server idle is sent although it seems infeasible. The fakes close their listener as well. Cancels are dropped once the work must have ended. Idle connections are closed after a minute, which bounds the lifetime of the client's cleaner goroutine.

Ruled out: an estimate that decays with time, which needs a second constant.

--- a/internal/owner/lane/lane.go
+++ b/internal/owner/lane/lane.go
@@ -19,7 +19,7 @@
 	// DefaultMaxBody is the size in bytes above which an answer is refused.
 	DefaultMaxBody = 4 << 20
 	// idleTimeout is the time after which an unused connection is closed.
-	idleTimeout = 10 * time.Minute
+	idleTimeout = time.Minute
 	// answerGrace is the time after the deadline in which the server's own
 	// answer to it is still awaited, so that the connection can be kept.
 	answerGrace = 10 * time.Millisecond
--- /dev/null
+++ b/internal/owner/lane/lane_test.go
@@ -0,0 +1,224 @@
+package lane_test
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/owner/lane"
+	"github.com/samphirestair/samphirestair/internal/plat/bknd"
+)
+
+const testWait = 10 * time.Second
+
+// serve runs a server on loopback that says hello and hands work to the
+// handler. It returns its address and the number of accepted connections.
+func serve(t *testing.T, work fasthttp.RequestHandler) (address string, conns *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	conns = &atomic.Int64{}
+	server := &fasthttp.Server{
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			ctx.Response.Header.Set(bknd.HeaderBoot, "boot-1")
+			if string(ctx.Path()) == bknd.PathHello {
+				conns.Add(1)
+				ctx.SetStatusCode(fasthttp.StatusNoContent)
+				return
+			}
+			echo(ctx)
+			work(ctx)
+		},
+		Logger: silent{},
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(listener)
+	}()
+	t.Cleanup(func() {
+		require.NoError(t, server.Shutdown())
+		// Shutdown does not know the listener if Serve has not begun yet.
+		_ = listener.Close()
+		<-done
+	})
+	return listener.Addr().String(), conns
+}
+
+func echo(ctx *fasthttp.RequestCtx) {
+	for _, name := range []string{bknd.HeaderRequest, bknd.HeaderVersion, bknd.HeaderShard} {
+		ctx.Response.Header.SetBytesV(name, ctx.Request.Header.Peek(name))
+	}
+}
+
+type silent struct{}
+
+func (silent) Printf(string, ...any) {}
+
+func request(kind msgs.Kind) *lane.Request {
+	return &lane.Request{
+		ID: "r1", Kind: kind, Version: 3, Shard: 1, Body: []byte("{}"),
+		Deadline: time.Now().Add(testWait), Budget: testWait,
+	}
+}
+
+func allow() bool { return true }
+
+// do connects the lane and sends one request.
+func do(t *testing.T, l *lane.Lane, r *lane.Request, guard func() bool) lane.Result {
+	t.Helper()
+	_, _, err := l.Connect(time.Now().Add(testWait))
+	require.NoError(t, err)
+	return l.Do(r, guard)
+}
+
+func TestUnusableAnswersFailOnlyTheirRequest(t *testing.T) {
+	answers := map[string]func(ctx *fasthttp.RequestCtx){
+		"not JSON":      func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("{") },
+		"no hits":       func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("{}") },
+		"hits no list":  func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(`{"hits":1}`) },
+		"no id":         func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(`{"hits":[{"score":1}]}`) },
+		"hit no object": func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(`{"hits":[1]}`) },
+		"score text":    func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(`{"hits":[{"id":"a","score":"1"}]}`) },
+		"score range":   func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(`{"hits":[{"id":"a","score":1e999}]}`) },
+		"number":        func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(`{"hits":[{"id":"a","score":1,"doc":1-2}]}`) },
+		"too large":     func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(strings.Repeat(" ", 2000)) },
+		"version":       func(ctx *fasthttp.RequestCtx) { ctx.Response.Header.Set(bknd.HeaderVersion, "4") },
+		"shard":         func(ctx *fasthttp.RequestCtx) { ctx.Response.Header.Set(bknd.HeaderShard, "2") },
+		"no shard":      func(ctx *fasthttp.RequestCtx) { ctx.Response.Header.Del(bknd.HeaderShard) },
+		"request":       func(ctx *fasthttp.RequestCtx) { ctx.Response.Header.Set(bknd.HeaderRequest, "r2") },
+		"status":        func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusInternalServerError) },
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			var bad atomic.Bool
+			address, _ := serve(t, func(ctx *fasthttp.RequestCtx) {
+				ctx.SetBodyString(`{"hits":[]}`)
+				if bad.Load() {
+					answer(ctx)
+				}
+			})
+			l := lane.New(lane.NewDialer(address, 0, nil), 1000)
+			defer l.Close()
+			bad.Store(true)
+			result := do(t, l, request(msgs.KindSearch), allow)
+			require.Equal(t, msgs.StatusFailed, result.Status)
+			require.Error(t, result.Err)
+			require.Nil(t, result.Hits)
+			bad.Store(false)
+			require.Equal(t, msgs.StatusOK, do(t, l, request(msgs.KindSearch), allow).Status)
+		})
+	}
+}
+
+func TestStatusesOfTheServer(t *testing.T) {
+	cases := []struct {
+		code   int
+		notRun string
+		status msgs.Status
+	}{
+		{bknd.StatusWrongVersion, "1", msgs.StatusWrongVersion},
+		{bknd.StatusShed, "", msgs.StatusNotRun},
+		{bknd.StatusDeadline, "", msgs.StatusLate},
+		{bknd.StatusDeadline, "1", msgs.StatusNotRun},
+		{bknd.StatusCancelled, "", msgs.StatusCancelled},
+		{fasthttp.StatusBadGateway, "", msgs.StatusFailed},
+	}
+	for _, c := range cases {
+		address, _ := serve(t, func(ctx *fasthttp.RequestCtx) {
+			ctx.SetStatusCode(c.code)
+			ctx.Response.Header.Set(bknd.HeaderNotRun, c.notRun)
+		})
+		l := lane.New(lane.NewDialer(address, 0, nil), 0)
+		require.Equal(t, c.status, do(t, l, request(msgs.KindAction), allow).Status, fmt.Sprint(c.code))
+		l.Close()
+	}
+}
+
+func TestSilentConnectionIsNotUsedAgain(t *testing.T) {
+	block := make(chan struct{})
+	address, conns := serve(t, func(*fasthttp.RequestCtx) { <-block })
+	l := lane.New(lane.NewDialer(address, 0, nil), 0)
+	r := request(msgs.KindLookup)
+	r.Silence = 20 * time.Millisecond
+	result := do(t, l, r, allow)
+	require.Equal(t, lane.OutcomeSilent, result.Outcome)
+	require.Equal(t, msgs.StatusLate, result.Status)
+	require.False(t, l.Connected())
+	close(block)
+	require.Equal(t, msgs.StatusOK, do(t, l, request(msgs.KindLookup), allow).Status)
+	require.Equal(t, int64(2), conns.Load())
+	l.Close()
+}
+
+func TestGuardKeepsTheRequestUnsent(t *testing.T) {
+	var works atomic.Int64
+	address, _ := serve(t, func(*fasthttp.RequestCtx) { works.Add(1) })
+	l := lane.New(lane.NewDialer(address, 0, nil), 0)
+	defer l.Close()
+	result := do(t, l, request(msgs.KindAction), func() bool { return false })
+	require.Equal(t, lane.OutcomeUnsent, result.Outcome)
+	require.Equal(t, msgs.StatusNotRun, result.Status)
+	require.Zero(t, works.Load())
+}
+
+func TestDeadConnectionIsReplacedBeforeItCarriesWork(t *testing.T) {
+	address, conns := serve(t, func(ctx *fasthttp.RequestCtx) { ctx.SetConnectionClose() })
+	l := lane.New(lane.NewDialer(address, 0, nil), 0)
+	defer l.Close()
+	for range 3 {
+		require.Equal(t, msgs.StatusOK, do(t, l, request(msgs.KindLookup), allow).Status)
+	}
+	require.Equal(t, int64(3), conns.Load())
+}
+
+func TestServerThatDoesNotSayHelloIsNotUsed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	d := lane.NewDialer(listener.Addr().String(), 0, nil)
+	l := lane.New(d, 0)
+	_, _, err = l.Connect(time.Now())
+	require.Error(t, err)
+	require.Zero(t, d.Open())
+	require.Equal(t, lane.OutcomeUnsent, l.Do(request(msgs.KindAction), allow).Outcome)
+}
+
+func TestIdleConnectionThatTheServerClosedIsReplaced(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &fasthttp.Server{
+		IdleTimeout: 20 * time.Millisecond, Logger: silent{},
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			ctx.Response.Header.Set(bknd.HeaderBoot, "boot-1")
+			if string(ctx.Path()) == bknd.PathHello {
+				ctx.SetStatusCode(fasthttp.StatusNoContent)
+			}
+			echo(ctx)
+		},
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(listener)
+	}()
+	d := lane.NewDialer(listener.Addr().String(), 0, nil)
+	l := lane.New(d, 0)
+	for range 3 {
+		require.Equal(t, msgs.StatusOK, do(t, l, request(msgs.KindAction), allow).Status)
+		require.Equal(t, 1, d.Open())
+		require.Eventually(t, func() bool { return server.GetOpenConnectionsCount() == 0 }, testWait, time.Millisecond)
+	}
+	l.Close()
+	require.Zero(t, d.Open())
+	require.NoError(t, server.Shutdown())
+	_ = listener.Close()
+	<-done
+}
--- a/internal/owner/queue/expire.go
+++ b/internal/owner/queue/expire.go
@@ -64,7 +64,7 @@
 	var expired []*Item
 	var next time.Time
 	for _, item := range q.waiting {
-		expiry := item.Deadline.Add(-q.estimate)
+		expiry := q.expiry(item)
 		switch {
 		case !now.Before(expiry):
 			expired = append(expired, item)
--- a/internal/owner/queue/item.go
+++ b/internal/owner/queue/item.go
@@ -28,6 +28,9 @@
 	state state
 	index int
 	until time.Time
+	// probe is set if the item was added while the server was idle. It is sent
+	// however slow the server seemed, so that a recovery is noticed.
+	probe bool
 }
 
 // waitHeap orders items by class, then by deadline.
--- a/internal/owner/queue/queue.go
+++ b/internal/owner/queue/queue.go
@@ -84,6 +84,7 @@
 // That is the item itself if it cannot meet its deadline, or if the queue is
 // full and it comes last.
 func (q *Queue) Add(item *Item, now time.Time) *Item {
+	item.probe = len(q.waiting) == 0 && q.InUse() == 0
 	if !q.feasible(item, now) {
 		item.state = stateGone
 		return item
@@ -207,6 +208,9 @@
 }
 
 func (q *Queue) feasible(item *Item, now time.Time) bool {
+	if item.probe {
+		return now.Before(item.Deadline)
+	}
 	ahead := 0
 	for _, other := range q.waiting {
 		if before(other, item) {
@@ -216,10 +220,18 @@
 	return now.Add(q.waitFor(ahead) + q.estimate).Before(item.Deadline)
 }
 
+// expiry returns the time from which on a waiting item cannot meet its deadline.
+func (q *Queue) expiry(item *Item) time.Time {
+	if item.probe {
+		return item.Deadline
+	}
+	return item.Deadline.Add(-q.estimate)
+}
+
 func (q *Queue) push(item *Item) {
 	item.state = stateWaiting
 	heap.Push(&q.waiting, item)
-	expiry := item.Deadline.Add(-q.estimate)
+	expiry := q.expiry(item)
 	if len(q.waiting) == 1 || expiry.Before(q.nextExpiry) {
 		q.nextExpiry = expiry
 	}
--- a/internal/owner/queue/queue_test.go
+++ b/internal/owner/queue/queue_test.go
@@ -182,6 +182,17 @@
 	require.NotNil(t, q.Start())
 }
 
+func TestIdleServerIsTriedHoweverSlowItSeemed(t *testing.T) {
+	q := queue.New(queue.Options{})
+	q.SetBound(1, time.Hour)
+	first := &queue.Item{Deadline: start.Add(time.Second)}
+	second := &queue.Item{Deadline: start.Add(time.Second)}
+	require.Nil(t, q.Add(first, start))
+	require.Equal(t, second, q.Add(second, start))
+	require.Empty(t, q.Expire(start))
+	require.Equal(t, first, q.Start())
+}
+
 func TestFullQueueRefusesTheLeastImportant(t *testing.T) {
 	q := queue.New(queue.Options{MaxWaiting: 1})
 	low := &queue.Item{Class: 2, Deadline: start.Add(time.Minute)}
--- a/internal/owner/sender/backend_test.go
+++ b/internal/owner/sender/backend_test.go
@@ -48,6 +48,8 @@
 	t.Cleanup(func() {
 		b.release()
 		require.NoError(t, server.Shutdown())
+		// Shutdown does not know the listener if Serve has not begun yet.
+		_ = listener.Close()
 		<-done
 	})
 	return b
--- a/internal/owner/sender/carry.go
+++ b/internal/owner/sender/carry.go
@@ -39,8 +39,8 @@
 	now := time.Now()
 	carry := groupCarry{Servers: map[ident.ServerID]serverCarry{}}
 	for _, h := range s.list() {
-		if h.group == group {
-			carry.Servers[h.id] = h.exportLocked(now)
+		if known, of := h.exportOf(group, now); of {
+			carry.Servers[h.id] = known
 		}
 	}
 	s.addRetained(group, &carry)
@@ -122,10 +122,15 @@
 	}
 }
 
-func (h *host) exportLocked(now time.Time) serverCarry {
+// exportOf returns what the next owner should know if the server belongs to the
+// group.
+func (h *host) exportOf(group ident.GroupID, now time.Time) (serverCarry, bool) {
 	h.mu.Lock()
 	defer h.unlock()
-	return h.export(now)
+	if h.group != group {
+		return serverCarry{}, false
+	}
+	return h.export(now), true
 }
 
 // export returns what the next owner should know. The caller holds the mutex.
--- a/internal/owner/sender/finish.go
+++ b/internal/owner/sender/finish.go
@@ -180,6 +180,9 @@
 // cancelAtServer sends one cancel. If the server acknowledges it and nothing
 // waits for its answer any more, the slot is free.
 func (h *host) cancelAtServer(l *lane.Lane, j *job) {
+	if h.over(j, time.Now()) {
+		return
+	}
 	hello, fresh, err := l.Connect(time.Now().Add(cancelTimeout))
 	if err != nil {
 		return
@@ -196,3 +199,10 @@
 	}
 	h.advance(now)
 }
+
+// over reports whether the server must have ended the work of a sent job.
+func (h *host) over(j *job, now time.Time) bool {
+	h.mu.Lock()
+	defer h.unlock()
+	return !now.Before(j.workUntil)
+}
--- a/internal/owner/sender/host.go
+++ b/internal/owner/sender/host.go
@@ -27,7 +27,6 @@
 type host struct {
 	sender  *Sender
 	id      ident.ServerID
-	group   ident.GroupID
 	address string
 	dialer  *lane.Dialer
 	// holding is nil while this VM does not own the server.
@@ -37,6 +36,7 @@
 	cancels chan *job
 
 	mu       sync.Mutex
+	group    ident.GroupID
 	server   svcdoc.Server
 	term     uint64
 	tracker  *warmth.Tracker
--- a/internal/owner/sender/refresh.go
+++ b/internal/owner/sender/refresh.go
@@ -109,7 +109,7 @@
 	if h.term != holding.Term && h.term != 0 && !imported {
 		h.tracker.Forget(now)
 	}
-	h.term = holding.Term
+	h.term, h.group = holding.Term, holding.Group.ID
 	h.holding.Store(holding)
 	if h.server.Limits != server.Limits {
 		h.tracker.SetLimits(server.Limits, now)
