--- /dev/null
+++ b/internal/query/hedge/policy.go
@@ -0,0 +1,79 @@
+// Package hedge decides when a sub-request may be sent to a second replica,
+// and how many retries and hedges the traffic may cause. Policies are
+// plug-ins without sockets, goroutines or timers.
+package hedge
+
+import (
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/core/kernel"
+)
+
+// Reason says why a shard needs one more sub-request.
+type Reason uint8
+
+const (
+	// Hedge means that the last one has not been answered yet.
+	Hedge Reason = iota
+	// Overdue means that the last one is probably lost.
+	Overdue
+	// Failed means that the last one failed; it may have run.
+	Failed
+	// NotRun means that the last one was certainly not run.
+	NotRun
+)
+
+// Policy bounds the extra sub-requests of a service. Implementations are safe
+// for concurrent use.
+type Policy interface {
+	// Delay returns the time after which an unanswered sub-request may be
+	// hedged. ok is false while the service is not hedged at all.
+	Delay(service ident.ServiceID) (delay time.Duration, ok bool)
+	// Sent notes that first attempts were sent.
+	Sent(service ident.ServiceID, count int)
+	// Take reports whether one more sub-request may be sent, and counts it if
+	// so.
+	Take(service ident.ServiceID, reason Reason) bool
+	// Observe notes a completed sub-request: the time since it was sent, and
+	// the queue and slots of the server.
+	Observe(service ident.ServiceID, latency time.Duration, queued, slots int)
+}
+
+// Options tunes policies. The zero value is useful.
+type Options struct {
+	// Share is the number of extra sub-requests per first attempt. 0 means
+	// 0.05.
+	Share float64
+	// Burst is the largest number of saved tokens. 0 means 100.
+	Burst float64
+	// Borrow is the largest number of borrowed tokens. 0 means 400.
+	Borrow float64
+	// Quantile of the shard latency after which hedges are sent. 0 means 0.95.
+	Quantile float64
+	// LongQueue is the mean number of sub-requests per slot of the servers
+	// from which on nothing is hedged. 0 means 2.
+	LongQueue float64
+}
+
+// Policies holds the hedging plug-ins.
+var Policies = kernel.NewRegistry[func(Options) Policy]("hedging")
+
+func (o Options) withDefaults() Options {
+	if o.Share == 0 {
+		o.Share = 0.05
+	}
+	if o.Burst == 0 {
+		o.Burst = 100
+	}
+	if o.Borrow == 0 {
+		o.Borrow = 400
+	}
+	if o.Quantile == 0 {
+		o.Quantile = 0.95
+	}
+	if o.LongQueue == 0 {
+		o.LongQueue = 2
+	}
+	return o
+}
