Let running work end before a group is handed over

Cause: after a handover in scripts/demo 3 requests timed out: work that still ran was counted in the successor's slots until its deadline, and a server in cold start bears one request, so everything behind it waited up to 500 ms. Ruled out: lost replies (the server's history has them finished) and the voters (the lease was taken within 1 ms). Change: the owner pauses the group, waits at most 250 ms until nothing runs there, then releases; what waits is sent on to the successor.

--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -49,10 +49,13 @@
 )
 
 // CarryKeeper knows what a successor should know of a group's backend servers.
-// Both methods are called on the control goroutine and must not block.
+// All methods are called on the control goroutine and must not block.
 type CarryKeeper interface {
 	// Export returns what a successor should know.
 	Export(group ident.GroupID) []byte
+	// Pause keeps new work from the group's backend servers until the given
+	// time and reports whether nothing runs there any more.
+	Pause(group ident.GroupID, until time.Time) bool
 	// Import takes what the previous owner exported last, before the group's
 	// Holding is published. The previous lease ended at previousUntil; zero
 	// means that there was none.
--- a/internal/fleet/agent/fleet_test.go
+++ b/internal/fleet/agent/fleet_test.go
@@ -186,6 +186,8 @@
 	n.imported[group] = string(carry)
 }
 
+func (n *notes) Pause(ident.GroupID, time.Time) bool { return true }
+
 func (n *notes) got(group ident.GroupID) string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/fleet/agent/handover.go
+++ b/internal/fleet/agent/handover.go
@@ -8,6 +8,13 @@
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 )
 
+const (
+	// quiesceBound bounds the pause of a group before it is handed over.
+	quiesceBound = 250 * time.Millisecond
+	// quiesceStep is the time between two looks whether work still runs.
+	quiesceStep = 5 * time.Millisecond
+)
+
 // handOver moves groups to VMs that the plan prefers by now.
 func (a *Agent) handOver(now time.Time) {
 	budget := a.options.HandoverPace
@@ -46,18 +53,39 @@
 	return m, alive
 }
 
-// offer asks the successor whether it is ready, then releases the lease.
+// offer asks the successor whether it is ready, lets the work that runs end,
+// then releases the lease.
 func (a *Agent) offer(group ident.GroupID, t *tenure, to view.Member) {
 	t.offering = true
 	call(a, to.Control, methodOffer, offer{Group: group}, func(r offerReply, err error) {
-		t.offering = false
-		if err != nil || !r.Ready || t.holding == nil || a.tenures[group] != t {
+		if err != nil || !r.Ready {
+			t.offering = false
 			return
 		}
-		a.release(group, t, to)
+		a.quiesce(group, t, to, time.Now().Add(quiesceBound))
 	})
 }
 
+// quiesce releases the lease once nothing runs at the group's backend servers,
+// or at the bound. What still runs then occupies its slots at the successor
+// until its deadline, so short waits here save long ones there.
+func (a *Agent) quiesce(group ident.GroupID, t *tenure, to view.Member, bound time.Time) {
+	if t.holding == nil || a.tenures[group] != t {
+		t.offering = false
+		return
+	}
+	now := time.Now()
+	idle := a.deps.Carry == nil || a.deps.Carry.Pause(group, bound)
+	if !idle && now.Before(bound) {
+		time.AfterFunc(quiesceStep, func() {
+			a.post(func() { a.quiesce(group, t, to, bound) })
+		})
+		return
+	}
+	t.offering = false
+	a.release(group, t, to)
+}
+
 // release stops work on a group and passes it to the successor. Traffic sees
 // the new view before the voters are told, and the successor asks the voters
 // only after all of them know of the release.
--- a/internal/owner/sender/host.go
+++ b/internal/owner/sender/host.go
@@ -35,21 +35,23 @@
 	out     atomic.Bool
 	cancels chan *job
 
-	mu       sync.Mutex
-	group    ident.GroupID
-	server   svcdoc.Server
-	term     uint64
-	tracker  *warmth.Tracker
-	queue    *queue.Queue
-	runners  []*runner
-	idle     []*runner
-	maps     indexMaps
-	down     outage
-	timer    *time.Timer
-	timerAt  time.Time
-	badAt    time.Time
-	canceler bool
-	closed   bool
+	mu      sync.Mutex
+	group   ident.GroupID
+	server  svcdoc.Server
+	term    uint64
+	tracker *warmth.Tracker
+	queue   *queue.Queue
+	runners []*runner
+	idle    []*runner
+	maps    indexMaps
+	down    outage
+	timer   *time.Timer
+	timerAt time.Time
+	badAt   time.Time
+	// pausedUntil is set while the group is about to be handed over.
+	pausedUntil time.Time
+	canceler    bool
+	closed      bool
 	// outbox holds answers that are sent once the mutex is free.
 	outbox []outgoing
 }
@@ -109,7 +111,7 @@
 		h.sender.deps.Events.Count("queue_expired")
 		h.refuse(item.Work.(*job), msgs.Answer{Status: msgs.StatusNotRun, RetryMicros: micros(h.queue.RetryAfter())})
 	}
-	for h.queue.Ready() {
+	for h.queue.Ready() && !h.paused(now) {
 		r := h.freeRunner()
 		if r == nil {
 			break
--- a/internal/owner/sender/sender_test.go
+++ b/internal/owner/sender/sender_test.go
@@ -281,6 +281,25 @@
 	b.release()
 }
 
+func TestPausedGroupFinishesAndStartsNothingNew(t *testing.T) {
+	b := startBackend(t)
+	f := newFixture(t, b.address, sender.Options{})
+	f.warmUp()
+	before, _, _ := b.counts()
+	b.set(func(b *backend) { b.hold = make(chan struct{}) })
+	f.query(msgs.KindSearch, testWait)
+	f.eventually(func() bool { works, _, _ := b.counts(); return works == before+1 })
+	require.False(t, f.sender.Pause("g", time.Now().Add(time.Hour)))
+	f.query(msgs.KindSearch, testWait)
+	b.release()
+	require.Equal(t, msgs.StatusOK, f.answer().Status)
+	f.eventually(func() bool { return f.sender.Pause("g", time.Now().Add(time.Hour)) })
+	works, _, _ := b.counts()
+	require.Equal(t, before+1, works)
+	f.holding.Renew(time.Now().Add(-time.Second))
+	require.Equal(t, msgs.StatusWrongOwner, f.answer().Status)
+}
+
 func TestWorkThatRunsWhenTheLeaseEndsIsAnswered(t *testing.T) {
 	b := startBackend(t)
 	b.set(func(b *backend) { b.hold = make(chan struct{}) })
