--- a/internal/fleet/agent/handover.go
+++ b/internal/fleet/agent/handover.go
@@ -90,7 +90,7 @@
 // the new view before the voters are told, and the successor asks the voters
 // only after all of them know of the release.
 func (a *Agent) release(group ident.GroupID, t *tenure, to view.Member) {
-	t.holding = nil
+	t.withdraw()
 	t.retry = time.Now().Add(a.options.HandoverDelay)
 	a.setRoute(group, to.Process.VM, learnedRoute)
 	a.publish(time.Now())
