Tell callers of a VM that takes no work to move on

A VM that is isolated or still starting refused with "not run" but not with where to go, and kept itself in its address list. It now sends X-Move-On and lists the others, as a leaving VM does.

--- a/internal/front/caller/addrs.go
+++ b/internal/front/caller/addrs.go
@@ -38,9 +38,9 @@
 	return send(c, http.StatusOK, readiness{Ready: true})
 }
 
-// leaving reports whether callers of this VM should use others.
-func leaving(current *view.View) bool {
-	return unusable(current, current.Self)
+// mustMoveOn reports whether callers of this VM should use others.
+func mustMoveOn(current *view.View) bool {
+	return !current.Admitting || unusable(current, current.Self)
 }
 
 // unusable reports whether a VM is on its way out or has been taken out.
@@ -62,12 +62,11 @@
 	usable, all := []string{}, []string{}
 	for vm, member := range current.Members {
 		all = append(all, member.Caller)
-		if vm == current.Self.Process.VM {
-			member.Leaving = member.Leaving || current.Self.Leaving
-		}
-		if !unusable(current, member) {
-			usable = append(usable, member.Caller)
+		self := vm == current.Self.Process.VM
+		if unusable(current, member) || self && mustMoveOn(current) {
+			continue
 		}
+		usable = append(usable, member.Caller)
 	}
 	if len(usable) == 0 {
 		usable = all
--- a/internal/front/caller/server.go
+++ b/internal/front/caller/server.go
@@ -126,10 +126,10 @@
 	s.app.Post("/v1/action/:service/:action", s.action)
 }
 
-// moveOn tells callers of a leaving VM to ask for other addresses, and those of
-// a closing one to use another connection.
+// moveOn tells callers of a VM that leaves or takes no work to ask for other
+// addresses, and those of a closing one to use another connection.
 func (s *Server) moveOn(c fiber.Ctx) error {
-	if leaving(s.deps.Views.Load()) {
+	if mustMoveOn(s.deps.Views.Load()) {
 		c.Set(headerMoveOn, "1")
 	}
 	if s.closing.Load() {
