Tell whole sessions as text and compare them with golden files

Ruled out: a scripted owner in place of owner/sender, because the sender can be driven over net.Pipe under the fake clock, and a captured log, because its lines name kinds of decisions and not what was sent to whom. Change: internal/lab/story wires the real entries, homes and senders of three VMs over links, voters and backend servers with scripted, all different latencies. Ten sessions: straggler, partial answer, refusal, lost reply to a booking, version retired under a search, zone out and in, planned stop, two races of operators, lost answer of the key-value service.

--- /dev/null
+++ b/internal/lab/story/caller.go
@@ -0,0 +1,68 @@
+package story
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/query/entry"
+	"github.com/samphirestair/samphirestair/internal/query/run"
+)
+
+// callerLatency is the one-way latency between callers and VMs.
+const callerLatency = 500 * time.Microsecond
+
+// Search asks a VM for a search within the time left. Zero means the document's.
+func (f *Fleet) Search(vm ident.VMID, left time.Duration) entry.Result {
+	if left == 0 {
+		left = deadline
+	}
+	f.Story.Tellf("caller", "asks %s: search %s within %s", vm, Service, left)
+	request := entry.Request{Service: Service, Limit: 5, Deadline: time.Now().Add(left)}
+	return f.call(func() entry.Result { return f.VMs[vm].Entry.Search(context.Background(), request) })
+}
+
+// Book asks a VM to run the action "book" under an idempotency key.
+func (f *Fleet) Book(vm ident.VMID, key string) entry.Result {
+	f.Story.Tellf("caller", "asks %s: \"book\" within %s", vm, deadline)
+	request := entry.Request{
+		Service: Service, Action: "book", Key: key, Route: "flat-7", Deadline: time.Now().Add(deadline),
+	}
+	return f.call(func() entry.Result { return f.VMs[vm].Entry.Action(context.Background(), request) })
+}
+
+// Warm runs searches at a VM one after another.
+func (f *Fleet) Warm(vm ident.VMID, count int) {
+	for range count {
+		f.Search(vm, 0)
+	}
+}
+
+func (f *Fleet) call(do func() entry.Result) entry.Result {
+	time.Sleep(callerLatency)
+	result := do()
+	time.Sleep(callerLatency)
+	f.Story.Tellf("caller", "gets %s", resultText(result))
+	return result
+}
+
+func resultText(result entry.Result) string {
+	text := fmt.Sprintf("%q", result.Outcome)
+	if result.Of > 0 && result.Outcome != run.OutcomeDone {
+		text += fmt.Sprintf(": %d of %d shards of version %d", result.Answered, result.Of, result.Version)
+	}
+	for _, hit := range result.Hits {
+		text += ", " + hit.ID
+	}
+	if len(result.Body) > 0 {
+		text += ": " + string(result.Body)
+	}
+	if result.Reason != "" {
+		text += ", because: " + result.Reason
+	}
+	if result.RetryAfter > 0 {
+		text += ", come back after " + result.RetryAfter.String()
+	}
+	return text
+}
--- /dev/null
+++ b/internal/lab/story/operator.go
@@ -0,0 +1,93 @@
+package story
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/change"
+	"github.com/samphirestair/samphirestair/internal/plat/store"
+)
+
+// Operator makes changes to the configuration.
+type Operator struct {
+	story   *Story
+	name    string
+	changer *change.Changer
+	changes int
+}
+
+// NewOperator returns an operator whose calls to the key-value service take the
+// given time each way.
+func NewOperator(story *Story, name string, kv store.Store, latency time.Duration) *Operator {
+	o := &Operator{story: story, name: name}
+	told := &toldStore{Store: kv, story: story, who: name, latency: latency}
+	o.changer = change.New(told, change.Options{NewID: o.newID, Backoff: 1})
+	return o
+}
+
+func (o *Operator) newID() ident.ChangeID {
+	o.changes++
+	return ident.ChangeID(fmt.Sprintf("%s-%d", o.name, o.changes))
+}
+
+// Do carries out a change and tells the outcome.
+func (o *Operator) Do(ctx context.Context, r change.Request) change.Outcome {
+	r.By = o.name
+	subject := r.Subject
+	if r.Document != nil {
+		subject = string(r.Document.Service)
+	}
+	o.story.Tellf(o.name, "asks for %s %s", r.Kind, subject)
+	outcome := o.changer.Do(ctx, r)
+	text := fmt.Sprint(outcome.Status)
+	if outcome.Reason != "" {
+		text += ", because: " + outcome.Reason
+	}
+	o.story.Tellf(o.name, "learns of %s %s: %s", r.Kind, subject, text)
+	return outcome
+}
+
+// toldStore tells of each call to the key-value service.
+type toldStore struct {
+	store.Store
+	story   *Story
+	who     string
+	latency time.Duration
+}
+
+// Get implements store.Store.
+func (s *toldStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	time.Sleep(s.latency)
+	entry, err := s.Store.Get(ctx, key)
+	s.story.Tellf(s.who, "reads %s: %s", key, told(entry.Revision, err))
+	time.Sleep(s.latency)
+	return entry, err
+}
+
+// Swap implements store.Store.
+func (s *toldStore) Swap(ctx context.Context, key string, expect ident.Revision, value []byte) (ident.Revision, error) {
+	time.Sleep(s.latency)
+	revision, err := s.Store.Swap(ctx, key, expect, value)
+	s.story.Tellf(s.who, "writes %s over revision %d: %s", key, expect, told(revision, err))
+	time.Sleep(s.latency)
+	return revision, err
+}
+
+func told(revision ident.Revision, err error) string {
+	switch {
+	case errors.Is(err, store.ErrConflict):
+		return "another revision is there"
+	case errors.Is(err, store.ErrUnknown):
+		return "the answer is lost"
+	case err != nil:
+		return err.Error()
+	case revision == 0:
+		return "absent"
+	default:
+		return fmt.Sprintf("revision %d", revision)
+	}
+}
--- /dev/null
+++ b/internal/lab/story/voters.go
@@ -0,0 +1,47 @@
+package story
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/owner/home"
+)
+
+// voterTime is the time in which a majority of voters keeps a record.
+const voterTime = 2 * time.Millisecond
+
+// voters keeps the claims of all groups. It implements home.Replicator.
+type voters struct {
+	story   *Story
+	mu      sync.Mutex
+	records map[string][]byte
+}
+
+var _ home.Replicator = (*voters)(nil)
+
+// Replicate implements home.Replicator.
+func (v *voters) Replicate(_ context.Context, _ ident.GroupID, _ uint64, key string, record []byte) error {
+	time.Sleep(voterTime)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if _, known := v.records[key]; known {
+		v.story.Tellf("voters", "keep the outcome of the key")
+	} else {
+		v.story.Tellf("voters", "keep the claim of the key")
+	}
+	v.records[key] = record
+	return nil
+}
+
+// Claims implements home.Replicator.
+func (v *voters) Claims(ident.GroupID) map[string][]byte {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return maps.Clone(v.records)
+}
+
+// ClaimsSince implements home.Replicator.
+func (v *voters) ClaimsSince(ident.GroupID) time.Time { return time.Time{} }
