--- a/internal/ops/admin/server.go
+++ b/internal/ops/admin/server.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
+	"github.com/valyala/fasthttp/pprofhandler"
 
 	"github.com/samphirestair/samphirestair/internal/link/cut"
 )
@@ -50,6 +51,7 @@
 	s.app.Get("/status", s.status)
 	s.app.Get("/fleet", s.fleet)
 	s.app.Get("/metrics", s.metrics)
+	s.app.Get("/debug/pprof/*", s.profile)
 	if deps.Cut != nil {
 		s.app.Post("/test/cut", s.cut)
 	}
@@ -107,6 +109,12 @@
 	return nil
 }
 
+// profile serves the profiles of the Go runtime.
+func (s *Server) profile(c fiber.Ctx) error {
+	pprofhandler.PprofHandler(c.RequestCtx())
+	return nil
+}
+
 // cutRequest lists the IP addresses towards which the process loses what it
 // sends. It replaces the previous list.
 type cutRequest struct {
