Test pauses, lost answers to writes and moved servers

Cause: three promises of the agent had no test of their own.

Change: a paused process loses its groups and gets them back; a fleet forms though every other write loses its answer; a server that changed its group waits for work. A first form of the pause test asked for the groups before the handover back; it now waits for all of them, and for agreement at the same time.

--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"testing"
 
@@ -10,6 +11,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/fleet/agent"
 	"github.com/samphirestair/samphirestair/internal/fleet/place"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
@@ -21,7 +23,10 @@
 
 // formed returns a fleet of 8 processes that own all groups of 10 services.
 func formed(t *testing.T) (*fleet, int) {
-	f := newFleet(t, config(10))
+	return form(t, newFleet(t, config(10)))
+}
+
+func form(t *testing.T, f *fleet) (*fleet, int) {
 	for i := range 8 {
 		f.start(i, 1)
 	}
@@ -37,6 +42,76 @@
 	require.NoError(t, err)
 }
 
+func TestFleetFormsThoughAnswersToWritesAreLost(t *testing.T) {
+	f := newFleet(t, config(10))
+	f.store.losing = true
+	form(t, f)
+}
+
+func TestPausedProcessLosesItsLeasesAndReturns(t *testing.T) {
+	f, groups := formed(t)
+	n := f.nodes["vm4"]
+	held := n.views.Load().Holdings
+	require.NotEmpty(t, held)
+	n.notes.mu.Lock()
+	f.eventually(func() bool {
+		holders := f.holders()
+		for group := range held {
+			if holders[group] == "vm4" || holders[group] == "" {
+				return false
+			}
+		}
+		return true
+	}, "no takeover from a paused process")
+	n.notes.mu.Unlock()
+	f.eventually(func() bool {
+		back := len(f.nodes["vm0"].views.Load().Members) == 8 && len(n.views.Load().Holdings) == len(held)
+		return back && f.agreed(groups)
+	}, "the paused process does not return")
+}
+
+func TestMovedServerWaitsBeforeItGetsWork(t *testing.T) {
+	f := newFleet(t, wide(9))
+	n := f.start(0, 1)
+	f.eventually(func() bool { return f.agreed(3) }, "no owner")
+	before := n.views.Load()
+	n.agent.SetConfig(wide(8))
+	f.eventually(func() bool { return len(n.views.Load().Groups) == 2 }, "no new groups")
+	moved := 0
+	for server, group := range n.views.Load().GroupOf {
+		if before.GroupOf[server] != group {
+			moved++
+			h, ok := n.views.Load().Holdings[group]
+			require.False(t, ok && slices.ContainsFunc(h.Group.Servers, func(s svcdoc.Server) bool { return s.ID == server }))
+		}
+	}
+	require.NotZero(t, moved)
+	f.eventually(func() bool {
+		count := 0
+		for _, h := range n.views.Load().Holdings {
+			count += len(h.Group.Servers)
+		}
+		return count == 8
+	}, "moved servers stay without work")
+}
+
+// wide has one service with n servers in one zone.
+func wide(n int) *view.Config {
+	doc := &svcdoc.Document{Service: "wide"}
+	for i := range n {
+		doc.Servers = append(doc.Servers, svcdoc.Server{
+			ID:    ident.ServerID(fmt.Sprint("wide/", i)),
+			Zone:  "zone0",
+			Shard: ident.Shard(i),
+		})
+	}
+	return &view.Config{
+		Revision: ident.Revision(20 - n),
+		Serial:   1,
+		Services: map[ident.ServiceID]*svcdoc.Document{"wide": doc},
+	}
+}
+
 func TestTakeoverWhileStoreIsDown(t *testing.T) {
 	f, groups := formed(t)
 	held := f.holders()
--- a/internal/fleet/agent/fleet_test.go
+++ b/internal/fleet/agent/fleet_test.go
@@ -35,7 +35,9 @@
 	entries map[string]store.Entry
 	changed chan struct{}
 	down    bool
-	writes  int
+	// losing makes every other write lose its answer after it took effect.
+	losing bool
+	writes int
 }
 
 func newMemory() *memory {
@@ -75,6 +77,9 @@
 	m.writes++
 	m.entries[key] = store.Entry{Value: value, Revision: expect + 1}
 	m.notifyLocked()
+	if m.losing && m.writes%2 == 1 {
+		return 0, store.ErrUnknown
+	}
 	return expect + 1, nil
 }
 
