Pass changes on when the key-value service is out of reach

Cause: a registrar that alone cannot reach the key-value service accepted changes and never wrote them. The membership value is fetched by every VM at each change, 97 KB at 460 members.

Ruled out: electing another registrar; members would disagree on who it is.

Change: a process whose last call of the service failed accepts no changes and passes its own on to a random member. The value is compressed from 4 KB on.

Conclusion: one VM cut off from the service delays no removal of a dead member.

--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -152,6 +152,8 @@
 
 	peers      map[ident.Process]*peer
 	storeHeard time.Time
+	// storeDown is set while the last call of the key-value service failed.
+	storeDown  bool
 	polling    bool
 	listed     coll.Set[ident.VMID]
 	leavingVMs coll.Set[ident.VMID]
--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -184,6 +184,20 @@
 	require.Equal(t, n.self.Process, n.views.Load().Members["vm2"].Process)
 }
 
+func TestRegistrarWithoutStorePassesChangesOn(t *testing.T) {
+	f, groups := formed(t)
+	registrar := f.nodes["vm0"].agent.State().(agent.State).Registrar
+	f.nodes[registrar].store.cut.Store(true)
+	victim := ident.VMID("vm1")
+	if registrar == victim {
+		victim = "vm2"
+	}
+	f.kill(victim)
+	f.eventually(func() bool {
+		return f.agreed(groups, victim) && f.nodes["vm0"].saw("member_removed", f.nodes[victim].self.Process.String())
+	}, "the dead process stays listed")
+}
+
 func TestZoneOutOwnsNothingButStaysReachable(t *testing.T) {
 	f, groups := formed(t)
 	out := *f.config
--- a/internal/fleet/agent/msgs.go
+++ b/internal/fleet/agent/msgs.go
@@ -83,8 +83,8 @@
 
 // viewReply is the membership value as a peer knows it.
 type viewReply struct {
-	Revision ident.Revision  `json:"rev"`
-	Value    json.RawMessage `json:"value"`
+	Revision ident.Revision `json:"rev"`
+	Value    []byte         `json:"value"`
 }
 
 // changeRequest asks the registrar to write changes.
--- a/internal/fleet/agent/registry.go
+++ b/internal/fleet/agent/registry.go
@@ -38,7 +38,11 @@
 		a.batch.Add(c, now)
 		return
 	}
-	call(a, r.Control, methodChange, changeRequest{[]member.Change{c}}, func(changeReply, error) {})
+	call(a, r.Control, methodChange, changeRequest{[]member.Change{c}}, func(r changeReply, err error) {
+		if err != nil || !r.Accepted {
+			a.batch.Add(c, time.Now())
+		}
+	})
 }
 
 func settleChange(group ident.GroupID, epoch uint64) member.Change {
@@ -50,9 +54,10 @@
 }
 
 // handleChange accepts changes of other processes for the next write. A process
-// that is not a member itself accepts none.
+// that is not a member itself, or whose last call of the key-value service
+// failed, accepts none.
 func (a *Agent) handleChange(r changeRequest) changeReply {
-	if !a.value.Has(a.self.Process) || a.left {
+	if !a.value.Has(a.self.Process) || a.left || a.storeDown {
 		return changeReply{}
 	}
 	now := time.Now()
@@ -117,13 +122,28 @@
 	now := time.Now()
 	a.batch.Done(err == nil, now)
 	if err != nil {
-		a.deps.Logger.Warn("membership value not written", "error", err, "pending", a.batch.Pending())
+		a.deps.Logger.Warn("membership value not written", "error", err, "pending", len(a.batch.Pending()))
+		a.storeDown = true
+		a.passOn()
 		return
 	}
 	a.heardStore(now)
 	a.setValue(value, revision)
 }
 
+// passOn asks another member to write the pending changes, because the
+// key-value service may be out of reach for this process only.
+func (a *Agent) passOn() {
+	changes := a.batch.Pending()
+	for _, m := range a.randomMembers(1) {
+		call(a, m.Control, methodChange, changeRequest{changes}, func(r changeReply, err error) {
+			if err == nil && r.Accepted {
+				a.batch.Drop(changes)
+			}
+		})
+	}
+}
+
 // swap applies the changes to the value in the key-value service. After a
 // conflict or an unknown outcome it reads the value back and applies them again,
 // which changes nothing if they took effect.
--- a/internal/fleet/agent/state.go
+++ b/internal/fleet/agent/state.go
@@ -71,7 +71,7 @@
 		Isolated:   a.isolated,
 		StoreHeard: a.storeHeard,
 		Registrar:  registrar.Process.VM,
-		Pending:    a.batch.Pending(),
+		Pending:    len(a.batch.Pending()),
 		Members:    a.roster.members,
 		Rumors:     a.rumors.All(),
 		Gone:       map[string]time.Time{},
--- a/internal/fleet/agent/watching.go
+++ b/internal/fleet/agent/watching.go
@@ -37,6 +37,7 @@
 		case errors.Is(err, store.ErrUnchanged):
 			a.Touch(time.Now())
 		default:
+			a.post(func() { a.storeDown = true })
 			a.pause(watchRetry/2 + rand.N(watchRetry))
 		}
 	}
@@ -84,6 +85,7 @@
 func (a *Agent) heardStore(at time.Time) {
 	if at.After(a.storeHeard) {
 		a.storeHeard = at
+		a.storeDown = false
 	}
 }
 
--- a/internal/fleet/member/batch.go
+++ b/internal/fleet/member/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -35,10 +36,8 @@
 
 // Add adds a change unless it is pending already.
 func (b *Batch) Add(c Change, now time.Time) {
-	for _, p := range b.pending {
-		if p == c {
-			return
-		}
+	if slices.Contains(b.pending, c) {
+		return
 	}
 	if len(b.pending) == 0 && b.due.Before(now) {
 		b.due = now.Add(b.options.Delay)
@@ -53,13 +52,13 @@
 		return nil, false
 	}
 	b.writing = len(b.pending)
-	return append([]Change(nil), b.pending...), true
+	return slices.Clone(b.pending), true
 }
 
 // Done ends a write. The changes stay pending if it failed.
 func (b *Batch) Done(written bool, now time.Time) {
 	if written {
-		b.pending = append([]Change(nil), b.pending[b.writing:]...)
+		b.pending = slices.Clone(b.pending[b.writing:])
 		b.due = now.Add(b.options.Delay)
 	} else {
 		b.due = now.Add(b.options.Retry)
@@ -67,14 +66,16 @@
 	b.writing = 0
 }
 
-// Drop discards all pending changes that no write is carrying.
-func (b *Batch) Drop() {
-	if b.writing == 0 {
-		b.pending = nil
+// Drop discards changes that another process has taken over, unless a write is
+// under way.
+func (b *Batch) Drop(changes []Change) {
+	if b.writing > 0 {
+		return
 	}
+	b.pending = slices.DeleteFunc(b.pending, func(c Change) bool { return slices.Contains(changes, c) })
 }
 
-// Pending returns the number of pending changes.
-func (b *Batch) Pending() int {
-	return len(b.pending)
+// Pending returns the pending changes.
+func (b *Batch) Pending() []Change {
+	return slices.Clone(b.pending)
 }
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -162,5 +162,7 @@
 	require.Len(t, changes, 5)
 	b.Add(member.Change{Kind: member.Remove, Member: vm(1, 1)}, origin)
 	b.Done(true, origin)
-	require.Equal(t, 1, b.Pending())
+	require.Len(t, b.Pending(), 1)
+	b.Drop(b.Pending())
+	require.Empty(t, b.Pending())
 }
--- a/internal/fleet/member/value.go
+++ b/internal/fleet/member/value.go
@@ -5,7 +5,10 @@
 package member
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"io"
 	"maps"
 	"slices"
 	"strconv"
@@ -22,6 +25,14 @@
 // Key is the key of the membership value in the key-value service.
 const Key = "fleet/view"
 
+const (
+	// compressAbove is the size in bytes from which the value is compressed.
+	compressAbove = 4 << 10
+	// maxDecoded bounds the size in bytes of a decompressed value.
+	maxDecoded = 16 << 20
+	gzipMagic  = "\x1f\x8b"
+)
+
 // Value is the membership value. Epoch grows by one with each change.
 type Value struct {
 	Epoch   uint64
@@ -94,8 +105,22 @@
 	}
 )
 
-// Encode returns the JSON form of the value.
+// Encode returns the JSON form of the value, compressed by gzip if it is large.
 func (v *Value) Encode() []byte {
+	data := v.encodeJSON()
+	if len(data) < compressAbove {
+		return data
+	}
+	var buffer bytes.Buffer
+	w := gzip.NewWriter(&buffer)
+	_, err := w.Write(data)
+	if err = errors.CombineErrors(err, w.Close()); err != nil {
+		panic(errors.Wrap(err, "member: compress"))
+	}
+	return buffer.Bytes()
+}
+
+func (v *Value) encodeJSON() []byte {
 	w := wireValue{
 		Epoch:  v.Epoch,
 		Groups: make(map[ident.GroupID]wireGroup, len(v.Groups)),
@@ -114,12 +139,16 @@
 	return data
 }
 
-// Decode decodes the JSON form. Empty data is the empty value.
+// Decode decodes what Encode returned. Empty data is the empty value.
 func Decode(data []byte) (*Value, error) {
 	v := New()
 	if len(data) == 0 {
 		return v, nil
 	}
+	data, err := decompress(data)
+	if err != nil {
+		return nil, errors.Wrap(err, "member: decompress")
+	}
 	var w wireValue
 	if err := json.Unmarshal(data, &w); err != nil {
 		return nil, errors.Wrap(err, "member: decode")
@@ -143,6 +172,17 @@
 	return v, nil
 }
 
+func decompress(data []byte) ([]byte, error) {
+	if !bytes.HasPrefix(data, []byte(gzipMagic)) {
+		return data, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(io.LimitReader(r, maxDecoded))
+}
+
 func encodeMember(r Record) wireMember {
 	m := r.Member
 	return wireMember{m.Process.String(), m.Zone, m.Caller, m.Peer, m.Control, m.Leaving, r.Joined}
