--- /dev/null
+++ b/cmd/samphirestair/main.go
@@ -0,0 +1,87 @@
+// Command samphirestair runs the process of an entry VM and the commands of
+// operators.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/samphirestair/samphirestair/internal/conf/vmconf"
+	"github.com/samphirestair/samphirestair/internal/core/node"
+	"github.com/samphirestair/samphirestair/internal/ops/cli"
+	"github.com/samphirestair/samphirestair/internal/ops/fetch"
+	"github.com/samphirestair/samphirestair/internal/plat/httpc"
+	"github.com/samphirestair/samphirestair/internal/plat/store"
+	"github.com/samphirestair/samphirestair/internal/plat/vmlist"
+	"github.com/samphirestair/samphirestair/internal/query/admit"
+	"github.com/samphirestair/samphirestair/internal/query/choose"
+	"github.com/samphirestair/samphirestair/internal/query/hedge"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+// run executes the command line and returns the exit code of the process.
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	command := cli.New(cli.Deps{
+		Serve:       serve,
+		Store:       newStore,
+		VMs:         newList,
+		Fetch:       fetch.New(),
+		PolicyNames: policyNames,
+	})
+	return command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+}
+
+// signalsKept is the number of stop signals that a process acts upon.
+const signalsKept = 2
+
+// serve runs the process of a VM until a planned stop is complete.
+func serve(_ context.Context, settings *vmconf.Settings) error {
+	stop := make(chan os.Signal, signalsKept)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(stop)
+	process, err := node.New(settings, newLogger(settings.Log))
+	if err != nil {
+		return err
+	}
+	return process.Run(stop)
+}
+
+func newLogger(settings vmconf.Log) *slog.Logger {
+	options := &slog.HandlerOptions{Level: settings.Level}
+	if settings.Format == "json" {
+		return slog.New(slog.NewJSONHandler(os.Stderr, options))
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, options))
+}
+
+func newStore(url string) (store.Store, error) {
+	return store.NewHTTP(url, metrics.NewSet(), store.HTTPOptions{})
+}
+
+func newList(url string) (vmlist.List, error) {
+	return vmlist.NewHTTP(url, httpc.Options{})
+}
+
+// policyNames returns the registered policies of a kind.
+func policyNames(kind string) []string {
+	switch kind {
+	case vmconf.KindReplica:
+		return choose.Policies.Names()
+	case vmconf.KindHedge:
+		return hedge.Policies.Names()
+	case vmconf.KindAdmission:
+		return admit.Policies.Names()
+	default:
+		return nil
+	}
+}
--- a/internal/fleet/agent/beats.go
+++ b/internal/fleet/agent/beats.go
@@ -73,23 +73,22 @@
 			requests = append(requests, t.holder.Request(to))
 		}
 	}
-	a.sendRequests(to, requests, now, nothing)
+	a.sendRequests(to, requests, now, ignore)
 }
 
-// sendRequests sends a heartbeat with lease requests, and runs then once it has
-// been answered or has failed. Requests to this process itself are answered on
-// the spot.
-func (a *Agent) sendRequests(to ident.Process, requests []lease.Request, now time.Time, then func()) {
+// sendRequests sends a heartbeat with lease requests. Requests to this process
+// itself are answered on the spot.
+func (a *Agent) sendRequests(to ident.Process, requests []lease.Request, now time.Time, done func()) {
 	if to == a.self.Process {
 		for _, r := range requests {
 			a.takeAnswer(to, r, a.voter.Handle(to, r, now), now)
 		}
-		then()
+		done()
 		return
 	}
 	p := a.peer(to)
 	if p.addr == "" {
-		then()
+		done()
 		return
 	}
 	p.beating = true
@@ -98,12 +97,12 @@
 		if err == nil {
 			a.takeReply(requests, reply, now)
 		}
-		then()
+		done()
 	})
 }
 
-// nothing is what follows a heartbeat that nobody waits for.
-func nothing() {}
+// ignore is for messages whose arrival nothing waits for.
+func ignore() {}
 
 func (a *Agent) beat(requests []lease.Request, now time.Time) beat {
 	return beat{
@@ -218,7 +217,7 @@
 		}
 		told.Add(m.Process)
 		a.peer(m.Process).addr = m.Control
-		a.sendRequests(m.Process, nil, now, nothing)
+		a.sendRequests(m.Process, nil, now, ignore)
 	}
 }
 
--- /dev/null
+++ b/internal/ops/cli/cli_test.go
@@ -0,0 +1,254 @@
+package cli_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/change"
+	"github.com/samphirestair/samphirestair/internal/conf/index"
+	"github.com/samphirestair/samphirestair/internal/conf/memkv"
+	"github.com/samphirestair/samphirestair/internal/conf/vmconf"
+	"github.com/samphirestair/samphirestair/internal/fleet/member"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+	"github.com/samphirestair/samphirestair/internal/ops/cli"
+	"github.com/samphirestair/samphirestair/internal/ops/fetch"
+	"github.com/samphirestair/samphirestair/internal/plat/store"
+	"github.com/samphirestair/samphirestair/internal/plat/vmlist"
+)
+
+type fixedList []vmlist.VM
+
+func (l fixedList) VMs(context.Context) ([]vmlist.VM, error) { return l, nil }
+
+// session runs commands and writes down what they print.
+type session struct {
+	t    *testing.T
+	kv   *memkv.Store
+	deps cli.Deps
+	text strings.Builder
+}
+
+func newSession(t *testing.T) *session {
+	t.Setenv("SAMPHIRESTAIR_STORE", "http://127.0.0.1:8500")
+	t.Setenv("SAMPHIRESTAIR_VMS", "http://127.0.0.1:8501")
+	s := &session{t: t, kv: memkv.New()}
+	changes := 0
+	s.deps = cli.Deps{
+		Serve: func(_ context.Context, settings *vmconf.Settings) error {
+			return errors.Newf("node: %s cannot listen", settings.VM.ID)
+		},
+		Store: func(string) (store.Store, error) { return s.kv, nil },
+		VMs: func(string) (vmlist.List, error) {
+			return fixedList{{ID: "vm-1", IP: "127.0.0.1"}, {ID: "vm-2", IP: "127.0.0.2"}}, nil
+		},
+		PolicyNames: func(kind string) []string {
+			return map[string][]string{"replica": {"expect"}, "hedge": {"budget"}, "admission": {"queue"}}[kind]
+		},
+		Change: change.Options{
+			Now: func() time.Time { return time.Date(2026, 12, 3, 8, 0, changes, 0, time.UTC) },
+			NewID: func() ident.ChangeID {
+				changes++
+				return ident.ChangeID(fmt.Sprintf("change-%d", changes))
+			},
+			Backoff: time.Millisecond,
+		},
+	}
+	return s
+}
+
+// run runs one command line and notes its output and exit code.
+func (s *session) run(line string) {
+	s.t.Helper()
+	var out, errs strings.Builder
+	code := cli.New(s.deps).Run(s.t.Context(), strings.Split(line, " "), &out, &errs)
+	fmt.Fprintf(&s.text, "$ samphirestair %s\n%s", line, out.String())
+	for _, text := range strings.Split(strings.TrimSuffix(errs.String(), "\n"), "\n") {
+		if text != "" {
+			fmt.Fprintf(&s.text, "! %s\n", text)
+		}
+	}
+	fmt.Fprintf(&s.text, "exit code %d\n\n", code)
+}
+
+func (s *session) runAll(lines ...string) {
+	s.t.Helper()
+	for _, line := range lines {
+		s.run(line)
+	}
+}
+
+// join writes the membership.
+func (s *session) join(value *member.Value) {
+	s.t.Helper()
+	_, err := s.kv.Swap(s.t.Context(), member.Key, 0, value.Encode())
+	require.NoError(s.t, err)
+}
+
+func (s *session) golden(name string) {
+	s.t.Helper()
+	goldie.New(s.t).Assert(s.t, name, []byte(s.text.String()))
+}
+
+func TestDocuments(t *testing.T) {
+	s := newSession(t)
+	s.runAll(
+		"check testdata/desk.ini",
+		"check testdata/bad.ini",
+		"check testdata/absent.ini",
+		"diff testdata/desk.ini",
+		"apply testdata/desk.ini --by aino",
+		"apply testdata/desk.ini --by aino",
+		"apply testdata/bad.ini --by aino",
+		"diff testdata/desk2.ini",
+		"apply testdata/desk2.ini --by veikko --expect 7",
+		"apply testdata/desk2.ini --by veikko --expect 1",
+		"apply testdata/desk.ini --by aino --expect 1",
+		"show agent-desk",
+		"show order-track",
+		"show agent-desk --change change-1",
+		"show agent-desk --change change-2",
+		"history agent-desk",
+		"history --json --limit 1",
+	)
+	s.golden("documents")
+}
+
+func TestOutAndIn(t *testing.T) {
+	s := newSession(t)
+	s.runAll(
+		"apply testdata/desk.ini --by aino",
+		"zone out espo --by aino",
+		"zone out espoo --by aino",
+		"zone out espoo --by veikko",
+		"server out agent-desk/a0 --by veikko",
+		"vm out vm-2 --by veikko",
+		"vm out vm-9 --by veikko",
+		"vm in vm-9 --by veikko",
+		"show",
+		"__complete zone out ",
+		"__complete zone in ",
+		"__complete server out agent",
+		"__complete server in ",
+		"__complete vm in ",
+		"__complete show ",
+		"zone in espoo --by aino",
+		"zone in lahti --by aino",
+		"server in agent-desk/a0 --by aino --json",
+		"history",
+	)
+	s.golden("outin")
+}
+
+func TestUsage(t *testing.T) {
+	s := newSession(t)
+	s.runAll("bogus", "zone", "zone away espoo", "apply", "apply a b", "show --limit 3", "apply testdata/desk.ini --expect x", "serve")
+	t.Setenv("SAMPHIRESTAIR_STORE", "")
+	s.run("show")
+	s.golden("usage")
+}
+
+func TestLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSession(t)
+		s.kv.SetPlan(loseFirstSwap(memkv.AnswerLost))
+		s.runAll("zone out espoo --force --by aino", "zone out lahti --force --by aino")
+		s.kv.SetPlan(nil)
+		s.runAll("change change-1", "zone in espoo --by aino")
+
+		s.kv.SetPlan(loseFirstSwap(memkv.Dropped))
+		s.run("zone out espoo --force --by aino")
+		s.kv.SetPlan(nil)
+		s.runAll("change change-4", "zone in espoo --by aino")
+		s.golden("lost")
+	})
+}
+
+// loseFirstSwap gives the first swap of the index an effect, and refuses every
+// later call.
+func loseFirstSwap(effect memkv.Effect) memkv.Plan {
+	swapped := false
+	return func(op memkv.Op, key string) memkv.Effect {
+		if swapped {
+			return memkv.Refused
+		}
+		if op == memkv.Swap && key == index.Key {
+			swapped = true
+			return effect
+		}
+		return memkv.Served
+	}
+}
+
+func TestServe(t *testing.T) {
+	s := newSession(t)
+	s.runAll(
+		"serve --settings testdata/vm.ini --check",
+		"serve --settings testdata/badvm.ini --check",
+		"serve --settings testdata/vm.ini",
+	)
+	s.golden("serve")
+}
+
+const fleetBody = `{"serial":7,"in_force":1,"vms":3,"groups":4,"owned":4,"zones_out":{"espoo":"c1"},
+"briefs":[
+ {"vm":"vm-1","zone":"espoo","serial":7,"epoch":3,"admitting":true,"groups":["a","b"],
+  "decisions":[{"at":"2026-12-03T08:00:02Z","kind":"lease_taken","subject":"a","reason":"preferred"}]},
+ {"vm":"vm-3","zone":"lahti","serial":6,"epoch":3,"admitting":false,"refusal":"isolated","groups":["c","d"],
+  "decisions":[{"at":"2026-12-03T08:00:01Z","kind":"isolated","subject":"vm-3","reason":"no majority heard"}]}],
+"silent":["vm-2"]}`
+
+// fakeVMs holds the answers of admin listeners by address and path.
+type fakeVMs map[string]string
+
+func (f fakeVMs) Get(_ context.Context, address, path string) ([]byte, error) {
+	body, ok := f[address+path]
+	if !ok {
+		return nil, errors.Wrapf(fetch.ErrUnavailable, "%s", address)
+	}
+	return []byte(body), nil
+}
+
+func TestVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSession(t)
+		s.deps.Fetch = fakeVMs{
+			"127.0.0.2:7003/fleet":        fleetBody,
+			"127.0.0.2:7003/status":       `{"vm":"vm-2","zone":"lahti","serial":7,"admitting":true,"groups":["a"]}`,
+			"127.0.0.2:7003/state":        `{"vm":"vm-2","config":{"serial":7},"members":[{"vm":"vm-1"}]}`,
+			"127.0.0.2:7003/state/config": `{"serial":7}`,
+			"127.0.0.1:9000/fleet":        `{"serial":1,"in_force":2,"vms":2,"groups":4,"owned":4}`,
+			"127.0.0.1:9000/status":       `{"vm":"vm-9","serial":7,"refusal":"isolated"}`,
+		}
+		s.runAll(
+			"fleet",
+			"fleet vm-2 --wait",
+			"fleet 127.0.0.1:9000 --wait --json",
+			"zone out espoo --force --by aino",
+			"zone out lahti --force --by aino",
+			"fleet 127.0.0.1:9000 --wait",
+			"status",
+			"status 127.0.0.1:9000 vm-2",
+			"status --json",
+			"status vm-7",
+			"state vm-2",
+			"state 127.0.0.2:7003 config --json",
+			"state vm-1",
+		)
+		t.Setenv("SAMPHIRESTAIR_VMS", "")
+		s.run("fleet")
+		s.join(&member.Value{Members: map[ident.VMID]member.Record{"vm-1": {Member: view.Member{
+			Process: ident.Process{VM: "vm-1", Incarnation: 1}, Control: "127.0.0.1:7002",
+		}}}})
+		s.run("fleet --admin-port 9000")
+		s.golden("vms")
+	})
+}
--- /dev/null
+++ b/internal/query/hedge/hedge_test.go
@@ -0,0 +1,78 @@
+package hedge_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirestair/samphirestair/internal/query/hedge"
+)
+
+func newPolicy(t *testing.T, name string) hedge.Policy {
+	t.Helper()
+	construct, err := hedge.Policies.Lookup(name)
+	require.NoError(t, err)
+	return construct(hedge.Options{})
+}
+
+func TestNoneNeverHedges(t *testing.T) {
+	policy := newPolicy(t, "none")
+	policy.Sent("s", 1000)
+	_, ok := policy.Delay("s")
+	require.False(t, ok)
+	require.False(t, policy.Take("s", hedge.Hedge))
+	require.True(t, policy.Take("s", hedge.Failed))
+}
+
+func TestBudgetDelaysByTheQuantile(t *testing.T) {
+	policy := newPolicy(t, "budget")
+	delay, ok := policy.Delay("s")
+	require.True(t, ok)
+	require.Equal(t, 50*time.Millisecond, delay)
+	for i := range 10_000 {
+		policy.Observe("s", time.Duration(i%100+1)*time.Millisecond, 1, 2)
+	}
+	delay, ok = policy.Delay("s")
+	require.True(t, ok)
+	require.InEpsilon(t, 95*time.Millisecond, delay, 0.03)
+}
+
+func TestBudgetIsAShareOfTraffic(t *testing.T) {
+	policy := newPolicy(t, "budget")
+	policy.Sent("s", 1000)
+	taken := 0
+	for policy.Take("s", hedge.Hedge) {
+		taken++
+	}
+	require.Equal(t, 50, taken)
+}
+
+func TestRetriesBorrowFromHedges(t *testing.T) {
+	policy := newPolicy(t, "budget")
+	borrowed := 0
+	for policy.Take("s", hedge.Failed) {
+		borrowed++
+	}
+	require.Equal(t, 400, borrowed)
+	require.False(t, policy.Take("s", hedge.Overdue))
+	require.True(t, policy.Take("s", hedge.NotRun))
+	policy.Sent("s", 7900)
+	require.False(t, policy.Take("s", hedge.Hedge))
+	policy.Sent("s", 200)
+	require.True(t, policy.Take("s", hedge.Hedge))
+}
+
+func TestBudgetIsShutWhileQueuesAreLong(t *testing.T) {
+	policy := newPolicy(t, "budget")
+	policy.Sent("s", 1000)
+	for range 1000 {
+		policy.Observe("s", time.Millisecond, 9, 2)
+	}
+	require.False(t, policy.Take("s", hedge.Hedge))
+	require.False(t, policy.Take("s", hedge.Overdue))
+	for range 1000 {
+		policy.Observe("s", time.Millisecond, 1, 2)
+	}
+	require.True(t, policy.Take("s", hedge.Hedge))
+}
--- /dev/null
+++ b/internal/query/run/action.go
@@ -0,0 +1,248 @@
+package run
+
+import (
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
+)
+
+const (
+	// maxRetired is the number of index versions that an action tries.
+	maxRetired = 8
+	// probeEvery is the time between two questions of an action for the index
+	// versions of its shard.
+	probeEvery = 100 * time.Millisecond
+)
+
+// Action is the Machine of a non-idempotent action. It is sent to the home of
+// its key, and again only after it certainly did not reach a home or was
+// certainly not run by it. Before that it learns the index version.
+type Action struct {
+	deps  Deps
+	spec  Spec
+	out   outbox
+	ended bool
+
+	// waiting is the offer that has no answer yet.
+	waiting *offer
+	seq     uint32
+	retryAt time.Time
+	probeAt time.Time
+	// retired is the last version that the home could not use, and
+	// retirements counts them.
+	retired     ident.Version
+	retirements int
+	// redirected is set while the offer went to an owner that another VM
+	// named. During a handover two VMs may name each other.
+	redirected bool
+}
+
+// offer is the action as it was sent to a home.
+type offer struct {
+	message uint64
+	seq     uint32
+	to      ident.VMID
+	version ident.Version
+}
+
+// NewAction returns the machine of an action.
+func NewAction(deps Deps, spec Spec) *Action {
+	return &Action{deps: deps, spec: spec, out: outbox{request: spec.ID}}
+}
+
+// Start sends the action to its home.
+func (a *Action) Start(now time.Time) Step {
+	a.offer(now)
+	return a.finishStep(now)
+}
+
+// OnReply takes the answer of the home. Answers to probes have been learned
+// from before.
+func (a *Action) OnReply(now time.Time, from ident.VMID, reply msgs.Reply) Step {
+	if a.waiting == nil {
+		a.offer(now)
+		return a.finishStep(now)
+	}
+	for i := range reply.Answers {
+		if !a.expects(from, reply.ID, reply.Answers[i].Seq) {
+			a.deps.Counter.Count("action_late_answer")
+			continue
+		}
+		a.onAnswer(now, &reply.Answers[i])
+	}
+	return a.finishStep(now)
+}
+
+// OnLost ends the action as unknown unless it certainly did not reach the home.
+func (a *Action) OnLost(now time.Time, to ident.VMID, query msgs.Query, sent bool) Step {
+	for _, item := range query.Items {
+		if !a.expects(to, query.ID, item.Seq) {
+			continue
+		}
+		if sent {
+			a.end(Result{Outcome: OutcomeUnknown, Reason: "the connection to the home was lost"})
+			continue
+		}
+		a.waiting = nil
+		a.retryAt = now.Add(ownerPoll)
+	}
+	return a.finishStep(now)
+}
+
+// OnTimer offers the action again if it is due.
+func (a *Action) OnTimer(now time.Time) Step {
+	if !a.retryAt.IsZero() && !now.Before(a.retryAt) {
+		a.offer(now)
+	}
+	return a.finishStep(now)
+}
+
+// GiveUp ends the action at once.
+func (a *Action) GiveUp(_ time.Time, reason string) Step {
+	a.endOpen(reason)
+	return a.out.take()
+}
+
+// NextTimer returns when OnTimer has to be called next.
+func (a *Action) NextTimer() time.Time {
+	return earlier(a.spec.Deadline, a.retryAt)
+}
+
+func (a *Action) finishStep(now time.Time) Step {
+	if !now.Before(a.spec.Deadline) {
+		a.endOpen(ReasonDeadline)
+	}
+	return a.out.take()
+}
+
+// expects reports whether an answer is to the offer that waits for one.
+func (a *Action) expects(from ident.VMID, message uint64, seq uint32) bool {
+	w := a.waiting
+	return w != nil && w.message == message && w.seq == seq && w.to == from
+}
+
+func (a *Action) onAnswer(now time.Time, answer *msgs.Answer) {
+	offered := a.waiting
+	a.waiting = nil
+	switch answer.Status {
+	case msgs.StatusOK:
+		a.end(Result{
+			Outcome: OutcomeDone, Version: ident.Version(answer.Version),
+			Answered: 1, Of: 1, Body: answer.Body,
+		})
+	case msgs.StatusNotRun:
+		retry := time.Duration(answer.RetryMicros) * time.Microsecond
+		a.end(Result{
+			Outcome: OutcomeNotRun, Reason: "refused by the home",
+			Overloaded: isOverload(answer), RetryAfter: max(retry, defaultRetryAfter),
+		})
+	case msgs.StatusWrongOwner:
+		a.onWrongOwner(now, ident.VMID(answer.Owner))
+	case msgs.StatusWrongVersion:
+		a.onWrongVersion(now, offered.version)
+	default:
+		a.end(Result{Outcome: OutcomeUnknown, Reason: "the home could not learn the outcome"})
+	}
+}
+
+// onWrongOwner offers the action to the owner that the answer names.
+func (a *Action) onWrongOwner(now time.Time, told ident.VMID) {
+	a.deps.Counter.Count("action_wrong_owner")
+	home, ok := a.deps.Catalog.Home(a.spec.Route)
+	owner, known := a.deps.Fleet.Member(told)
+	if !ok || !known || a.redirected || !a.usable(home.Version) {
+		a.retryAt = now.Add(ownerPoll)
+		return
+	}
+	a.send(now, owner, home)
+	a.redirected = true
+}
+
+// onWrongVersion asks for the index versions again.
+func (a *Action) onWrongVersion(now time.Time, version ident.Version) {
+	a.retirements++
+	if a.retirements >= maxRetired {
+		a.endOpen("the index version changes too often")
+		return
+	}
+	a.retired, a.probeAt = version, time.Time{}
+	a.offer(now)
+}
+
+// offer sends the action to the home as it is known at now, or first asks for
+// the index version of its shard.
+func (a *Action) offer(now time.Time) {
+	if a.ended {
+		return
+	}
+	a.retryAt = now.Add(ownerPoll)
+	home, ok := a.deps.Catalog.Home(a.spec.Route)
+	if !ok {
+		return
+	}
+	if !a.usable(home.Version) {
+		a.probe(now, home)
+		return
+	}
+	if owner, ok := a.deps.Fleet.Owner(home.Server); ok {
+		a.send(now, owner, home)
+	}
+}
+
+func (a *Action) usable(version ident.Version) bool {
+	return version != 0 && version != a.retired
+}
+
+func (a *Action) send(now time.Time, owner view.Member, home Home) {
+	if !now.Before(a.spec.Deadline) {
+		return
+	}
+	a.retryAt = time.Time{}
+	a.redirected = false
+	message := probeMessage(now, &a.spec)
+	message.Kind, message.Version = msgs.KindAction, uint64(home.Version)
+	message.Action, message.Key, message.Body = a.spec.Action, a.spec.Key, a.spec.Body
+	item := msgs.Item{Seq: a.nextSeq(), Shard: uint32(home.Shard)}
+	a.waiting = &offer{
+		message: a.out.query(owner, message, item), seq: item.Seq, to: owner.Process.VM, version: home.Version,
+	}
+}
+
+// probe asks for the index versions of the replicas, at most once per
+// probeEvery.
+func (a *Action) probe(now time.Time, home Home) {
+	if now.Before(a.probeAt) {
+		return
+	}
+	a.probeAt = now.Add(probeEvery)
+	for _, server := range home.Replicas {
+		if owner, ok := a.deps.Fleet.Owner(server.ID); ok {
+			item := msgs.Item{Seq: a.nextSeq(), Server: string(server.ID), Shard: uint32(server.Shard)}
+			a.out.query(owner, probeMessage(now, &a.spec), item)
+		}
+	}
+}
+
+func (a *Action) nextSeq() uint32 {
+	a.seq++
+	return a.seq
+}
+
+// endOpen ends the action without an answer.
+func (a *Action) endOpen(reason string) {
+	if a.waiting != nil {
+		a.end(Result{Outcome: OutcomeUnknown, Reason: reason})
+		return
+	}
+	a.end(Result{Outcome: OutcomeNotRun, Reason: reason, RetryAfter: defaultRetryAfter})
+}
+
+func (a *Action) end(result Result) {
+	if a.ended {
+		return
+	}
+	a.ended, a.waiting = true, nil
+	a.out.step.Result = &result
+}
