Let a whole fleet leave at once

Cause: a leaving VM waited for a successor that no longer existed when all VMs leave. The new test also showed a race: the end of a leave read the member outside the control goroutine.

Ruled out: waiting a fixed time. That no VM is left that could own anything follows from the membership value and the rumors.

Change: without a candidate for owner, a leaving VM releases its groups and waits for no votes. The departure is prepared on the control goroutine.

--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"testing"
 
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
@@ -150,6 +151,18 @@
 	}
 }
 
+func TestWholeFleetLeavesAtOnce(t *testing.T) {
+	f, _ := formed(t)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var wg conc.WaitGroup
+	for _, n := range f.nodes {
+		wg.Go(func() { require.NoError(t, n.agent.Leave(ctx)) })
+	}
+	wg.Wait()
+	require.Empty(t, f.holders())
+}
+
 func TestSuspicionBetweenTwoRemovesNobody(t *testing.T) {
 	f, groups := formed(t)
 	var members []view.Member
--- a/internal/fleet/agent/public.go
+++ b/internal/fleet/agent/public.go
@@ -56,9 +56,11 @@
 }
 
 // canLeave reports whether nothing depends on this process any more. While the
-// key-value service is down its votes cannot be moved and are not waited for.
+// key-value service is down its votes cannot be moved and are not waited for. If
+// no VM is left that could own anything, there is nothing to wait for.
 func (a *Agent) canLeave() bool {
-	if len(a.roster.members) <= 1 {
+	deserted := len(a.roster.candidates) == 0
+	if deserted {
 		a.releaseAll()
 	}
 	for _, t := range a.tenures {
@@ -66,7 +68,7 @@
 			return false
 		}
 	}
-	if time.Since(a.storeHeard) > 2*a.options.IsolatedAfter || len(a.roster.members) <= 1 {
+	if time.Since(a.storeHeard) > 2*a.options.IsolatedAfter || deserted {
 		return true
 	}
 	for _, e := range a.value.Groups {
@@ -87,10 +89,11 @@
 // depart takes the process off the membership value, so that nobody suspects
 // it once it has stopped.
 func (a *Agent) depart(ctx context.Context) error {
-	remove := member.Change{Kind: member.Remove, Member: a.self}
+	var remove member.Change
 	var registrar view.Member
 	var found bool
 	err := a.do(ctx, func() {
+		remove = member.Change{Kind: member.Remove, Member: a.self}
 		a.left = true
 		a.dirty = true
 		registrar, found = member.Registrar(a.value, func(m view.Member) bool {
