--- a/internal/fleet/agent/tenure.go
+++ b/internal/fleet/agent/tenure.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	acquireEvery = 200 * time.Millisecond
+	acquireEvery = 100 * time.Millisecond
 	// attemptLimit is the time after which an attempt that met a rival ends.
 	attemptLimit = 400 * time.Millisecond
 	rivalSlack   = 20 * time.Millisecond
@@ -73,6 +73,11 @@
 	if t.holder.Active() || now.Before(t.retry) {
 		return
 	}
+	a.begin(group, t, why, now)
+}
+
+// begin asks for the lease with a new term.
+func (a *Agent) begin(group ident.GroupID, t *tenure, why string, now time.Time) {
 	t.holder.Start()
 	t.started, t.why = now, why
 	a.ask(group, t, now)
