Share the waits under a context and the defaults of options

Ruled out: merging the Start, URL and Close of kvsrv and vmsrv, which are five lines each around httpd.Daemon, and the setters of lab/server's engine, which share only their lock. Change: internal/base/sleep serves conf/change, conf/spread, ops/cli and lab/load; coll.Positive serves lab/load, lab/server, lab/watch and plat/httpc. Figures: tests of base, conf, ops, plat, lab/load, lab/server and lab/watch pass under -race. Conclusion: the same wait still stands in lab/chaos, fleet/agent, core/node and owner/lane, which others edit.

--- a/internal/base/coll/coll_test.go
+++ b/internal/base/coll/coll_test.go
@@ -22,3 +22,8 @@
 	fmt.Println(absent.Or(5), coll.Some(3).Or(5))
 	// Output: 5 3
 }
+
+func ExamplePositive() {
+	fmt.Println(coll.Positive(0, 5), coll.Positive(-1, 5), coll.Positive(3, 5))
+	// Output: 5 5 3
+}
--- a/internal/conf/change/changer.go
+++ b/internal/conf/change/changer.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/base/sleep"
 	"github.com/samphirestair/samphirestair/internal/conf/index"
 	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/plat/store"
@@ -119,14 +120,7 @@
 
 // pause waits before the next attempt and reports whether there may be one.
 func (c *Changer) pause(ctx context.Context) bool {
-	timer := time.NewTimer(c.options.Backoff/2 + rand.N(c.options.Backoff))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return sleep.For(ctx, c.options.Backoff/2+rand.N(c.options.Backoff))
 }
 
 func accepted(found index.Change, entry store.Entry) Outcome {
--- a/internal/conf/spread/backoff.go
+++ b/internal/conf/spread/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/sleep"
 )
 
 // maxDoublings bounds the growth of waits after failures.
@@ -27,20 +29,10 @@
 // ends.
 func (b *backoff) sleep(ctx context.Context, base time.Duration) {
 	doublings := min(max(b.failures-1, 0), maxDoublings)
-	sleep(ctx, jitter(base<<doublings))
+	sleep.For(ctx, jitter(base<<doublings))
 }
 
 // jitter returns a random time between three and five quarters of d.
 func jitter(d time.Duration) time.Duration {
 	return d*3/4 + rand.N(d/2+1)
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/conf/spread/notices.go
+++ b/internal/conf/spread/notices.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/base/sleep"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 )
 
@@ -74,7 +75,7 @@
 			return
 		case <-s.notices.changed:
 		}
-		sleep(ctx, jitter(s.options.PeerDelay))
+		sleep.For(ctx, jitter(s.options.PeerDelay))
 		for ctx.Err() == nil {
 			next, ok := s.notices.take(s.Revision())
 			if !ok {
--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/lab/trace"
 )
 
@@ -55,20 +56,10 @@
 	if o.Name == "" {
 		o.Name = defaultName
 	}
-	if o.Deadline <= 0 {
-		o.Deadline = defaultDeadline
-	}
-	if o.Grace <= 0 {
-		o.Grace = defaultGrace
-	}
-	if o.Attempts <= 0 {
-		o.Attempts = defaultAttempts
-	}
-	if o.Limit <= 0 {
-		o.Limit = defaultLimit
-	}
-	if o.InFlight <= 0 {
-		o.InFlight = defaultInFlight
-	}
+	o.Deadline = coll.Positive(o.Deadline, defaultDeadline)
+	o.Grace = coll.Positive(o.Grace, defaultGrace)
+	o.Attempts = coll.Positive(o.Attempts, defaultAttempts)
+	o.Limit = coll.Positive(o.Limit, defaultLimit)
+	o.InFlight = coll.Positive(o.InFlight, defaultInFlight)
 	return o
 }
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+
+	"github.com/samphirestair/samphirestair/internal/base/sleep"
 )
 
 // refreshInterval is the interval at which the age of the addresses is looked
@@ -93,12 +95,5 @@
 	if wait <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleep.For(ctx, wait)
 }
--- a/internal/lab/server/options.go
+++ b/internal/lab/server/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/lab/trace"
 )
 
@@ -41,15 +42,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Mean <= 0 {
-		o.Mean = defaultMean
-	}
-	if o.Sigma <= 0 {
-		o.Sigma = defaultSigma
-	}
-	if o.Queue <= 0 {
-		o.Queue = defaultQueue
-	}
+	o.Mean = coll.Positive(o.Mean, defaultMean)
+	o.Sigma = coll.Positive(o.Sigma, defaultSigma)
+	o.Queue = coll.Positive(o.Queue, defaultQueue)
 	return o
 }
 
--- a/internal/lab/watch/watch.go
+++ b/internal/lab/watch/watch.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/lab/trace"
 )
@@ -45,12 +46,8 @@
 	if o.Section == "" {
 		o.Section = defaultSection
 	}
-	if o.Interval <= 0 {
-		o.Interval = defaultInterval
-	}
-	if o.Timeout <= 0 {
-		o.Timeout = defaultTimeout
-	}
+	o.Interval = coll.Positive(o.Interval, defaultInterval)
+	o.Timeout = coll.Positive(o.Timeout, defaultTimeout)
 	return o
 }
 
--- a/internal/ops/cli/fleet.go
+++ b/internal/ops/cli/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/samphirestair/samphirestair/internal/base/sleep"
 	"github.com/samphirestair/samphirestair/internal/ops/fetch"
 )
 
@@ -61,7 +62,7 @@
 		if err == nil {
 			return c.printFleet(body, found)
 		}
-		if !flags.wait || !pause(ctx, waitInterval) {
+		if !flags.wait || !sleep.For(ctx, waitInterval) {
 			return err
 		}
 	}
@@ -115,18 +116,6 @@
 	return body, found, nil
 }
 
-// pause waits for d and reports whether ctx still runs.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (c *CLI) printFleet(body []byte, found *summary) error {
 	if c.json {
 		return c.printJSON(json.RawMessage(body))
--- a/internal/plat/httpc/client.go
+++ b/internal/plat/httpc/client.go
@@ -12,6 +12,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
+
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 )
 
 var (
@@ -39,15 +41,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Timeout <= 0 {
-		o.Timeout = defaultTimeout
-	}
-	if o.DialTimeout <= 0 {
-		o.DialTimeout = defaultDialTimeout
-	}
-	if o.Connections <= 0 {
-		o.Connections = defaultConnections
-	}
+	o.Timeout = coll.Positive(o.Timeout, defaultTimeout)
+	o.DialTimeout = coll.Positive(o.DialTimeout, defaultDialTimeout)
+	o.Connections = coll.Positive(o.Connections, defaultConnections)
 	return o
 }
 
