Refuse batches that claim huge arrays before making room for them

Cause: a batch of 8 bytes that claims 1048576 queries made the receiver allocate 134 MB (measured with testing.Benchmark; a claim of 2^32-1 would ask for some 500 GB), so that one garbled transfer could end the process. Found while writing the fuzz target. Ruled out: msgp's limit for the whole file, because it counts bytes of bodies too and bodies may have 256 KiB.

--- a/internal/link/msgs/msgs_gen.go
+++ b/internal/link/msgs/msgs_gen.go
@@ -138,6 +138,10 @@
 				err = msgp.WrapError(err, "Hits")
 				return
 			}
+			if zb0003 > 131072 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Hits) >= int(zb0003) {
 				z.Hits = (z.Hits)[:zb0003]
 			} else {
@@ -150,6 +154,10 @@
 					err = msgp.WrapError(err, "Hits", za0001)
 					return
 				}
+				if zb0004 > 131072 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -234,6 +242,10 @@
 				err = msgp.WrapError(err, "Maps")
 				return
 			}
+			if zb0005 > 131072 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Maps) >= int(zb0005) {
 				z.Maps = (z.Maps)[:zb0005]
 			} else {
@@ -246,6 +258,10 @@
 					err = msgp.WrapError(err, "Maps", za0002)
 					return
 				}
+				if zb0006 > 131072 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0006 > 0 {
 					zb0006--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -388,6 +404,10 @@
 				err = msgp.WrapError(err, "Queries")
 				return
 			}
+			if zb0002 > 131072 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Queries) >= int(zb0002) {
 				z.Queries = (z.Queries)[:zb0002]
 			} else {
@@ -407,6 +427,10 @@
 				err = msgp.WrapError(err, "Replies")
 				return
 			}
+			if zb0003 > 131072 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Replies) >= int(zb0003) {
 				z.Replies = (z.Replies)[:zb0003]
 			} else {
@@ -426,6 +450,10 @@
 				err = msgp.WrapError(err, "Cancels")
 				return
 			}
+			if zb0004 > 131072 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Cancels) >= int(zb0004) {
 				z.Cancels = (z.Cancels)[:zb0004]
 			} else {
@@ -438,6 +466,10 @@
 					err = msgp.WrapError(err, "Cancels", za0003)
 					return
 				}
+				if zb0005 > 131072 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0005 > 0 {
 					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -459,6 +491,10 @@
 							err = msgp.WrapError(err, "Cancels", za0003, "Seqs")
 							return
 						}
+						if zb0006 > 131072 {
+							err = msgp.ErrLimitExceeded
+							return
+						}
 						if cap(z.Cancels[za0003].Seqs) >= int(zb0006) {
 							z.Cancels[za0003].Seqs = (z.Cancels[za0003].Seqs)[:zb0006]
 						} else {
@@ -556,6 +592,10 @@
 				err = msgp.WrapError(err, "Seqs")
 				return
 			}
+			if zb0002 > 131072 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Seqs) >= int(zb0002) {
 				z.Seqs = (z.Seqs)[:zb0002]
 			} else {
@@ -956,6 +996,10 @@
 				err = msgp.WrapError(err, "Items")
 				return
 			}
+			if zb0003 > 131072 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Items) >= int(zb0003) {
 				z.Items = (z.Items)[:zb0003]
 			} else {
@@ -968,6 +1012,10 @@
 					err = msgp.WrapError(err, "Items", za0001)
 					return
 				}
+				if zb0004 > 131072 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1084,6 +1132,10 @@
 				err = msgp.WrapError(err, "Answers")
 				return
 			}
+			if zb0002 > 131072 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Answers) >= int(zb0002) {
 				z.Answers = (z.Answers)[:zb0002]
 			} else {
