Refuse searches whose body is not JSON

Cause: FuzzDecode found after 0.6 s that the body {"":.} is accepted: fastjson's parser takes any run of number characters for a number. The body went on to backend servers. Ruled out: the same fault in owner/lane, which validates before it parses. Change: bodies of searches are validated first. Conclusion: only JSON objects pass.

--- a/internal/front/caller/decode.go
+++ b/internal/front/caller/decode.go
@@ -76,6 +76,10 @@
 
 // decodeLimit checks the body of a search and returns its limit.
 func decodeLimit(body []byte) (int, *rejection) {
+	// The parser alone accepts numbers that are none, such as a single dot.
+	if fastjson.ValidateBytes(body) != nil {
+		return 0, reject(http.StatusBadRequest, codeBadBody, "the body is not a JSON object")
+	}
 	object, err := fastjson.ParseBytes(body)
 	if err != nil || object.Type() != fastjson.TypeObject {
 		return 0, reject(http.StatusBadRequest, codeBadBody, "the body is not a JSON object")
--- a/internal/front/caller/server_test.go
+++ b/internal/front/caller/server_test.go
@@ -69,7 +69,7 @@
 	server *caller.Server
 }
 
-func newClient(t *testing.T) *client {
+func newClient(t testing.TB) *client {
 	t.Helper()
 	c := &client{views: &view.Holder{}, runner: &fakeRunner{}}
 	c.views.Publish(fleet(false))
