Name the versions that a server holds in stories

Cause: "version not held" read wrongly as the answer to the question which versions a server holds. Ruled out: a text of its own for questions, since both answers are the same message. Change: such answers are told as "holds version 2". Conclusion: only the text changed.

--- a/internal/lab/story/link.go
+++ b/internal/lab/story/link.go
@@ -89,19 +89,31 @@
 
 // statusTexts names the statuses of answers.
 var statusTexts = map[msgs.Status]string{
-	msgs.StatusOK:           "ok",
-	msgs.StatusNotRun:       "not run",
-	msgs.StatusWrongOwner:   "not the owner",
-	msgs.StatusWrongVersion: "version not held",
-	msgs.StatusLate:         "late",
-	msgs.StatusFailed:       "failed",
-	msgs.StatusCancelled:    "cancelled",
+	msgs.StatusOK:         "ok",
+	msgs.StatusNotRun:     "not run",
+	msgs.StatusWrongOwner: "not the owner",
+	msgs.StatusLate:       "late",
+	msgs.StatusFailed:     "failed",
+	msgs.StatusCancelled:  "cancelled",
 }
 
 func replyText(to ident.VMID, r msgs.Reply) string {
 	parts := make([]string, len(r.Answers))
 	for i, answer := range r.Answers {
-		parts[i] = strings.TrimSpace(answer.Server + " " + statusTexts[answer.Status])
+		parts[i] = strings.TrimSpace(answer.Server + " " + answerText(answer))
 	}
 	return fmt.Sprintf("answers %s: %s", to, strings.Join(parts, ", "))
 }
+
+// answerText names the versions that the server holds if it was asked for them
+// or for another one.
+func answerText(answer msgs.Answer) string {
+	if answer.Status != msgs.StatusWrongVersion {
+		return statusTexts[answer.Status]
+	}
+	text := "holds"
+	for _, held := range answer.Maps {
+		text += fmt.Sprintf(" version %d", held.Version)
+	}
+	return text
+}
