--- a/internal/lab/story/server.go
+++ b/internal/lab/story/server.go
@@ -139,6 +139,9 @@
 	case <-cancelled:
 		s.story.Tellf(string(s.id), "cancels %s", what)
 		return s.answer(bknd.StatusCancelled, "")
+	case <-time.After(timeLeft(request)):
+		s.story.Tellf(string(s.id), "gives up %s at its deadline", what)
+		return s.answer(bknd.StatusDeadline, "")
 	case <-time.After(work):
 	}
 	s.story.Tellf(string(s.id), "ends %s", what)
@@ -148,6 +151,15 @@
 	return s.answer(http.StatusOK, fmt.Sprintf(`{"hits":[{"id":"%s","score":1}]}`, s.id))
 }
 
+// timeLeft returns the time until the deadline of a request.
+func timeLeft(request *http.Request) time.Duration {
+	left, err := strconv.ParseInt(request.Header.Get(bknd.HeaderDeadline), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(left) * time.Microsecond
+}
+
 // book notes an action and returns its number.
 func (s *Server) book() int {
 	s.mu.Lock()
