Share the handlers of the stand-ins

Ruled out: embedding httpd.Daemon for Start, URL and Close, which would make its Close public. Change: httpd.Setter serves faults and VMs; handleLease serves both lease calls. Conclusion: answers are as before.

--- a/internal/lab/httpd/httpd.go
+++ b/internal/lab/httpd/httpd.go
@@ -36,6 +36,18 @@
 // maxBody bounds the bodies of requests in bytes.
 const maxBody = 8 << 20
 
+// Setter returns a handler that passes the decoded JSON body on to set.
+func Setter[T any](set func(T)) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		var value T
+		if err := c.Bind().JSON(&value); err != nil {
+			return err
+		}
+		set(value)
+		return c.SendStatus(fiber.StatusNoContent)
+	}
+}
+
 // Start listens on address and serves app in the background.
 func Start(address string, app *fiber.App) (*Daemon, error) {
 	listener, err := net.Listen("tcp", address)
--- a/internal/lab/kvsrv/service.go
+++ b/internal/lab/kvsrv/service.go
@@ -80,7 +80,7 @@
 	app.Post(PathLease, s.handleGrant)
 	app.Post(PathLease+"/:id", s.handleRenew)
 	app.Get(PathCalls, func(c fiber.Ctx) error { return c.JSON(s.Calls()) })
-	app.Post(PathFault, s.handleFault)
+	app.Post(PathFault, httpd.Setter(s.SetFault))
 	return app
 }
 
@@ -183,18 +183,23 @@
 }
 
 func (s *Service) handleGrant(c fiber.Ctx) error {
-	s.calls.leases.Add(1)
-	if _, up := s.faults.admit(); !up {
-		return s.refuse(c)
-	}
-	var terms leaseTerms
-	if err := c.Bind().JSON(&terms); err != nil {
-		return err
-	}
-	return c.JSON(Lease{ID: s.table.grant(terms.ttl())})
+	return s.handleLease(c, func(ttl time.Duration) error {
+		return c.JSON(Lease{ID: s.table.grant(ttl)})
+	})
 }
 
 func (s *Service) handleRenew(c fiber.Ctx) error {
+	return s.handleLease(c, func(ttl time.Duration) error {
+		if !s.table.renew(c.Params("id"), ttl) {
+			return c.SendStatus(fiber.StatusNotFound)
+		}
+		return c.JSON(Lease{ID: c.Params("id")})
+	})
+}
+
+// handleLease decodes a request for a lease and answers it unless the service
+// is down.
+func (s *Service) handleLease(c fiber.Ctx, answer func(ttl time.Duration) error) error {
 	s.calls.leases.Add(1)
 	if _, up := s.faults.admit(); !up {
 		return s.refuse(c)
@@ -203,19 +208,7 @@
 	if err := c.Bind().JSON(&terms); err != nil {
 		return err
 	}
-	if !s.table.renew(c.Params("id"), terms.ttl()) {
-		return c.SendStatus(fiber.StatusNotFound)
-	}
-	return c.JSON(Lease{ID: c.Params("id")})
-}
-
-func (s *Service) handleFault(c fiber.Ctx) error {
-	var fault Fault
-	if err := c.Bind().JSON(&fault); err != nil {
-		return err
-	}
-	s.SetFault(fault)
-	return c.SendStatus(fiber.StatusNoContent)
+	return answer(terms.ttl())
 }
 
 func (s *Service) refuse(c fiber.Ctx) error {
--- a/internal/lab/vmsrv/service.go
+++ b/internal/lab/vmsrv/service.go
@@ -100,8 +100,8 @@
 func (s *Service) app() *fiber.App {
 	app := httpd.NewApp()
 	app.Get(vmlist.PathVMs, s.handleGet)
-	app.Put(vmlist.PathVMs, s.handlePut)
-	app.Post(PathFault, s.handleFault)
+	app.Put(vmlist.PathVMs, httpd.Setter(s.SetVMs))
+	app.Post(PathFault, httpd.Setter(s.SetFault))
 	return app
 }
 
@@ -112,21 +112,3 @@
 	}
 	return c.JSON(vms)
 }
-
-func (s *Service) handlePut(c fiber.Ctx) error {
-	vms := []vmlist.VM{}
-	if err := c.Bind().JSON(&vms); err != nil {
-		return err
-	}
-	s.SetVMs(vms)
-	return c.SendStatus(fiber.StatusNoContent)
-}
-
-func (s *Service) handleFault(c fiber.Ctx) error {
-	var fault Fault
-	if err := c.Bind().JSON(&fault); err != nil {
-		return err
-	}
-	s.SetFault(fault)
-	return c.SendStatus(fiber.StatusNoContent)
-}
