Estimate queue waits at a lower quantile

With 3 replicas and one server slowed 20 times, 5 of 1834 requests were refused although the other replicas had room: the estimate of the wait was a 95th percentile, and the one slow server's queue alone reached it. It is now about the 80th; an overloaded service has long waits at most of its servers.

--- a/internal/query/admit/peak.go
+++ b/internal/query/admit/peak.go
@@ -8,8 +8,8 @@
 const (
 	// riseWeight and fallWeight are the weights of a sample above and below
 	// the estimate. Their ratio makes it a high quantile.
-	riseWeight = 0.1
-	fallWeight = 0.005
+	riseWeight = 0.04
+	fallWeight = 0.01
 	// peakDecay is the time in which an estimate without samples loses most of
 	// its value, so that refusals end by themselves.
 	peakDecay = 300 * time.Millisecond
