Test that concurrent callers get their own answers

200 concurrent lookups whose replies arrive twice, late and out of order each get the body of their own key.

--- a/internal/query/entry/entry_test.go
+++ b/internal/query/entry/entry_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
@@ -22,6 +24,8 @@
 type fakeMesh struct {
 	entry *entry.Entry
 	delay func(item msgs.Item) time.Duration
+	// copies is the number of times that each reply arrives, 0 for once.
+	copies int
 
 	mu      sync.Mutex
 	cancels []msgs.Cancel
@@ -42,13 +46,19 @@
 		answer.Hits = []msgs.Hit{{ID: fmt.Sprint(item.Shard), Score: float64(item.Shard), Doc: []byte("{}")}}
 		answer.Body = []byte(q.Key)
 		reply := msgs.Reply{ID: q.ID, Incarnation: 9, Answers: []msgs.Answer{answer}}
-		deliver := func() { m.entry.HandleReply(to.Process, reply) }
-		if wait := m.delay(item); wait > 0 {
-			time.AfterFunc(wait, deliver)
-			continue
+		for range max(m.copies, 1) {
+			m.deliver(to, reply, m.delay(item))
 		}
+	}
+}
+
+func (m *fakeMesh) deliver(to view.Member, reply msgs.Reply, wait time.Duration) {
+	deliver := func() { m.entry.HandleReply(to.Process, reply) }
+	if wait == 0 {
 		deliver()
+		return
 	}
+	time.AfterFunc(wait, deliver)
 }
 
 func (*fakeMesh) SendReply(view.Member, msgs.Reply) {}
@@ -126,6 +136,30 @@
 	})
 }
 
+func TestConcurrentCallersGetTheirOwnAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		delays := rand.New(rand.NewPCG(3, 4))
+		var mu sync.Mutex
+		e, mesh, _ := newEntry(t, func(msgs.Item) time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			return time.Duration(delays.IntN(30)) * time.Millisecond
+		})
+		mesh.copies = 2
+		var group conc.WaitGroup
+		for i := range 200 {
+			key := fmt.Sprint("key", i)
+			group.Go(func() {
+				read := e.Lookup(t.Context(), entry.Request{Service: "s", Key: key})
+				require.Equal(t, run.OutcomeFull, read.Outcome)
+				require.Equal(t, key, string(read.Body))
+			})
+		}
+		group.Wait()
+		require.Zero(t, e.State().Active)
+	})
+}
+
 func TestFaultsAndRefusals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e, _, views := newEntry(t, always(0))
