Start admission limits at 32

A jump from 300 to 940 requests a second found the limits at 64 and above: 421 requests of the lower class were cut off by their deadline in the first second.

--- a/internal/query/admit/limiter.go
+++ b/internal/query/admit/limiter.go
@@ -22,7 +22,7 @@
 	unusedFactor = 4
 	// startLimit is the limit at the start and after a long time of little
 	// use.
-	startLimit = 64
+	startLimit = 32
 	// gentleCut and deepCut bound the factor of a cut.
 	gentleCut = 0.9
 	deepCut   = 0.5
