Let probes follow the told owner

For about 3 s after the start most entries believed another VM to own vantaa/1. Searches followed the redirect; probes did not, so these entries never learned of one server, and had no replica once the other's zone was out.

A probe now follows the owner that an answer names, once. An answer for a shard of the pinned version also makes its server known if nothing else is, as owners tell a process their maps again only after 5 s.

Asking all servers before each search was ruled out, as it costs a message per group and query.

--- a/internal/query/entry/reply.go
+++ b/internal/query/entry/reply.go
@@ -32,16 +32,20 @@
 	}
 }
 
+// learnMaps takes over what answers tell of the index versions of servers.
 func (e *Entry) learnMaps(answers []msgs.Answer) {
 	for i := range answers {
 		answer := &answers[i]
-		if len(answer.Maps) == 0 && answer.Status != msgs.StatusWrongVersion {
-			continue
-		}
 		if answer.Server == "" {
 			continue
 		}
-		service, _, _ := strings.Cut(answer.Server, "/")
-		e.table.Learn(ident.ServiceID(service), ident.ServerID(answer.Server), answer.Maps)
+		name, _, _ := strings.Cut(answer.Server, "/")
+		service, server := ident.ServiceID(name), ident.ServerID(answer.Server)
+		switch {
+		case len(answer.Maps) > 0 || answer.Status == msgs.StatusWrongVersion:
+			e.table.Learn(service, server, answer.Maps)
+		case answer.Status == msgs.StatusOK:
+			e.table.Confirm(service, server, ident.Version(answer.Version), ident.Shard(answer.Shard))
+		}
 	}
 }
--- a/internal/query/run/action.go
+++ b/internal/query/run/action.go
@@ -14,6 +14,9 @@
 	// probeEvery is the time between two questions of an action for the index
 	// versions of its shard.
 	probeEvery = 100 * time.Millisecond
+	// maxProbeRedirects is the number of named owners that one round of probes
+	// follows.
+	maxProbeRedirects = 4
 )
 
 // Action is the Machine of a non-idempotent action. It is sent to the home of
@@ -37,6 +40,9 @@
 	// redirected is set while the offer went to an owner that another VM
 	// named. During a handover two VMs may name each other.
 	redirected bool
+	// redirects counts the probes that followed a named owner since the last
+	// round of probes.
+	redirects int
 }
 
 // offer is the action as it was sent to a home.
@@ -62,6 +68,7 @@
 // from before.
 func (a *Action) OnReply(now time.Time, from ident.VMID, reply msgs.Reply) Step {
 	if a.waiting == nil {
+		a.redirectProbes(now, reply.Answers)
 		a.offer(now)
 		return a.finishStep(now)
 	}
@@ -217,6 +224,7 @@
 		return
 	}
 	a.probeAt = now.Add(probeEvery)
+	a.redirects = 0
 	for _, server := range home.Replicas {
 		if owner, ok := a.deps.Fleet.Owner(server.ID); ok {
 			item := msgs.Item{Seq: a.nextSeq(), Server: string(server.ID), Shard: uint32(server.Shard)}
@@ -225,6 +233,20 @@
 	}
 }
 
+// redirectProbes asks the owners that answers to probes name.
+func (a *Action) redirectProbes(now time.Time, answers []msgs.Answer) {
+	for i := range answers {
+		answer := &answers[i]
+		owner, known := a.deps.Fleet.Member(ident.VMID(answer.Owner))
+		if a.ended || !known || answer.Status != msgs.StatusWrongOwner || a.redirects >= maxProbeRedirects {
+			continue
+		}
+		a.redirects++
+		item := msgs.Item{Seq: a.nextSeq(), Server: answer.Server, Shard: answer.Shard}
+		a.out.query(owner, probeMessage(now, &a.spec), item)
+	}
+}
+
 func (a *Action) nextSeq() uint32 {
 	a.seq++
 	return a.seq
--- a/internal/query/run/answer.go
+++ b/internal/query/run/answer.go
@@ -26,7 +26,9 @@
 	}
 	if a.shard == probeShard {
 		a.open = false
-		q.onProbeAnswered(now)
+		if !q.redirectProbe(now, *a, answer) {
+			q.onProbeAnswered(now)
+		}
 		return
 	}
 	if uint32(a.number) != answer.Shard {
--- a/internal/query/run/learn.go
+++ b/internal/query/run/learn.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
+	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 	"github.com/samphirestair/samphirestair/internal/query/merge"
 	"github.com/samphirestair/samphirestair/internal/query/snap"
@@ -78,17 +79,32 @@
 // probe asks the owner of a server for the index versions that it holds.
 func (q *Query) probe(now time.Time, server *svcdoc.Server) bool {
 	owner, ok := q.deps.Fleet.Owner(server.ID)
-	if !ok {
+	if ok {
+		q.sendProbe(now, owner, attempt{server: server.ID, number: server.Shard})
+	}
+	return ok
+}
+
+// redirectProbe asks the owner that an answer names, once, and reports whether
+// it did.
+func (q *Query) redirectProbe(now time.Time, a attempt, answer *msgs.Answer) bool {
+	if answer.Status != msgs.StatusWrongOwner || a.redirected {
 		return false
 	}
-	message := probeMessage(now, &q.spec)
+	owner, known := q.deps.Fleet.Member(ident.VMID(answer.Owner))
+	if known {
+		a.redirected = true
+		q.sendProbe(now, owner, a)
+	}
+	return known
+}
+
+func (q *Query) sendProbe(now time.Time, owner view.Member, a attempt) {
 	seq := uint32(len(q.attempts))
-	item := msgs.Item{Seq: seq, Server: string(server.ID), Shard: uint32(server.Shard)}
-	q.attempts = append(q.attempts, attempt{
-		shard: probeShard, server: server.ID, number: server.Shard, owner: owner,
-		message: q.out.query(owner, message, item), sentAt: now, open: true,
-	})
-	return true
+	item := msgs.Item{Seq: seq, Server: string(a.server), Shard: uint32(a.number)}
+	a.shard, a.owner, a.sentAt, a.open = probeShard, owner, now, true
+	a.message = q.out.query(owner, probeMessage(now, &q.spec), item)
+	q.attempts = append(q.attempts, a)
 }
 
 // probeMessage returns a query that owners answer with the index versions of
--- a/internal/query/run/query.go
+++ b/internal/query/run/query.go
@@ -59,6 +59,8 @@
 	message uint64
 	sentAt  time.Time
 	open    bool
+	// redirected is set for probes that went to an owner that an answer named.
+	redirected bool
 }
 
 // probeShard marks attempts that ask a server only for its index versions.
--- a/internal/query/run/query_test.go
+++ b/internal/query/run/query_test.go
@@ -203,6 +203,35 @@
 	}
 }
 
+func TestProbesFollowTheToldOwner(t *testing.T) {
+	for _, kind := range []msgs.Kind{msgs.KindSearch, msgs.KindAction} {
+		w := newWorld(t, "none")
+		if kind == msgs.KindAction {
+			w.machine = run.NewAction(w.deps(t, "none"), w.spec(kind))
+		}
+		w.view.Owners["g1"] = "vm0"
+		w.apply(w.machine.Start(w.now))
+		for len(w.parcels) > 0 {
+			p := w.take(0)
+			if p.query == nil || p.vm == "vm1" || p.query.Version != 0 {
+				w.deliver(p)
+				continue
+			}
+			reply := w.answer(p)
+			for i := range reply.Answers {
+				reply.Answers[i] = msgs.Answer{
+					Seq: reply.Answers[i].Seq, Server: reply.Answers[i].Server, Shard: reply.Answers[i].Shard,
+					Status: msgs.StatusWrongOwner, Owner: "vm1",
+				}
+			}
+			w.deliver(parcel{vm: p.vm, reply: reply})
+		}
+		require.Len(t, w.results, 1)
+		require.Contains(t, []run.Outcome{run.OutcomeFull, run.OutcomeDone}, w.results[0].Outcome)
+		require.True(t, w.now.Equal(w.start))
+	}
+}
+
 func TestQueryOutlastsAHandover(t *testing.T) {
 	w := newWorld(t, "none")
 	w.known()
--- a/internal/query/snap/table.go
+++ b/internal/query/snap/table.go
@@ -90,6 +90,26 @@
 	t.changes[service]++
 }
 
+// Confirm notes that a server answered for a shard of the pinned version. This
+// counts only while nothing else is known of the server, because it says nothing
+// of the other versions that it holds.
+func (t *Table) Confirm(service ident.ServiceID, server ident.ServerID, version ident.Version, shard ident.Shard) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.serverLocked(server)
+	if len(known.maps) > 0 {
+		return
+	}
+	plan := t.plans[service].plan
+	if plan == nil || plan.Version == 0 || plan.Version != version {
+		return
+	}
+	known.maps = usable([]msgs.Holding{{
+		Version: uint64(version), Shard: uint32(shard), Shards: uint32(plan.Shards),
+	}})
+	t.changes[service]++
+}
+
 // Pin returns the plan for the newest version that all shards of the service
 // can serve, or else for the version with the best coverage. The plan must not
 // be changed.
--- a/internal/query/snap/table_test.go
+++ b/internal/query/snap/table_test.go
@@ -89,3 +89,19 @@
 	table.Learn("s", "s/b0", []msgs.Holding{holds(1, 0, 2)})
 	require.Equal(t, ident.Version(1), table.VersionFor(servers, 0))
 }
+
+func TestConfirmCountsOnlyWhileNothingElseIsKnown(t *testing.T) {
+	table, config, doc := snap.New(snap.Options{}), &view.Config{}, document()
+	table.Confirm("s", "s/b0", 1, 0)
+	table.Learn("s", "s/a0", []msgs.Holding{holds(1, 0, 2)})
+	table.Learn("s", "s/a1", []msgs.Holding{holds(1, 1, 2)})
+	require.Len(t, table.Pin(config, doc).Replicas[0], 1)
+	table.Confirm("s", "s/b0", 2, 0)
+	require.Len(t, table.Pin(config, doc).Replicas[0], 1)
+	table.Confirm("s", "s/b0", 1, 0)
+	table.Confirm("s", "s/a0", 1, 1)
+	require.Len(t, table.Pin(config, doc).Replicas[0], 2)
+	require.Len(t, table.Pin(config, doc).Replicas[1], 1)
+	table.Learn("s", "s/b0", nil)
+	require.Len(t, table.Pin(config, doc).Replicas[0], 1)
+}
