Hold slots of frozen servers and hand them over exactly

A planned handover counted all slots as used for half a second. A restarted server kept the slots of work that had died with its former run. A new owner knew the boot identity only after its first request.

Change: a given up slot is kept until the server is heard again and the budget has passed; a probe says hello meanwhile. A carry that was exported after the last send is marked final and counted exactly; Quiet tells when nothing is at a group's servers. A hello of another run frees what was sent to earlier ones. A new owner says hello at once. A server that cannot be connected to is left alone unless it was heard lately.

--- a/internal/owner/lane/dialer.go
+++ b/internal/owner/lane/dialer.go
@@ -32,6 +32,8 @@
 	Boot ident.BootID
 	// Maps is the text of bknd.HeaderMaps.
 	Maps string
+	// Seq orders the hellos of one dialer.
+	Seq uint64
 }
 
 // Dialer opens connections to one backend server, one at a time and paced. It
@@ -42,6 +44,7 @@
 	cost    time.Duration
 	turn    chan struct{}
 	last    time.Time
+	seq     uint64
 	open    atomic.Int64
 }
 
@@ -93,6 +96,8 @@
 		c.abort()
 		return nil, Hello{}, errors.Wrapf(err, "lane: hello to %s", d.address)
 	}
+	d.seq++
+	hello.Seq = d.seq
 	return c, hello, nil
 }
 
--- a/internal/owner/queue/expire.go
+++ b/internal/owner/queue/expire.go
@@ -38,23 +38,24 @@
 		consider(until)
 	}
 	for _, item := range q.givenUp {
-		consider(item.until)
+		if !item.until.IsZero() {
+			consider(item.until)
+		}
 	}
 	return next, found
 }
 
-// LatestUntil returns the time until which slots may stay in use at the server.
-// sentUntil is the latest deadline of sent items, which the caller knows.
-func (q *Queue) LatestUntil(sentUntil time.Time) time.Time {
-	latest := sentUntil
+// LatestUntil returns the time until which slots of given up items and of a
+// previous owner may stay in use, and not less than now.
+func (q *Queue) LatestUntil(now time.Time) time.Time {
+	latest := now
 	for _, until := range q.carried {
-		if until.After(latest) {
-			latest = until
-		}
+		latest = later(latest, until)
 	}
 	for _, item := range q.givenUp {
-		if item.until.After(latest) {
-			latest = item.until
+		latest = later(latest, item.until)
+		if item.until.IsZero() {
+			latest = later(latest, now.Add(item.budget))
 		}
 	}
 	return latest
@@ -86,9 +87,16 @@
 }
 
 func endGivenUp(item *Item, now time.Time) bool {
-	if now.Before(item.until) {
+	if item.until.IsZero() || now.Before(item.until) {
 		return false
 	}
 	item.state = stateGone
 	return true
 }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/internal/owner/queue/item.go
+++ b/internal/owner/queue/item.go
@@ -27,7 +27,10 @@
 
 	state state
 	index int
-	until time.Time
+	// budget and until say how long a given up item keeps its slot. until is
+	// zero while the server has not been heard since.
+	budget time.Duration
+	until  time.Time
 	// probe is set if the item was added while the server was idle. It is sent
 	// however slow the server seemed, so that a recovery is noticed.
 	probe bool
--- a/internal/owner/queue/queue.go
+++ b/internal/owner/queue/queue.go
@@ -8,6 +8,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -155,19 +156,39 @@
 	}
 }
 
-// GiveUp keeps the slot of a sent item in use until the given time, or until
-// Finish.
-func (q *Queue) GiveUp(item *Item, until time.Time) {
+// GiveUp keeps the slot of a sent item in use until Finish, or until the budget
+// has passed since the server was heard again. A server that was frozen may
+// begin the work only then.
+func (q *Queue) GiveUp(item *Item, budget time.Duration) {
 	if item.state != stateSent {
 		q.Finish(item)
 		return
 	}
 	q.sent--
 	item.state = stateGivenUp
-	item.until = until
+	item.budget, item.until = budget, time.Time{}
 	q.givenUp = append(q.givenUp, item)
 }
 
+// Heard notes a sign of life of the server.
+func (q *Queue) Heard(now time.Time) {
+	for _, item := range q.givenUp {
+		if item.until.IsZero() {
+			item.until = now.Add(item.budget)
+		}
+	}
+}
+
+// Unheard reports whether slots are kept until the server is heard again.
+func (q *Queue) Unheard() bool {
+	return slices.ContainsFunc(q.givenUp, func(item *Item) bool { return item.until.IsZero() })
+}
+
+// Ended reports whether an item has no slot and does not wait for one.
+func (q *Queue) Ended(item *Item) bool {
+	return item.state == stateGone
+}
+
 // Cancel removes a waiting item. It returns false if the item does not wait.
 func (q *Queue) Cancel(item *Item) bool {
 	if item.state != stateWaiting {
@@ -184,6 +205,15 @@
 	}
 }
 
+// EndRun frees the slots of given up items and of a previous owner's work. It is
+// called when the server's process is known to have been replaced.
+func (q *Queue) EndRun() {
+	for _, item := range q.givenUp {
+		item.state = stateGone
+	}
+	q.givenUp, q.carried = nil, nil
+}
+
 // Clear removes and returns all waiting items.
 func (q *Queue) Clear() []*Item {
 	items := []*Item(q.waiting)
--- a/internal/owner/queue/queue_test.go
+++ b/internal/owner/queue/queue_test.go
@@ -12,6 +12,8 @@
 	"github.com/samphirestair/samphirestair/internal/owner/queue"
 )
 
+const heldBudget = 20 * time.Millisecond
+
 var start = time.Unix(1000, 0)
 
 // model drives a queue with random events and keeps its own account.
@@ -100,8 +102,17 @@
 	if item := pick(t, m.items, m.sent); item != nil {
 		delete(m.sent, item)
 		m.answers[item]++
-		m.held[item] = item.Deadline
-		m.queue.GiveUp(item, item.Deadline)
+		m.held[item] = time.Time{}
+		m.queue.GiveUp(item, heldBudget)
+	}
+}
+
+func (m *model) heard(*rapid.T) {
+	m.queue.Heard(m.now)
+	for item, until := range m.held {
+		if until.IsZero() {
+			m.held[item] = m.now.Add(heldBudget)
+		}
 	}
 }
 
@@ -123,7 +134,7 @@
 func (m *model) pass(t *rapid.T) {
 	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
 	for item, until := range m.held {
-		if !m.now.Before(until) {
+		if !until.IsZero() && !m.now.Before(until) {
 			delete(m.held, item)
 		}
 	}
@@ -162,7 +173,11 @@
 		m := newModel()
 		t.Repeat(map[string]func(*rapid.T){
 			"add": m.add, "start": m.start, "send": m.send, "finish": m.finish,
-			"giveUp": m.giveUp, "acknowledge": m.acknowledge, "cancel": m.cancel, "pass": m.pass,
+			"giveUp": m.giveUp, "heard": m.heard, "acknowledge": m.acknowledge, "cancel": m.cancel, "pass": m.pass,
+			"endRun": func(*rapid.T) {
+				m.queue.EndRun()
+				clear(m.held)
+			},
 			"bound": func(t *rapid.T) { m.setBound(rapid.IntRange(1, 4).Draw(t, "bound")) },
 			"":      m.check,
 		})
--- a/internal/owner/sender/call.go
+++ b/internal/owner/sender/call.go
@@ -45,6 +45,8 @@
 	// workUntil is the time at which the server must have ended the work.
 	workUntil time.Time
 	sentAt    time.Time
+	// run is the server's run that the job was sent to.
+	run uint64
 }
 
 func newCall(s *Sender, from ident.Process, q msgs.Query, now time.Time) *call {
--- a/internal/owner/sender/carry.go
+++ b/internal/owner/sender/carry.go
@@ -10,6 +10,11 @@
 	"github.com/samphirestair/samphirestair/internal/owner/warmth"
 )
 
+// finalAge is the longest time between the export of a final carry and the end
+// of the lease. It covers the way to the voters and clocks that differ; leases
+// last longer.
+const finalAge = 500 * time.Millisecond
+
 // serverCarry is what one owner tells the next about one server.
 type serverCarry struct {
 	Warmth warmth.Carry `json:"warmth"`
@@ -21,6 +26,10 @@
 
 // groupCarry is what one owner tells the next about a group.
 type groupCarry struct {
+	// At is the time of the export. Final is set if the exporter sent nothing
+	// after it.
+	At      time.Time                      `json:"at"`
+	Final   bool                           `json:"final"`
 	Servers map[ident.ServerID]serverCarry `json:"servers"`
 }
 
@@ -28,22 +37,22 @@
 type groupImport struct {
 	carry groupCarry
 	at    time.Time
-	// previousUntil is the end of the previous owner's lease, or zero if it
-	// released the lease after its last word.
+	// previousUntil is the end of the previous owner's lease, or zero if there
+	// was none.
 	previousUntil time.Time
 }
 
+// final reports whether the carry is the last word of the latest owner. A final
+// carry that is much older than the end of the lease is that of an earlier one.
+func (g *groupImport) final() bool {
+	return g.carry.Final && g.previousUntil.Sub(g.carry.At) < finalAge
+}
+
 // Export returns what the next owner of the group should know, or nil if
-// nothing is known.
+// nothing is known. Once the published view does not hold the group any more,
+// nothing is sent to its servers after Export.
 func (s *Sender) Export(group ident.GroupID) []byte {
-	now := time.Now()
-	carry := groupCarry{Servers: map[ident.ServerID]serverCarry{}}
-	for _, h := range s.list() {
-		if known, of := h.exportOf(group, now); of {
-			carry.Servers[h.id] = known
-		}
-	}
-	s.addRetained(group, &carry)
+	carry := s.export(group)
 	if len(carry.Servers) == 0 {
 		return nil
 	}
@@ -54,10 +63,42 @@
 	return data
 }
 
+func (s *Sender) export(group ident.GroupID) groupCarry {
+	if pending, ok := s.pendingImport(group); ok {
+		pending.carry.Final = false
+		return pending.carry
+	}
+	_, held := s.deps.Views.Load().Holdings[group]
+	if !held {
+		s.Refresh()
+	}
+	now := time.Now()
+	carry := groupCarry{At: now, Final: !held, Servers: map[ident.ServerID]serverCarry{}}
+	for _, h := range s.list() {
+		if known, of := h.exportOf(group, now); of {
+			carry.Servers[h.id] = known
+		}
+	}
+	s.addRetained(group, &carry)
+	return carry
+}
+
+// Quiet reports whether no work of this VM can be at the group's servers. A
+// planned handover that waits for this after the view was published leaves the
+// next owner all slots.
+func (s *Sender) Quiet(group ident.GroupID) bool {
+	now := time.Now()
+	for _, h := range s.list() {
+		if carry, of := h.exportOf(group, now); of && carry.Slots > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Import takes over what the previous owner of a group told. It is called
 // before the view that holds the group is published. previousUntil is the end
-// of the previous owner's lease; it is zero if that owner released the lease
-// after it exported the carry, or if there was none. A carry that cannot be
+// of the previous owner's lease, zero if there was none. A carry that cannot be
 // decoded is dropped, which leaves the group's servers cold.
 func (s *Sender) Import(group ident.GroupID, carry []byte, previousUntil time.Time) {
 	imported := groupImport{at: time.Now(), previousUntil: previousUntil}
@@ -84,6 +125,13 @@
 	}
 }
 
+func (s *Sender) pendingImport(group ident.GroupID) (groupImport, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	imported, ok := s.imports[group]
+	return imported, ok
+}
+
 func (s *Sender) takeImport(group ident.GroupID) (groupImport, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -105,10 +153,10 @@
 		h.tracker.Forget(now)
 	}
 	switch {
+	case known && (imported.previousUntil.IsZero() || imported.final()):
+		h.queue.Carry(carry.Slots, imported.at.Add(carry.Left))
 	case !imported.previousUntil.IsZero():
 		h.queue.Carry(h.server.Limits.Slots, imported.previousUntil.Add(beyond))
-	case carry.Slots > 0:
-		h.queue.Carry(carry.Slots, imported.at.Add(carry.Left))
 	}
 	h.rebound()
 	h.arm(now)
@@ -116,6 +164,9 @@
 
 // importKnowledge takes over the warmth and the index maps.
 func (h *host) importKnowledge(carry serverCarry, now time.Time) {
+	if h.run.boot == "" {
+		h.run.boot = carry.Warmth.Boot
+	}
 	h.tracker.Import(carry.Warmth, now)
 	if err := h.maps.observe(carry.Maps); err != nil {
 		h.recordBad("carried index maps", err, now)
@@ -143,6 +194,6 @@
 		}
 	}
 	return serverCarry{
-		Warmth: h.tracker.Export(), Slots: h.queue.InUse(), Left: latest.Sub(now), Maps: h.maps.text,
+		Warmth: h.tracker.Export(), Slots: h.queue.InUse(), Left: latest.Sub(now) + slotGrace, Maps: h.maps.text,
 	}
 }
--- a/internal/owner/sender/finish.go
+++ b/internal/owner/sender/finish.go
@@ -12,6 +12,12 @@
 	// again after a connection could not be opened.
 	outageMin = 100 * time.Millisecond
 	outageMax = time.Second
+	// heardRecently is the time for which an answer shows that a server can be
+	// reached.
+	heardRecently = 100 * time.Millisecond
+	// slotGrace is the time after the deadline for which a slot is kept, because
+	// the server counts the deadline from the arrival of the request.
+	slotGrace = 10 * time.Millisecond
 	// cancelTimeout bounds one cancel.
 	cancelTimeout = 500 * time.Millisecond
 )
@@ -75,6 +81,7 @@
 // observe learns from a result.
 func (h *host) observe(j *job, result *lane.Result, now time.Time) {
 	if result.Outcome == lane.OutcomeAnswered {
+		h.heard(now)
 		h.observeBoot(result.Boot, result.Maps, now)
 	}
 	before := h.tracker.State().Phase
@@ -104,13 +111,15 @@
 	return result.Service
 }
 
-// endSlot frees the slot of a job, or keeps it while the server may still work.
+// endSlot frees the slot of a job, or keeps it while the run of the server that
+// it was sent to may still work on it.
 func (h *host) endSlot(j *job, result *lane.Result) {
-	switch result.Outcome {
-	case lane.OutcomeUnsent, lane.OutcomeAnswered:
+	over := result.Outcome == lane.OutcomeUnsent || result.Outcome == lane.OutcomeAnswered
+	switch {
+	case over || j.run < h.run.number:
 		h.queue.Finish(&j.item)
 	default:
-		h.queue.GiveUp(&j.item, j.workUntil)
+		h.queue.GiveUp(&j.item, j.workUntil.Sub(j.sentAt)+slotGrace)
 		if j.call.query.Kind != msgs.KindAction {
 			h.sendCancel(j)
 		}
@@ -123,18 +132,24 @@
 	defer h.unlock()
 	now := time.Now()
 	h.queue.Finish(&j.item)
+	h.noteConnectError(err, now)
+	h.refuse(j, msgs.Answer{Status: msgs.StatusNotRun, RetryMicros: micros(h.down.left(now))})
+	h.release(r)
+	h.advance(now)
+}
+
+// noteConnectError learns from a connection that could not be opened. A server
+// that answers on other connections is not taken to be unreachable.
+func (h *host) noteConnectError(err error, now time.Time) {
 	if lane.IsReset(err) {
 		before := h.tracker.State().Phase
 		h.tracker.ObserveReset(now)
 		h.notePhase(before)
 		h.rebound()
 	}
-	if !lane.IsBusy(err) && h.queue.AtServer() == 0 {
+	if !lane.IsBusy(err) && now.Sub(h.heardAt) > heardRecently {
 		h.beginOutage(err, now)
 	}
-	h.refuse(j, msgs.Answer{Status: msgs.StatusNotRun, RetryMicros: micros(h.down.left(now))})
-	h.release(r)
-	h.advance(now)
 }
 
 // beginOutage refuses all waiting jobs, so that they can go to other replicas.
@@ -180,29 +195,36 @@
 // cancelAtServer sends one cancel. If the server acknowledges it and nothing
 // waits for its answer any more, the slot is free.
 func (h *host) cancelAtServer(l *lane.Lane, j *job) {
-	if h.over(j, time.Now()) {
+	if h.ended(j) {
 		return
 	}
 	hello, fresh, err := l.Connect(time.Now().Add(cancelTimeout))
-	if err != nil {
-		return
-	}
-	acknowledged := l.Cancel(j.id, time.Now().Add(cancelTimeout))
+	acknowledged := err == nil && l.Cancel(j.id, time.Now().Add(cancelTimeout))
 	h.mu.Lock()
 	defer h.unlock()
 	now := time.Now()
 	if fresh {
-		h.observeBoot(hello.Boot, hello.Maps, now)
+		h.observeHello(hello, now)
+	}
+	if err != nil {
+		h.noteConnectError(err, now)
 	}
 	if acknowledged {
+		h.heard(now)
 		h.queue.FinishGivenUp(&j.item)
 	}
 	h.advance(now)
 }
 
-// over reports whether the server must have ended the work of a sent job.
-func (h *host) over(j *job, now time.Time) bool {
+// ended reports whether a job has no slot any more.
+func (h *host) ended(j *job) bool {
 	h.mu.Lock()
 	defer h.unlock()
-	return !now.Before(j.workUntil)
+	return h.queue.Ended(&j.item)
+}
+
+// heard notes a sign of life of the server.
+func (h *host) heard(now time.Time) {
+	h.heardAt = now
+	h.queue.Heard(now)
 }
--- a/internal/owner/sender/host.go
+++ b/internal/owner/sender/host.go
@@ -45,10 +45,13 @@
 	idle     []*runner
 	maps     indexMaps
 	down     outage
+	run      serverRun
+	heardAt  time.Time
 	timer    *time.Timer
 	timerAt  time.Time
 	badAt    time.Time
 	canceler bool
+	probing  bool
 	closed   bool
 	// outbox holds answers that are sent once the mutex is free.
 	outbox []outgoing
@@ -235,6 +238,19 @@
 	h.rebound()
 }
 
+// observeHello notes what the server said on a new connection and returns the
+// run of the server that the connection leads to.
+func (h *host) observeHello(hello lane.Hello, now time.Time) uint64 {
+	h.down = outage{}
+	h.queue.Heard(now)
+	h.observeBoot(hello.Boot, hello.Maps, now)
+	run, replaced := h.run.observe(hello)
+	if replaced {
+		h.queue.EndRun()
+	}
+	return run
+}
+
 // notePhase records a return to cold, or the end of the warm-up.
 func (h *host) notePhase(before warmth.Phase) {
 	state := h.tracker.State()
--- a/internal/owner/sender/refresh.go
+++ b/internal/owner/sender/refresh.go
@@ -106,9 +106,10 @@
 func (h *host) own(holding *view.Holding, server svcdoc.Server, out, imported bool, now time.Time) {
 	h.mu.Lock()
 	defer h.unlock()
-	if h.term != holding.Term && h.term != 0 && !imported {
+	if h.term != 0 && h.term != holding.Term && !imported {
 		h.tracker.Forget(now)
 	}
+	acquired := h.term != holding.Term
 	h.term, h.group = holding.Term, holding.Group.ID
 	h.holding.Store(holding)
 	if h.server.Limits != server.Limits {
@@ -118,6 +119,9 @@
 	h.applyOut(out, now)
 	h.rebound()
 	h.advance(now)
+	if acquired && len(h.runners) == 0 || h.queue.Unheard() && !h.down.active(now) {
+		h.probe()
+	}
 }
 
 // applyOut takes the server out of service or back in.
@@ -138,6 +142,7 @@
 	h.mu.Lock()
 	defer h.unlock()
 	h.holding.Store(nil)
+	h.queue.Heard(time.Now())
 	h.refuseWaiting(msgs.Answer{
 		Status: msgs.StatusWrongOwner, Owner: h.sender.believedOwner(v, h.id),
 	})
--- a/internal/owner/sender/runner.go
+++ b/internal/owner/sender/runner.go
@@ -16,6 +16,8 @@
 	// maxWriteDelay is the longest time between the calculation of the budget
 	// and the write. A process that was paused in between does not write.
 	maxWriteDelay = 20 * time.Millisecond
+	// connectAhead bounds the opening of a connection without work.
+	connectAhead = 300 * time.Millisecond
 	// silenceFactor is the multiple of the mean service time after which a
 	// connection without an answer is taken to be silent.
 	silenceFactor = 50
@@ -26,8 +28,10 @@
 	host *host
 	lane *lane.Lane
 	jobs chan *job
-	// job is the present job, guarded by the host's mutex.
+	// job is the present job, guarded by the host's mutex, as is run, the
+	// server's run that the connection leads to.
 	job *job
+	run uint64
 	// request is used by the runner's goroutine only.
 	request  lane.Request
 	prepared time.Time
@@ -61,15 +65,54 @@
 	h.idle = append(h.idle, r)
 }
 
+// probe opens a connection although nothing may be sent, so that the server
+// says hello.
+func (h *host) probe() {
+	if h.closed || h.out.Load() || h.probing {
+		return
+	}
+	if r := h.freeRunner(); r != nil {
+		h.probing = true
+		r.jobs <- nil
+	}
+}
+
+// connected ends the opening of a connection without work.
+func (h *host) connected(r *runner, hello lane.Hello, fresh bool, err error) {
+	h.mu.Lock()
+	defer h.unlock()
+	now := time.Now()
+	h.probing = false
+	if fresh {
+		r.run = h.observeHello(hello, now)
+	}
+	if err != nil {
+		h.noteConnectError(err, now)
+	}
+	h.release(r)
+	h.advance(now)
+}
+
 func (r *runner) loop() {
 	defer r.lane.Close()
 	for j := range r.jobs {
-		r.run(j)
+		if j == nil {
+			r.connect()
+		} else {
+			r.carry(j)
+		}
 	}
 }
 
-// run carries one job to its end.
-func (r *runner) run(j *job) {
+// connect opens a new connection without work.
+func (r *runner) connect() {
+	r.lane.Close()
+	hello, fresh, err := r.lane.Connect(time.Now().Add(connectAhead))
+	r.host.connected(r, hello, fresh, err)
+}
+
+// carry carries one job to its end.
+func (r *runner) carry(j *job) {
 	hello, fresh, err := r.lane.Connect(j.item.Deadline)
 	if err != nil {
 		r.host.connectFailed(r, j, err)
@@ -95,15 +138,14 @@
 	defer h.unlock()
 	now := time.Now()
 	if fresh {
-		h.down = outage{}
-		h.observeBoot(hello.Boot, hello.Maps, now)
+		r.run = h.observeHello(hello, now)
 	}
 	if h.mustRefuse(j, now) || !h.queue.Send(&j.item) {
 		h.release(r)
 		h.advance(now)
 		return false
 	}
-	j.sentAt = now
+	j.sentAt, j.run = now, r.run
 	j.id = h.sender.nextID()
 	r.prepare(j, now)
 	return true
--- a/internal/owner/sender/sender_test.go
+++ b/internal/owner/sender/sender_test.go
@@ -53,10 +53,13 @@
 }
 
 func newFixture(t testing.TB, address string, opts sender.Options) *fixture {
-	server := svcdoc.Server{
+	return newFixtureOf(t, svcdoc.Server{
 		ID: "desk/a", Address: address, Zone: "espoo",
 		Limits: svcdoc.Limits{Slots: 2, Connections: 25, ColdSlots: 1, WarmAfter: 3},
-	}
+	}, opts)
+}
+
+func newFixtureOf(t testing.TB, server svcdoc.Server, opts sender.Options) *fixture {
 	f := &fixture{
 		t: t, views: &view.Holder{}, server: server,
 		replies: &replies{answers: make(chan msgs.Answer, 1000)},
@@ -276,9 +279,34 @@
 	second.holding.Renew(time.Now().Add(time.Hour))
 	second.sender.Refresh()
 	require.Equal(t, 1, second.state().InUse)
+	second.eventually(func() bool { return second.state().Bound == 2 })
+	second.query(msgs.KindSearch, testWait)
+	second.eventually(func() bool { works, _, _ := b.counts(); return works == 5 })
 	second.query(msgs.KindSearch, 100*time.Millisecond)
 	require.Equal(t, msgs.StatusNotRun, second.answer().Status)
 	b.release()
+	require.Equal(t, msgs.StatusOK, second.answer().Status)
+}
+
+func TestSuccessorOfADeadOwnerWaitsForItsUnknownWork(t *testing.T) {
+	b := startBackend(t)
+	first := newFixture(t, b.address, sender.Options{})
+	first.warmUp()
+	carry := first.sender.Export("g")
+
+	second := newFixture(t, b.address, sender.Options{BeyondLease: time.Hour})
+	second.sender.Import("g", carry, time.Now())
+	require.Equal(t, carry, second.sender.Export("g"))
+	second.sender.Refresh()
+	require.Equal(t, 2, second.state().InUse)
+
+	b.set(func(b *backend) { b.boot = "boot-2" })
+	first.publish(func(v *view.View) { v.Holdings = nil })
+	third := newFixture(t, b.address, sender.Options{BeyondLease: time.Hour})
+	third.sender.Import("g", first.sender.Export("g"), time.Now())
+	third.sender.Refresh()
+	require.True(t, first.sender.Quiet("g"))
+	require.Zero(t, third.state().InUse)
 }
 
 func TestWorkThatRunsWhenTheLeaseEndsIsAnswered(t *testing.T) {
