Keep the slot of a frozen server after its cancel

Change: an acknowledged cancel frees the slot only if the server was heard between the request and its giving up; else the slot is kept for the budget.

--- a/internal/owner/sender/call.go
+++ b/internal/owner/sender/call.go
@@ -47,6 +47,9 @@
 	sentAt    time.Time
 	// run is the server's run that the job was sent to.
 	run uint64
+	// frozen is set if the server was not heard between sending the job and
+	// giving it up.
+	frozen bool
 }
 
 func newCall(s *Sender, from ident.Process, q msgs.Query, now time.Time) *call {
--- a/internal/owner/sender/finish.go
+++ b/internal/owner/sender/finish.go
@@ -119,6 +119,7 @@
 	case over || j.run < h.run.number:
 		h.queue.Finish(&j.item)
 	default:
+		j.frozen = !h.heardAt.After(j.sentAt)
 		h.queue.GiveUp(&j.item, j.workUntil.Sub(j.sentAt)+slotGrace)
 		if j.call.query.Kind != msgs.KindAction {
 			h.sendCancel(j)
@@ -193,7 +194,8 @@
 }
 
 // cancelAtServer sends one cancel. If the server acknowledges it and nothing
-// waits for its answer any more, the slot is free.
+// waits for its answer any more, the slot is free. A server that was frozen may
+// acknowledge it before it reads the request itself.
 func (h *host) cancelAtServer(l *lane.Lane, j *job) {
 	if h.ended(j) {
 		return
@@ -211,6 +213,8 @@
 	}
 	if acknowledged {
 		h.heard(now)
+	}
+	if acknowledged && !j.frozen {
 		h.queue.FinishGivenUp(&j.item)
 	}
 	h.advance(now)
