--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -49,10 +49,13 @@
 )
 
 // CarryKeeper knows what a successor should know of a group's backend servers.
-// Both methods are called on the control goroutine and must not block.
+// All methods are called on the control goroutine and must not block.
 type CarryKeeper interface {
 	// Export returns what a successor should know.
 	Export(group ident.GroupID) []byte
+	// Pause keeps new work from the group's backend servers until the given
+	// time and reports whether nothing runs there any more.
+	Pause(group ident.GroupID, until time.Time) bool
 	// Import takes what the previous owner exported last, before the group's
 	// Holding is published. The previous lease ended at previousUntil; zero
 	// means that there was none.
@@ -126,13 +129,17 @@
 	self     view.Member
 	started  time.Time
 	lastBeat time.Time
+	beats    int
 
 	value    *member.Value
 	revision ident.Revision
 	config   *view.Config
 	groups   map[ident.GroupID]view.Group
 	groupOf  map[ident.ServerID]ident.GroupID
-	ordered  []view.Group
+	// moved holds the servers that changed their group, with the time from
+	// which they may receive work again.
+	moved   map[ident.ServerID]time.Time
+	ordered []view.Group
 
 	roster  roster
 	voter   *lease.Voter
@@ -181,6 +188,7 @@
 		config:   &view.Config{},
 		groups:   map[ident.GroupID]view.Group{},
 		groupOf:  map[ident.ServerID]ident.GroupID{},
+		moved:    map[ident.ServerID]time.Time{},
 		tenures:  map[ident.GroupID]*tenure{},
 		routes:   map[ident.GroupID]route{},
 		detector: member.NewDetector(options.Detector),
--- a/internal/owner/sender/carry.go
+++ b/internal/owner/sender/carry.go
@@ -83,19 +83,6 @@
 	return carry
 }
 
-// Quiet reports whether no work of this VM can be at the group's servers. A
-// planned handover that waits for this after the view was published leaves the
-// next owner all slots.
-func (s *Sender) Quiet(group ident.GroupID) bool {
-	now := time.Now()
-	for _, h := range s.list() {
-		if carry, of := h.exportOf(group, now); of && carry.Slots > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // Import takes over what the previous owner of a group told. It is called
 // before the view that holds the group is published. previousUntil is the end
 // of the previous owner's lease, zero if there was none. A carry that cannot be
--- a/internal/owner/sender/faults_test.go
+++ b/internal/owner/sender/faults_test.go
@@ -1,6 +1,7 @@
 package sender_test
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -52,7 +53,7 @@
 	t.Helper()
 	const loops, faultTime, budget = 6, 50 * time.Millisecond, 30 * time.Millisecond
 	spec := svcdoc.Server{
-		ID: "desk/a", Address: "127.0.21.9:17811", Zone: "espoo",
+		ID: "desk/a", Address: freeAddress(t), Zone: "espoo",
 		Limits: svcdoc.Limits{Slots: 2, Connections: 5, ColdSlots: 1, WarmAfter: 5, ConnectCost: time.Millisecond},
 	}
 	host, err := server.Start([]svcdoc.Server{spec}, "127.0.0.1:0", server.Options{Mean: time.Millisecond})
@@ -109,3 +110,12 @@
 		return f.answer().Status == msgs.StatusOK
 	})
 }
+
+// freeAddress returns an address on loopback that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	return listener.Addr().String()
+}
--- a/internal/owner/sender/finish.go
+++ b/internal/owner/sender/finish.go
@@ -15,6 +15,9 @@
 	// heardRecently is the time for which an answer shows that a server can be
 	// reached.
 	heardRecently = 100 * time.Millisecond
+	// cancelAgainAfter is the time between two cancels of work that a frozen
+	// server may not have read yet.
+	cancelAgainAfter = 50 * time.Millisecond
 	// slotGrace is the time after the deadline for which a slot is kept, because
 	// the server counts the deadline from the arrival of the request.
 	slotGrace = 10 * time.Millisecond
@@ -115,11 +118,14 @@
 // it was sent to may still work on it.
 func (h *host) endSlot(j *job, result *lane.Result) {
 	over := result.Outcome == lane.OutcomeUnsent || result.Outcome == lane.OutcomeAnswered
+	if result.Outcome == lane.OutcomeBroken {
+		defer h.queue.Heard(time.Now())
+	}
 	switch {
 	case over || j.run < h.run.number:
 		h.queue.Finish(&j.item)
 	default:
-		j.frozen = !h.heardAt.After(j.sentAt)
+		j.frozen = result.Outcome == lane.OutcomeSilent && !h.heardAt.After(j.sentAt)
 		h.queue.GiveUp(&j.item, j.workUntil.Sub(j.sentAt)+slotGrace)
 		if j.call.query.Kind != msgs.KindAction {
 			h.sendCancel(j)
@@ -194,8 +200,7 @@
 }
 
 // cancelAtServer sends one cancel. If the server acknowledges it and nothing
-// waits for its answer any more, the slot is free. A server that was frozen may
-// acknowledge it before it reads the request itself.
+// waits for its answer any more, the slot is free.
 func (h *host) cancelAtServer(l *lane.Lane, j *job) {
 	if h.ended(j) {
 		return
@@ -213,11 +218,24 @@
 	}
 	if acknowledged {
 		h.heard(now)
+		h.acknowledge(j)
 	}
-	if acknowledged && !j.frozen {
+	h.advance(now)
+}
+
+// acknowledge notes that the server acknowledged a cancel. A server that was
+// frozen may do so before it reads the request itself, so it is told again.
+func (h *host) acknowledge(j *job) {
+	if !j.frozen {
 		h.queue.FinishGivenUp(&j.item)
+		return
 	}
-	h.advance(now)
+	j.frozen = false
+	time.AfterFunc(cancelAgainAfter, func() {
+		h.mu.Lock()
+		defer h.unlock()
+		h.sendCancel(j)
+	})
 }
 
 // ended reports whether a job has no slot any more.
--- a/internal/owner/sender/refresh.go
+++ b/internal/owner/sender/refresh.go
@@ -110,6 +110,9 @@
 		h.tracker.Forget(now)
 	}
 	acquired := h.term != holding.Term
+	if acquired {
+		h.pausedUntil = time.Time{}
+	}
 	h.term, h.group = holding.Term, holding.Group.ID
 	h.holding.Store(holding)
 	if h.server.Limits != server.Limits {
--- a/internal/query/run/answer.go
+++ b/internal/query/run/answer.go
@@ -9,9 +9,9 @@
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
 )
 
-// minRefusalBackoff is the least time for which a server that refused is not
-// asked again for the same shard.
-const minRefusalBackoff = 5 * time.Millisecond
+// longQueue is the number of sub-requests per slot from which on a server that
+// refuses is overloaded.
+const longQueue = 2
 
 // onAnswer checks that an answer belongs to an open attempt and handles it.
 func (q *Query) onAnswer(now time.Time, from ident.VMID, message uint64, answer *msgs.Answer) {
@@ -54,7 +54,7 @@
 		q.again(now, index, hedge.NotRun)
 	default:
 		q.mayHaveRun = true
-		s.trial(server).blockedUntil = now.Add(failureBackoff)
+		s.trial(server).block(now, 0)
 		q.again(now, index, hedge.Failed)
 	}
 }
@@ -84,23 +84,31 @@
 }
 
 func (q *Query) onNotRun(now time.Time, index int, server ident.ServerID, answer *msgs.Answer) {
-	backoff := max(time.Duration(answer.RetryMicros)*time.Microsecond, minRefusalBackoff)
-	q.retryAfter = max(q.retryAfter, backoff)
-	q.shards[index].trial(server).blockedUntil = now.Add(backoff)
+	told := time.Duration(answer.RetryMicros) * time.Microsecond
+	q.retryAfter = max(q.retryAfter, q.shards[index].trial(server).block(now, told))
+	q.overloaded = q.overloaded || isOverload(answer)
 	q.again(now, index, hedge.NotRun)
 }
 
+// isOverload reports whether a server was refused because of its queue, and not
+// because it is out of reach or out of service.
+func isOverload(answer *msgs.Answer) bool {
+	return answer.Queued >= longQueue*max(answer.Slots, 1)
+}
+
 // onWrongOwner sends the sub-request to the owner that the answer names. It
 // counts as a retry.
 func (q *Query) onWrongOwner(now time.Time, index int, server ident.ServerID, answer *msgs.Answer) {
 	q.deps.Counter.Count("query_wrong_owner")
 	s := &q.shards[index]
-	owner, ok := q.deps.Fleet.Member(ident.VMID(answer.Owner))
-	if ok && s.state == statePending && s.sent < maxAttempts && q.deps.Hedge.Take(q.spec.Service, hedge.NotRun) {
+	t := s.trial(server)
+	owner, known := q.deps.Fleet.Member(ident.VMID(answer.Owner))
+	if known && !t.redirected && s.state == statePending && q.deps.Hedge.Take(q.spec.Service, hedge.NotRun) {
+		t.redirected = true
 		q.send(now, index, target{server: server, owner: owner})
 		return
 	}
-	s.trial(server).blockedUntil = now.Add(ownerPoll)
+	t.block(now, ownerPoll)
 	q.again(now, index, hedge.NotRun)
 }
 
@@ -120,7 +128,7 @@
 		q.mayHaveRun = true
 		cause = hedge.Failed
 	}
-	q.shards[index].trial(server).blockedUntil = now.Add(failureBackoff)
+	q.shards[index].trial(server).block(now, 0)
 	q.again(now, index, cause)
 }
 
@@ -128,6 +136,9 @@
 func (q *Query) again(now time.Time, index int, cause hedge.Reason) {
 	s := &q.shards[index]
 	s.cause = cause
+	if cause == hedge.Failed {
+		s.failures++
+	}
 	if s.state == statePending && s.open == 0 {
 		q.dispatch(now, index)
 	}
