--- a/internal/owner/sender/call.go
+++ b/internal/owner/sender/call.go
@@ -45,6 +45,11 @@
 	// workUntil is the time at which the server must have ended the work.
 	workUntil time.Time
 	sentAt    time.Time
+	// run is the server's run that the job was sent to.
+	run uint64
+	// frozen is set if the server was not heard between sending the job and
+	// giving it up.
+	frozen bool
 }
 
 func newCall(s *Sender, from ident.Process, q msgs.Query, now time.Time) *call {
