Wait for the replaced process between faults of one VM

In a run of stop-vm alone, 2 of 7 steps found no process, because the step before for the same VM had just ended and the platform's replacement takes a second. A step now ends when the replacement runs.

--- a/internal/lab/chaos/machines.go
+++ b/internal/lab/chaos/machines.go
@@ -15,6 +15,8 @@
 	// killTimeout and stopTimeout bound the wait for the end of a process.
 	killTimeout = 5 * time.Second
 	stopTimeout = 30 * time.Second
+	// replaceTimeout bounds the wait for the process that replaces one.
+	replaceTimeout = 5 * time.Second
 	// settleTime separates a freeze from the next fault of the same VM, so that
 	// requests that the freeze delayed are over.
 	settleTime = 1500 * time.Millisecond
@@ -103,7 +105,22 @@
 func (m *machines) end(ctx context.Context, step Step, e ending) error {
 	return during(ctx, step.For,
 		func() error { return m.terminate(e) },
-		func() error { return m.processes.Hold(e.vm, false) })
+		func() error { return m.replace(ctx, e.vm) })
+}
+
+// replace lets the process of a VM be replaced and waits for that, so that the
+// next step for the VM finds one.
+func (m *machines) replace(ctx context.Context, vm ident.VMID) error {
+	if err := m.processes.Hold(vm, false); err != nil {
+		return err
+	}
+	bounded, cancel := context.WithTimeout(ctx, replaceTimeout)
+	defer cancel()
+	for {
+		if _, err := m.processes.Find(vm); err == nil || !sleep(bounded, pollInterval) {
+			return nil
+		}
+	}
 }
 
 func (m *machines) terminate(e ending) error {
