--- a/internal/lab/server/host_test.go
+++ b/internal/lab/server/host_test.go
@@ -144,3 +144,20 @@
 	require.Error(t, host.Apply(server.Fault{Action: "unheard"}))
 	require.Error(t, host.Apply(server.Fault{Service: "other", Action: server.ActionKill}))
 }
+
+func TestGarbageThatNoClientCanSee(t *testing.T) {
+	host, _, _ := startHost(t)
+	fault := server.Fault{Action: server.ActionGarbage, Garbage: server.GarbageCrossed}
+	require.NoError(t, host.Apply(fault))
+	resp, err := send(&fasthttp.Client{}, bknd.PathLookup, workHeaders("8", "1"), "")
+	require.NoError(t, err)
+	require.Equal(t, "8", string(resp.Header.Peek(bknd.HeaderRequest)))
+	require.Contains(t, string(resp.Body()), "-crossed")
+
+	fault.Garbage = server.GarbageDenied
+	require.NoError(t, host.Apply(fault))
+	resp, err = send(&fasthttp.Client{}, bknd.PathAction, workHeaders("9", "1"), "")
+	require.NoError(t, err)
+	require.Equal(t, "1", string(resp.Header.Peek(bknd.HeaderNotRun)))
+	require.Equal(t, 1, host.Stats()[0].Executions)
+}
