Look at idle connections without allocating

Cause: the check of an idle connection before each request allocated three times, the guard once. Change: both are bound once per connection and lane.

--- a/internal/owner/lane/conn.go
+++ b/internal/owner/lane/conn.go
@@ -22,6 +22,22 @@
 	taken  bool
 	closed atomic.Bool
 	open   *atomic.Int64
+	// raw is nil if the connection has no file descriptor.
+	raw     syscall.RawConn
+	peek    func(fd uintptr) bool
+	peekErr error
+	peeked  [1]byte
+}
+
+// newConn wraps a connection and counts it in open until it is closed.
+func newConn(inner net.Conn, open *atomic.Int64) *conn {
+	open.Add(1)
+	c := &conn{Conn: inner, open: open}
+	c.peek = c.peekByte
+	if fd, ok := inner.(syscall.Conn); ok {
+		c.raw, _ = fd.SyscallConn()
+	}
+	return c
 }
 
 // begin prepares the connection for a request.
@@ -61,28 +77,23 @@
 // quiet reports whether an idle connection is open and has nothing to read.
 // Bytes on an idle connection belong to no request.
 func (c *conn) quiet() (bool, error) {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return true, nil
 	}
 	if err := c.SetReadDeadline(time.Time{}); err != nil {
 		return false, err
 	}
-	control, err := raw.SyscallConn()
-	if err != nil {
+	if err := c.raw.Read(c.peek); err != nil {
 		return false, err
 	}
-	var peekErr error
-	err = control.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, _, peekErr = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	if err != nil {
-		return false, err
-	}
-	if errors.Is(peekErr, syscall.EAGAIN) {
+	if errors.Is(c.peekErr, syscall.EAGAIN) {
 		return true, nil
 	}
-	return false, peekErr
+	return false, c.peekErr
+}
+
+// peekByte looks for a byte to read without taking it.
+func (c *conn) peekByte(fd uintptr) bool {
+	_, _, c.peekErr = syscall.Recvfrom(int(fd), c.peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return true
 }
--- a/internal/owner/lane/dialer.go
+++ b/internal/owner/lane/dialer.go
@@ -89,8 +89,7 @@
 	if err != nil {
 		return nil, Hello{}, errors.Wrapf(err, "lane: connect to %s", d.address)
 	}
-	d.open.Add(1)
-	c := &conn{Conn: raw, open: &d.open}
+	c := newConn(raw, &d.open)
 	hello, err := d.hello(ctx, c)
 	if err != nil {
 		c.abort()
--- a/internal/owner/sender/runner.go
+++ b/internal/owner/sender/runner.go
@@ -35,6 +35,8 @@
 	// request is used by the runner's goroutine only.
 	request  lane.Request
 	prepared time.Time
+	// guard is mayWrite.
+	guard func() bool
 }
 
 // freeRunner returns a runner without a job, or nil if all are busy. The
@@ -49,6 +51,7 @@
 		return nil
 	}
 	r := &runner{host: h, lane: lane.New(h.dialer, h.sender.opts.MaxBody), jobs: make(chan *job, 1)}
+	r.guard = r.mayWrite
 	h.runners = append(h.runners, r)
 	h.sender.workers.Go(r.loop)
 	return r
@@ -121,7 +124,7 @@
 	if !r.host.admit(r, j, hello, fresh) {
 		return
 	}
-	result := r.lane.Do(&r.request, r.mayWrite)
+	result := r.lane.Do(&r.request, r.guard)
 	r.host.finish(r, j, &result)
 }
 
