--- a/internal/fleet/agent/handover.go
+++ b/internal/fleet/agent/handover.go
@@ -13,6 +13,9 @@
 	quiesceBound = 250 * time.Millisecond
 	// quiesceStep is the time between two looks whether work still runs.
 	quiesceStep = 5 * time.Millisecond
+	// releaseWait is the time after which a successor is told of a release
+	// though not all voters have confirmed it.
+	releaseWait = 50 * time.Millisecond
 )
 
 // handOver moves groups to VMs that the plan prefers by now.
@@ -77,9 +80,7 @@
 	now := time.Now()
 	idle := a.deps.Carry == nil || a.deps.Carry.Pause(group, bound)
 	if !idle && now.Before(bound) {
-		time.AfterFunc(quiesceStep, func() {
-			a.post(func() { a.quiesce(group, t, to, bound) })
-		})
+		a.after(quiesceStep, func() { a.quiesce(group, t, to, bound) })
 		return
 	}
 	t.offering = false
@@ -97,10 +98,16 @@
 	if a.deps.Carry != nil {
 		t.holder.SetCarry(a.deps.Carry.Export(group))
 	}
-	a.sendRelease(t, func() {
-		call(a, to.Control, methodOffer, offer{Group: group, Released: true}, func(offerReply, error) {})
-	})
 	a.record("lease_handed_over", string(group), "another VM is preferred", slog.String("to", string(to.Process.VM)))
+	told := false
+	tell := func() {
+		if !told {
+			told = true
+			call(a, to.Control, methodOffer, offer{Group: group, Released: true}, func(offerReply, error) {})
+		}
+	}
+	a.sendRelease(t, tell)
+	a.after(releaseWait, tell)
 }
 
 // handleOffer answers an owner that wants to hand a group over.
@@ -112,12 +119,8 @@
 		return offerReply{Ready: ready}
 	}
 	t := a.tenure(o.Group, now)
-	t.retry = time.Time{}
-	if !t.holder.Active() {
-		a.attempt(o.Group, "handed over", now)
-		return offerReply{Ready: true}
+	if t.holding == nil {
+		a.begin(o.Group, t, "handed over", now)
 	}
-	t.why = "handed over"
-	a.ask(o.Group, t, now)
 	return offerReply{Ready: true}
 }
