Share one form of the fleet's status

Cause: core/node and ops/cli each declared the status of a VM and of the fleet; a field changed in one would be missed in the other. Change: ops/brief holds it with its counting and a test; node uses base/sleep. Ruled out: exporting it from core/node, which the command line need not link.

--- a/internal/core/node/run.go
+++ b/internal/core/node/run.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/samphirestair/samphirestair/internal/base/sleep"
 	"github.com/samphirestair/samphirestair/internal/front/caller"
 )
 
@@ -59,7 +60,7 @@
 // returns when the port can't be opened or is closed again.
 func (n *Node) serveCallers(ctx context.Context) error {
 	for !n.views.Load().Admitting && ctx.Err() == nil {
-		sleep(ctx, admitPoll)
+		sleep.For(ctx, admitPoll)
 	}
 	if ctx.Err() != nil {
 		return errors.Wrap(ctx.Err(), "node: stopped before it joined")
--- a/internal/core/node/stop.go
+++ b/internal/core/node/stop.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/samphirestair/samphirestair/internal/base/sleep"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 )
 
@@ -47,7 +48,7 @@
 	case <-bound.Done():
 	}
 	n.caller.Close()
-	sleep(bound, closingTime)
+	sleep.For(bound, closingTime)
 	err = errors.CombineErrors(err, n.drain(bound))
 	if bound.Err() != nil {
 		err = errors.CombineErrors(ErrStopBound, err)
@@ -91,7 +92,7 @@
 			cancel(errNoSuccessor)
 			return
 		}
-		sleep(ctx, successorPoll)
+		sleep.For(ctx, successorPoll)
 	}
 }
 
@@ -119,12 +120,3 @@
 	n.report("mesh", n.mesh.Shutdown(ctx))
 	n.report("admin", n.admin.Shutdown(ctx))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/ops/cli/summary.go
+++ b/internal/ops/cli/summary.go
@@ -10,38 +10,16 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/ops/brief"
 	"github.com/samphirestair/samphirestair/internal/ops/table"
 )
 
 // shownDecisions is the number of latest decisions that fleet shows.
 const shownDecisions = 10
 
-// summary is the part of a VM's answer about the fleet that is printed and
-// waited for.
+// summary is the status of the fleet that is printed and waited for.
 type summary struct {
-	Serial     uint64                            `json:"serial"`
-	InForce    int                               `json:"in_force"`
-	VMs        int                               `json:"vms"`
-	Groups     int                               `json:"groups"`
-	Owned      int                               `json:"owned"`
-	ZonesOut   map[ident.Zone]ident.ChangeID     `json:"zones_out"`
-	VMsOut     map[ident.VMID]ident.ChangeID     `json:"vms_out"`
-	ServersOut map[ident.ServerID]ident.ChangeID `json:"servers_out"`
-	Briefs     []vmSummary                       `json:"briefs"`
-	Silent     []ident.VMID                      `json:"silent"`
-}
-
-// vmSummary is what one VM tells about itself.
-type vmSummary struct {
-	VM        ident.VMID        `json:"vm"`
-	Zone      ident.Zone        `json:"zone"`
-	Serial    uint64            `json:"serial"`
-	Epoch     uint64            `json:"epoch"`
-	Admitting bool              `json:"admitting"`
-	Refusal   string            `json:"refusal"`
-	Leaving   bool              `json:"leaving"`
-	Groups    []ident.GroupID   `json:"groups"`
-	Decisions []events.Decision `json:"decisions"`
+	brief.Fleet
 }
 
 // unsettled fails unless the given serial, or a later one, is in force on every
