--- a/internal/lab/server/engine.go
+++ b/internal/lab/server/engine.go
@@ -30,6 +30,8 @@
 	shed
 	// fell means that the job was too much for a cold server.
 	fell
+	// stale means that the job came over a connection of an earlier run.
+	stale
 )
 
 // job is one request that an engine has taken.
@@ -89,10 +91,21 @@
 	return ident.BootID(fmt.Sprintf("%x-%d", e.began, e.boots))
 }
 
-// take accepts a request or says why not.
-func (e *engine) take(id string, deadline time.Time) (*job, entry) {
+// run returns the number of the present run of the server.
+func (e *engine) run() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.boots
+}
+
+// take accepts a request that arrived on a connection of the given run, or says
+// why not.
+func (e *engine) take(run int, id string, deadline time.Time) (*job, entry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if run != e.boots {
+		return nil, stale
+	}
 	if e.shedding || e.draining {
 		e.counts.Shed++
 		return nil, shed
--- a/internal/lab/server/engine_test.go
+++ b/internal/lab/server/engine_test.go
@@ -23,7 +23,7 @@
 // work takes and performs one job and returns the outcome and the time taken.
 func work(t *testing.T, e *engine, id string, deadline time.Duration) (outcome, time.Duration) {
 	begin := time.Now()
-	j, result := e.take(id, begin.Add(deadline))
+	j, result := e.take(e.run(), id, begin.Add(deadline))
 	require.Equal(t, taken, result)
 	end := e.perform(j)
 	e.finish(j, end)
@@ -39,7 +39,7 @@
 			group.Go(func() { _, times[i] = work(t, e, string(rune('a'+i)), time.Minute) })
 		}
 		synctest.Wait()
-		_, result := e.take("late", time.Now().Add(second))
+		_, result := e.take(e.run(), "late", time.Now().Add(second))
 		require.Equal(t, shed, result)
 		group.Wait()
 		require.ElementsMatch(t, []time.Duration{second, second, 2 * second, 2 * second}, times)
@@ -58,7 +58,7 @@
 			require.Equal(t, lost, end)
 		})
 		synctest.Wait()
-		_, result := e.take("second", time.Now().Add(time.Minute))
+		_, result := e.take(e.run(), "second", time.Now().Add(time.Minute))
 		require.Equal(t, fell, result)
 		group.Wait()
 		require.NotEqual(t, boot, e.boot())
@@ -123,3 +123,12 @@
 		require.Equal(t, second, took)
 	})
 }
+
+func TestWorkOfAnEarlierRunIsNotTaken(t *testing.T) {
+	e := newTestEngine(svcdoc.Limits{Slots: 2, ColdSlots: 1, WarmAfter: 2})
+	run := e.run()
+	e.restart()
+	_, result := e.take(run, "late", time.Now().Add(time.Minute))
+	require.Equal(t, stale, result)
+	require.Zero(t, e.stats().Accepted)
+}
