Run actions at the replicas of the pinned index version

Cause: the home chose an action's replicas by the document's shard numbers. After a repartition from 2 shards to 1 no server holds the document's shard 1, so the actions of its routes ended as "not run".

Ruled out: moving the home with the index version. Two entries with different maps would record one key at two homes.

Change: the home of a key stays as it was. The target is the route's hash modulo the shards of the pinned version; the entry names the servers that hold it in the items after the home's own, and the home dispatches to these in that order, under the same rules as before (in service, with an owner, at most 4). If the last candidate has dropped the version, the entry asks all servers for their maps and then the same home again, at most 8 times. Replicas that were named before in the same version are named again only after a round of probes. The home passes on the maps of an answer that reports a wrong version, since without them the entry took the server to hold nothing.

Tests: the home's tests name candidates, with a shard of their own, because a query without any runs nowhere now.

--- a/internal/lab/story/link.go
+++ b/internal/lab/story/link.go
@@ -76,7 +76,7 @@
 	}
 	list := strings.Join(servers, ", ")
 	switch {
-	case q.Kind == msgs.KindAction && list == "":
+	case q.Kind == msgs.KindAction && servers[0] == "":
 		return fmt.Sprintf("brings %q to the home of its key, %s", q.Action, to)
 	case q.Kind == msgs.KindAction:
 		return fmt.Sprintf("asks %s: %q at %s", to, q.Action, list)
--- a/internal/owner/home/ask.go
+++ b/internal/owner/home/ask.go
@@ -30,10 +30,11 @@
 	resolved bool
 }
 
-// HandleQuery implements mesh.QueryHandler. Queries that are not for a home go
-// to the next handler.
+// HandleQuery implements mesh.QueryHandler. The first item of a query for a home
+// names the home's shard and no server; the others name the replicas to run the
+// action at, in order of preference. Other queries go to the next handler.
 func (h *Home) HandleQuery(from ident.Process, q msgs.Query) {
-	if q.Kind != msgs.KindAction || len(q.Items) != 1 || q.Items[0].Server != "" {
+	if q.Kind != msgs.KindAction || len(q.Items) == 0 || q.Items[0].Server != "" {
 		h.deps.Next.HandleQuery(from, q)
 		return
 	}
--- a/internal/owner/home/dispatch.go
+++ b/internal/owner/home/dispatch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 )
@@ -14,11 +15,12 @@
 // the outcome. While no untried replica has an owner, the action waits.
 func (h *Home) dispatch(a *action, v *view.View, last msgs.Answer, now time.Time) {
 	left := a.deadline.Sub(now)
-	server, ok := h.replica(a, v)
+	candidate, ok := h.replica(a, v)
 	if !ok || left <= 0 || a.count >= maxAttempts {
 		h.resolve(a, last)
 		return
 	}
+	server := ident.ServerID(candidate.Server)
 	owner, owned := v.Owner(server)
 	if !owned {
 		h.wait(a, now)
@@ -33,29 +35,40 @@
 	h.attempts[a.attempt] = a
 	q := a.query
 	q.ID, q.BudgetMicros = a.attempt, left.Microseconds()
-	q.Items = []msgs.Item{{Server: string(server), Shard: a.query.Items[0].Shard}}
+	q.Items = []msgs.Item{{Server: string(server), Shard: candidate.Shard}}
 	h.outbox = append(h.outbox, outgoing{to: owner, query: q})
 }
 
-// replica chooses an untried replica of the action's shard that is in service,
+// replica chooses an untried candidate of the action's query that is in service,
 // if possible one that has an owner.
-func (h *Home) replica(a *action, v *view.View) (ident.ServerID, bool) {
+func (h *Home) replica(a *action, v *view.View) (msgs.Item, bool) {
 	document := v.Config.Services[ident.ServiceID(a.query.Service)]
 	if document == nil {
-		return "", false
+		return msgs.Item{}, false
 	}
-	var orphan ident.ServerID
-	for i := range document.Servers {
-		server := &document.Servers[i]
-		if server.Shard != ident.Shard(a.query.Items[0].Shard) || a.tried[server.ID] || v.Config.ServerOut(server) {
+	var orphan msgs.Item
+	for _, candidate := range a.query.Items[1:] {
+		id := ident.ServerID(candidate.Server)
+		if a.tried[id] || !inService(v, document, id) {
 			continue
 		}
-		if _, owned := v.Owner(server.ID); owned {
-			return server.ID, true
+		if _, owned := v.Owner(id); owned {
+			return candidate, true
 		}
-		orphan = server.ID
+		orphan = candidate
 	}
-	return orphan, orphan != ""
+	return orphan, orphan.Server != ""
+}
+
+// inService reports whether the document lists the server and it may receive
+// work.
+func inService(v *view.View, document *svcdoc.Document, id ident.ServerID) bool {
+	for i := range document.Servers {
+		if server := &document.Servers[i]; server.ID == id {
+			return !v.Config.ServerOut(server)
+		}
+	}
+	return false
 }
 
 // wait looks for a replica with an owner again after a while.
@@ -125,7 +138,9 @@
 // resolve ends an action. An action whose outcome is unknown still accepts a
 // late answer.
 func (h *Home) resolve(a *action, answer msgs.Answer) {
-	answer.Maps = nil
+	if answer.Status != msgs.StatusWrongVersion {
+		answer.Maps = nil
+	}
 	answer.Owner = ""
 	a.resolved = true
 	waiters := h.table.Resolve(a.key, answer)
--- a/internal/owner/home/home_test.go
+++ b/internal/owner/home/home_test.go
@@ -129,7 +129,7 @@
 	f.asks++
 	f.home.HandleQuery(entry, msgs.Query{
 		ID: f.asks, Kind: msgs.KindAction, Service: "desk", Action: "book", Key: f.key,
-		BudgetMicros: time.Second.Microseconds(), Items: []msgs.Item{{Seq: 1}},
+		BudgetMicros: time.Second.Microseconds(), Items: []msgs.Item{{Seq: 1}, {Server: "desk/a", Shard: 2}, {Server: "desk/b", Shard: 2}},
 	})
 	synctest.Wait()
 }
@@ -160,7 +160,7 @@
 		f.ask()
 		f.answered()
 		require.Len(t, f.link.queries, 1)
-		require.Equal(t, []msgs.Item{{Server: "desk/a"}}, f.link.queries[0].Items)
+		require.Equal(t, []msgs.Item{{Server: "desk/a", Shard: 2}}, f.link.queries[0].Items)
 		f.reply(msgs.StatusOK)
 		f.answered(msgs.StatusOK, msgs.StatusOK)
 		f.ask()
@@ -198,6 +198,22 @@
 	})
 }
 
+func TestStaleCandidatesAreLeftForTheNext(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.ask()
+		f.reply(msgs.StatusWrongVersion)
+		require.Equal(t, []msgs.Item{{Server: "desk/b", Shard: 2}}, f.link.queries[1].Items)
+		f.answered()
+		f.reply(msgs.StatusWrongVersion)
+		f.answered(msgs.StatusWrongVersion)
+		require.Len(t, f.link.queries, 2)
+		f.ask()
+		require.Len(t, f.link.queries, 3)
+		f.reply(msgs.StatusOK)
+		f.answered(msgs.StatusWrongVersion, msgs.StatusOK)
+	})
+}
+
 func TestActionFollowsReplicaToItsNextOwner(t *testing.T) {
 	run(t, func(f *fixture) {
 		f.ask()
--- a/internal/query/run/action.go
+++ b/internal/query/run/action.go
@@ -1,9 +1,11 @@
 package run
 
 import (
+	"slices"
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 )
@@ -12,7 +14,7 @@
 	// maxRetired is the number of index versions that an action tries.
 	maxRetired = 8
 	// probeEvery is the time between two questions of an action for the index
-	// versions of its shard.
+	// versions of the servers.
 	probeEvery = 100 * time.Millisecond
 	// maxProbeRedirects is the number of named owners that one round of probes
 	// follows.
@@ -33,9 +35,9 @@
 	seq     uint32
 	retryAt time.Time
 	probeAt time.Time
-	// retired is the last version that the home could not use, and
+	// retired is the last place that no replica served any more, and
 	// retirements counts them.
-	retired     ident.Version
+	retired     place
 	retirements int
 	// redirected is set while the offer went to an owner that another VM
 	// named. During a handover two VMs may name each other.
@@ -50,7 +52,13 @@
 	message uint64
 	seq     uint32
 	to      ident.VMID
-	version ident.Version
+	place   place
+}
+
+// place is where the home was asked to run the action.
+type place struct {
+	version  ident.Version
+	replicas []*svcdoc.Server
 }
 
 // NewAction returns the machine of an action.
@@ -148,7 +156,7 @@
 	case msgs.StatusWrongOwner:
 		a.onWrongOwner(now, ident.VMID(answer.Owner))
 	case msgs.StatusWrongVersion:
-		a.onWrongVersion(now, offered.version)
+		a.onWrongVersion(now, offered.place)
 	default:
 		a.end(Result{Outcome: OutcomeUnknown, Reason: "the home could not learn the outcome"})
 	}
@@ -159,7 +167,7 @@
 	a.deps.Counter.Count("action_wrong_owner")
 	home, ok := a.deps.Catalog.Home(a.spec.Route)
 	owner, known := a.deps.Fleet.Member(told)
-	if !ok || !known || a.redirected || !a.usable(home.Version) {
+	if !ok || !known || a.redirected || !a.usable(home) {
 		a.retryAt = now.Add(ownerPoll)
 		return
 	}
@@ -168,18 +176,18 @@
 }
 
 // onWrongVersion asks for the index versions again.
-func (a *Action) onWrongVersion(now time.Time, version ident.Version) {
+func (a *Action) onWrongVersion(now time.Time, retired place) {
 	a.retirements++
 	if a.retirements >= maxRetired {
 		a.endOpen("the index version changes too often")
 		return
 	}
-	a.retired, a.probeAt = version, time.Time{}
+	a.retired, a.probeAt = retired, time.Time{}
 	a.offer(now)
 }
 
 // offer sends the action to the home as it is known at now, or first asks for
-// the index version of its shard.
+// the index versions of the servers.
 func (a *Action) offer(now time.Time) {
 	if a.ended {
 		return
@@ -189,8 +197,8 @@
 	if !ok {
 		return
 	}
-	if !a.usable(home.Version) {
-		a.probe(now, home)
+	if !a.usable(home) {
+		a.probe(now)
 		return
 	}
 	if owner, ok := a.deps.Fleet.Owner(home.Server); ok {
@@ -198,8 +206,15 @@
 	}
 }
 
-func (a *Action) usable(version ident.Version) bool {
-	return version != 0 && version != a.retired
+// usable reports whether the home can run the action at a replica that it was
+// not told of when all had dropped the version.
+func (a *Action) usable(home Home) bool {
+	if home.Version == 0 {
+		return false
+	}
+	return slices.ContainsFunc(home.Replicas, func(server *svcdoc.Server) bool {
+		return home.Version != a.retired.version || !slices.Contains(a.retired.replicas, server)
+	})
 }
 
 func (a *Action) send(now time.Time, owner view.Member, home Home) {
@@ -213,19 +228,27 @@
 	message.Action, message.Key, message.Body = a.spec.Action, a.spec.Key, a.spec.Body
 	item := msgs.Item{Seq: a.nextSeq(), Shard: uint32(home.Shard)}
 	a.waiting = &offer{
-		message: a.out.query(owner, message, item), seq: item.Seq, to: owner.Process.VM, version: home.Version,
+		message: a.out.query(owner, message, item), seq: item.Seq, to: owner.Process.VM,
+		place: place{version: home.Version, replicas: home.Replicas},
+	}
+	for _, server := range home.Replicas {
+		a.out.query(owner, message, msgs.Item{Server: string(server.ID), Shard: uint32(home.Target)})
 	}
 }
 
-// probe asks for the index versions of the replicas, at most once per
+// probe asks for the index versions of all servers, at most once per
 // probeEvery.
-func (a *Action) probe(now time.Time, home Home) {
+func (a *Action) probe(now time.Time) {
 	if now.Before(a.probeAt) {
 		return
 	}
+	if !a.probeAt.IsZero() {
+		// The last round of probes has told which replicas are left.
+		a.retired = place{}
+	}
 	a.probeAt = now.Add(probeEvery)
 	a.redirects = 0
-	for _, server := range home.Replicas {
+	for _, server := range a.deps.Catalog.Servers() {
 		if owner, ok := a.deps.Fleet.Owner(server.ID); ok {
 			item := msgs.Item{Seq: a.nextSeq(), Server: string(server.ID), Shard: uint32(server.Shard)}
 			a.out.query(owner, probeMessage(now, &a.spec), item)
--- a/internal/query/run/action_test.go
+++ b/internal/query/run/action_test.go
@@ -84,6 +84,43 @@
 	require.Equal(t, 1, w.ran)
 }
 
+func TestActionNamesTheReplicasOfThePinnedVersionToTheSameHome(t *testing.T) {
+	w := newAction(t)
+	before := w.take(0)
+	require.Equal(t, w.candidates(), before.query.Items[1:])
+	for _, server := range w.doc.Servers {
+		w.migrate(string(server.ID), false)
+	}
+	w.deliver(before)
+	for len(w.parcels) > 0 && (w.parcels[0].query == nil || w.parcels[0].query.Kind != msgs.KindAction) {
+		w.deliver(w.take(0))
+	}
+	after := w.take(0)
+	require.Equal(t, before.vm, after.vm)
+	require.Equal(t, before.query.Items[0].Shard, after.query.Items[0].Shard)
+	require.Equal(t, uint64(2), after.query.Version)
+	require.Equal(t, w.candidates(), after.query.Items[1:])
+	require.Zero(t, w.ran)
+}
+
+func TestActionComesBackToReplicasThatStillHoldTheVersion(t *testing.T) {
+	w := newAction(t)
+	p := w.take(0)
+	answer := msgs.Answer{Seq: p.query.Items[0].Seq, Status: msgs.StatusWrongVersion}
+	w.apply(w.machine.OnReply(w.now, p.vm, msgs.Reply{ID: p.query.ID, Answers: []msgs.Answer{answer}}))
+	for _, probe := range w.parcels {
+		require.Equal(t, msgs.KindSearch, probe.query.Kind)
+	}
+	w.deliverAll()
+	require.Empty(t, w.results)
+	for len(w.results) == 0 {
+		w.tick()
+		w.deliverAll()
+	}
+	require.Equal(t, run.OutcomeDone, w.results[0].Outcome)
+	require.Equal(t, 1, w.ran)
+}
+
 func TestActionWithoutAnOwnerIsNotRun(t *testing.T) {
 	w := newWorld(t, "none")
 	clear(w.view.Owners)
--- a/internal/query/run/live.go
+++ b/internal/query/run/live.go
@@ -56,26 +56,25 @@
 
 // Home implements Catalog. The home depends on the document alone, so that all
 // entries agree on it while index versions change and servers are taken out.
+// The target depends on the pinned index version alone.
 func (l *Live) Home(route string) (Home, bool) {
 	config, doc := l.document()
-	shards := doc.Shards()
+	hash, shards := xxhash.Sum64String(route), doc.Shards()
 	if shards == 0 {
 		return Home{}, false
 	}
-	home := Home{Shard: ident.Shard(xxhash.Sum64String(route) % uint64(shards))}
+	home := Home{Shard: ident.Shard(hash % uint64(shards))}
 	for i := range doc.Servers {
-		server := &doc.Servers[i]
-		if server.Shard != home.Shard {
-			continue
-		}
-		if home.Server == "" {
-			home.Server = server.ID
-		}
-		if !config.ServerOut(server) {
-			home.Replicas = append(home.Replicas, server)
+		if doc.Servers[i].Shard == home.Shard {
+			home.Server = doc.Servers[i].ID
+			break
 		}
 	}
-	home.Version = l.table.VersionFor(home.Replicas, home.Shard)
+	if plan := l.table.Pin(config, doc); plan.Version != 0 {
+		home.Version = plan.Version
+		home.Target = ident.Shard(hash % uint64(plan.Shards))
+		home.Replicas = plan.Replicas[home.Target]
+	}
 	return home, home.Server != ""
 }
 
--- a/internal/query/run/live_test.go
+++ b/internal/query/run/live_test.go
@@ -26,5 +26,8 @@
 		home, ok := live.Home(strconv.Itoa(route))
 		require.True(t, ok)
 		require.Equal(t, ident.Version(2), home.Version, "route %d", route)
+		require.Zero(t, home.Target)
+		require.Len(t, home.Replicas, 2)
+		require.Equal(t, document.Servers[home.Shard].ID, home.Server)
 	}
 }
--- a/internal/query/run/types.go
+++ b/internal/query/run/types.go
@@ -69,11 +69,15 @@
 type Home struct {
 	// Server is the server whose owner records the actions. It may have been
 	// taken out; the actions run at any of Replicas.
-	Server   ident.ServerID
-	Shard    ident.Shard
-	Replicas []*svcdoc.Server
-	// Version is the index version that replicas hold, or 0 if none is known.
+	Server ident.ServerID
+	// Shard is the shard of the route by the document's numbers.
+	Shard ident.Shard
+	// Version is the pinned index version, or 0 if none is known.
 	Version ident.Version
+	// Target is the shard of the route in Version, and Replicas are the
+	// servers that hold it there and may receive work.
+	Target   ident.Shard
+	Replicas []*svcdoc.Server
 }
 
 // Fleet tells who owns servers at present.
--- a/internal/query/run/world_test.go
+++ b/internal/query/run/world_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -171,6 +172,12 @@
 		if server == "" {
 			server = fmt.Sprintf("s/0%d", item.Shard)
 		}
+		if p.query.Kind == msgs.KindAction && item.Server != "" {
+			break
+		}
+		if p.query.Kind == msgs.KindAction {
+			server, item.Shard = p.query.Items[1].Server, p.query.Items[1].Shard
+		}
 		answer := msgs.Answer{
 			Seq: item.Seq, Server: server, Shard: item.Shard, Version: p.query.Version,
 			Status: msgs.StatusWrongVersion, Maps: w.holds[server], Slots: 2,
@@ -225,3 +232,14 @@
 	}
 	return rapid.IntRange(0, len(w.parcels)-1).Draw(t, "message")
 }
+
+// candidates returns the items that an action's home is told to run it at.
+func (w *world) candidates() []msgs.Item {
+	plan := w.table.Pin(w.view.Config, w.doc)
+	target := xxhash.Sum64String("key") % uint64(plan.Shards)
+	items := []msgs.Item{}
+	for _, server := range plan.Replicas[target] {
+		items = append(items, msgs.Item{Server: string(server.ID), Shard: uint32(target)})
+	}
+	return items
+}
