Pass the metrics of a process to its entry

Cause: core/node built the entry without Metrics, so that the entry's meters did nothing and /metrics showed no histogram of requests.

Ruled out: a fault in the meters. With a set they write their series.

Change: node passes n.metrics. This is the set that admin serves as /metrics. A test of entry reads the series of a search from the set's page.

Conclusion: request histograms per service, kind and outcome are exposed.

--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -151,7 +151,7 @@
 	}, home.Options{})
 	var err error
 	n.entry, err = entry.New(
-		entry.Deps{Self: n.self.Process, Views: n.views, Mesh: n.mesh, Events: n.events},
+		entry.Deps{Self: n.self.Process, Views: n.views, Mesh: n.mesh, Events: n.events, Metrics: n.metrics},
 		entry.Options{
 			Choose: n.settings.Policies.Replica,
 			Hedge:  n.settings.Policies.Hedge,
--- a/internal/query/entry/entry_test.go
+++ b/internal/query/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -9,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
@@ -26,6 +28,8 @@
 	delay func(item msgs.Item) time.Duration
 	// copies is the number of times that each reply arrives, 0 for once.
 	copies int
+	// metrics is the set of the entry.
+	metrics *metrics.Set
 
 	mu      sync.Mutex
 	cancels []msgs.Cancel
@@ -85,8 +89,9 @@
 		Owners:    map[ident.GroupID]ident.VMID{"g": "vm"},
 		Admitting: true,
 	})
-	mesh := &fakeMesh{delay: delay}
-	e, err := entry.New(entry.Deps{Self: member.Process, Views: views, Mesh: mesh}, entry.Options{})
+	mesh := &fakeMesh{delay: delay, metrics: metrics.NewSet()}
+	deps := entry.Deps{Self: member.Process, Views: views, Mesh: mesh, Metrics: mesh.metrics}
+	e, err := entry.New(deps, entry.Options{})
 	require.NoError(t, err)
 	mesh.entry = e
 	return e, mesh, views
@@ -208,3 +213,15 @@
 	_, err := entry.New(entry.Deps{}, entry.Options{Choose: "x"})
 	require.ErrorContains(t, err, "unknown plug-in")
 }
+
+func TestRequestsAreMeasured(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, mesh, _ := newEntry(t, always(time.Millisecond))
+		e.Search(t.Context(), entry.Request{Service: "s", Limit: 5})
+		var page bytes.Buffer
+		mesh.metrics.WritePrometheus(&page)
+		labels := `{service="s",kind="search",outcome="full"}`
+		require.Contains(t, page.String(), "samphirestair_request_seconds_count"+labels+" 1\n")
+		require.Contains(t, page.String(), "samphirestair_request_shards_answered_total"+labels+" 2\n")
+	})
+}
