Keep new work from backend servers that drain

Cause: nothing told an owner that a backend server leaves: the stand-in refuses work as it does when it sheds, and only its health endpoint says 'draining', which no code read. Ruled out: believing refusals alone (they look like shedding, which ends), and believing health for anything that lets more work through. Change: the owner asks for the claimed health once a second and after a refusal, on the connection kept for cancels; a claim of draining bars new work until it ends.

--- a/internal/lab/chaos/plan.go
+++ b/internal/lab/chaos/plan.go
@@ -30,6 +30,7 @@
 	Silent       Fault = "silent"
 	Garbage      Fault = "garbage"
 	Shed         Fault = "shed"
+	Drain        Fault = "drain"
 	NewVersion   Fault = "new-version"
 	Repartition  Fault = "repartition"
 	StoreDown    Fault = "store-down"
@@ -45,7 +46,7 @@
 func All() []Fault {
 	return []Fault{
 		KillVM, FreezeVM, StopVM, Cut, OneWayCut, Cold, Straggler, KillServer, FreezeServer, Silent, Garbage,
-		Shed, NewVersion, Repartition, StoreDown, StoreSlow, StoreLoses, Race, ZoneOut, ServerOut, ListDown,
+		Shed, NewVersion, Repartition, StoreDown, StoreSlow, StoreLoses, Race, ZoneOut, ServerOut, ListDown, Drain,
 	}
 }
 
--- a/internal/lab/chaos/servers.go
+++ b/internal/lab/chaos/servers.go
@@ -51,6 +51,7 @@
 		},
 		KillServer:   {on: server.Fault{Action: server.ActionKill}, off: server.Fault{Action: server.ActionRevive}},
 		FreezeServer: {on: server.Fault{Action: server.ActionFreeze}, off: server.Fault{Action: server.ActionThaw}},
+		Drain:        {on: server.Fault{Action: server.ActionDrain}, off: server.Fault{Action: server.ActionDrain, Off: true}},
 		Shed:         {on: server.Fault{Action: server.ActionShed}, off: server.Fault{Action: server.ActionShed, Off: true}},
 	}
 	for fault, requests := range lasting {
--- a/internal/owner/lane/request.go
+++ b/internal/owner/lane/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fastjson"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
@@ -83,3 +84,24 @@
 	var buf [20]byte
 	header.SetBytesV(name, strconv.AppendUint(buf[:0], value, 10))
 }
+
+// Health asks the server what it claims about its health. ok is false if there
+// was no usable answer. The lane must be connected.
+func (l *Lane) Health(deadline time.Time) (state string, ok bool) {
+	if !l.Connected() {
+		return "", false
+	}
+	l.conn.begin(nil)
+	l.req.Reset()
+	l.req.SetRequestURI(l.uri + bknd.PathHealth)
+	l.req.Header.SetMethod(fasthttp.MethodGet)
+	if err := l.client.DoDeadline(l.req, l.resp, deadline); err != nil {
+		l.drop()
+		return "", false
+	}
+	if l.resp.StatusCode() != fasthttp.StatusOK {
+		return "", false
+	}
+	state = fastjson.GetString(l.resp.Body(), bknd.FieldState)
+	return state, state != ""
+}
--- a/internal/owner/sender/backend_test.go
+++ b/internal/owner/sender/backend_test.go
@@ -19,6 +19,7 @@
 
 	mu      sync.Mutex
 	boot    string
+	health  string
 	maps    string
 	running int
 	peak    int
@@ -86,6 +87,8 @@
 	case bknd.PathHello:
 		b.set(func(b *backend) { b.hellos++ })
 		ctx.SetStatusCode(fasthttp.StatusNoContent)
+	case bknd.PathHealth:
+		b.set(func(b *backend) { ctx.SetBodyString(`{"state":"` + b.health + `"}`) })
 	case bknd.PathCancel:
 		b.cancel(id)
 		ctx.SetStatusCode(fasthttp.StatusNoContent)
--- a/internal/owner/sender/finish.go
+++ b/internal/owner/sender/finish.go
@@ -94,6 +94,7 @@
 	case result.Shed:
 		h.sender.deps.Events.Count("server_shed")
 		h.tracker.ObserveShed(h.queue.AtServer(), now)
+		h.suspect()
 	case result.Outcome == lane.OutcomeAnswered && result.Status == msgs.StatusOK:
 		h.tracker.ObserveCompletion(measured(j, result), now)
 	case result.Outcome == lane.OutcomeSilent:
@@ -180,10 +181,7 @@
 	if h.closed || h.server.Limits.Connections < 2 {
 		return
 	}
-	if !h.canceler {
-		h.canceler = true
-		h.sender.workers.Go(h.cancelLoop)
-	}
+	h.watch()
 	select {
 	case h.cancels <- j:
 	default:
@@ -191,14 +189,6 @@
 	}
 }
 
-func (h *host) cancelLoop() {
-	l := lane.New(h.dialer, 0)
-	defer l.Close()
-	for j := range h.cancels {
-		h.cancelAtServer(l, j)
-	}
-}
-
 // cancelAtServer sends one cancel. If the server acknowledges it and nothing
 // waits for its answer any more, the slot is free.
 func (h *host) cancelAtServer(l *lane.Lane, j *job) {
--- a/internal/owner/sender/host.go
+++ b/internal/owner/sender/host.go
@@ -32,7 +32,11 @@
 	// holding is nil while this VM does not own the server.
 	holding atomic.Pointer[view.Holding]
 	// out is set while the server may not receive new work.
-	out     atomic.Bool
+	out atomic.Bool
+	// draining is set while the server claims that it leaves.
+	draining atomic.Bool
+	// doubt asks for a look at the claimed health.
+	doubt   chan struct{}
 	cancels chan *job
 
 	mu      sync.Mutex
@@ -52,7 +56,7 @@
 	badAt   time.Time
 	// pausedUntil is set while the group is about to be handed over.
 	pausedUntil time.Time
-	canceler    bool
+	watching    bool
 	probing     bool
 	closed      bool
 	// outbox holds answers that are sent once the mutex is free.
@@ -69,7 +73,7 @@
 	h := &host{
 		sender: s, id: server.ID, group: group, address: server.Address, server: server,
 		dialer:  lane.NewDialer(server.Address, server.Limits.ConnectCost, s.deps.Dial),
-		cancels: make(chan *job, cancelBacklog),
+		cancels: make(chan *job, cancelBacklog), doubt: make(chan struct{}, 1),
 		tracker: warmth.New(server.Limits, now),
 		queue:   queue.New(queue.Options{MaxWaiting: s.opts.MaxWaiting}),
 	}
@@ -84,7 +88,7 @@
 	switch {
 	case !h.leased(now):
 		h.refuse(j, msgs.Answer{Status: msgs.StatusWrongOwner, Owner: h.sender.believedOwner(v, h.id)})
-	case h.closed || h.out.Load() || v.Config.ServerOut(&h.server):
+	case h.closed || h.barred() || v.Config.ServerOut(&h.server):
 		h.refuse(j, msgs.Answer{Status: msgs.StatusNotRun})
 	case h.down.active(now):
 		h.refuse(j, msgs.Answer{Status: msgs.StatusNotRun, RetryMicros: micros(h.down.left(now))})
--- a/internal/owner/sender/refresh.go
+++ b/internal/owner/sender/refresh.go
@@ -122,6 +122,7 @@
 	h.applyOut(out, now)
 	h.rebound()
 	h.advance(now)
+	h.watch()
 	if acquired && len(h.runners) == 0 || h.queue.Unheard() && !h.down.active(now) {
 		h.probe()
 	}
--- a/internal/owner/sender/runner.go
+++ b/internal/owner/sender/runner.go
@@ -131,7 +131,7 @@
 // mayWrite is asked right before the first byte of a request is written.
 func (r *runner) mayWrite() bool {
 	now := time.Now()
-	return r.host.leased(now) && !r.host.out.Load() && now.Sub(r.prepared) < maxWriteDelay
+	return r.host.leased(now) && !r.host.barred() && now.Sub(r.prepared) < maxWriteDelay
 }
 
 // admit decides right before the write whether the job may be sent, and
@@ -163,7 +163,7 @@
 	case holding == nil || !holding.Valid(now):
 		v := h.sender.deps.Views.Load()
 		h.refuse(j, msgs.Answer{Status: msgs.StatusWrongOwner, Owner: h.sender.believedOwner(v, h.id)})
-	case h.closed || h.out.Load() || h.sender.deps.Views.Load().Config.ServerOut(&h.server):
+	case h.closed || h.barred() || h.sender.deps.Views.Load().Config.ServerOut(&h.server):
 		h.refuse(j, msgs.Answer{Status: msgs.StatusNotRun})
 	default:
 		j.workUntil = earlier(j.item.Deadline, holding.Until().Add(h.sender.opts.BeyondLease))
--- a/internal/owner/sender/sender.go
+++ b/internal/owner/sender/sender.go
@@ -35,6 +35,9 @@
 	// DefaultRefreshEvery is the time between looks at the view and the
 	// leases.
 	DefaultRefreshEvery = 20 * time.Millisecond
+	// DefaultHealthEvery is the time between two questions for the health that
+	// a server claims.
+	DefaultHealthEvery = time.Second
 )
 
 const (
@@ -60,6 +63,7 @@
 	BeyondLease  time.Duration
 	MinSilence   time.Duration
 	RefreshEvery time.Duration
+	HealthEvery  time.Duration
 	// MaxWaiting is the number of sub-requests that may wait per server.
 	MaxWaiting int
 	// MaxBody is the size in bytes of the largest answer of a server.
@@ -93,6 +97,7 @@
 	setDefault(&opts.BeyondLease, DefaultBeyondLease)
 	setDefault(&opts.MinSilence, DefaultMinSilence)
 	setDefault(&opts.RefreshEvery, DefaultRefreshEvery)
+	setDefault(&opts.HealthEvery, DefaultHealthEvery)
 	prefix := string(deps.Self.VM) + "." + strconv.FormatUint(uint64(deps.Self.Incarnation), 36) + "."
 	return &Sender{
 		deps: deps, opts: opts, prefix: prefix,
--- a/internal/owner/sender/sender_test.go
+++ b/internal/owner/sender/sender_test.go
@@ -308,6 +308,23 @@
 	require.Zero(t, third.state().InUse)
 }
 
+func TestDrainingServerGetsNoNewWorkAndComesBack(t *testing.T) {
+	b := startBackend(t)
+	f := newFixture(t, b.address, sender.Options{HealthEvery: time.Millisecond})
+	f.warmUp()
+	b.set(func(b *backend) { b.health = bknd.StateDraining })
+	f.eventually(func() bool { return f.state().Draining })
+	before, _, _ := b.counts()
+	f.query(msgs.KindSearch, testWait)
+	require.Equal(t, msgs.StatusNotRun, f.answer().Status)
+	works, _, _ := b.counts()
+	require.Equal(t, before, works)
+	b.set(func(b *backend) { b.health = "ok" })
+	f.eventually(func() bool { return !f.state().Draining })
+	f.query(msgs.KindSearch, testWait)
+	require.Equal(t, msgs.StatusOK, f.answer().Status)
+}
+
 func TestPausedGroupFinishesAndStartsNothingNew(t *testing.T) {
 	b := startBackend(t)
 	f := newFixture(t, b.address, sender.Options{})
--- a/internal/owner/sender/state.go
+++ b/internal/owner/sender/state.go
@@ -16,6 +16,7 @@
 	Owned       bool           `json:"owned"`
 	LeaseUntil  time.Time      `json:"lease_until"`
 	Out         bool           `json:"out"`
+	Draining    bool           `json:"draining"`
 	Warmth      warmth.State   `json:"warmth"`
 	Bound       int            `json:"bound"`
 	InUse       int            `json:"in_use"`
@@ -41,7 +42,7 @@
 	h.mu.Lock()
 	defer h.unlock()
 	state := ServerState{
-		Server: h.id, Group: h.group, Owned: h.leased(now), Out: h.out.Load(),
+		Server: h.id, Group: h.group, Owned: h.leased(now), Out: h.out.Load(), Draining: h.draining.Load(),
 		Warmth: h.tracker.State(), Bound: h.queue.Bound(), InUse: h.queue.InUse(),
 		Queued: h.queue.Waiting(), Connections: h.dialer.Open(),
 		DownUntil: h.down.until, Maps: h.maps.text,
--- a/internal/plat/bknd/proto.go
+++ b/internal/plat/bknd/proto.go
@@ -33,6 +33,13 @@
 	PathLoad   = "/v1/load"
 )
 
+// FieldState is the member of the JSON object at PathHealth that holds the
+// claimed state.
+const FieldState = "state"
+
+// StateDraining is the state of a server that leaves and refuses new work.
+const StateDraining = "draining"
+
 // Headers of requests and answers.
 const (
 	// HeaderRequest names the request; the answer repeats it.
