Answer probes for index versions without work at the backend server

Cause: a search of version 0 only asks which versions a server holds, but reached the server as work and took a slot, also of a server in cold start; and the maps counted as told when an answer was dropped because its job had been answered before. Ruled out: dropping the probe (entries learn of new versions by it). Change: owners answer probes from what the server told last; the question for its health, once a second, brings the maps of idle servers; a dropped answer notes nothing. Figures: new tests, the first of which failed before (the probe came back as a search).

--- a/internal/owner/lane/request.go
+++ b/internal/owner/lane/request.go
@@ -85,11 +85,19 @@
 	header.SetBytesV(name, strconv.AppendUint(buf[:0], value, 10))
 }
 
+// Claim is what a server says about itself when asked for its health.
+type Claim struct {
+	Boot ident.BootID
+	// Maps is the text of bknd.HeaderMaps.
+	Maps  string
+	State string
+}
+
 // Health asks the server what it claims about its health. ok is false if there
 // was no usable answer. The lane must be connected.
-func (l *Lane) Health(deadline time.Time) (state string, ok bool) {
+func (l *Lane) Health(deadline time.Time) (claim Claim, ok bool) {
 	if !l.Connected() {
-		return "", false
+		return Claim{}, false
 	}
 	l.conn.begin(nil)
 	l.req.Reset()
@@ -97,11 +105,15 @@
 	l.req.Header.SetMethod(fasthttp.MethodGet)
 	if err := l.client.DoDeadline(l.req, l.resp, deadline); err != nil {
 		l.drop()
-		return "", false
+		return Claim{}, false
 	}
 	if l.resp.StatusCode() != fasthttp.StatusOK {
-		return "", false
+		return Claim{}, false
+	}
+	claim = Claim{
+		Boot:  ident.BootID(l.resp.Header.Peek(bknd.HeaderBoot)),
+		Maps:  string(l.resp.Header.Peek(bknd.HeaderMaps)),
+		State: fastjson.GetString(l.resp.Body(), bknd.FieldState),
 	}
-	state = fastjson.GetString(l.resp.Body(), bknd.FieldState)
-	return state, state != ""
+	return claim, claim.State != ""
 }
--- a/internal/owner/sender/call.go
+++ b/internal/owner/sender/call.go
@@ -67,6 +67,12 @@
 	return c
 }
 
+// isProbe reports whether the job only asks which index versions the server
+// holds.
+func (j *job) isProbe() bool {
+	return j.call.query.Kind == msgs.KindSearch && j.call.query.Version == 0
+}
+
 // answer sends the answer of the job back. It must be called once per job.
 func (j *job) answer(a msgs.Answer) {
 	a.Seq, a.Server, a.Shard = j.seq, string(j.server), uint32(j.shard)
--- a/internal/owner/sender/finish.go
+++ b/internal/owner/sender/finish.go
@@ -54,14 +54,12 @@
 	h.endSlot(j, result)
 	h.rebound()
 	h.release(r)
-	answered := j.answered
-	j.answered = true
-	answer := h.resultAnswer(j, result, now)
+	if !j.answered {
+		j.answered = true
+		h.outbox = append(h.outbox, outgoing{job: j, answer: h.resultAnswer(j, result, now)})
+	}
 	h.advance(now)
 	h.unlock()
-	if !answered {
-		j.answer(answer)
-	}
 }
 
 // resultAnswer makes the answer of a job from the server's result.
--- a/internal/owner/sender/health.go
+++ b/internal/owner/sender/health.go
@@ -47,7 +47,8 @@
 	}
 }
 
-// askHealth asks the server for its claimed health while this VM owns it.
+// askHealth asks the server for its claimed health while this VM owns it. The
+// answer also tells the index versions of a server without work.
 func (h *host) askHealth(l *lane.Lane) {
 	if !h.leased(time.Now()) {
 		return
@@ -57,7 +58,7 @@
 	if err != nil {
 		return
 	}
-	state, ok := l.Health(deadline)
+	claim, ok := l.Health(deadline)
 	h.mu.Lock()
 	defer h.unlock()
 	now := time.Now()
@@ -65,7 +66,8 @@
 		h.observeHello(hello, now)
 	}
 	if ok {
-		h.claimed(state == bknd.StateDraining, now)
+		h.observeBoot(claim.Boot, claim.Maps, now)
+		h.claimed(claim.State == bknd.StateDraining, now)
 	}
 }
 
--- a/internal/owner/sender/host.go
+++ b/internal/owner/sender/host.go
@@ -90,6 +90,8 @@
 		h.refuse(j, msgs.Answer{Status: msgs.StatusWrongOwner, Owner: h.sender.believedOwner(v, h.id)})
 	case h.closed || h.barred() || v.Config.ServerOut(&h.server):
 		h.refuse(j, msgs.Answer{Status: msgs.StatusNotRun})
+	case j.isProbe() && h.maps.known():
+		h.refuse(j, msgs.Answer{Status: msgs.StatusWrongVersion})
 	case h.down.active(now):
 		h.refuse(j, msgs.Answer{Status: msgs.StatusNotRun, RetryMicros: micros(h.down.left(now))})
 	default:
--- a/internal/owner/sender/maps.go
+++ b/internal/owner/sender/maps.go
@@ -48,9 +48,14 @@
 	return nil
 }
 
+// known reports whether the server has told its maps.
+func (m *indexMaps) known() bool {
+	return m.serial > 0
+}
+
 // tell returns the maps if the process has to be told of them, else nil.
 func (m *indexMaps) tell(to ident.Process, always bool, now time.Time) []msgs.Holding {
-	if m.serial == 0 {
+	if !m.known() {
 		return nil
 	}
 	last := m.told[to]
--- a/internal/owner/sender/sender_test.go
+++ b/internal/owner/sender/sender_test.go
@@ -325,6 +325,30 @@
 	require.Equal(t, msgs.StatusOK, f.answer().Status)
 }
 
+func TestProbeIsAnsweredFromKnownMapsWithoutWork(t *testing.T) {
+	b := startBackend(t)
+	f := newFixture(t, b.address, sender.Options{})
+	f.warmUp()
+	before, _, _ := b.counts()
+	f.sender.HandleQuery(entry, msgs.Query{
+		ID: 900, Kind: msgs.KindSearch, BudgetMicros: testWait.Microseconds(),
+		Items: []msgs.Item{{Seq: 900, Server: "desk/a"}},
+	})
+	answer := f.answer()
+	require.Equal(t, msgs.StatusWrongVersion, answer.Status)
+	require.Equal(t, []msgs.Holding{{Version: 7, Shards: 1}}, answer.Maps)
+	works, _, _ := b.counts()
+	require.Equal(t, before, works)
+}
+
+func TestIdleServerTellsItsNewVersions(t *testing.T) {
+	b := startBackend(t)
+	f := newFixture(t, b.address, sender.Options{HealthEvery: time.Millisecond})
+	f.warmUp()
+	b.set(func(b *backend) { b.maps, b.health = "8=0/1", "ok" })
+	f.eventually(func() bool { return f.state().Maps == "8=0/1" })
+}
+
 func TestPausedGroupFinishesAndStartsNothingNew(t *testing.T) {
 	b := startBackend(t)
 	f := newFixture(t, b.address, sender.Options{})
