Keep requests of an ended run out of the next one in the lab

Cause: a request that the stand-in had read before a restart was taken by the engine after it, so the new cold run saw work that nobody had sent to it. TestNoServerReceivesMoreThanItBearsThroughOutages then saw cold_excess 1.

Ruled out: resetting the connections before the engine and dropping requests of closed connections alone. A run of -count=30 still failed once, because a connection can be accepted, and a request pass the check, between the two steps.

Change: a connection remembers the run that accepted it, and the engine takes work only from connections of its present run, under its own mutex. Connections are reset before the engine restarts.

Conclusion: the fault was in the stand-in; the owner's code is unchanged.

--- a/internal/lab/server/conn.go
+++ b/internal/lab/server/conn.go
@@ -10,7 +10,9 @@
 // silent for good, and costs the server time when it is new.
 type conn struct {
 	net.Conn
-	pool   *pool
+	pool *pool
+	// run is the run of the server's process that accepted the connection.
+	run    <-chan struct{}
 	silent atomic.Bool
 	opened sync.Once
 	ending sync.Once
--- a/internal/lab/server/engine.go
+++ b/internal/lab/server/engine.go
@@ -30,6 +30,8 @@
 	shed
 	// fell means that the job was too much for a cold server.
 	fell
+	// stale means that the job was sent to a run that has ended.
+	stale
 )
 
 // job is one request that an engine has taken.
@@ -93,6 +95,27 @@
 func (e *engine) take(id string, deadline time.Time) (*job, entry) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.takeLocked(id, deadline)
+}
+
+// takeIn is take for a request that was sent to the run that ends with run.
+func (e *engine) takeIn(run <-chan struct{}, id string, deadline time.Time) (*job, entry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if run != e.died {
+		return nil, stale
+	}
+	return e.takeLocked(id, deadline)
+}
+
+// run returns the channel that is closed when the present run ends.
+func (e *engine) run() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.died
+}
+
+func (e *engine) takeLocked(id string, deadline time.Time) (*job, entry) {
 	if e.shedding || e.draining {
 		e.counts.Shed++
 		return nil, shed
--- a/internal/lab/server/engine_test.go
+++ b/internal/lab/server/engine_test.go
@@ -123,3 +123,14 @@
 		require.Equal(t, second, took)
 	})
 }
+
+func TestRequestOfAnEndedRunDoesNotEnterTheNewOne(t *testing.T) {
+	e := newEngine(svcdoc.Server{Limits: svcdoc.Limits{Slots: 1}}, Options{}.withDefaults())
+	run := e.run()
+	e.restart()
+	_, result := e.takeIn(run, "1", time.Now().Add(time.Minute))
+	require.Equal(t, stale, result)
+	_, result = e.takeIn(e.run(), "2", time.Now().Add(time.Minute))
+	require.Equal(t, taken, result)
+	require.Equal(t, 1, e.stats().Accepted)
+}
--- a/internal/lab/server/handler.go
+++ b/internal/lab/server/handler.go
@@ -42,7 +42,11 @@
 		s.refuse(ctx, work, bknd.StatusWrongVersion)
 		return
 	}
-	j, result := s.engine.take(work.Request, readDeadline(ctx))
+	j, result := s.engine.takeIn(runOf(ctx), work.Request, readDeadline(ctx))
+	if result == stale {
+		_ = ctx.Conn().Close()
+		return
+	}
 	if result == shed {
 		s.refuse(ctx, work, bknd.StatusShed)
 		return
@@ -61,6 +65,15 @@
 	s.engine.finish(j, end)
 }
 
+// runOf returns the run of the server's process that accepted the connection of
+// a request.
+func runOf(ctx *fasthttp.RequestCtx) <-chan struct{} {
+	if c, ok := ctx.Conn().(*conn); ok {
+		return c.run
+	}
+	return nil
+}
+
 // answer answers a request after its job ended.
 func (s *Server) answer(ctx *fasthttp.RequestCtx, work trace.Work, j *job, end outcome) {
 	ctx.Response.Header.Set(bknd.HeaderVersion, strconv.FormatUint(uint64(work.Version), 10))
--- a/internal/lab/server/pool.go
+++ b/internal/lab/server/pool.go
@@ -13,6 +13,7 @@
 	gate    gate
 	limit   int
 	connect func()
+	run     func() <-chan struct{}
 
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
@@ -21,8 +22,8 @@
 	excess    int
 }
 
-func newPool(limit int, connect func()) *pool {
-	return &pool{limit: limit, connect: connect, conns: map[*conn]struct{}{}}
+func newPool(limit int, connect func(), run func() <-chan struct{}) *pool {
+	return &pool{limit: limit, connect: connect, run: run, conns: map[*conn]struct{}{}}
 }
 
 // listener accepts connections into a pool.
@@ -38,7 +39,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &conn{Conn: raw, pool: l.pool, closed: make(chan struct{})}
+		c := &conn{Conn: raw, pool: l.pool, run: l.pool.run(), closed: make(chan struct{})}
 		if l.pool.add(c) {
 			return c, nil
 		}
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -50,7 +50,7 @@
 		spec:     spec,
 		service:  serviceOf(spec.ID),
 		engine:   engine,
-		pool:     newPool(spec.Limits.Connections, engine.connect),
+		pool:     newPool(spec.Limits.Connections, engine.connect, engine.run),
 		ledger:   ledger,
 		recorder: options.Recorder,
 		holdings: []bknd.Map{{Version: firstVersion, Shard: spec.Shard, Shards: shards}},
@@ -96,15 +96,15 @@
 		s.listener = nil
 		s.note("kill")
 	}
+	s.pool.reset()
 	s.engine.restart()
 	s.pool.gate.thaw()
-	s.pool.reset()
 }
 
 // restart resets all connections and begins a new run in cold start.
 func (s *Server) restart(cause string) {
-	s.engine.restart()
 	s.pool.reset()
+	s.engine.restart()
 	s.note(cause)
 }
 
