Note index maps as told only with answers that go out

Cause: finish made the answer of a job, and so noted its index maps as told, also when the job had been answered before and the answer was dropped. The process then missed new maps for up to tellAgainAfter.

Ruled out: telling maps with every answer, which costs bytes on each of them.

Change: the result's answer is made only for jobs that are not answered yet, and goes out by the host's outbox like all others.

Conclusion: the same answers go out; only dropped ones no longer count as told.

--- a/internal/owner/sender/finish.go
+++ b/internal/owner/sender/finish.go
@@ -56,12 +56,11 @@
 	h.release(r)
 	answered := j.answered
 	j.answered = true
-	answer := h.resultAnswer(j, result, now)
-	h.advance(now)
-	h.unlock()
 	if !answered {
-		j.answer(answer)
+		h.outbox = append(h.outbox, outgoing{job: j, answer: h.resultAnswer(j, result, now)})
 	}
+	h.advance(now)
+	h.unlock()
 }
 
 // resultAnswer makes the answer of a job from the server's result.
