--- a/internal/conf/vmconf/parse.go
+++ b/internal/conf/vmconf/parse.go
@@ -29,7 +29,7 @@
 	defaultAdmin        = 7003
 	defaultReplica      = "expect"
 	defaultHedge        = "budget"
-	defaultAdmission    = "queue"
+	defaultAdmission    = "feasible"
 	defaultLease        = 1500 * time.Millisecond
 	defaultHeartbeat    = 500 * time.Millisecond
 	defaultListLifetime = 10 * time.Second
