Let answers wait half a millisecond for others of their query

Cause: at 10,000 sub-requests a second most replies carried one answer, since an owner waited 0.1 ms for others while service times differ by milliseconds; each reply costs a transfer. The last answer of a query at an owner still leaves at once. The golden stories change in times of replies only.

--- a/internal/owner/sender/sender.go
+++ b/internal/owner/sender/sender.go
@@ -25,7 +25,7 @@
 const (
 	// DefaultFlushAfter is the time for which an answer waits for others of
 	// its query.
-	DefaultFlushAfter = 100 * time.Microsecond
+	DefaultFlushAfter = 500 * time.Microsecond
 	// DefaultBeyondLease is the time after the end of the lease at which work
 	// sent under it must end.
 	DefaultBeyondLease = 500 * time.Millisecond
