Log refusals as samples and show backend servers in the fleet

Cause: refusals were counted but left no log line, and operators saw warmth and limits of backend servers only in dumps. Ruled out: a line for each refusal, which overload would multiply. The caller's test expects the request's name now: the request carries one field more.

--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -30,6 +30,7 @@
 	set     *metrics.Set
 	mu      sync.Mutex
 	history []Decision
+	samples map[sample]time.Time
 }
 
 // New returns a recorder that writes to the given logger and metrics set.
--- a/internal/front/caller/server_test.go
+++ b/internal/front/caller/server_test.go
@@ -210,7 +210,7 @@
 	c.do(t, http.MethodPost, "/v1/action/desk/book", "body", "Idempotency-Key: 01890A5D-AC96-774B-BCCE-B302099A8057",
 		"Route-Key: r", "X-Caller-Class: gate", "X-Deadline-Unix-Ms: 1800000000250")
 	require.Equal(t, entry.Request{
-		Service: "desk", Class: "gate", Deadline: now.Add(250 * time.Millisecond),
+		Name: "generated", Service: "desk", Class: "gate", Deadline: now.Add(250 * time.Millisecond),
 		Key: "01890a5d-ac96-774b-bcce-b302099a8057", Route: "r", Action: "book", Body: []byte("body"),
 	}, c.runner.request)
 	c.do(t, http.MethodPost, "/v1/lookup/desk/a%2Fb%20c", "", "X-Deadline-Ms: 40")
--- a/internal/ops/cli/cli_test.go
+++ b/internal/ops/cli/cli_test.go
@@ -201,6 +201,9 @@
 const fleetBody = `{"serial":7,"in_force":1,"vms":3,"groups":4,"owned":4,"zones_out":{"espoo":"c1"},
 "briefs":[
  {"vm":"vm-1","zone":"espoo","serial":7,"epoch":3,"admitting":true,"groups":["a","b"],
+  "servers":[{"server":"desk/a","owned":true,"bound":1,"in_use":1,"queued":2,"warmth":{"phase":"cold","why":"reset"}},
+   {"server":"desk/b","owned":true,"draining":true,"bound":2,"warmth":{"phase":"warm","why":"completions"}},
+   {"server":"desk/c","owned":false}],
   "decisions":[{"at":"2026-12-03T08:00:02Z","kind":"lease_taken","subject":"a","reason":"preferred"}]},
  {"vm":"vm-3","zone":"lahti","serial":6,"epoch":3,"admitting":false,"refusal":"isolated","groups":["c","d"],
   "decisions":[{"at":"2026-12-03T08:00:01Z","kind":"isolated","subject":"vm-3","reason":"no majority heard"}]}],
@@ -230,6 +233,7 @@
 		}
 		s.runAll(
 			"fleet",
+			"fleet vm-2 --servers",
 			"fleet vm-2 --wait",
 			"fleet 127.0.0.1:9000 --wait --json",
 			"zone out espoo --force --by aino",
--- a/internal/ops/cli/fleet.go
+++ b/internal/ops/cli/fleet.go
@@ -23,7 +23,8 @@
 // fleetFlags are the flags of fleet.
 type fleetFlags struct {
 	targetFlags
-	wait bool
+	wait    bool
+	servers bool
 }
 
 func (c *CLI) fleetCommand() *cobra.Command {
@@ -38,11 +39,12 @@
 With --wait, the command ends once the latest configuration is in force on every
 VM and each group of backend servers has an owner, and with exit code 1 if that is
 not so within --timeout.`,
-		Example: "  samphirestair fleet\n  samphirestair fleet 10.0.0.7:7003 --wait --timeout 30s",
+		Example: "  samphirestair fleet\n  samphirestair fleet --servers\n  samphirestair fleet 10.0.0.7:7003 --wait --timeout 30s",
 		Args:    cobra.MaximumNArgs(1),
 	}
 	flags.register(command)
 	command.Flags().BoolVar(&flags.wait, "wait", false, "wait until the fleet is settled")
+	command.Flags().BoolVar(&flags.servers, "servers", false, "show each backend server: owner, warmth, limit, work")
 	command.RunE = c.bounded(func(ctx context.Context, args []string) error {
 		return c.fleet(ctx, args, flags)
 	})
@@ -60,7 +62,7 @@
 			err = found.unsettled(serial)
 		}
 		if err == nil {
-			return c.printFleet(body, found)
+			return c.printFleet(body, found, flags.servers)
 		}
 		if !flags.wait || !sleep.For(ctx, waitInterval) {
 			return err
@@ -116,10 +118,13 @@
 	return body, found, nil
 }
 
-func (c *CLI) printFleet(body []byte, found *summary) error {
+func (c *CLI) printFleet(body []byte, found *summary, servers bool) error {
 	if c.json {
 		return c.printJSON(json.RawMessage(body))
 	}
 	found.print(c)
+	if servers {
+		return found.printServers(c)
+	}
 	return nil
 }
--- a/internal/query/entry/request.go
+++ b/internal/query/entry/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
@@ -13,6 +14,8 @@
 
 // Request is a request of a caller.
 type Request struct {
+	// Name is the caller's name of the request, for logs only.
+	Name    string
 	Service ident.ServiceID
 	// Class names the caller class. Unknown names rank last.
 	Class string
@@ -77,7 +80,7 @@
 	now := time.Now()
 	current := e.deps.Views.Load()
 	if !current.Admitting {
-		return e.refuse(current.Refusal, notAdmittingRetry)
+		return e.refuse(request, current.Refusal, notAdmittingRetry)
 	}
 	doc, ok := current.Config.Services[request.Service]
 	if !ok {
@@ -90,18 +93,18 @@
 	if !now.Before(spec.Deadline) {
 		return faulty(FaultDeadline, "the deadline has passed")
 	}
-	return e.admitAndRun(ctx, now, spec)
+	return e.admitAndRun(ctx, now, request, spec)
 }
 
 // notAdmittingRetry is the time after which a caller may come back to a VM
 // that takes no new work.
 const notAdmittingRetry = time.Second
 
-func (e *Entry) admitAndRun(ctx context.Context, now time.Time, spec run.Spec) Result {
+func (e *Entry) admitAndRun(ctx context.Context, now time.Time, request Request, spec run.Spec) Result {
 	ask := admit.Request{Service: spec.Service, Class: spec.Class, Deadline: spec.Deadline}
 	decision := e.admit.Admit(now, ask)
 	if !decision.Admitted {
-		return e.refuse(decision.Reason, decision.RetryAfter)
+		return e.refuse(request, decision.Reason, decision.RetryAfter)
 	}
 	result := e.execute(ctx, spec)
 	end := time.Now()
@@ -133,8 +136,11 @@
 	}
 }
 
-func (e *Entry) refuse(reason string, retryAfter time.Duration) Result {
-	e.deps.Events.Count("query_refused")
+// refuse turns a request away. Refusals are counted each, and logged as a
+// sample with the name of one request.
+func (e *Entry) refuse(request Request, reason string, retryAfter time.Duration) Result {
+	e.deps.Events.Sample("query_refused", string(request.Service), reason,
+		slog.String("request", request.Name), slog.String("class", request.Class))
 	return Result{Result: run.Result{Outcome: run.OutcomeNotRun, Reason: reason, RetryAfter: retryAfter}}
 }
 
