--- a/internal/query/run/shard.go
+++ b/internal/query/run/shard.go
@@ -293,7 +293,7 @@
 		q.send(now, index, q.pick(now, available.targets))
 		return
 	}
-	q.deps.Counter.Count("query_hedge_denied")
+	q.deps.Counter.Sample("query_hedge_denied", string(q.spec.Service), "the hedge budget is spent or queues are long")
 	if !s.overdue {
 		s.overdue = true
 		s.hedgeAt = now.Add((overdueFactor - 1) * q.hedgeDelay)
--- a/internal/query/run/types.go
+++ b/internal/query/run/types.go
@@ -4,6 +4,7 @@
 package run
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
@@ -91,9 +92,11 @@
 	Observe(now time.Time, service ident.ServiceID, class ident.Class, wait, run time.Duration)
 }
 
-// Counter counts events that are too frequent to log.
+// Counter counts events that are too frequent to log each.
 type Counter interface {
 	Count(kind string)
+	// Sample counts an event, and logs some of those that are alike.
+	Sample(kind, subject, reason string, attrs ...slog.Attr)
 }
 
 // Deps is what machines depend on. All fields are required.
--- a/internal/query/run/world_test.go
+++ b/internal/query/run/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,6 +31,8 @@
 
 func (c counts) Count(kind string) { c[kind]++ }
 
+func (c counts) Sample(kind, _, _ string, _ ...slog.Attr) { c[kind]++ }
+
 // parcel is a message on its way to or from an owner.
 type parcel struct {
 	vm    ident.VMID
