Choose backend servers by their share of failures

One answer was enough for a server to count as sound again, so that each VM went on sending half of its requests to servers that shed, until the fleet-wide budget of extra attempts was used up and shards were lost at once. Ruled out: overload (the servers shed at a fifth of their load) and the order of retries.

While a candidate is unreliable, all are compared, also with old knowledge.

--- a/internal/query/choose/expect.go
+++ b/internal/query/choose/expect.go
@@ -28,8 +28,9 @@
 }
 
 // Choose compares all replicas while it knows them well, and two random ones
-// otherwise, so that entries with old knowledge do not all take the same.
-// Servers that refused or did not answer lately are the last resort.
+// otherwise, so that entries with old knowledge do not all take the same. While one
+// of them is unreliable, all are compared in any case. Servers that refused or did
+// not answer lately are the last resort.
 func (e *expect) Choose(now time.Time, candidates []ident.ServerID) int {
 	var room [usualReplicas]int
 	usable := e.usable(now, candidates, room[:0])
@@ -37,8 +38,8 @@
 		return usable[0]
 	}
 	count := len(usable)
-	if e.anyStale(now, candidates) {
-		count = 2
+	if e.anyStale(now, candidates) && !e.anyUnreliable(now, candidates) {
+		count = min(count, 2)
 	}
 	average := e.average.load()
 	start := e.options.IntN(len(usable))
@@ -94,6 +95,15 @@
 	return false
 }
 
+func (e *expect) anyUnreliable(now time.Time, candidates []ident.ServerID) bool {
+	for _, id := range candidates {
+		if e.server(id).unreliable(now, e.options) {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *expect) server(id ident.ServerID) *server {
 	e.mu.RLock()
 	known := e.servers[id]
--- a/internal/query/choose/server.go
+++ b/internal/query/choose/server.go
@@ -15,6 +15,16 @@
 	// it refused or did not answer. It doubles each time in a row.
 	minAvoid = 20 * time.Millisecond
 	maxAvoid = 500 * time.Millisecond
+	// failureWeight is the weight of one sub-request in a server's share of
+	// refusals and failures. An entry of a large fleet sends a server less than
+	// two sub-requests a second.
+	failureWeight = 0.25
+	// minSuccess bounds the factor by which a server that always fails seems
+	// slower.
+	minSuccess = 0.05
+	// unreliableShare is the share of failures from which a server counts as
+	// unreliable.
+	unreliableShare = 0.2
 	// unansweredLimit is the number of abandoned sub-requests in a row after
 	// which a server is avoided.
 	unansweredLimit = 3
@@ -29,6 +39,9 @@
 	// that was sent after it.
 	silentSince time.Time
 	service     time.Duration
+	// failures is the share of refusals and failures, as of heardAt.
+	failures float64
+	heardAt  time.Time
 	// others is the part of the server's queue that came from other entries.
 	others    int
 	slots     int
@@ -59,6 +72,7 @@
 		s.slots = sample.Slots
 	}
 	s.unanswered = 0
+	s.learnFailure(now, !sample.Completed)
 	switch {
 	case sample.Completed:
 		s.learn(sample.Service)
@@ -107,13 +121,39 @@
 	s.service += time.Duration(newestWeight * float64(sample-s.service))
 }
 
+// learnFailure takes one outcome into the share of failures.
+func (s *server) learnFailure(now time.Time, failed bool) {
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	s.failures += failureWeight * (outcome - s.failures)
+	s.heardAt = now
+}
+
+// failing returns the expected share of failures. It fades while the server is
+// not asked, so that it is tried again.
+func (s *server) failing(now time.Time, options Options) float64 {
+	if s.failures == 0 {
+		return 0
+	}
+	return s.failures * decay(now.Sub(s.heardAt), options.ServiceDecay)
+}
+
+func (s *server) unreliable(now time.Time, options Options) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failing(now, options) > unreliableShare
+}
+
 func (s *server) stale(now time.Time, after time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.updatedAt.IsZero() || now.Sub(s.updatedAt) > after
 }
 
-// expected returns the expected completion time of one more sub-request.
+// expected returns the expected completion time of one more sub-request, counting
+// that one that fails has to be sent again.
 func (s *server) expected(now time.Time, average time.Duration, options Options) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -127,7 +167,8 @@
 		service = max(service, float64(now.Sub(s.silentSince)))
 	}
 	ahead := (float64(s.inFlight) + others) / float64(max(s.slots, 1))
-	return time.Duration(service * (1 + ahead))
+	success := max(1-s.failing(now, options), minSuccess)
+	return time.Duration(service * (1 + ahead) / success)
 }
 
 func decay(age, scale time.Duration) float64 {
