Soak the real program under faults from outside

VMs are processes of the real program; callers follow address lists and keep connections; faults hit processes (SIGKILL, SIGTERM, SIGSTOP, SIGHUP, repeated and overlapping), links to callers, store and backend servers, the store, backend servers, and the operators change configuration and zones meanwhile.

--- /dev/null
+++ b/internal/lab/soak/process.go
@@ -0,0 +1,119 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Process runs a program, and starts it again when it ends. It signals only the
+// process that it started. It is safe for concurrent use.
+type Process struct {
+	program string
+	args    []string
+	// logs gets what the program writes.
+	logs string
+	// pause is the time between an end and the next start.
+	pause time.Duration
+	// ended is told each end: the state, and whether a signal of this Process
+	// may have caused it.
+	ended func(state *os.ProcessState, asked bool)
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	asked  bool
+	closed bool
+	done   chan struct{}
+}
+
+// StartProcess starts a program whose output is appended to the file logs.
+func StartProcess(program string, args []string, logs string, pause time.Duration, ended func(*os.ProcessState, bool)) (*Process, error) {
+	p := &Process{program: program, args: args, logs: logs, pause: pause, ended: ended, done: make(chan struct{})}
+	cmd, err := p.start()
+	if err != nil {
+		return nil, err
+	}
+	go p.keep(cmd)
+	return p, nil
+}
+
+func (p *Process) start() (*exec.Cmd, error) {
+	logs, err := os.OpenFile(p.logs, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "soak: logs of a process")
+	}
+	defer func() { _ = logs.Close() }()
+	cmd := exec.Command(p.program, p.args...)
+	cmd.Stdout, cmd.Stderr = logs, logs
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, errors.New("soak: process is closed")
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, errors.Wrap(err, "soak: start a process")
+	}
+	p.cmd, p.asked = cmd, false
+	return cmd, nil
+}
+
+// keep waits for the process and starts the next one.
+func (p *Process) keep(cmd *exec.Cmd) {
+	defer close(p.done)
+	for {
+		// The state tells how it ended; the error repeats it.
+		_ = cmd.Wait()
+		p.mu.Lock()
+		asked, closed := p.asked, p.closed
+		p.cmd = nil
+		p.mu.Unlock()
+		if closed {
+			return
+		}
+		p.ended(cmd.ProcessState, asked)
+		time.Sleep(p.pause)
+		next, err := p.start()
+		if err != nil {
+			return
+		}
+		cmd = next
+	}
+}
+
+// Signal sends a signal to the process that runs at present. It reports false if
+// none does. ends says whether the process may end by it.
+func (p *Process) Signal(signal syscall.Signal, ends bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return false
+	}
+	p.asked = p.asked || ends
+	return p.cmd.Process.Signal(signal) == nil
+}
+
+// PID returns the id of the process that runs at present, or 0.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
+// Close kills the process and waits for its end.
+func (p *Process) Close() {
+	p.mu.Lock()
+	p.closed = true
+	if p.cmd != nil {
+		// A failure means that it has ended.
+		_ = p.cmd.Process.Kill()
+	}
+	p.mu.Unlock()
+	<-p.done
+}
--- /dev/null
+++ b/internal/lab/soak/proxy.go
@@ -0,0 +1,274 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/samphirestair/samphirestair/internal/base/coll"
+)
+
+const (
+	// dialTimeout bounds the connection of a proxy to its target on the same machine.
+	dialTimeout = time.Second
+	// pieceSize is the size in bytes of what a proxy forwards at once.
+	pieceSize = 16 << 10
+	// stillPoll is the time between two looks whether a silenced direction goes on.
+	stillPoll = 20 * time.Millisecond
+)
+
+// Trouble is what is wrong with a link. The zero value is a sound link.
+type Trouble struct {
+	// Delay is added to each piece of data, each way.
+	Delay time.Duration
+	// CutUp and CutDown hold back what goes to the target and what comes from it,
+	// on all connections, until the trouble ends.
+	CutUp, CutDown bool
+	// Refuse closes the listener, so that connections are refused.
+	Refuse bool
+}
+
+// Proxy forwards TCP connections on loopback and harms them on request. It is
+// safe for concurrent use.
+type Proxy struct {
+	address string
+
+	mu     sync.Mutex
+	target string
+	// troubles are those in force, and trouble all of them together.
+	troubles coll.Set[*Trouble]
+	trouble  Trouble
+	listener net.Listener
+	links    coll.Set[*link]
+	closed   bool
+	running  conc.WaitGroup
+}
+
+// link is one connection through a proxy.
+type link struct {
+	near, far net.Conn
+	// silent is set once nothing is forwarded on it any more.
+	silent bool
+}
+
+// NewProxy returns a proxy that listens on address and forwards to target.
+func NewProxy(address, target string) (*Proxy, error) {
+	p := &Proxy{address: address, target: target, links: coll.NewSet[*link](), troubles: coll.NewSet[*Trouble]()}
+	if err := p.listen(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// Address returns the "ip:port" address on which the proxy listens.
+func (p *Proxy) Address() string {
+	return p.address
+}
+
+// SetTarget sends new connections elsewhere and resets the open ones.
+func (p *Proxy) SetTarget(target string) {
+	p.mu.Lock()
+	p.target = target
+	p.mu.Unlock()
+	p.Reset()
+}
+
+// Harm adds a trouble to the link, and returns what ends it. Troubles overlap.
+func (p *Proxy) Harm(trouble Trouble) (end func() error, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	one := &trouble
+	p.troubles.Add(one)
+	return func() error {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.troubles.Remove(one)
+		return p.applyLocked()
+	}, p.applyLocked()
+}
+
+// applyLocked joins the troubles and opens or closes the listener.
+func (p *Proxy) applyLocked() error {
+	p.trouble = Trouble{}
+	for one := range p.troubles {
+		p.trouble = p.trouble.join(one)
+	}
+	switch {
+	case p.trouble.Refuse && p.listener != nil:
+		err := p.listener.Close()
+		p.listener = nil
+		return errors.Wrap(err, "soak: refuse connections")
+	case !p.trouble.Refuse && p.listener == nil && !p.closed:
+		return p.listenLocked()
+	default:
+		return nil
+	}
+}
+
+func (t Trouble) join(other *Trouble) Trouble {
+	return Trouble{
+		Delay:   max(t.Delay, other.Delay),
+		CutUp:   t.CutUp || other.CutUp,
+		CutDown: t.CutDown || other.CutDown,
+		Refuse:  t.Refuse || other.Refuse,
+	}
+}
+
+// Reset resets all open connections.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		l.reset()
+	}
+}
+
+// Silence stops forwarding on all open connections for good, without closing
+// them. New connections work.
+func (p *Proxy) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		l.silent = true
+	}
+}
+
+// Close ends the proxy and all connections.
+func (p *Proxy) Close() error {
+	p.mu.Lock()
+	p.closed = true
+	p.trouble = Trouble{}
+	var err error
+	if p.listener != nil {
+		err = p.listener.Close()
+		p.listener = nil
+	}
+	for l := range p.links {
+		l.reset()
+	}
+	p.mu.Unlock()
+	p.running.Wait()
+	return errors.Wrap(err, "soak: close proxy")
+}
+
+func (p *Proxy) listen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listenLocked()
+}
+
+func (p *Proxy) listenLocked() error {
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return errors.Wrap(err, "soak: proxy")
+	}
+	p.listener, p.address = l, l.Addr().String()
+	p.running.Go(func() { p.accept(l) })
+	return nil
+}
+
+// accept forwards connections until the listener is closed.
+func (p *Proxy) accept(l net.Listener) {
+	for {
+		near, err := l.Accept()
+		if err != nil {
+			return
+		}
+		p.running.Go(func() { p.forward(near) })
+	}
+}
+
+func (p *Proxy) forward(near net.Conn) {
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	far, err := net.DialTimeout("tcp", target, dialTimeout)
+	l := &link{near: near, far: far}
+	if err != nil {
+		l.reset()
+		return
+	}
+	p.mu.Lock()
+	closed := p.closed
+	p.links.Add(l)
+	p.mu.Unlock()
+	if closed {
+		l.reset()
+	}
+	var both conc.WaitGroup
+	both.Go(func() { p.pump(l, near, far, func(t Trouble) bool { return t.CutUp }) })
+	both.Go(func() { p.pump(l, far, near, func(t Trouble) bool { return t.CutDown }) })
+	both.Wait()
+	p.mu.Lock()
+	p.links.Remove(l)
+	p.mu.Unlock()
+}
+
+// pump forwards one direction until it ends, and then ends both.
+func (p *Proxy) pump(l *link, from, to net.Conn, isCut func(Trouble) bool) {
+	piece := make([]byte, pieceSize)
+	for {
+		n, err := from.Read(piece)
+		delay, still := p.state(l, isCut)
+		for still {
+			// The end of a connection is noticed by the pump of the other direction,
+			// or when the trouble is over.
+			time.Sleep(stillPoll)
+			if p.isClosed() {
+				return
+			}
+			delay, still = p.state(l, isCut)
+		}
+		time.Sleep(delay)
+		if n > 0 {
+			if _, failed := to.Write(piece[:n]); failed != nil {
+				err = failed
+			}
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			l.close()
+			return
+		default:
+			l.reset()
+			return
+		}
+	}
+}
+
+// state returns the delay of a link in one direction, and whether nothing is
+// forwarded now.
+func (p *Proxy) state(l *link, isCut func(Trouble) bool) (delay time.Duration, still bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.trouble.Delay, l.silent || isCut(p.trouble)
+}
+
+func (p *Proxy) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
+// close ends both connections. A failure means that they have ended already.
+func (l *link) close() {
+	for _, c := range []net.Conn{l.near, l.far} {
+		_ = c.Close()
+	}
+}
+
+// reset ends both connections with a reset.
+func (l *link) reset() {
+	for _, c := range []net.Conn{l.near, l.far} {
+		if tcp, ok := c.(*net.TCPConn); ok && tcp != nil {
+			// A failure means that the connection has ended already.
+			_ = tcp.SetLinger(0)
+			_ = tcp.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/proxy_test.go
@@ -0,0 +1,105 @@
+package soak_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirestair/samphirestair/internal/lab/soak"
+)
+
+// echo answers each line with itself.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+type client struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func connect(t *testing.T, p *soak.Proxy) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", p.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return &client{Conn: c, r: bufio.NewReader(c)}
+}
+
+// say sends a line and waits for its echo.
+func (c *client) say(t *testing.T, within time.Duration) error {
+	t.Helper()
+	_, err := c.Write([]byte("x\n"))
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(within)))
+	_, err = c.r.ReadString('\n')
+	return err
+}
+
+const soon, long = 200 * time.Millisecond, 5 * time.Second
+
+func TestProxyHarmsConnections(t *testing.T) {
+	p, err := soak.NewProxy("127.0.0.1:0", echo(t))
+	require.NoError(t, err)
+	defer func() { require.NoError(t, p.Close()) }()
+	c := connect(t, p)
+	require.NoError(t, c.say(t, long))
+
+	for _, trouble := range []soak.Trouble{{CutUp: true}, {CutDown: true}} {
+		end, err := p.Harm(trouble)
+		require.NoError(t, err)
+		again, err := p.Harm(trouble)
+		require.NoError(t, err)
+		require.Error(t, c.say(t, soon))
+		require.NoError(t, again())
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(soon)))
+		_, err = c.r.ReadString('\n')
+		require.Error(t, err, "an overlapping trouble lasts")
+		require.NoError(t, end())
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(long)))
+		_, err = c.r.ReadString('\n')
+		require.NoError(t, err, "what was held back arrives")
+	}
+
+	end, err := p.Harm(soak.Trouble{Delay: 50 * time.Millisecond})
+	require.NoError(t, err)
+	began := time.Now()
+	require.NoError(t, c.say(t, long))
+	require.GreaterOrEqual(t, time.Since(began), 100*time.Millisecond)
+	require.NoError(t, end())
+
+	p.Silence()
+	require.Error(t, c.say(t, soon))
+	fresh := connect(t, p)
+	require.NoError(t, fresh.say(t, long), "new connections work")
+
+	p.Reset()
+	require.Eventually(t, func() bool {
+		_, err := fresh.Write([]byte("x\n"))
+		return err != nil
+	}, long, 10*time.Millisecond)
+
+	end, err = p.Harm(soak.Trouble{Refuse: true})
+	require.NoError(t, err)
+	_, err = net.Dial("tcp", p.Address())
+	require.Error(t, err)
+	require.NoError(t, end())
+	require.NoError(t, connect(t, p).say(t, long))
+}
--- /dev/null
+++ b/internal/lab/soak/referee_test.go
@@ -0,0 +1,276 @@
+package soak_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/lab/soak"
+)
+
+var bounds = soak.Bounds{
+	Contact: 4 * time.Second, Drain: 3 * time.Second, Evacuate: 5 * time.Second, Config: 3 * time.Second,
+	Rollback: 250 * time.Millisecond, Grace: 6 * time.Second, Loss: 200 * time.Millisecond, Gone: 500 * time.Millisecond,
+	Late: 500 * time.Millisecond, ExtraShare: 0.2, ExtraSlack: 5, ExtraWindow: 10 * time.Second, Recovery: 12 * time.Second,
+}
+
+var (
+	one = &soak.Route{Name: "one", Attempts: 2, Timeout: time.Second}
+	all = &soak.Route{Name: "all", Idempotent: true, Attempts: 2, Timeout: time.Second, Limit: 2, Coverage: 0.6}
+)
+
+const record = "0123456789abcdef"
+
+// world is a referee with one accepted configuration and an exchange to vary.
+type world struct {
+	*soak.Referee
+	calm *soak.Calm
+	next int
+}
+
+func newWorld() *world {
+	w := &world{calm: soak.NewCalm()}
+	w.Referee = soak.NewReferee(bounds, w.calm)
+	w.Accepted(version(1, "desk"))
+	w.Placed("i-1", "vantaa")
+	return w
+}
+
+func version(number ident.Version, desk ident.ServiceID) soak.Version {
+	return soak.Version{
+		Number: number, AckedAt: time.Now(),
+		Single: map[string]ident.ServiceID{"one": desk},
+		Shards: map[string][]ident.ServiceID{"all": {"s1", "s2", "s3"}},
+	}
+}
+
+// send sends a request on a route.
+func (w *world) send(route *soak.Route) string {
+	w.next++
+	id := fmt.Sprint("r", w.next)
+	w.Sent(soak.Attempt{ID: id, Route: route, VM: "vm-1", SentAt: time.Now(), Wait: time.Second, Kept: true})
+	return id
+}
+
+// run lets a server run a request.
+func (w *world) run(id string, service ident.ServiceID) {
+	w.Arrived(soak.Arrival{ID: id, Server: "i-1", Service: service, At: time.Now(), Ran: true, Left: 500 * time.Millisecond, Told: true})
+}
+
+// reply lets a server answer a request with one record.
+func (w *world) reply(id string, service ident.ServiceID, whole bool) string {
+	signature := fmt.Sprintf("%s-%s", id, service)
+	w.Replied(soak.Reply{Signature: signature, ID: id, Service: service, Status: 200, Body: record, Whole: whole})
+	return signature
+}
+
+func (w *world) answer(id string, answer soak.Answer) {
+	answer.At = time.Now()
+	w.Answered(id, answer)
+}
+
+func (w *world) serve() string {
+	id := w.send(one)
+	w.run(id, "desk")
+	w.answer(id, soak.Answer{Status: 200, Signatures: []string{w.reply(id, "desk", true)}, Body: record})
+	return id
+}
+
+func TestReferee(t *testing.T) {
+	tests := []struct {
+		name string
+		// want is the promise that is broken, or empty.
+		want string
+		play func(w *world)
+	}{
+		{"sound requests", "", func(w *world) {
+			w.serve()
+			id := w.send(all)
+			var signatures []string
+			for _, service := range []ident.ServiceID{"s1", "s3"} {
+				w.run(id, service)
+				signatures = append(signatures, w.reply(id, service, true))
+			}
+			w.answer(id, soak.Answer{Status: 200, Signatures: signatures, Missing: 1, Body: record + record})
+			id = w.send(one)
+			w.answer(id, soak.Answer{Status: 503, Refused: true})
+		}},
+		{"another body", soak.Mixed, func(w *world) {
+			id := w.send(one)
+			w.run(id, "desk")
+			w.answer(id, soak.Answer{Status: 200, Signatures: []string{w.reply(id, "desk", true)}, Body: "x"})
+		}},
+		{"a broken answer", soak.Mixed, func(w *world) {
+			id := w.send(one)
+			w.run(id, "desk")
+			w.answer(id, soak.Answer{Status: 200, Signatures: []string{w.reply(id, "desk", false)}, Body: record})
+		}},
+		{"the answer to another request", soak.Mixed, func(w *world) {
+			other, id := w.send(one), w.send(one)
+			w.answer(id, soak.Answer{Status: 200, Signatures: []string{w.reply(other, "desk", true)}, Body: record})
+		}},
+		{"two parts of one shard", soak.Mixed, func(w *world) {
+			id := w.send(all)
+			part := w.reply(id, "s1", true)
+			w.answer(id, soak.Answer{Status: 200, Signatures: []string{part, part}, Missing: 1, Body: record + record})
+		}},
+		{"too few shards", soak.Mixed, func(w *world) {
+			id := w.send(all)
+			w.answer(id, soak.Answer{Status: 200, Signatures: []string{w.reply(id, "s1", true)}, Missing: 2, Body: record})
+		}},
+		{"a wrong number of missing shards", soak.Mixed, func(w *world) {
+			id := w.send(all)
+			w.answer(id, soak.Answer{Status: 200, Signatures: []string{w.reply(id, "s1", true), w.reply(id, "s2", true)}, Body: record + record})
+		}},
+		{"a request that nobody sent", soak.Unasked, func(w *world) { w.run("forged", "desk") }},
+		{"a request run twice", soak.Twice, func(w *world) {
+			id := w.serve()
+			w.run(id, "desk")
+		}},
+		{"a shard run three times", soak.Budget, func(w *world) {
+			id := w.send(all)
+			for range 3 {
+				w.run(id, "s1")
+			}
+		}},
+		{"a refusal of what ran", soak.Refused, func(w *world) {
+			id := w.send(one)
+			w.run(id, "desk")
+			w.answer(id, soak.Answer{Status: 503, Refused: true})
+		}},
+		{"a run after the refusal", soak.Refused, func(w *world) {
+			id := w.send(one)
+			w.answer(id, soak.Answer{Status: 503, Refused: true})
+			w.run(id, "desk")
+		}},
+		{"a proper request rejected", soak.Denied, func(w *world) { w.answer(w.send(one), soak.Answer{Status: 404}) }},
+		{"extra arrivals", soak.Budget, func(w *world) {
+			for range 7 {
+				id := w.send(all)
+				w.run(id, "s1")
+				w.run(id, "s1")
+			}
+		}},
+		{"too much time handed on", soak.Budget, func(w *world) {
+			for range 21 {
+				w.Arrived(soak.Arrival{ID: w.send(one), Server: "i-1", Service: "desk", At: time.Now(), Left: 2 * time.Second, Told: true})
+			}
+		}},
+		{"work for callers that left", soak.Gone, func(w *world) {
+			for range 4 {
+				id := w.send(one)
+				w.Left(id, time.Now())
+				time.Sleep(600 * time.Millisecond)
+				w.run(id, "desk")
+			}
+		}},
+		{"work that goes on for callers that left", soak.Gone, func(w *world) {
+			for range 4 {
+				id := w.send(all)
+				w.Left(id, time.Now())
+				w.Worked(id, time.Now().Add(time.Second), time.Now().Add(600*time.Millisecond))
+			}
+		}},
+		{"work that is cancelled when callers leave", "", func(w *world) {
+			for range 4 {
+				id := w.send(all)
+				w.Left(id, time.Now())
+				w.Worked(id, time.Now().Add(time.Second), time.Now().Add(100*time.Millisecond))
+			}
+		}},
+		{"a drained server", soak.Drain, func(w *world) {
+			w.Leaving("i-1", time.Now())
+			time.Sleep(3100 * time.Millisecond)
+			w.serve()
+		}},
+		{"a drained server and a VM that was cut off", "", func(w *world) {
+			w.Leaving("i-1", time.Now())
+			end := w.calm.Begin("vm-1", false)
+			time.Sleep(3 * time.Second)
+			end()
+			time.Sleep(3900 * time.Millisecond)
+			w.serve()
+		}},
+		{"a zone that is out", soak.Evac, func(w *world) {
+			w.ZoneOut("vantaa", time.Now())
+			time.Sleep(5100 * time.Millisecond)
+			w.serve()
+		}},
+		{"an old configuration", soak.Config, func(w *world) {
+			w.Accepted(version(2, "other"))
+			time.Sleep(3100 * time.Millisecond)
+			w.serve()
+		}},
+		{"a configuration that was in force falls back", soak.Config, func(w *world) {
+			w.Accepted(version(2, "other"))
+			w.run(w.send(one), "other")
+			time.Sleep(300 * time.Millisecond)
+			w.run(w.send(one), "desk")
+		}},
+		{"a service without a route", soak.Config, func(w *world) { w.run(w.send(one), "s1") }},
+		{"requests cut off by a planned stop", soak.Lost, func(w *world) {
+			defer w.calm.Begin("vm-1", true)()
+			id := w.send(one)
+			w.run(id, "desk")
+			w.answer(id, soak.Answer{Cut: true})
+		}},
+		{"a request that crosses a planned close", "", func(w *world) {
+			defer w.calm.Begin("vm-1", true)()
+			id := w.send(one)
+			time.Sleep(100 * time.Millisecond)
+			w.answer(id, soak.Answer{Cut: true})
+		}},
+		{"requests cut off without a reason", soak.Lost, func(w *world) {
+			for range 4 {
+				id := w.send(one)
+				w.run(id, "desk")
+				w.answer(id, soak.Answer{Cut: true})
+			}
+		}},
+		{"answers long after the time of the route", soak.Late, func(w *world) {
+			for range 8 {
+				id := w.send(one)
+				time.Sleep(1600 * time.Millisecond)
+				w.answer(id, soak.Answer{Status: 504})
+			}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(strings.ReplaceAll(test.name, " ", "_"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld()
+				time.Sleep(5 * time.Second)
+				test.play(w)
+				var broken []string
+				for _, f := range w.Findings() {
+					broken = append(broken, f.Promise)
+				}
+				if test.want == "" {
+					require.Empty(t, w.Findings())
+					return
+				}
+				require.Contains(t, broken, test.want)
+			})
+		})
+	}
+}
+
+func TestPlanRepeatsAndOverlaps(t *testing.T) {
+	plan := soak.Plan(7, time.Minute, soak.Faults(), 9)
+	require.Equal(t, plan, soak.Plan(7, time.Minute, soak.Faults(), 9))
+	require.NotEqual(t, plan, soak.Plan(8, time.Minute, soak.Faults(), 9))
+	overlaps := 0
+	for i := 1; i < len(plan); i++ {
+		if plan[i].At < plan[i-1].At+plan[i-1].For {
+			overlaps++
+		}
+		require.LessOrEqual(t, plan[i].At+plan[i].For, time.Minute)
+	}
+	require.Greater(t, overlaps, len(plan)/2)
+	require.Empty(t, soak.Plan(7, time.Minute, nil, 9))
+}
