Use no beliefs after standing still until the store has answered

Cause: a VM that was suspended for seconds answered by the configuration that it had before until its watch returned. The steady clock does not count a suspension, so that even the age of the beliefs seemed small and a route added meanwhile got 404. A VM that stands by refused every first caller, although its beliefs were often a second old.

Change: the follower compares the clock that counts suspensions, and its own ticks, with the start of the last call that was answered. After a gap of 1.5 s requests are refused, with a time to come back, until the store has answered; all keys are read at once. While the store does not answer, old beliefs serve as before. A VM that stands by serves while its beliefs are at most 2 s old, below the tightest bound of 3 s. Age replaces the time of confirmation. The follower published twice for a note; once is enough.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -188,20 +188,24 @@
 
 // brief is the short status of this VM.
 type brief struct {
-	VM          ident.VMID    `json:"vm"`
-	Ready       bool          `json:"ready"`
-	Version     ident.Version `json:"version"`
-	ConfirmedAt time.Time     `json:"confirmed"`
-	Members     int           `json:"members"`
-	Down        int           `json:"down"`
+	VM      ident.VMID    `json:"vm"`
+	Ready   bool          `json:"ready"`
+	Version ident.Version `json:"version"`
+	// Age is the time since the beliefs were known to be up to date.
+	Age     string `json:"age"`
+	Members int    `json:"members"`
+	Down    int    `json:"down"`
 }
 
 func (t *Tier) brief() brief {
 	view := t.follower.View()
 	b := brief{
-		VM: t.settings.VM.ID, Ready: t.gate.Ready(), ConfirmedAt: t.follower.ConfirmedAt(),
+		VM: t.settings.VM.ID, Ready: t.gate.Ready(),
 		Members: len(view.Members), Down: len(t.env.Health.Down()),
 	}
+	if age, known := t.follower.Age(time.Now()); known {
+		b.Age = age.Round(time.Millisecond).String()
+	}
 	if view.Table != nil {
 		b.Version = view.Table.Config().Version
 	}
--- a/internal/fleet/agent/fleet_test.go
+++ b/internal/fleet/agent/fleet_test.go
@@ -27,7 +27,11 @@
 	"github.com/samphirestair/samphirestair/internal/plat/vmlist"
 )
 
-const patience = 30 * time.Second
+const (
+	patience = 30 * time.Second
+	// auditEvery is the time between two looks for groups with two holders.
+	auditEvery = 2 * time.Millisecond
+)
 
 // memory is a key-value service in memory.
 type memory struct {
@@ -220,7 +224,9 @@
 	list   *platform
 	links  *links
 	config *view.Config
-	nodes  map[ident.VMID]*node
+	// mu guards nodes and their field alive against the watch.
+	mu    sync.Mutex
+	nodes map[ident.VMID]*node
 }
 
 func newFleet(t *testing.T, config *view.Config) *fleet {
@@ -232,7 +238,12 @@
 		config: config,
 		nodes:  map[ident.VMID]*node{},
 	}
+	stop := make(chan struct{})
+	var watch conc.WaitGroup
+	watch.Go(func() { f.watch(stop) })
 	t.Cleanup(func() {
+		close(stop)
+		watch.Wait()
 		for _, n := range f.nodes {
 			n.cancel()
 		}
@@ -278,6 +289,8 @@
 	n.cancel = func() { cancel(); client.Close() }
 	n.done.Go(func() { _ = server.Serve(ctx, l) })
 	n.done.Go(func() { n.agent.Run(ctx) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.nodes[vm] = n
 	return n
 }
@@ -303,28 +316,53 @@
 // kill stops a process without notice.
 func (f *fleet) kill(vm ident.VMID) {
 	n := f.nodes[vm]
+	f.mu.Lock()
 	n.alive = false
+	f.mu.Unlock()
 	n.cancel()
 	n.done.Wait()
 }
 
-// holders returns who holds each group, and fails the test if two do.
+// holders returns who holds each group, and fails the test if two VMs do at one
+// moment.
 func (f *fleet) holders() map[ident.GroupID]ident.VMID {
+	a := f.audit()
+	require.Empty(f.t, a.doubles, "groups with two holders")
 	held := map[ident.GroupID]ident.VMID{}
-	now := time.Now()
+	for group, h := range a.held {
+		held[group] = h.vm
+	}
+	return held
+}
+
+// audit reads the leases of all live processes.
+func (f *fleet) audit() *audit {
+	a := &audit{held: map[ident.GroupID]tenancy{}}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for vm, n := range f.nodes {
-		if !n.alive {
-			continue
+		if n.alive {
+			a.read(vm, n.views.Load())
 		}
-		for group, h := range n.views.Load().Holdings {
-			if !h.Valid(now) {
-				continue
+	}
+	return a
+}
+
+// watch looks for groups with two holders until the test ends.
+func (f *fleet) watch(stop <-chan struct{}) {
+	ticks := time.NewTicker(auditEvery)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ticks.C:
+			if doubles := f.audit().doubles; len(doubles) > 0 {
+				f.t.Errorf("groups with two holders: %v", doubles)
+				return
 			}
-			require.NotContains(f.t, held, group, "held by %s and %s", held[group], vm)
-			held[group] = vm
+		case <-stop:
+			return
 		}
 	}
-	return held
 }
 
 // agreed reports whether all groups are held and all live views route to their
--- a/internal/fleet/roster/follower.go
+++ b/internal/fleet/roster/follower.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/samphirestair/samphirestair/internal/base/boot"
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/base/sleep"
@@ -44,6 +45,10 @@
 	maxRetry = 600 * time.Millisecond
 	// tickEvery is the time between two looks for overdue registrations.
 	tickEvery = 200 * time.Millisecond
+	// stallLimit is the time without a tick, or in suspension, after which the
+	// beliefs have to be confirmed before they are used. A busy VM whose share of
+	// the processor is used up stands still for a tenth of a second.
+	stallLimit = 1500 * time.Millisecond
 	// watchAll is the prefix of all keys.
 	watchAll = ""
 )
@@ -55,6 +60,9 @@
 	Touch time.Duration
 	// Gather is the pause after a watch that told changes.
 	Gather time.Duration
+	// Suspended returns the time for which the machine has been suspended. nil
+	// means boot.Suspended.
+	Suspended func() time.Duration
 }
 
 // Follower keeps a Book up to date. Its goroutine is the only one that touches
@@ -65,9 +73,12 @@
 	options FollowerOptions
 
 	view atomic.Pointer[View]
-	// confirmedAt is the start of the last call that was answered.
-	confirmedAt atomic.Pointer[time.Time]
-	notes       chan note
+	// confirmed tells of the last call that was answered.
+	confirmed atomic.Pointer[confirmation]
+	// aliveAt is the last moment at which the process was seen running, and
+	// stalledAt the end of the last time in which it stood still.
+	aliveAt, stalledAt atomic.Pointer[time.Time]
+	notes              chan note
 	// registered is set while the VM's own registration is in the store.
 	registered atomic.Bool
 	// active is set unless the VM stands by while others serve callers.
@@ -83,11 +94,18 @@
 	loadedOnce sync.Once
 }
 
+// confirmation is the start of a call to the store, and the time for which the
+// machine had been suspended by then.
+type confirmation struct {
+	at        time.Time
+	suspended time.Duration
+}
+
 // note is something that the control goroutine has to enter in the book.
 type note struct {
-	// askedAt is the start of the call.
-	askedAt time.Time
-	batch   coll.Option[depot.Batch]
+	// asked is the start of the call.
+	asked confirmation
+	batch coll.Option[depot.Batch]
 	// whole marks a reading of all keys.
 	whole bool
 	err   error
@@ -97,6 +115,9 @@
 func NewFollower(d depot.Depot, book *Book, options FollowerOptions) *Follower {
 	options.Touch = coll.Positive(options.Touch, defaultTouch)
 	options.Gather = coll.Positive(options.Gather, defaultGather)
+	if options.Suspended == nil {
+		options.Suspended = boot.Suspended
+	}
 	f := &Follower{depot: d, book: book, options: options, notes: make(chan note)}
 	f.active.Store(true)
 	f.refresh, f.loaded = make(chan struct{}, 1), make(chan struct{})
@@ -109,13 +130,53 @@
 	return f.view.Load()
 }
 
-// ConfirmedAt returns the latest moment at which the beliefs were known to be
-// up to date. It is safe for concurrent use.
-func (f *Follower) ConfirmedAt() time.Time {
-	if at := f.confirmedAt.Load(); at != nil {
-		return *at
+// Age returns the time since the beliefs were last known to be up to date. known is
+// false before the first reading. It is safe for concurrent use.
+func (f *Follower) Age(now time.Time) (age time.Duration, known bool) {
+	last := f.confirmed.Load()
+	if last == nil {
+		return 0, false
+	}
+	return now.Sub(last.at) + max(f.options.Suspended()-last.suspended, 0), true
+}
+
+// Trusted reports whether the beliefs may be used: the VM has not stood still since
+// they were confirmed. If it has, they are brought up to date. It is safe for
+// concurrent use.
+func (f *Follower) Trusted(now time.Time) bool {
+	f.alive(now)
+	last := f.confirmed.Load()
+	if last == nil {
+		return false
+	}
+	stalledAt := f.stalledAt.Load()
+	stalled := stalledAt != nil && last.at.Before(*stalledAt)
+	if !stalled && f.options.Suspended()-last.suspended <= stallLimit {
+		return true
+	}
+	f.readAgain()
+	return false
+}
+
+// alive notes that the process runs, and whether it stood still before.
+func (f *Follower) alive(now time.Time) {
+	last := f.aliveAt.Swap(&now)
+	if last != nil && now.Sub(*last) > stallLimit {
+		f.stalledAt.Store(&now)
+	}
+}
+
+// readAgain ends a wait so that all keys are read.
+func (f *Follower) readAgain() {
+	select {
+	case f.refresh <- struct{}{}:
+	default:
 	}
-	return time.Time{}
+}
+
+// asking returns the start of a call that is made now.
+func (f *Follower) asking() confirmation {
+	return confirmation{at: time.Now(), suspended: f.options.Suspended()}
 }
 
 // Registered reports whether the VM's own registration was in the store when
@@ -149,18 +210,14 @@
 		return
 	}
 	f.fresh.Store(false)
-	if !active {
-		return
-	}
-	select {
-	case f.refresh <- struct{}{}:
-	default:
+	if active {
+		f.readAgain()
 	}
 }
 
 // Report notes the outcome of a call to the store that another part made.
-func (f *Follower) Report(ctx context.Context, askedAt time.Time, err error) {
-	f.send(ctx, note{askedAt: askedAt, err: err})
+func (f *Follower) Report(ctx context.Context, err error) {
+	f.send(ctx, note{err: err})
 }
 
 // Run follows the store until ctx ends.
@@ -181,9 +238,11 @@
 				f.loadedOnce.Do(func() { close(f.loaded) })
 			}
 		case <-ticker.C:
-			f.book.Tick(time.Now())
+			now := time.Now()
+			f.alive(now)
+			f.book.Tick(now)
+			f.publish()
 		}
-		f.publish()
 	}
 }
 
@@ -201,7 +260,7 @@
 		} else {
 			f.book.Apply(now, batch)
 		}
-		f.confirmedAt.Store(&n.askedAt)
+		f.confirmed.Store(&n.asked)
 	}
 }
 
@@ -217,7 +276,7 @@
 	revision, known := ident.Revision(0), false
 	timeout, failures := firstReadTimeout, 0
 	for ctx.Err() == nil {
-		askedAt := time.Now()
+		asked := f.asking()
 		var batch depot.Batch
 		var refresh bool
 		var err error
@@ -237,14 +296,14 @@
 		}
 		if err != nil {
 			known = known && !errors.Is(err, depot.ErrCompacted)
-			f.send(ctx, note{askedAt: askedAt, err: err})
+			f.send(ctx, note{err: err})
 			if failures++; failures > 1 {
 				sleep.For(ctx, retryPause())
 			}
 			continue
 		}
 		failures = 0
-		f.send(ctx, note{askedAt: askedAt, batch: coll.Some(batch), whole: !known})
+		f.send(ctx, note{asked: asked, batch: coll.Some(batch), whole: !known})
 		changed := len(batch.Items) > 0 && known
 		revision, known = max(revision, batch.Revision), true
 		if changed && f.rest(ctx) {
--- a/internal/fleet/roster/follower_test.go
+++ b/internal/fleet/roster/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,10 +17,15 @@
 // follow runs a follower and a registrar against a stand-in store in a bubble
 // of synthetic time.
 func follow(t *testing.T, test func(store *depsrv.Store, f *roster.Follower, r *roster.Registrar)) {
+	t.Helper()
+	followWith(t, roster.FollowerOptions{}, test)
+}
+
+func followWith(t *testing.T, options roster.FollowerOptions, test func(store *depsrv.Store, f *roster.Follower, r *roster.Registrar)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		store := depsrv.New()
-		f := roster.NewFollower(store, roster.NewBook("vm-1", plainReader{}, nil), roster.FollowerOptions{})
+		f := roster.NewFollower(store, roster.NewBook("vm-1", plainReader{}, nil), options)
 		r := roster.NewRegistrar(store, f, roster.Member{VM: "vm-1", Caller: "10.0.0.1:80"}, nil)
 		ctx, cancel := context.WithCancel(t.Context())
 		var running conc.WaitGroup
@@ -68,6 +74,37 @@
 	})
 }
 
+// A VM that was suspended, or stood still, uses nothing that it believed before until
+// the store has answered.
+func TestVMThatStoodStillWaitsForTheStore(t *testing.T) {
+	var suspended atomic.Int64
+	options := roster.FollowerOptions{Suspended: func() time.Duration { return time.Duration(suspended.Load()) }}
+	followWith(t, options, func(store *depsrv.Store, f *roster.Follower, r *roster.Registrar) {
+		store.Set("config:", encode(1))
+		time.Sleep(5 * time.Second)
+		require.True(t, r.Serving())
+		require.True(t, r.Usable(time.Now()))
+
+		suspended.Add(int64(10 * time.Second))
+		require.False(t, r.Usable(time.Now()))
+		age, _ := f.Age(time.Now())
+		require.Greater(t, age, 10*time.Second)
+		time.Sleep(50 * time.Millisecond)
+		require.True(t, r.Usable(time.Now()), "the store has answered")
+
+		require.False(t, r.Usable(time.Now().Add(5*time.Second)), "no tick for 5 s")
+		time.Sleep(5 * time.Second)
+		require.False(t, r.Usable(time.Now()))
+		time.Sleep(50 * time.Millisecond)
+		require.True(t, r.Usable(time.Now()), "the store has answered")
+
+		store.SetFaults(depsrv.Faults{Down: true})
+		suspended.Add(int64(10 * time.Second))
+		time.Sleep(3 * time.Second)
+		require.True(t, r.Usable(time.Now()), "while the store is down, old beliefs are better than none")
+	})
+}
+
 // A watch hears nothing while the configuration changes, and the history is
 // dropped: the VM is up to date again within the time to be in touch.
 func TestDeafWatchIsNoticedInTime(t *testing.T) {
@@ -96,7 +133,9 @@
 		time.Sleep(10 * time.Minute)
 		require.Len(t, f.View().Replicas("a"), 1)
 		require.EqualValues(t, 3, f.View().Table.Config().Version)
-		require.Greater(t, time.Since(f.ConfirmedAt()), 9*time.Minute)
+		age, known := f.Age(time.Now())
+		require.True(t, known)
+		require.Greater(t, age, 9*time.Minute)
 	})
 }
 
--- a/internal/fleet/roster/registrar.go
+++ b/internal/fleet/roster/registrar.go
@@ -26,6 +26,9 @@
 	renewEvery = 1200 * time.Millisecond
 	// dutyEvery is the time between two looks whether this VM is to serve.
 	dutyEvery = 200 * time.Millisecond
+	// recentBeliefs is the age up to which the beliefs of a VM that stands by serve
+	// a caller. It stays below the tightest bound on a change, 3 s.
+	recentBeliefs = 2 * time.Second
 	// callTimeout bounds one call of the registrar.
 	callTimeout = time.Second
 )
@@ -61,21 +64,27 @@
 	return r.serving.Load()
 }
 
-// Usable reports whether this VM's beliefs may serve a caller. If they are old,
-// because it stands by, they are brought up to date; while the store does not
-// answer, old ones are better than none. It is safe for concurrent use.
+// Usable reports whether this VM's beliefs may serve a caller. Those of a VM that
+// stands by may be old, and those of one that stood still are; they are brought up to
+// date then. While the store does not answer, old ones are better than none. It is
+// safe for concurrent use.
 func (r *Registrar) Usable(now time.Time) bool {
-	if r.serving.Load() {
+	if r.follower.Lost() {
 		return true
 	}
+	trusted := r.follower.Trusted(now)
+	if r.serving.Load() {
+		return trusted
+	}
 	r.mu.Lock()
 	r.duty.askedAt = now
 	r.mu.Unlock()
-	if r.follower.Fresh() || r.follower.Lost() {
-		return true
+	if r.follower.Fresh() {
+		return trusted
 	}
 	r.follower.SetActive(true)
-	return false
+	age, known := r.follower.Age(now)
+	return trusted && known && age <= recentBeliefs
 }
 
 // Leave announces that the VM takes no new callers. It does not wait.
@@ -183,7 +192,6 @@
 func (r *Registrar) register(ctx context.Context, lease depot.LeaseID, member Member) (depot.LeaseID, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	askedAt := time.Now()
 	var err error
 	if lease == 0 {
 		lease, err = r.depot.Grant(ctx, memberLease)
@@ -191,7 +199,7 @@
 	if err == nil {
 		err = r.put(ctx, lease, member)
 	}
-	r.follower.Report(ctx, askedAt, err)
+	r.follower.Report(ctx, err)
 	if err != nil {
 		return 0, err
 	}
@@ -212,9 +220,8 @@
 func (r *Registrar) renew(ctx context.Context, lease depot.LeaseID) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	askedAt := time.Now()
 	err := r.depot.Renew(ctx, lease)
-	r.follower.Report(ctx, askedAt, err)
+	r.follower.Report(ctx, err)
 	if err != nil {
 		r.events.Sample("renewal_failed", string(r.self), err.Error())
 	}
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -50,9 +50,8 @@
 // Beliefs is what this VM believes about the fleet.
 type Beliefs interface {
 	View() *roster.View
-	// ConfirmedAt is the latest moment at which the beliefs were known to be up
-	// to date.
-	ConfirmedAt() time.Time
+	// Age is the time since the beliefs were known to be up to date.
+	Age(now time.Time) (age time.Duration, known bool)
 }
 
 // Peers tells how the other VMs are heard.
@@ -179,7 +178,7 @@
 	}
 	if !g.deps.Usable(arrived) {
 		ctx.SetConnectionClose()
-		g.refuse(ctx, id, "standing by, and the beliefs are old", unreadyRetry)
+		g.refuse(ctx, id, "the beliefs are old: the VM stands by, or stood still", unreadyRetry)
 		return
 	}
 	target, err := parseTarget(ctx)
@@ -217,7 +216,7 @@
 // unknownRoute answers a request that no route matches. While it is in doubt
 // whether the configuration is up to date, the caller may try again.
 func (g *Gate) unknownRoute(ctx *fasthttp.RequestCtx, id string, now time.Time) {
-	if age := now.Sub(g.deps.Beliefs.ConfirmedAt()); age > doubtAfter {
+	if age, known := g.deps.Beliefs.Age(now); !known || age > doubtAfter {
 		g.refuse(ctx, id, "no route known, and the configuration was last confirmed "+age.String()+" ago", unreadyRetry)
 		return
 	}
--- a/internal/front/gate/gate_test.go
+++ b/internal/front/gate/gate_test.go
@@ -36,8 +36,9 @@
 func (t *tier) Silent(vm ident.VMID) bool { return t.silent.Has(vm) }
 func (t *tier) CutOff() bool              { return t.cutOff }
 
-func (t *tier) View() *roster.View     { return t.view }
-func (t *tier) ConfirmedAt() time.Time { return t.confirmedAt }
+func (t *tier) View() *roster.View { return t.view }
+
+func (t *tier) Age(now time.Time) (time.Duration, bool) { return now.Sub(t.confirmedAt), true }
 
 func (t *tier) Run(request runner.Request) runner.Answer {
 	t.requests <- request
