Admit requests as far as backend servers bear them

Cause: with six times the callers (1.26 times the capacity) both small sites served a fifth of the searches in time. Every search was taken on, a few of its 20 shards met full servers, its other sub-requests ran for nothing, and its caller asked again: the collapse of a tier without admission.

Change: the admission plug-ins of serve get one for entries that hold a small part of the traffic, room: one bound for a service on the searches under way, in parts of a request, which grows additively and is cut when full servers refuse a quarter of a request's attempts. A request without room waits for a fifth of the time to its goal if few wait already, others are refused at once; classes share in proportion to what they ask for, the most important one with a lead. A refused caller may return while its answer can still be in time.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -27,6 +27,7 @@
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/plat/depot"
 	"github.com/samphirestair/samphirestair/internal/plat/heads"
+	"github.com/samphirestair/samphirestair/internal/query/admit"
 	"github.com/samphirestair/samphirestair/internal/query/choose"
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
 	"github.com/samphirestair/samphirestair/internal/query/relay"
@@ -110,7 +111,15 @@
 	if err = t.buildEnv(); err != nil {
 		return nil, err
 	}
-	run := runner.New(runner.Deps{Env: t.env, Sender: t.pool, Beliefs: t.follower, Events: t.events, Metrics: t.metrics})
+	newAdmit, err := admit.Policies.Lookup("room")
+	if err != nil {
+		return nil, errors.Wrap(err, "tier: policies")
+	}
+	admission, ok := newAdmit(admit.Options{}).(admit.Queue)
+	if !ok {
+		return nil, errors.New("tier: requests can't wait under this admission policy")
+	}
+	run := runner.New(runner.Deps{Env: t.env, Admit: admission, Sender: t.pool, Beliefs: t.follower, Events: t.events, Metrics: t.metrics})
 	t.gate = gate.New(gate.Deps{
 		Runner: run, Beliefs: t.follower, Self: self,
 		Serving: t.registrar.Serving, Usable: t.registrar.Usable, Peers: t.pulse.Table(),
--- a/internal/query/admit/policy.go
+++ b/internal/query/admit/policy.go
@@ -39,11 +39,20 @@
 // Decision is the answer to one request.
 type Decision struct {
 	Admitted bool
-	// Reason and RetryAfter are set for refusals.
+	// Turn is set if the request may wait for room. Leave ends the wait.
+	Turn *Turn
+	// Reason and RetryAfter are set unless it is admitted.
 	Reason     string
 	RetryAfter time.Duration
 }
 
+// Queue is a Policy whose requests may wait.
+type Queue interface {
+	Policy
+	// Leave ends a wait and reports whether the request is admitted.
+	Leave(turn *Turn) bool
+}
+
 // Options tunes policies. The zero value is useful.
 type Options struct {
 	// Concurrency is the largest number of admitted requests of one service.
--- /dev/null
+++ b/internal/query/admit/room_test.go
@@ -0,0 +1,133 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/query/admit"
+)
+
+func newRoom(t *testing.T) admit.Queue {
+	t.Helper()
+	queue, ok := newPolicy(t, "room", admit.Options{}).(admit.Queue)
+	require.True(t, ok)
+	return queue
+}
+
+// fill admits requests until one has to wait, and returns how many were.
+func fill(t *testing.T, queue admit.Queue, now time.Time) (admitted int, waiting *admit.Turn) {
+	t.Helper()
+	for admitted < 1000 {
+		decision := queue.Admit(now, request(now, 0))
+		if !decision.Admitted {
+			require.NotNil(t, decision.Turn)
+			return admitted, decision.Turn
+		}
+		admitted++
+	}
+	require.Fail(t, "no bound")
+	return 0, nil
+}
+
+func TestRequestWaitsForRoom(t *testing.T) {
+	queue, now := newRoom(t), time.Unix(0, 0)
+	_, turn := fill(t, queue, now)
+	require.Greater(t, turn.Until, now)
+	require.Less(t, turn.Until.Sub(now), 200*time.Millisecond/4, "a refusal leaves time to come back")
+	queue.Done(now, request(now, 0), admit.Outcome{})
+	queue.Done(now, request(now, 0), admit.Outcome{})
+	select {
+	case <-turn.Granted:
+	default:
+		require.Fail(t, "not granted")
+	}
+	require.True(t, queue.Leave(turn))
+}
+
+func TestRequestThatWaitsInVainIsRefused(t *testing.T) {
+	queue, now := newRoom(t), time.Unix(0, 0)
+	_, turn := fill(t, queue, now)
+	for {
+		decision := queue.Admit(now, request(now, 0))
+		require.False(t, decision.Admitted)
+		require.Positive(t, decision.RetryAfter)
+		if decision.Turn == nil {
+			break
+		}
+	}
+	require.False(t, queue.Leave(turn))
+}
+
+// Full servers cut the room; requests that are only slow do not.
+func TestRoomIsCutByFullServersAlone(t *testing.T) {
+	queue, now := newRoom(t), time.Unix(0, 0)
+	before, turn := fill(t, queue, now)
+	require.False(t, queue.Leave(turn))
+	for range before {
+		queue.Done(now.Add(time.Minute), request(now, 0), admit.Outcome{Took: time.Second, Late: true})
+	}
+	now = now.Add(time.Hour)
+	after, turn := fill(t, queue, now)
+	require.False(t, queue.Leave(turn))
+	require.GreaterOrEqual(t, after, before)
+	for range after {
+		now = now.Add(time.Second)
+		queue.Done(now, request(now, 0), admit.Outcome{Took: time.Millisecond, Overloaded: true})
+	}
+	cut, _ := fill(t, queue, now)
+	require.Less(t, cut, before)
+}
+
+// Two classes ask for more than there is room for: both are served, the more
+// important one no less often.
+func TestClassesShareTheRoom(t *testing.T) {
+	queue, now := newRoom(t), time.Unix(0, 0)
+	asked, got := [2]int{}, [2]int{}
+	var running []admit.Request
+	type wait struct {
+		class int
+		turn  *admit.Turn
+	}
+	var waiting []wait
+	for step := range 4000 {
+		now = now.Add(time.Millisecond)
+		for class := range 2 {
+			r := request(now, ident.Class(class))
+			asked[class]++
+			switch decision := queue.Admit(now, r); {
+			case decision.Admitted:
+				got[class]++
+				running = append(running, r)
+			case decision.Turn != nil:
+				waiting = append(waiting, wait{class, decision.Turn})
+			}
+		}
+		if step%4 == 0 && len(running) > 0 {
+			queue.Done(now, running[0], admit.Outcome{Took: 5 * time.Millisecond, Overloaded: step%40 == 0})
+			running = running[1:]
+		}
+		var left []wait
+		for _, w := range waiting {
+			select {
+			case <-w.turn.Granted:
+				require.True(t, queue.Leave(w.turn))
+				got[w.class]++
+				running = append(running, request(now, ident.Class(w.class)))
+				continue
+			default:
+			}
+			if now.After(w.turn.Until) {
+				require.False(t, queue.Leave(w.turn))
+				continue
+			}
+			left = append(left, w)
+		}
+		waiting = left
+	}
+	important, less := float64(got[0])/float64(asked[0]), float64(got[1])/float64(asked[1])
+	require.GreaterOrEqual(t, important, less)
+	require.Greater(t, less, important/4)
+}
--- a/internal/query/runner/runner.go
+++ b/internal/query/runner/runner.go
@@ -5,6 +5,8 @@
 
 import (
 	"log/slog"
+	"math"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -16,6 +18,7 @@
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
+	"github.com/samphirestair/samphirestair/internal/query/admit"
 	"github.com/samphirestair/samphirestair/internal/query/relay"
 )
 
@@ -71,8 +74,10 @@
 
 // Deps are what a Runner needs.
 type Deps struct {
-	Env     *relay.Env
-	Sender  Sender
+	Env    *relay.Env
+	Sender Sender
+	// Admit decides which requests are taken on.
+	Admit   admit.Queue
 	Beliefs Beliefs
 	Events  *events.Recorder
 	Metrics *metrics.Set
@@ -93,6 +98,18 @@
 func (r *Runner) Run(request Request) Answer {
 	f := &flight{runner: r, request: request, wake: make(chan struct{}, 1)}
 	defer r.meters.enter()()
+	f.asked = f.admission()
+	if refusal, refused := f.enter(); refused {
+		r.report(f, refusal)
+		return refusal
+	}
+	admitted := time.Now()
+	defer func() {
+		now := time.Now()
+		r.deps.Admit.Done(now, f.asked, admit.Outcome{
+			Took: now.Sub(admitted), Late: now.After(f.asked.Deadline), Overloaded: f.overloaded(),
+		})
+	}()
 	plan := relay.Plan{Route: request.Route, Service: request.Service, Arrived: request.Arrived, Overhead: request.Overhead, Deadline: deadline(request)}
 	query, sends := relay.New(r.deps.Env, plan, time.Now())
 	f.query = query
@@ -102,6 +119,65 @@
 	return answer
 }
 
+// admission is what the admission of a request depends on: the service, that of the
+// first shard for a search, whose searches share their servers; the rank; and the
+// goal, since a later answer is worth little.
+func (f *flight) admission() admit.Request {
+	route := f.request.Route
+	ask := admit.Request{Service: f.request.Service, Class: ident.Class(min(max(route.Rank, 0), math.MaxUint8))}
+	if route.IsSearch() {
+		ask.Service = route.Shards[0]
+	}
+	aim := route.Goal
+	if aim <= 0 {
+		aim = route.Timeout
+	}
+	ask.Deadline = f.request.Arrived.Add(aim - min(f.request.Overhead, aim/4))
+	return ask
+}
+
+// enter asks for admission and waits for room. It returns the answer if there is
+// none, or if the caller leaves first.
+func (f *flight) enter() (answer Answer, refused bool) {
+	admission := f.runner.deps.Admit
+	decision := admission.Admit(time.Now(), f.asked)
+	if turn := decision.Turn; turn != nil {
+		timer := time.NewTimer(time.Until(turn.Until))
+		defer timer.Stop()
+		left := false
+		select {
+		case <-turn.Granted:
+		case <-timer.C:
+		case <-f.request.Gone:
+			left = true
+		}
+		decision.Admitted = admission.Leave(turn)
+		if left {
+			if decision.Admitted {
+				admission.Done(time.Now(), f.asked, admit.Outcome{})
+			}
+			return Answer{Gone: true}, true
+		}
+	}
+	if decision.Admitted {
+		return Answer{}, false
+	}
+	return Answer{Outcome: relay.Outcome{
+		Verdict: relay.Refused, Reason: decision.Reason, RetryAfter: decision.RetryAfter + rand.N(decision.RetryAfter),
+	}}, true
+}
+
+// fullShare is the share of the attempts that full servers have to refuse before a
+// request counts as a sign of overload. A few of the servers of a search may be full
+// while the others are free.
+const fullShare = 0.25
+
+// overloaded reports whether backend servers refused many attempts of the request
+// because they were full.
+func (f *flight) overloaded() bool {
+	return float64(f.full) > fullShare*float64(len(f.calls))
+}
+
 // deadline is the time by which the answer has to leave.
 func deadline(request Request) time.Time {
 	wait := request.Route.Timeout
@@ -115,9 +191,11 @@
 type flight struct {
 	runner  *Runner
 	request Request
-	query   *relay.Query
-	calls   []sent
-	wake    chan struct{}
+	// asked is what the request asked of the admission.
+	asked admit.Request
+	query *relay.Query
+	calls []sent
+	wake  chan struct{}
 
 	mu      sync.Mutex
 	replies []reply
@@ -125,6 +203,10 @@
 	// from.
 	over bool
 
+	// full counts the attempts that backend servers refused because they were
+	// full.
+	full int
+
 	// waiting lists the attempts without a reply when the request was answered.
 	waiting []string
 
@@ -221,6 +303,7 @@
 	f.mu.Unlock()
 	now := time.Now()
 	for _, r := range replies {
+		f.learnLoad(now, &r)
 		meaning := f.interpret(now, r)
 		if meaning.Kind != relay.Served {
 			f.trace("attempt_failed", meaning.Reason, slog.Int("shard", r.shard), slog.Int("attempt", r.attempt),
@@ -232,6 +315,20 @@
 	}
 }
 
+// learnLoad takes what an answer told of its server's queue.
+func (f *flight) learnLoad(now time.Time, r *reply) {
+	result := &r.result
+	if result.Slots == 0 {
+		return
+	}
+	if result.Fate == pool.NotRun && !result.Misdirected && result.Running >= result.Slots {
+		f.full++
+	}
+	perSlot := float64(result.Waiting) / float64(result.Slots)
+	wait := time.Duration(perSlot * float64(now.Sub(r.sentAt)) / (1 + perSlot))
+	f.runner.deps.Admit.Observe(now, f.asked.Service, f.asked.Class, wait, 0)
+}
+
 // keep keeps what the answer to the caller needs.
 func (f *flight) keep(r reply, counts bool) {
 	if f.request.Route.IsSearch() {
@@ -317,7 +414,11 @@
 	if kind == "request_answered" {
 		return
 	}
-	f.trace(kind, answer.Reason, slog.Duration("took", took), slog.Int("parts", f.query.Parts()), slog.Int("missing", answer.Missing),
+	parts := 0
+	if f.query != nil {
+		parts = f.query.Parts()
+	}
+	f.trace(kind, answer.Reason, slog.Duration("took", took), slog.Int("parts", parts), slog.Int("missing", answer.Missing),
 		slog.Int("attempts", len(f.calls)), slog.String("waiting", strings.Join(f.waiting, ",")), slog.Uint64("version", uint64(r.version())), slog.Duration("retry_after", answer.RetryAfter))
 }
 
