Read the last of many configurations in one batch

Only the last could ever be used.

Change: of the configurations in one batch the last one that can be used is taken. Test: TestStormOfConfigurationsIsReadOnce (30 reads before).

--- a/internal/fleet/roster/book.go
+++ b/internal/fleet/roster/book.go
@@ -126,16 +126,32 @@
 // Apply takes changes that a watch told.
 func (b *Book) Apply(now time.Time, batch depot.Batch) {
 	b.Answered(now)
+	var configs []depot.Item
 	for _, item := range batch.Items {
-		if item.Deleted {
+		switch {
+		case item.Deleted:
 			b.remove(now, item)
-			continue
+		case b.isConfig(item):
+			configs = append(configs, item)
+		default:
+			b.take(now, item)
+		}
+	}
+	// Of many configurations only the last one that can be used is worth the time
+	// that it takes to read it.
+	for _, item := range slices.Backward(configs) {
+		if b.takeConfig(item) {
+			break
 		}
-		b.take(now, item)
 	}
 	b.Tick(now)
 }
 
+func (b *Book) isConfig(item depot.Item) bool {
+	kind, _ := b.reader.Subject(item.Key)
+	return kind == KindConfig
+}
+
 // Tick forgets the registrations whose time to come back is over.
 func (b *Book) Tick(now time.Time) {
 	for id, r := range b.servers {
@@ -200,24 +216,25 @@
 
 // takeConfig puts a configuration in force unless it is older than that in
 // force, or can't be used.
-func (b *Book) takeConfig(item depot.Item) {
+func (b *Book) takeConfig(item depot.Item) (usable bool) {
 	config, err := b.reader.Config(item.Value)
 	if err != nil {
 		b.events.Record("config_unusable", item.Key, err.Error(), slog.Uint64("revision", uint64(item.Revision)))
-		return
+		return false
 	}
 	if b.table != nil && config.Version <= b.table.Config().Version {
-		return
+		return true
 	}
 	table, err := routes.NewTable(config)
 	if err != nil {
 		b.events.Record("config_unusable", item.Key, err.Error(), slog.Uint64("version", uint64(config.Version)))
-		return
+		return false
 	}
 	b.table = table
 	b.changed = true
 	b.events.Record("config_in_force", item.Key, "newer version",
 		slog.Uint64("version", uint64(config.Version)), slog.Int("routes", len(config.Routes)), slog.Uint64("revision", uint64(item.Revision)))
+	return true
 }
 
 func (b *Book) takeServer(now time.Time, id string, item depot.Item) {
--- a/internal/fleet/roster/book_test.go
+++ b/internal/fleet/roster/book_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/plat/depot"
 )
@@ -58,6 +59,39 @@
 	require.EqualValues(t, 7, d.View().Table.Config().Version)
 }
 
+// countingReader counts the configurations that are read.
+type countingReader struct {
+	plainReader
+	configs *int
+}
+
+func (r countingReader) Config(value []byte) (*routes.Config, error) {
+	*r.configs++
+	return r.plainReader.Config(value)
+}
+
+// A storm of configurations arrives in one batch: one of them is read, or as many as
+// it takes to find one that can be used.
+func TestStormOfConfigurationsIsReadOnce(t *testing.T) {
+	read := 0
+	book := roster.NewBook("vm-1", countingReader{configs: &read}, nil)
+	storm := depot.Batch{Revision: 30}
+	for version := range 30 {
+		storm.Items = append(storm.Items, depot.Item{Key: "config:", Value: encode(version + 1), Revision: ident.Revision(version + 1)})
+	}
+	book.Apply(time.Now(), storm)
+	require.Equal(t, 1, read)
+	require.EqualValues(t, 30, book.View().Table.Config().Version)
+
+	book.Apply(time.Now(), depot.Batch{Revision: 33, Items: []depot.Item{
+		{Key: "config:", Value: encode(31), Revision: 31},
+		{Key: "config:", Value: encode(32), Revision: 32},
+		{Key: "config:", Value: []byte("{"), Revision: 33},
+	}})
+	require.Equal(t, 3, read)
+	require.EqualValues(t, 32, book.View().Table.Config().Version)
+}
+
 func TestDrainingServerGetsNothing(t *testing.T) {
 	d := newDesk()
 	s := registered()
