Name three packages by four to six letters

The house rule asks for names of four to six letters: query/run becomes query/course, ops/cli ops/cmdln, link/cut link/sever.

--- a/cmd/samphirestair/main.go
+++ b/cmd/samphirestair/main.go
@@ -17,7 +17,7 @@
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/core/node"
 	"github.com/samphirestair/samphirestair/internal/core/tier"
-	"github.com/samphirestair/samphirestair/internal/ops/cli"
+	"github.com/samphirestair/samphirestair/internal/ops/cmdln"
 	"github.com/samphirestair/samphirestair/internal/ops/fetch"
 	"github.com/samphirestair/samphirestair/internal/plat/httpc"
 	"github.com/samphirestair/samphirestair/internal/plat/store"
@@ -36,7 +36,7 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	command := cli.New(cli.Deps{
+	command := cmdln.New(cmdln.Deps{
 		Serve:       serve,
 		Forward:     forward,
 		Store:       newStore,
--- a/internal/core/node/links.go
+++ b/internal/core/node/links.go
@@ -3,12 +3,12 @@
 import (
 	"net"
 
-	"github.com/samphirestair/samphirestair/internal/link/cut"
+	"github.com/samphirestair/samphirestair/internal/link/sever"
 )
 
 // controlFilter applies the cut links of a test to control calls.
 type controlFilter struct {
-	table *cut.Table
+	table *sever.Table
 }
 
 // Allowed implements ctrl.Filter.
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -18,8 +18,8 @@
 	"github.com/samphirestair/samphirestair/internal/fleet/lease"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/front/caller"
-	"github.com/samphirestair/samphirestair/internal/link/cut"
 	"github.com/samphirestair/samphirestair/internal/link/mesh"
+	"github.com/samphirestair/samphirestair/internal/link/sever"
 	"github.com/samphirestair/samphirestair/internal/ops/admin"
 	"github.com/samphirestair/samphirestair/internal/owner/home"
 	"github.com/samphirestair/samphirestair/internal/owner/sender"
@@ -41,7 +41,7 @@
 	events   *events.Recorder
 	self     view.Member
 	views    *view.Holder
-	cuts     *cut.Table
+	cuts     *sever.Table
 
 	client   *ctrl.Client
 	control  *ctrl.Server
@@ -65,7 +65,7 @@
 		self:     selfOf(settings, time.Now()),
 	}
 	if settings.Test.Faults {
-		n.cuts = &cut.Table{}
+		n.cuts = &sever.Table{}
 	}
 	n.events = events.New(n.logger, n.metrics)
 	n.buildLinks()
--- a/internal/front/caller/answer.go
+++ b/internal/front/caller/answer.go
@@ -11,8 +11,8 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/query/course"
 	"github.com/samphirestair/samphirestair/internal/query/entry"
-	"github.com/samphirestair/samphirestair/internal/query/run"
 )
 
 // answer is the body of every answer to a request.
@@ -60,20 +60,20 @@
 	}
 	status := http.StatusOK
 	switch result.Outcome {
-	case run.OutcomeNotRun:
+	case course.OutcomeNotRun:
 		status = http.StatusServiceUnavailable
 		body.Error = &failure{Code: codeNotRun, Message: result.Reason}
 		c.Set(fiber.HeaderRetryAfter, wholeSeconds(result.RetryAfter))
-	case run.OutcomeUnknown:
+	case course.OutcomeUnknown:
 		status = statusOfUnknown(result.Reason)
 		body.Error = &failure{Code: codeOutcomeLost, Message: result.Reason}
-	case run.OutcomeFull, run.OutcomePartial, run.OutcomeDone:
+	case course.OutcomeFull, course.OutcomePartial, course.OutcomeDone:
 	}
 	return send(c, status, body)
 }
 
 func statusOfUnknown(reason string) int {
-	if reason == run.ReasonDeadline {
+	if reason == course.ReasonDeadline {
 		return http.StatusGatewayTimeout
 	}
 	return http.StatusBadGateway
@@ -97,7 +97,7 @@
 func replyRejected(c fiber.Ctx, id string, rejected *rejection) error {
 	return send(c, rejected.status, answer{
 		Request: id,
-		Outcome: run.OutcomeNotRun.String(),
+		Outcome: course.OutcomeNotRun.String(),
 		Error:   &rejected.failure,
 	})
 }
--- a/internal/front/caller/server_test.go
+++ b/internal/front/caller/server_test.go
@@ -19,8 +19,8 @@
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/front/caller"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/query/course"
 	"github.com/samphirestair/samphirestair/internal/query/entry"
-	"github.com/samphirestair/samphirestair/internal/query/run"
 )
 
 var now = time.Unix(1_800_000_000, 0)
@@ -120,20 +120,20 @@
 
 func TestAnswers(t *testing.T) {
 	c := newClient(t)
-	whole := run.Result{Outcome: run.OutcomeFull, Version: 4, Answered: 2, Of: 2}
+	whole := course.Result{Outcome: course.OutcomeFull, Version: 4, Answered: 2, Of: 2}
 	found := whole
 	found.Hits = []msgs.Hit{{ID: "b", Score: 2.5, Doc: []byte(`{"x":1}`)}, {ID: "a", Score: 1, Doc: []byte("not json")}}
 	empty := whole
 	empty.Hits = []msgs.Hit{}
-	read := run.Result{Outcome: run.OutcomeFull, Version: 4, Answered: 1, Of: 1, Body: []byte(`{"sofa":3}`)}
-	partial := run.Result{Outcome: run.OutcomePartial, Version: 4, Answered: 1, Of: 2, Reason: run.ReasonDeadline, Hits: found.Hits[:1]}
-	done := run.Result{Outcome: run.OutcomeDone, Version: 4, Answered: 1, Of: 1, Body: []byte("booked")}
-	notRun := run.Result{Outcome: run.OutcomeNotRun, Reason: "too many requests", RetryAfter: 1200 * time.Millisecond}
-	late := run.Result{Outcome: run.OutcomeUnknown, Reason: run.ReasonDeadline}
-	lost := run.Result{Outcome: run.OutcomeUnknown, Reason: "the connection to the home was lost"}
+	read := course.Result{Outcome: course.OutcomeFull, Version: 4, Answered: 1, Of: 1, Body: []byte(`{"sofa":3}`)}
+	partial := course.Result{Outcome: course.OutcomePartial, Version: 4, Answered: 1, Of: 2, Reason: course.ReasonDeadline, Hits: found.Hits[:1]}
+	done := course.Result{Outcome: course.OutcomeDone, Version: 4, Answered: 1, Of: 1, Body: []byte("booked")}
+	notRun := course.Result{Outcome: course.OutcomeNotRun, Reason: "too many requests", RetryAfter: 1200 * time.Millisecond}
+	late := course.Result{Outcome: course.OutcomeUnknown, Reason: course.ReasonDeadline}
+	lost := course.Result{Outcome: course.OutcomeUnknown, Reason: "the connection to the home was lost"}
 
 	var text strings.Builder
-	ask := func(result run.Result, path, body string, headers ...string) {
+	ask := func(result course.Result, path, body string, headers ...string) {
 		c.runner.result = entry.Result{Result: result}
 		text.WriteString(c.do(t, http.MethodPost, path, body, headers...))
 	}
@@ -171,7 +171,7 @@
 	ask("/v1/search/desk", `{}`, "X-Request-Id: "+strings.Repeat("x", 300))
 	ask("/v1/nothing", ``)
 	for _, fault := range []entry.Fault{entry.FaultService, entry.FaultAction, entry.FaultDeadline} {
-		c.runner.result = entry.Result{Fault: fault, Result: run.Result{Outcome: run.OutcomeNotRun, Reason: "the reason"}}
+		c.runner.result = entry.Result{Fault: fault, Result: course.Result{Outcome: course.OutcomeNotRun, Reason: "the reason"}}
 		ask("/v1/action/desk/book", ``, key)
 	}
 	goldie.New(t).Assert(t, "rejections", []byte(text.String()))
--- a/internal/lab/story/caller.go
+++ b/internal/lab/story/caller.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/query/course"
 	"github.com/samphirestair/samphirestair/internal/query/entry"
-	"github.com/samphirestair/samphirestair/internal/query/run"
 )
 
 // callerLatency is the one-way latency between callers and VMs.
@@ -49,7 +49,7 @@
 
 func resultText(result entry.Result) string {
 	text := fmt.Sprintf("%q", result.Outcome)
-	if result.Of > 0 && result.Outcome != run.OutcomeDone {
+	if result.Of > 0 && result.Outcome != course.OutcomeDone {
 		text += fmt.Sprintf(": %d of %d shards of version %d", result.Answered, result.Of, result.Version)
 	}
 	for _, hit := range result.Hits {
--- a/internal/lab/story/story_test.go
+++ b/internal/lab/story/story_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/lab/story"
-	"github.com/samphirestair/samphirestair/internal/query/run"
+	"github.com/samphirestair/samphirestair/internal/query/course"
 )
 
 const (
@@ -40,7 +40,7 @@
 	tell(t, "straggler", "A server is slow: its shard is asked at a second replica, and the loser is cancelled",
 		func(t *testing.T, f *story.Fleet) {
 			f.Servers["packs/vantaa-0"].Work(100 * time.Millisecond)
-			require.Equal(t, run.OutcomeFull, f.Search(lahti, 0).Outcome)
+			require.Equal(t, course.OutcomeFull, f.Search(lahti, 0).Outcome)
 		})
 }
 
@@ -50,7 +50,7 @@
 			f.Servers["packs/vantaa-1"].Work(time.Second)
 			f.Servers["packs/espoo-1"].Work(time.Second)
 			result := f.Search(lahti, 0)
-			require.Equal(t, run.OutcomePartial, result.Outcome)
+			require.Equal(t, course.OutcomePartial, result.Outcome)
 			require.Equal(t, 1, result.Answered)
 			require.Equal(t, 2, result.Of)
 			require.Len(t, result.Hits, 1)
@@ -61,10 +61,10 @@
 	tell(t, "refusal", "A deadline that can't be met is refused at once, and the caller is told when to come back",
 		func(t *testing.T, f *story.Fleet) {
 			refused := f.Search(lahti, 3*time.Millisecond)
-			require.Equal(t, run.OutcomeNotRun, refused.Outcome)
+			require.Equal(t, course.OutcomeNotRun, refused.Outcome)
 			require.Positive(t, refused.RetryAfter)
 			time.Sleep(refused.RetryAfter)
-			require.Equal(t, run.OutcomeFull, f.Search(lahti, 0).Outcome)
+			require.Equal(t, course.OutcomeFull, f.Search(lahti, 0).Outcome)
 		})
 }
 
@@ -75,9 +75,9 @@
 				return from == vantaa && to == lahti && strings.HasPrefix(text, "answers")
 			}
 			key := uuid.Must(uuid.NewV7()).String()
-			require.Equal(t, run.OutcomeUnknown, f.Book(lahti, key).Outcome)
+			require.Equal(t, course.OutcomeUnknown, f.Book(lahti, key).Outcome)
 			again := f.Book("vm-espoo", key)
-			require.Equal(t, run.OutcomeDone, again.Outcome)
+			require.Equal(t, course.OutcomeDone, again.Outcome)
 			require.Equal(t, `{"booking":1}`, string(again.Body))
 			total := 0
 			for _, server := range f.Servers {
@@ -96,7 +96,7 @@
 				}
 			})
 			result := f.Search(lahti, 0)
-			require.Equal(t, run.OutcomeFull, result.Outcome)
+			require.Equal(t, course.OutcomeFull, result.Outcome)
 			require.EqualValues(t, 2, result.Version)
 		})
 }
@@ -105,24 +105,24 @@
 	tell(t, "zone", "A zone is taken out under a search and brought back: all searches are complete",
 		func(t *testing.T, f *story.Fleet) {
 			time.AfterFunc(3*time.Millisecond, func() { f.ZoneOut("vantaa") })
-			require.Equal(t, run.OutcomeFull, f.Search(lahti, 0).Outcome)
-			require.Equal(t, run.OutcomeFull, f.Search(lahti, 0).Outcome)
+			require.Equal(t, course.OutcomeFull, f.Search(lahti, 0).Outcome)
+			require.Equal(t, course.OutcomeFull, f.Search(lahti, 0).Outcome)
 			f.ZoneIn("vantaa")
 			time.Sleep(100 * time.Millisecond)
-			require.Equal(t, run.OutcomeFull, f.Search(lahti, 0).Outcome)
+			require.Equal(t, course.OutcomeFull, f.Search(lahti, 0).Outcome)
 		})
 }
 
 func TestPlannedStop(t *testing.T) {
 	tell(t, "stop", "A VM is stopped: it ends the search that runs and refuses the next one",
 		func(t *testing.T, f *story.Fleet) {
-			running := make(chan run.Outcome, 1)
+			running := make(chan course.Outcome, 1)
 			go func() { running <- f.Search(lahti, 0).Outcome }()
 			time.Sleep(2 * time.Millisecond)
 			f.Leave(lahti)
-			require.Equal(t, run.OutcomeNotRun, f.Search(lahti, 0).Outcome)
+			require.Equal(t, course.OutcomeNotRun, f.Search(lahti, 0).Outcome)
 			require.NoError(t, f.VMs[lahti].Entry.Drain(t.Context()))
 			f.Story.Tellf("vm-lahti", "has answered all and may stop")
-			require.Equal(t, run.OutcomeFull, <-running)
+			require.Equal(t, course.OutcomeFull, <-running)
 		})
 }
--- a/internal/link/cut/conn.go
+++ b/internal/link/sever/conn.go
@@ -1,4 +1,4 @@
-package cut
+package sever
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 // ErrBlocked is returned by a dial towards a blocked address after its time
 // has passed.
-var ErrBlocked = errors.New("cut: no answer")
+var ErrBlocked = errors.New("sever: no answer")
 
 // conn loses what is written while its remote address is blocked. A connection
 // that has lost bytes stays silent for good.
@@ -56,7 +56,7 @@
 	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(localIP)}}
 	c, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, errors.Wrap(err, "cut: dial")
+		return nil, errors.Wrap(err, "sever: dial")
 	}
 	return t.Wrap(c), nil
 }
--- a/internal/link/cut/table.go
+++ b/internal/link/sever/table.go
@@ -1,6 +1,6 @@
-// Package cut injects failures of the links between VMs. It is inert unless a
+// Package sever injects failures of the links between VMs. It is inert unless a
 // test blocks an address.
-package cut
+package sever
 
 import (
 	"sync"
--- a/internal/ops/admin/server.go
+++ b/internal/ops/admin/server.go
@@ -13,7 +13,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/valyala/fasthttp/pprofhandler"
 
-	"github.com/samphirestair/samphirestair/internal/link/cut"
+	"github.com/samphirestair/samphirestair/internal/link/sever"
 )
 
 // fleetTimeout bounds the collection of the fleet's status.
@@ -34,7 +34,7 @@
 	// Fleet collects the status of all VMs. It is called concurrently.
 	Fleet func(ctx context.Context) any
 	// Cut is set if tests may inject link failures, and nil otherwise.
-	Cut *cut.Table
+	Cut *sever.Table
 }
 
 // Server is the admin listener of one process.
--- a/internal/ops/cli/changes.go
+++ b/internal/ops/cmdln/changes.go
@@ -1,4 +1,4 @@
-package cli
+package cmdln
 
 import (
 	"context"
--- a/internal/ops/cli/cli.go
+++ b/internal/ops/cmdln/cmdln.go
@@ -1,7 +1,7 @@
-// Package cli is the command line of samphirestair: it checks and applies
+// Package cmdln is the command line of samphirestair: it checks and applies
 // documents, takes VMs, zones and backend servers in and out of service, shows
 // what is in force, and starts the process of a VM.
-package cli
+package cmdln
 
 import (
 	"context"
--- a/internal/ops/cli/cli_test.go
+++ b/internal/ops/cmdln/cmdln_test.go
@@ -1,4 +1,4 @@
-package cli_test
+package cmdln_test
 
 import (
 	"context"
@@ -19,7 +19,7 @@
 	"github.com/samphirestair/samphirestair/internal/conf/vmconf"
 	"github.com/samphirestair/samphirestair/internal/fleet/member"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
-	"github.com/samphirestair/samphirestair/internal/ops/cli"
+	"github.com/samphirestair/samphirestair/internal/ops/cmdln"
 	"github.com/samphirestair/samphirestair/internal/ops/fetch"
 	"github.com/samphirestair/samphirestair/internal/plat/store"
 	"github.com/samphirestair/samphirestair/internal/plat/vmlist"
@@ -33,7 +33,7 @@
 type session struct {
 	t    *testing.T
 	kv   *memkv.Store
-	deps cli.Deps
+	deps cmdln.Deps
 	text strings.Builder
 }
 
@@ -42,7 +42,7 @@
 	t.Setenv("SAMPHIRESTAIR_VMS", "http://127.0.0.1:8501")
 	s := &session{t: t, kv: memkv.New()}
 	changes := 0
-	s.deps = cli.Deps{
+	s.deps = cmdln.Deps{
 		Serve: func(_ context.Context, settings *vmconf.Settings) error {
 			return errors.Newf("node: %s cannot listen", settings.VM.ID)
 		},
@@ -69,7 +69,7 @@
 func (s *session) run(line string) {
 	s.t.Helper()
 	var out, errs strings.Builder
-	code := cli.New(s.deps).Run(s.t.Context(), strings.Split(line, " "), &out, &errs)
+	code := cmdln.New(s.deps).Run(s.t.Context(), strings.Split(line, " "), &out, &errs)
 	fmt.Fprintf(&s.text, "$ samphirestair %s\n%s", line, out.String())
 	for _, text := range strings.Split(strings.TrimSuffix(errs.String(), "\n"), "\n") {
 		if text != "" {
--- a/internal/ops/cli/forward.go
+++ b/internal/ops/cmdln/forward.go
@@ -1,4 +1,4 @@
-package cli
+package cmdln
 
 import (
 	"github.com/spf13/cobra"
--- a/internal/query/run/action_test.go
+++ b/internal/query/course/action_test.go
@@ -1,4 +1,4 @@
-package run_test
+package course_test
 
 import (
 	"testing"
@@ -8,23 +8,23 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
-	"github.com/samphirestair/samphirestair/internal/query/run"
+	"github.com/samphirestair/samphirestair/internal/query/course"
 )
 
 func newAction(t tb) *world {
 	w := newWorld(t, "none")
-	w.machine = run.NewAction(w.deps(t, "none"), w.spec(msgs.KindAction))
+	w.machine = course.NewAction(w.deps(t, "none"), w.spec(msgs.KindAction))
 	w.known()
 	return w
 }
 
 func TestActionLearnsTheVersionAndIsDone(t *testing.T) {
 	w := newWorld(t, "none")
-	w.machine = run.NewAction(w.deps(t, "none"), w.spec(msgs.KindAction))
+	w.machine = course.NewAction(w.deps(t, "none"), w.spec(msgs.KindAction))
 	w.apply(w.machine.Start(w.now))
 	w.deliverAll()
 	require.Len(t, w.results, 1)
-	require.Equal(t, run.OutcomeDone, w.results[0].Outcome)
+	require.Equal(t, course.OutcomeDone, w.results[0].Outcome)
 	require.Equal(t, 1, w.ran)
 }
 
@@ -37,7 +37,7 @@
 	require.Len(t, w.parcels, 1)
 	lost = w.take(0)
 	w.apply(w.machine.OnLost(w.now, lost.vm, *lost.query, true))
-	require.Equal(t, run.OutcomeUnknown, w.results[0].Outcome)
+	require.Equal(t, course.OutcomeUnknown, w.results[0].Outcome)
 }
 
 func TestActionFollowsTheHome(t *testing.T) {
@@ -68,7 +68,7 @@
 		answer := msgs.Answer{Seq: p.query.Items[0].Seq, Status: msgs.StatusWrongOwner, Owner: "vm1"}
 		w.apply(w.machine.OnReply(w.now, p.vm, msgs.Reply{ID: p.query.ID, Answers: []msgs.Answer{answer}}))
 	}
-	require.Equal(t, run.OutcomeDone, w.results[0].Outcome)
+	require.Equal(t, course.OutcomeDone, w.results[0].Outcome)
 	require.Less(t, sent, 20)
 	require.Equal(t, 1, w.ran)
 }
@@ -79,7 +79,7 @@
 		w.migrate(string(server.ID), false)
 	}
 	w.deliverAll()
-	require.Equal(t, run.OutcomeDone, w.results[0].Outcome)
+	require.Equal(t, course.OutcomeDone, w.results[0].Outcome)
 	require.Equal(t, ident.Version(2), w.results[0].Version)
 	require.Equal(t, 1, w.ran)
 }
@@ -117,19 +117,19 @@
 		w.tick()
 		w.deliverAll()
 	}
-	require.Equal(t, run.OutcomeDone, w.results[0].Outcome)
+	require.Equal(t, course.OutcomeDone, w.results[0].Outcome)
 	require.Equal(t, 1, w.ran)
 }
 
 func TestActionWithoutAnOwnerIsNotRun(t *testing.T) {
 	w := newWorld(t, "none")
 	clear(w.view.Owners)
-	w.machine = run.NewAction(w.deps(t, "none"), w.spec(msgs.KindAction))
+	w.machine = course.NewAction(w.deps(t, "none"), w.spec(msgs.KindAction))
 	w.apply(w.machine.Start(w.now))
 	for len(w.results) == 0 {
 		w.tick()
 	}
-	require.Equal(t, run.OutcomeNotRun, w.results[0].Outcome)
+	require.Equal(t, course.OutcomeNotRun, w.results[0].Outcome)
 }
 
 func TestActionUnderFaults(t *testing.T) {
@@ -150,7 +150,7 @@
 			w.tick()
 		}
 		require.Len(t, w.results, 1)
-		if w.results[0].Outcome == run.OutcomeNotRun {
+		if w.results[0].Outcome == course.OutcomeNotRun {
 			require.Zero(t, w.ran)
 		}
 	})
--- a/internal/query/run/live.go
+++ b/internal/query/course/live.go
@@ -1,4 +1,4 @@
-package run
+package course
 
 import (
 	"time"
--- a/internal/query/run/live_test.go
+++ b/internal/query/course/live_test.go
@@ -1,4 +1,4 @@
-package run_test
+package course_test
 
 import (
 	"strconv"
@@ -10,7 +10,7 @@
 	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
-	"github.com/samphirestair/samphirestair/internal/query/run"
+	"github.com/samphirestair/samphirestair/internal/query/course"
 	"github.com/samphirestair/samphirestair/internal/query/snap"
 )
 
@@ -21,7 +21,7 @@
 	for _, server := range document.Servers {
 		table.Learn("s", server.ID, []msgs.Holding{{Version: 2, Shard: 0, Shards: 1}})
 	}
-	live := run.NewLive(table, func() *view.View { return v }, "s")
+	live := course.NewLive(table, func() *view.View { return v }, "s")
 	for route := range 16 {
 		home, ok := live.Home(strconv.Itoa(route))
 		require.True(t, ok)
--- a/internal/query/run/query_test.go
+++ b/internal/query/course/query_test.go
@@ -1,4 +1,4 @@
-package run_test
+package course_test
 
 import (
 	"fmt"
@@ -11,7 +11,7 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
-	"github.com/samphirestair/samphirestair/internal/query/run"
+	"github.com/samphirestair/samphirestair/internal/query/course"
 )
 
 // migrate moves a server to a version with one more shard.
@@ -113,7 +113,7 @@
 	w.apply(w.machine.Start(w.now))
 	w.deliverAll()
 	result := w.check(t)
-	require.Equal(t, run.OutcomeFull, result.Outcome)
+	require.Equal(t, course.OutcomeFull, result.Outcome)
 	require.Equal(t, worldShards, w.ran)
 }
 
@@ -133,7 +133,7 @@
 	}
 	w.deliverAll()
 	result := w.check(t)
-	require.Equal(t, run.OutcomeFull, result.Outcome)
+	require.Equal(t, course.OutcomeFull, result.Outcome)
 	require.Equal(t, ident.Version(2), result.Version)
 	require.Equal(t, 1, w.counts["query_restarted"])
 }
@@ -146,7 +146,7 @@
 	}
 	w.deliverAll()
 	result := w.check(t)
-	require.Equal(t, run.OutcomeFull, result.Outcome)
+	require.Equal(t, course.OutcomeFull, result.Outcome)
 	require.Equal(t, ident.Version(1), result.Version)
 	require.Zero(t, w.counts["query_restarted"])
 }
@@ -163,7 +163,7 @@
 		w.tick()
 	}
 	result := w.check(t)
-	require.Equal(t, run.OutcomePartial, result.Outcome)
+	require.Equal(t, course.OutcomePartial, result.Outcome)
 	require.Equal(t, 2, result.Answered)
 	require.Equal(t, "deadline", result.Reason)
 	require.Equal(t, 1, w.cancels)
@@ -176,20 +176,20 @@
 	for range 100 {
 		deps.Hedge.Observe("s", 10*time.Millisecond, 1, 2)
 	}
-	w.machine = run.NewQuery(deps, w.spec(msgs.KindSearch))
+	w.machine = course.NewQuery(deps, w.spec(msgs.KindSearch))
 	w.known()
 	silent := w.take(0)
 	w.tick()
 	require.Equal(t, worldShards, w.counts["query_hedged"])
 	w.deliverAll()
-	require.Equal(t, run.OutcomeFull, w.check(t).Outcome)
+	require.Equal(t, course.OutcomeFull, w.check(t).Outcome)
 	require.Equal(t, 3, w.cancels)
 	w.deliver(parcel{vm: silent.vm, reply: w.answer(silent)})
-	require.Equal(t, run.OutcomeFull, w.check(t).Outcome)
+	require.Equal(t, course.OutcomeFull, w.check(t).Outcome)
 }
 
 func TestQueryIsNotRunOnlyIfNothingWasSent(t *testing.T) {
-	for sent, outcome := range map[bool]run.Outcome{false: run.OutcomeNotRun, true: run.OutcomePartial} {
+	for sent, outcome := range map[bool]course.Outcome{false: course.OutcomeNotRun, true: course.OutcomePartial} {
 		w := newWorld(t, "none")
 		w.known()
 		for len(w.results) == 0 {
@@ -207,7 +207,7 @@
 	for _, kind := range []msgs.Kind{msgs.KindSearch, msgs.KindAction} {
 		w := newWorld(t, "none")
 		if kind == msgs.KindAction {
-			w.machine = run.NewAction(w.deps(t, "none"), w.spec(kind))
+			w.machine = course.NewAction(w.deps(t, "none"), w.spec(kind))
 		}
 		w.view.Owners["g1"] = "vm0"
 		w.apply(w.machine.Start(w.now))
@@ -227,7 +227,7 @@
 			w.deliver(parcel{vm: p.vm, reply: reply})
 		}
 		require.Len(t, w.results, 1)
-		require.Contains(t, []run.Outcome{run.OutcomeFull, run.OutcomeDone}, w.results[0].Outcome)
+		require.Contains(t, []course.Outcome{course.OutcomeFull, course.OutcomeDone}, w.results[0].Outcome)
 		require.True(t, w.now.Equal(w.start))
 	}
 }
@@ -252,7 +252,7 @@
 		}
 		w.apply(w.machine.OnReply(w.now, p.vm, *reply))
 	}
-	require.Equal(t, run.OutcomeFull, w.check(t).Outcome)
+	require.Equal(t, course.OutcomeFull, w.check(t).Outcome)
 	require.Less(t, sent, 20*worldShards)
 }
 
--- a/internal/query/run/types.go
+++ b/internal/query/course/types.go
@@ -1,7 +1,7 @@
-// Package run executes one request as a state machine. A machine takes events
+// Package course executes one request as a state machine. A machine takes events
 // and the time and returns messages and at most one result; it holds no
 // socket, goroutine or timer and is not safe for concurrent use.
-package run
+package course
 
 import (
 	"log/slog"
--- a/internal/query/run/world_test.go
+++ b/internal/query/course/world_test.go
@@ -1,4 +1,4 @@
-package run_test
+package course_test
 
 import (
 	"fmt"
@@ -15,8 +15,8 @@
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 	"github.com/samphirestair/samphirestair/internal/query/admit"
 	"github.com/samphirestair/samphirestair/internal/query/choose"
+	"github.com/samphirestair/samphirestair/internal/query/course"
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
-	"github.com/samphirestair/samphirestair/internal/query/run"
 	"github.com/samphirestair/samphirestair/internal/query/snap"
 )
 
@@ -26,7 +26,7 @@
 	Helper()
 }
 
-// counts implements run.Counter.
+// counts implements course.Counter.
 type counts map[string]int
 
 func (c counts) Count(kind string) { c[kind]++ }
@@ -51,9 +51,9 @@
 	view    *view.View
 	table   *snap.Table
 	holds   map[string][]msgs.Holding
-	machine run.Machine
+	machine course.Machine
 	parcels []parcel
-	results []run.Result
+	results []course.Result
 	cancels int
 	ran     int
 	counts  counts
@@ -91,20 +91,20 @@
 		}
 	}
 	w.view.Config = &view.Config{Services: map[ident.ServiceID]*svcdoc.Document{"s": w.doc}}
-	w.machine = run.NewQuery(w.deps(t, hedging), w.spec(msgs.KindSearch))
+	w.machine = course.NewQuery(w.deps(t, hedging), w.spec(msgs.KindSearch))
 	return w
 }
 
-func (w *world) deps(t tb, hedging string) run.Deps {
+func (w *world) deps(t tb, hedging string) course.Deps {
 	newChoose, err := choose.Policies.Lookup("random")
 	require.NoError(t, err)
 	newHedge, err := hedge.Policies.Lookup(hedging)
 	require.NoError(t, err)
 	newAdmit, err := admit.Policies.Lookup("queue")
 	require.NoError(t, err)
-	live := run.NewLive(w.table, func() *view.View { return w.view }, "s")
+	live := course.NewLive(w.table, func() *view.View { return w.view }, "s")
 	first := func(int) int { return 0 }
-	return run.Deps{
+	return course.Deps{
 		Catalog: live, Fleet: live, Counter: w.counts,
 		Choose:  newChoose(choose.Options{IntN: first}),
 		Hedge:   newHedge(hedge.Options{}),
@@ -112,15 +112,15 @@
 	}
 }
 
-func (w *world) spec(kind msgs.Kind) run.Spec {
-	return run.Spec{
+func (w *world) spec(kind msgs.Kind) course.Spec {
+	return course.Spec{
 		ID: 7, Service: "s", Kind: kind, Key: "key", Route: "key", Action: "book",
 		Limit: 100, Deadline: w.now.Add(worldDeadline),
 	}
 }
 
 // apply takes what the machine asks for.
-func (w *world) apply(step run.Step) {
+func (w *world) apply(step course.Step) {
 	for _, send := range step.Sends {
 		query := send.Query
 		w.parcels = append(w.parcels, parcel{vm: send.To.Process.VM, query: &query})
@@ -199,7 +199,7 @@
 }
 
 // check verifies everything that must hold of the only result.
-func (w *world) check(t tb) run.Result {
+func (w *world) check(t tb) course.Result {
 	t.Helper()
 	require.Len(t, w.results, 1)
 	require.False(t, w.now.After(w.start.Add(worldDeadline)))
@@ -215,8 +215,8 @@
 	}
 	require.Equal(t, result.Answered, len(shards), "coverage")
 	require.Equal(t, worldShards+int(max(result.Version, 1)-1), result.Of, "denominator")
-	require.Equal(t, result.Answered == result.Of, result.Outcome == run.OutcomeFull)
-	if result.Outcome == run.OutcomeNotRun {
+	require.Equal(t, result.Answered == result.Of, result.Outcome == course.OutcomeFull)
+	if result.Outcome == course.OutcomeNotRun {
 		require.Zero(t, w.ran, "false not run")
 	}
 	return result
--- a/internal/query/entry/bench_test.go
+++ b/internal/query/entry/bench_test.go
@@ -10,8 +10,8 @@
 	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/query/course"
 	"github.com/samphirestair/samphirestair/internal/query/entry"
-	"github.com/samphirestair/samphirestair/internal/query/run"
 )
 
 // echoMesh answers each query at once and in one reply.
@@ -64,7 +64,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		result := e.Search(b.Context(), entry.Request{Service: "s", Limit: 10})
-		if result.Outcome != run.OutcomeFull {
+		if result.Outcome != course.OutcomeFull {
 			b.Fatal(result.Outcome, result.Reason, result.Answered)
 		}
 	}
--- a/internal/query/entry/entry.go
+++ b/internal/query/entry/entry.go
@@ -17,8 +17,8 @@
 	"github.com/samphirestair/samphirestair/internal/link/mesh"
 	"github.com/samphirestair/samphirestair/internal/query/admit"
 	"github.com/samphirestair/samphirestair/internal/query/choose"
+	"github.com/samphirestair/samphirestair/internal/query/course"
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
-	"github.com/samphirestair/samphirestair/internal/query/run"
 	"github.com/samphirestair/samphirestair/internal/query/snap"
 )
 
@@ -70,7 +70,7 @@
 
 	lastID   atomic.Uint64
 	mu       sync.Mutex
-	services map[ident.ServiceID]run.Deps
+	services map[ident.ServiceID]course.Deps
 	active   tracker
 }
 
@@ -82,7 +82,7 @@
 		deps:     deps,
 		table:    snap.New(options.SnapOptions),
 		pending:  newPending(),
-		services: map[ident.ServiceID]run.Deps{},
+		services: map[ident.ServiceID]course.Deps{},
 	}
 	e.meters.set = deps.Metrics
 	if err := e.build(options); err != nil {
@@ -123,14 +123,14 @@
 }
 
 // machineDeps returns what the machines of a service depend on.
-func (e *Entry) machineDeps(service ident.ServiceID) run.Deps {
+func (e *Entry) machineDeps(service ident.ServiceID) course.Deps {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if deps, ok := e.services[service]; ok {
 		return deps
 	}
-	live := run.NewLive(e.table, e.deps.Views.Load, service)
-	deps := run.Deps{
+	live := course.NewLive(e.table, e.deps.Views.Load, service)
+	deps := course.Deps{
 		Catalog: live,
 		Fleet:   live,
 		Choose:  e.choose,
--- a/internal/query/entry/flight.go
+++ b/internal/query/entry/flight.go
@@ -8,31 +8,31 @@
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/link/mesh"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
-	"github.com/samphirestair/samphirestair/internal/query/run"
+	"github.com/samphirestair/samphirestair/internal/query/course"
 )
 
 // flight drives the machine of one request. Its methods are safe for
 // concurrent use.
 type flight struct {
 	mesh mesh.Sender
-	done chan run.Result
+	done chan course.Result
 
 	mu      sync.Mutex
-	machine run.Machine
+	machine course.Machine
 	ended   bool
 	timer   *time.Timer
 	// queue holds steps whose messages have not been sent. They are sent in
 	// order and without the lock, because the mesh may answer at once.
-	queue    []run.Step
+	queue    []course.Step
 	flushing bool
 }
 
-func newFlight(machine run.Machine, sender mesh.Sender) *flight {
-	return &flight{mesh: sender, done: make(chan run.Result, 1), machine: machine}
+func newFlight(machine course.Machine, sender mesh.Sender) *flight {
+	return &flight{mesh: sender, done: make(chan course.Result, 1), machine: machine}
 }
 
 // execute runs a request to its end.
-func (e *Entry) execute(ctx context.Context, spec run.Spec) run.Result {
+func (e *Entry) execute(ctx context.Context, spec course.Spec) course.Result {
 	f := newFlight(e.machine(spec), e.deps.Mesh)
 	e.pending.add(spec.ID, f)
 	defer e.pending.remove(spec.ID)
@@ -41,17 +41,17 @@
 	case result := <-f.done:
 		return result
 	case <-ctx.Done():
-		f.step(func(now time.Time) run.Step { return f.machine.GiveUp(now, "the caller gave up") })
+		f.step(func(now time.Time) course.Step { return f.machine.GiveUp(now, "the caller gave up") })
 		return <-f.done
 	}
 }
 
-func (e *Entry) machine(spec run.Spec) run.Machine {
+func (e *Entry) machine(spec course.Spec) course.Machine {
 	deps := e.machineDeps(spec.Service)
 	if spec.Kind == msgs.KindAction {
-		return run.NewAction(deps, spec)
+		return course.NewAction(deps, spec)
 	}
-	return run.NewQuery(deps, spec)
+	return course.NewQuery(deps, spec)
 }
 
 func (f *flight) start() {
@@ -59,11 +59,11 @@
 }
 
 func (f *flight) onReply(from ident.VMID, reply msgs.Reply) {
-	f.step(func(now time.Time) run.Step { return f.machine.OnReply(now, from, reply) })
+	f.step(func(now time.Time) course.Step { return f.machine.OnReply(now, from, reply) })
 }
 
 func (f *flight) onLost(to ident.VMID, query msgs.Query, sent bool) {
-	f.step(func(now time.Time) run.Step { return f.machine.OnLost(now, to, query, sent) })
+	f.step(func(now time.Time) course.Step { return f.machine.OnLost(now, to, query, sent) })
 }
 
 func (f *flight) onTimer() {
@@ -71,7 +71,7 @@
 }
 
 // step feeds one event to the machine and carries out what it asks for.
-func (f *flight) step(event func(now time.Time) run.Step) {
+func (f *flight) step(event func(now time.Time) course.Step) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.ended {
@@ -87,7 +87,7 @@
 	f.flushLocked()
 }
 
-func (f *flight) finishLocked(result run.Result) {
+func (f *flight) finishLocked(result course.Result) {
 	f.ended = true
 	if f.timer != nil {
 		f.timer.Stop()
@@ -120,7 +120,7 @@
 	f.flushing = false
 }
 
-func (f *flight) send(step run.Step) {
+func (f *flight) send(step course.Step) {
 	for _, send := range step.Sends {
 		f.mesh.SendQuery(send.To, send.Query)
 	}
--- a/internal/query/entry/meters.go
+++ b/internal/query/entry/meters.go
@@ -9,7 +9,7 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
-	"github.com/samphirestair/samphirestair/internal/query/run"
+	"github.com/samphirestair/samphirestair/internal/query/course"
 )
 
 // meters holds the metrics of requests per service, kind and outcome. It is
@@ -22,7 +22,7 @@
 type meterKey struct {
 	service ident.ServiceID
 	kind    msgs.Kind
-	outcome run.Outcome
+	outcome course.Outcome
 }
 
 // meter is the metrics of one combination.
@@ -33,7 +33,7 @@
 }
 
 // observe notes a finished request.
-func (m *meters) observe(service ident.ServiceID, kind msgs.Kind, result *run.Result, took time.Duration) {
+func (m *meters) observe(service ident.ServiceID, kind msgs.Kind, result *course.Result, took time.Duration) {
 	if m.set == nil {
 		return
 	}
--- a/internal/query/entry/request.go
+++ b/internal/query/entry/request.go
@@ -9,7 +9,7 @@
 	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 	"github.com/samphirestair/samphirestair/internal/query/admit"
-	"github.com/samphirestair/samphirestair/internal/query/run"
+	"github.com/samphirestair/samphirestair/internal/query/course"
 )
 
 // Request is a request of a caller.
@@ -49,7 +49,7 @@
 
 // Result is the answer to a request. A Fault implies that it was not run.
 type Result struct {
-	run.Result
+	course.Result
 	Fault Fault
 }
 
@@ -100,7 +100,7 @@
 // that takes no new work.
 const notAdmittingRetry = time.Second
 
-func (e *Entry) admitAndRun(ctx context.Context, now time.Time, request Request, spec run.Spec) Result {
+func (e *Entry) admitAndRun(ctx context.Context, now time.Time, request Request, spec course.Spec) Result {
 	ask := admit.Request{Service: spec.Service, Class: spec.Class, Deadline: spec.Deadline}
 	decision := e.admit.Admit(now, ask)
 	if !decision.Admitted {
@@ -111,18 +111,18 @@
 	e.meters.observe(spec.Service, spec.Kind, &result, end.Sub(now))
 	e.admit.Done(end, ask, admit.Outcome{
 		Took:       end.Sub(now),
-		Late:       result.Reason == run.ReasonDeadline,
+		Late:       result.Reason == course.ReasonDeadline,
 		Overloaded: result.Overloaded,
 	})
 	return Result{Result: result}
 }
 
-func (e *Entry) spec(now time.Time, request Request, kind msgs.Kind, doc *svcdoc.Document) run.Spec {
+func (e *Entry) spec(now time.Time, request Request, kind msgs.Kind, doc *svcdoc.Document) course.Spec {
 	deadline := request.Deadline
 	if deadline.IsZero() {
 		deadline = now.Add(doc.Deadline)
 	}
-	return run.Spec{
+	return course.Spec{
 		ID:       e.lastID.Add(1),
 		Service:  request.Service,
 		Kind:     kind,
@@ -141,9 +141,9 @@
 func (e *Entry) refuse(request Request, reason string, retryAfter time.Duration) Result {
 	e.deps.Events.Sample("query_refused", string(request.Service), reason,
 		slog.String("request", request.Name), slog.String("class", request.Class))
-	return Result{Result: run.Result{Outcome: run.OutcomeNotRun, Reason: reason, RetryAfter: retryAfter}}
+	return Result{Result: course.Result{Outcome: course.OutcomeNotRun, Reason: reason, RetryAfter: retryAfter}}
 }
 
 func faulty(fault Fault, reason string) Result {
-	return Result{Fault: fault, Result: run.Result{Outcome: run.OutcomeNotRun, Reason: reason}}
+	return Result{Fault: fault, Result: course.Result{Outcome: course.OutcomeNotRun, Reason: reason}}
 }
