Share what stood twice, drop what nothing used, and show the admission

From the last reading: both configurations read log levels, both commands that run a VM set up the same flags, counters of requests formatted their names each time, and the header names Instance and ColdFor and the health path of a service were decoded and used by nothing; the expectation of the health path goes with it. /state of the admin listener has a section admission: bound, requests under way and waiting by service.

--- a/internal/conf/fwconf/settings.go
+++ b/internal/conf/fwconf/settings.go
@@ -5,7 +5,6 @@
 import (
 	"log/slog"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -173,10 +172,5 @@
 }
 
 func readLog(section *strict.Section) Log {
-	var l Log
-	level := section.Choice("level", coll.Some("info"), "debug", "info", "warn", "error")
-	if err := l.Level.UnmarshalText([]byte(strings.ToUpper(level))); err != nil {
-		section.Fault("level", err.Error(), "a level")
-	}
-	return l
+	return Log{Level: section.Level("level")}
 }
--- a/internal/conf/routes/config.go
+++ b/internal/conf/routes/config.go
@@ -56,8 +56,6 @@
 
 // Service says how the backend servers of one service are treated.
 type Service struct {
-	// Health is the path of the health check.
-	Health string
 	// Connections is the number of connections that one backend server
 	// accepts from all callers together.
 	Connections int
--- a/internal/conf/strict/getters.go
+++ b/internal/conf/strict/getters.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"net/url"
 	"regexp"
@@ -126,6 +127,16 @@
 	})
 }
 
+// logLevels are the levels of a log by name.
+var logLevels = map[string]slog.Level{
+	"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError,
+}
+
+// Level returns the level of a log, info if none is given or allowed.
+func (s *Section) Level(key string) slog.Level {
+	return logLevels[s.Choice(key, coll.Some("info"), "debug", "info", "warn", "error")]
+}
+
 // isHost reports whether ip names one machine.
 func isHost(ip netip.Addr) bool {
 	return !ip.IsUnspecified() && !ip.IsMulticast() && ip.Zone() == ""
--- a/internal/conf/vmconf/parse.go
+++ b/internal/conf/vmconf/parse.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"log/slog"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -153,13 +151,7 @@
 }
 
 func readLog(section *strict.Section) Log {
-	l := Log{Format: section.Choice("format", coll.Some("text"), "text", "json")}
-	level := section.Choice("level", coll.Some("info"), "debug", "info", "warn", "error")
-	// Level stays at info if the setting is a fault.
-	if err := l.Level.UnmarshalText([]byte(strings.ToUpper(level))); err != nil {
-		l.Level = slog.LevelInfo
-	}
-	return l
+	return Log{Format: section.Choice("format", coll.Some("text"), "text", "json"), Level: section.Level("level")}
 }
 
 func readTest(section *strict.Section) Test {
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -76,6 +76,7 @@
 	pulse     *pulse.Pulse
 	pool      *pool.Pool
 	env       *relay.Env
+	admission admit.Queue
 	gate      *gate.Gate
 	ready     *fasthttp.Server
 	directory *fasthttp.Server
@@ -115,11 +116,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "tier: policies")
 	}
-	admission, ok := newAdmit(admit.Options{}).(admit.Queue)
-	if !ok {
+	var ok bool
+	if t.admission, ok = newAdmit(admit.Options{}).(admit.Queue); !ok {
 		return nil, errors.New("tier: requests can't wait under this admission policy")
 	}
-	run := runner.New(runner.Deps{Env: t.env, Admit: admission, Sender: t.pool, Beliefs: t.follower, Events: t.events, Metrics: t.metrics})
+	run := runner.New(runner.Deps{Env: t.env, Admit: t.admission, Sender: t.pool, Beliefs: t.follower, Events: t.events, Metrics: t.metrics})
 	t.gate = gate.New(gate.Deps{
 		Runner: run, Beliefs: t.follower, Self: self,
 		Serving: t.registrar.Serving, Usable: t.registrar.Usable, Peers: t.pulse.Table(),
@@ -183,6 +184,7 @@
 		"connections": func() any { return t.pool.Stats() },
 		"silent":      func() any { return t.pulse.Table().SilentPeers() },
 		"down":        func() any { return t.env.Health.Down() },
+		"admission":   func() any { return t.admission.State() },
 		"decisions":   func() any { return t.events.History() },
 	}
 }
--- a/internal/ops/cmdln/forward.go
+++ b/internal/ops/cmdln/forward.go
@@ -7,8 +7,6 @@
 )
 
 func (c *CLI) forwardCommand() *cobra.Command {
-	var path string
-	var checkOnly bool
 	command := &cobra.Command{
 		Use:     "forward --settings FILE",
 		Short:   "Run the process of a VM that forwards requests by routes",
@@ -16,19 +14,15 @@
 		Example: "  samphirestair forward --settings vm-3.ini\n  samphirestair forward --settings vm-3.ini --check",
 		Args:    cobra.NoArgs,
 	}
-	command.Flags().StringVar(&path, "settings", "", "file of settings")
-	command.Flags().BoolVar(&checkOnly, "check", false, "check the settings and exit")
-	if err := command.MarkFlagRequired("settings"); err != nil {
-		panic(err)
-	}
+	path, checkOnly := settingsFlags(command)
 	command.RunE = func(*cobra.Command, []string) error {
-		load := func() (*fwconf.Settings, error) { return fwconf.Load(path) }
+		load := func() (*fwconf.Settings, error) { return fwconf.Load(*path) }
 		settings, err := load()
 		if err != nil {
-			return classify(faultsIn(path, err))
+			return classify(faultsIn(*path, err))
 		}
-		if checkOnly {
-			c.printf("%s: VM %s in zone %s, callers at %s\n", path, settings.VM.ID, settings.VM.Zone, settings.Listen.Callers)
+		if *checkOnly {
+			c.printf("%s: VM %s in zone %s, callers at %s\n", *path, settings.VM.ID, settings.VM.Zone, settings.Listen.Callers)
 			return nil
 		}
 		if err := c.deps.Forward(settings, load); err != nil {
--- a/internal/ops/cmdln/serve.go
+++ b/internal/ops/cmdln/serve.go
@@ -7,8 +7,6 @@
 )
 
 func (c *CLI) serveCommand() *cobra.Command {
-	var path string
-	var checkOnly bool
 	command := &cobra.Command{
 		Use:     "serve --settings FILE",
 		Short:   "Run the process of a VM",
@@ -16,18 +14,14 @@
 		Example: "  samphirestair serve --settings vm-3.ini\n  samphirestair serve --settings vm-3.ini --check",
 		Args:    cobra.NoArgs,
 	}
-	command.Flags().StringVar(&path, "settings", "", "file of settings")
-	command.Flags().BoolVar(&checkOnly, "check", false, "check the settings and exit")
-	if err := command.MarkFlagRequired("settings"); err != nil {
-		panic(err)
-	}
+	path, checkOnly := settingsFlags(command)
 	command.RunE = func(command *cobra.Command, _ []string) error {
-		settings, err := vmconf.Load(path, vmconf.Options{PolicyNames: c.deps.PolicyNames})
+		settings, err := vmconf.Load(*path, vmconf.Options{PolicyNames: c.deps.PolicyNames})
 		if err != nil {
-			return classify(faultsIn(path, err))
+			return classify(faultsIn(*path, err))
 		}
-		if checkOnly {
-			c.printf("%s: VM %s in zone %s, callers at %s\n", path, settings.VM.ID, settings.VM.Zone, settings.CallerAddress())
+		if *checkOnly {
+			c.printf("%s: VM %s in zone %s, callers at %s\n", *path, settings.VM.ID, settings.VM.Zone, settings.CallerAddress())
 			return nil
 		}
 		if err := c.deps.Serve(command.Context(), settings); err != nil {
@@ -37,3 +31,14 @@
 	}
 	return command
 }
+
+// settingsFlags adds the flags of a command that runs a VM: the file of its settings,
+// and whether they are only checked.
+func settingsFlags(command *cobra.Command) (path *string, checkOnly *bool) {
+	path = command.Flags().String("settings", "", "file of settings")
+	checkOnly = command.Flags().Bool("check", false, "check the settings and exit")
+	if err := command.MarkFlagRequired("settings"); err != nil {
+		panic(err)
+	}
+	return path, checkOnly
+}
--- a/internal/plat/heads/heads.go
+++ b/internal/plat/heads/heads.go
@@ -17,11 +17,6 @@
 	NotRun string
 	// Load is "running,waiting,slots" of the backend server.
 	Load string
-	// Instance names the backend server that answered.
-	Instance string
-	// ColdFor is the time in milliseconds for which the backend server stays
-	// cold.
-	ColdFor string
 	// Parts lists the signatures of the parts of a search.
 	Parts string
 	// Missing is the number of shards without a part.
@@ -37,8 +32,6 @@
 		Signature: "X-Signature",
 		NotRun:    "X-Not-Run",
 		Load:      "X-Load",
-		Instance:  "X-Server",
-		ColdFor:   "X-Cold-Ms",
 		Parts:     "X-Part-Signatures",
 		Missing:   "X-Missing-Parts",
 	}
--- a/internal/query/admit/policy.go
+++ b/internal/query/admit/policy.go
@@ -51,6 +51,16 @@
 	Policy
 	// Leave ends a wait and reports whether the request is admitted.
 	Leave(turn *Turn) bool
+	// State tells of each service how much is admitted.
+	State() map[ident.ServiceID]ServiceState
+}
+
+// ServiceState is how much of a service's traffic is admitted.
+type ServiceState struct {
+	// Bound is the number of requests that may run at a time.
+	Bound   float64 `json:"bound"`
+	Running int     `json:"running"`
+	Waiting int     `json:"waiting"`
 }
 
 // Options tunes policies. The zero value is useful.
--- a/internal/query/admit/room.go
+++ b/internal/query/admit/room.go
@@ -130,6 +130,20 @@
 	}
 }
 
+func (r *room) State() map[ident.ServiceID]ServiceState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	states := make(map[ident.ServiceID]ServiceState, len(r.services))
+	for id, s := range r.services {
+		state := ServiceState{Bound: s.limit.value, Running: s.running}
+		for _, t := range s.classes {
+			state.Waiting += len(t.waiting)
+		}
+		states[id] = state
+	}
+	return states
+}
+
 // space returns the state of a service.
 func (r *room) space(id ident.ServiceID) *space {
 	s := r.services[id]
--- a/internal/query/admit/room_test.go
+++ b/internal/query/admit/room_test.go
@@ -37,6 +37,9 @@
 	_, turn := fill(t, queue, now)
 	require.Greater(t, turn.Until, now)
 	require.Less(t, turn.Until.Sub(now), 200*time.Millisecond/4, "a refusal leaves time to come back")
+	before := queue.State()["s"]
+	require.Equal(t, 1, before.Waiting)
+	require.LessOrEqual(t, float64(before.Running), before.Bound)
 	queue.Done(now, request(now, 0), admit.Outcome{})
 	queue.Done(now, request(now, 0), admit.Outcome{})
 	select {
--- a/internal/query/runner/meters.go
+++ b/internal/query/runner/meters.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,14 @@
 type meters struct {
 	set      *metrics.Set
 	inFlight atomic.Int64
+	// outcomes holds the counters and times the histograms that were used, by
+	// outcomeKey and by the name of the route.
+	outcomes, times sync.Map
+}
+
+// outcomeKey names one counter.
+type outcomeKey struct {
+	route, kind string
 }
 
 func newMeters(set *metrics.Set) *meters {
@@ -29,6 +38,20 @@
 }
 
 func (m *meters) observe(route *routes.Route, kind string, took time.Duration) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`samphirestair_requests_total{route=%q,outcome=%q}`, route.Name, kind)).Inc()
-	m.set.GetOrCreateHistogram(fmt.Sprintf(`samphirestair_request_seconds{route=%q}`, route.Name)).Update(took.Seconds())
+	known(&m.outcomes, outcomeKey{route.Name, kind}, func() *metrics.Counter {
+		return m.set.GetOrCreateCounter(fmt.Sprintf(`samphirestair_requests_total{route=%q,outcome=%q}`, route.Name, kind))
+	}).Inc()
+	known(&m.times, route.Name, func() *metrics.Histogram {
+		return m.set.GetOrCreateHistogram(fmt.Sprintf(`samphirestair_request_seconds{route=%q}`, route.Name))
+	}).Update(took.Seconds())
+}
+
+// known returns the value of a key, which create makes on its first use.
+func known[K comparable, V any](values *sync.Map, key K, create func() V) V {
+	if value, ok := values.Load(key); ok {
+		return value.(V)
+	}
+	value := create()
+	values.Store(key, value)
+	return value
 }
