--- a/internal/query/admit/bound.go
+++ b/internal/query/admit/bound.go
@@ -5,9 +5,9 @@
 const (
 	// startBound is the bound of an entry that knows nothing yet.
 	startBound = 8
-	// leastBound keeps a trickle of requests, which finds out when servers bear
-	// more.
-	leastBound = 0.5
+	// leastBound admits a request whenever none is under way, so that it is found
+	// out when servers bear more.
+	leastBound = 1
 	// spareBound and spareFactor give the bound that an entry keeps beyond its
 	// present load while nothing is refused.
 	spareBound  = 3
--- a/internal/query/admit/room_test.go
+++ b/internal/query/admit/room_test.go
@@ -84,6 +84,16 @@
 	require.Less(t, cut, before)
 }
 
+// However often servers were full, a request is admitted when none is under way.
+func TestIdleServiceAdmitsARequest(t *testing.T) {
+	queue, now := newRoom(t), time.Unix(0, 0)
+	for range 200 {
+		now = now.Add(time.Second)
+		require.True(t, queue.Admit(now, request(now, 0)).Admitted)
+		queue.Done(now, request(now, 0), admit.Outcome{Took: time.Millisecond, Overloaded: true})
+	}
+}
+
 // Two classes ask for more than there is room for: both are served, the more
 // important one no less often.
 func TestClassesShareTheRoom(t *testing.T) {
