--- /dev/null
+++ b/internal/lab/soak/arrivals.go
@@ -0,0 +1,126 @@
+package soak
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+)
+
+// checkRuns checks how often a request ran, and whether it might.
+func (r *Referee) checkRuns(q *request, a Arrival) {
+	if !a.Ran {
+		return
+	}
+	if runs := q.runs(); !q.Route.Idempotent && runs > 1 {
+		r.findf(Twice, a.ID, "%d runs, the last at %s", runs, a.Server)
+	}
+	if q.ran[a.Service] > q.Route.Attempts {
+		r.findf(Budget, a.ID, "%d runs of one shard, %d are allowed", q.ran[a.Service], q.Route.Attempts)
+	}
+	if q.answer != nil && q.answer.Refused {
+		r.findf(Refused, a.ID, "runs at %s after it was refused", a.Server)
+	}
+	// The store may have accepted a version of which the harness is told later.
+	if len(r.versions) > 0 && !slices.Contains(r.mayServe(q.Route.Name), a.Service) {
+		r.findf(Config, a.ID, "service %s never served route %s", a.Service, q.Route.Name)
+	}
+	if !q.leftAt.IsZero() && a.At.Sub(q.leftAt) > r.bounds.Gone && r.calm.Between(string(q.VM), a.At.Add(-r.bounds.Contact), a.At) {
+		r.findBeyondf(Gone, goneTolerance, a.ID, "reaches %s %v after its caller left", a.Server, a.At.Sub(q.leftAt))
+	}
+}
+
+// checkExtra bounds what a service gets beyond the first arrival of each
+// request.
+func (r *Referee) checkExtra(q *request, a Arrival) {
+	if !q.hadExtra.Has(a.Service) {
+		q.hadExtra.Add(a.Service)
+		return
+	}
+	t := r.trafficOf(a.Service)
+	t.extras = append(t.extras, a.At)
+	window := r.bounds.ExtraWindow
+	asked := 0
+	for _, back := range []time.Duration{0, window / 2, window} {
+		asked = max(asked, count(t.requests, a.At.Add(-back-window), a.At.Add(-back)))
+	}
+	extras := count(t.extras, a.At.Add(-window), a.At)
+	if bound := r.bounds.ExtraShare*float64(asked) + r.bounds.ExtraSlack; float64(extras) > bound {
+		r.findf(Budget, a.ID, "service %s got %d extra arrivals in %v for %d requests", a.Service, extras, window, asked)
+	}
+}
+
+// checkTime checks the time that is handed on.
+func (r *Referee) checkTime(q *request, a Arrival) {
+	allowed := q.Wait - a.At.Sub(q.SentAt) + deadlineSlack
+	if !a.Told || a.Left > q.Wait+deadlineSlack || len(q.arrivals) > 1 && a.Left > allowed {
+		r.findBeyondf(Budget, deadlineTolerance, a.ID, "server %s may take %v (told: %t), %v are left", a.Server, a.Left, a.Told, allowed)
+	}
+}
+
+// checkPlace checks that the server may get work at all.
+func (r *Referee) checkPlace(q *request, a Arrival) {
+	if since := r.leaving[a.Server]; !since.IsZero() && a.At.Sub(since) > r.bounds.Drain && q.SentAt.After(since) {
+		r.findf(Drain, a.ID, "from %s reaches %s %v after it left", q.VM, a.Server, a.At.Sub(since))
+	}
+	if since := r.out[r.zones[a.Server]]; !since.IsZero() && a.At.Sub(since) > r.bounds.Evacuate {
+		r.findf(Evac, a.ID, "from %s reaches %s %v after its zone was taken out", q.VM, a.Server, a.At.Sub(since))
+	}
+}
+
+// checkConfig checks that the service is that of a version in force.
+func (r *Referee) checkConfig(q *request, a Arrival) {
+	_, newest := r.usedBy(q, a)
+	oldest := ident.Version(0)
+	for i := range r.versions {
+		if v := &r.versions[i]; q.SentAt.Sub(v.AckedAt) > r.bounds.Config {
+			oldest = v.Number
+		}
+	}
+	if newest < oldest {
+		r.findf(Config, a.ID, "%s used version %d, and %d is in force", q.VM, newest, oldest)
+	}
+}
+
+// checkFallback checks that a process never returns to an older version.
+func (r *Referee) checkFallback(q *request, a Arrival) {
+	by := process{q.VM, q.Boot}
+	oldest, newest := r.usedBy(q, a)
+	if last := r.seen[by]; newest < last.version && q.SentAt.Sub(last.at) > r.bounds.Rollback {
+		r.findf(Config, a.ID, "%s went back to version %d from %d", q.VM, newest, last.version)
+	}
+	if oldest > r.seen[by].version {
+		r.seen[by] = sighting{version: oldest, at: a.At}
+	}
+}
+
+// usedBy returns the oldest and the newest version that send a request to the
+// service at which it arrived.
+func (r *Referee) usedBy(q *request, a Arrival) (oldest, newest ident.Version) {
+	for i := range r.versions {
+		v := &r.versions[i]
+		if !v.serves(q.Route.Name, a.Service) {
+			continue
+		}
+		if oldest == 0 {
+			oldest = v.Number
+		}
+		newest = v.Number
+	}
+	return oldest, newest
+}
+
+// count returns how many of the times lie in (from, to]. They may be out of
+// order by what a busy machine delays.
+func count(times []time.Time, from, to time.Time) int {
+	n := 0
+	for _, t := range slices.Backward(times) {
+		if t.After(from) && !t.After(to) {
+			n++
+		}
+		if from.Sub(t) > time.Second {
+			break
+		}
+	}
+	return n
+}
