Catch signals from the first moment of a process

Change: both signals are caught before the command line is read; they reach the process once it runs.

--- a/cmd/samphirestair/main.go
+++ b/cmd/samphirestair/main.go
@@ -34,11 +34,14 @@
 
 // run executes the command line and returns the exit code of the process.
 func run() int {
+	caught := catchSignals()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	command := cmdln.New(cmdln.Deps{
-		Serve:       serve,
-		Forward:     forward,
+		Serve: func(_ context.Context, settings *vmconf.Settings) error { return serve(caught, settings) },
+		Forward: func(settings *fwconf.Settings, load func() (*fwconf.Settings, error)) error {
+			return forward(caught, settings, load)
+		},
 		Store:       newStore,
 		VMs:         newList,
 		Fetch:       fetch.New(),
@@ -50,16 +53,27 @@
 // signalsKept is the number of stop signals that a process acts upon.
 const signalsKept = 2
 
+// signals are those to the process of a VM.
+type signals struct {
+	stop, reload chan os.Signal
+}
+
+// catchSignals catches signals from the first moment on, so that none ends a process
+// that starts, or is lost to it.
+func catchSignals() *signals {
+	s := &signals{stop: make(chan os.Signal, signalsKept), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, os.Interrupt, syscall.SIGTERM)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
 // serve runs the process of a VM until a planned stop is complete.
-func serve(_ context.Context, settings *vmconf.Settings) error {
-	stop := make(chan os.Signal, signalsKept)
-	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
-	defer signal.Stop(stop)
+func serve(caught *signals, settings *vmconf.Settings) error {
 	process, err := node.New(settings, newLogger(settings.Log))
 	if err != nil {
 		return err
 	}
-	return process.Run(stop)
+	return process.Run(caught.stop)
 }
 
 // logCloseTimeout bounds the writing of the last log lines.
@@ -67,13 +81,7 @@
 
 // forward runs the process of a VM that forwards requests by routes on the
 // users' platform.
-func forward(settings *fwconf.Settings, load func() (*fwconf.Settings, error)) error {
-	stop := make(chan os.Signal, signalsKept)
-	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
-	defer signal.Stop(stop)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
+func forward(caught *signals, settings *fwconf.Settings, load func() (*fwconf.Settings, error)) error {
 	output := events.NewWriter(os.Stdout)
 	defer output.Close(logCloseTimeout)
 	logger := slog.New(slog.NewJSONHandler(output, &slog.HandlerOptions{Level: settings.Log.Level, ReplaceAttr: readable}))
@@ -91,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	return process.Run(stop, reload)
+	return process.Run(caught.stop, caught.reload)
 }
 
 // readable writes times with their unit.
