Judge late answers of a soak at the moment at which they were due

Traced: 4 s before, the link of callers to vm-3 was silenced on all open connections; the requests were sent into it within a quarter of a second, are in no VM's log, and their callers gave up 4 s later. The check asked whether the VM was in touch at that end, when the 4 s since the trouble were just over. The users' rule asks at the moment at which the answer is overdue, half a second after the time of the route, and there the VM was not in touch.

Test: a case of TestReferee that fails before.

--- a/internal/lab/soak/answers.go
+++ b/internal/lab/soak/answers.go
@@ -13,7 +13,9 @@
 func (r *Referee) checkLate(q *request) {
 	limit := min(q.Route.Timeout, q.Wait)
 	took := q.answer.At.Sub(q.SentAt)
-	if took < limit || !q.leftAt.IsZero() || !r.inTouch(string(q.VM), q.answer.At) {
+	// The VM has to keep its time at the moment at which the answer is overdue; the
+	// caller of a silent connection gives up much later.
+	if took < limit || !q.leftAt.IsZero() || !r.inTouch(string(q.VM), q.SentAt.Add(limit+r.bounds.Late)) {
 		return
 	}
 	r.overdue++
--- a/internal/lab/soak/referee_test.go
+++ b/internal/lab/soak/referee_test.go
@@ -232,6 +232,14 @@
 				w.answer(id, soak.Answer{Cut: true})
 			}
 		}},
+		{"answers that were due at a VM in trouble", "", func(w *world) {
+			for range 8 {
+				id := w.send(one)
+				w.calm.Begin("vm-1", false)()
+				time.Sleep(4100 * time.Millisecond)
+				w.answer(id, soak.Answer{Cut: true})
+			}
+		}},
 		{"answers long after the time of the route", soak.Late, func(w *world) {
 			for range 8 {
 				id := w.send(one)
