Tell what the retry budget denied and who spent it

Logs could not tell the hypotheses of the retry budget incident apart: nothing said what a VM had spent, how many VMs it divided the slack by or how long its process had counted. repeat_denied carries these inputs with the id of the request, sharers_changed tells what a VM believes of the fleet, /state/budget and samphirestair_repeats_total show all services, and a finding of the soak names the processes that sent the repeats. No decision changes.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -185,6 +185,7 @@
 		"silent":      func() any { return t.pulse.Table().SilentPeers() },
 		"down":        func() any { return t.env.Health.Down() },
 		"admission":   func() any { return t.admission.State() },
+		"budget":      func() any { return t.budget() },
 		"decisions":   func() any { return t.events.History() },
 	}
 }
@@ -197,6 +198,19 @@
 	return table.Config()
 }
 
+// budget is the state of the budgets of the services in use.
+func (t *Tier) budget() any {
+	spending := map[ident.ServiceID]hedge.Spending{}
+	if table := t.follower.View().Table; table != nil {
+		for service := range table.Config().Services {
+			if table.Uses(service) {
+				spending[service] = t.env.Budget.Spending(service)
+			}
+		}
+	}
+	return spending
+}
+
 // brief is the short status of this VM.
 type brief struct {
 	VM      ident.VMID    `json:"vm"`
--- a/internal/core/tier/upkeep.go
+++ b/internal/core/tier/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"maps"
 	"time"
 
@@ -39,12 +40,18 @@
 	var probes conc.WaitGroup
 	defer probes.Wait()
 	var last *roster.View
+	sharers := 0
 	lastProbe, lastWarm := map[ident.ServerID]time.Time{}, map[ident.ServerID]time.Time{}
 	warming := make(chan struct{}, warmLimit)
 	for sleep.For(ctx, upkeepEvery) {
 		view := t.follower.View()
 		if view != last {
 			last = view
+			if now := runner.Sharers(view); now != sharers {
+				t.events.Record("sharers_changed", string(t.settings.VM.ID), "the number of VMs that serve changed",
+					slog.Int("from", sharers), slog.Int("to", now), slog.Int("members", len(view.Members)))
+				sharers = now
+			}
 			known := func(id ident.ServerID) bool { return view.Replica(id) != nil }
 			t.pool.Retain(known)
 			t.env.Health.Retain(known)
--- a/internal/lab/soak/arrivals.go
+++ b/internal/lab/soak/arrivals.go
@@ -1,7 +1,10 @@
 package soak
 
 import (
+	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
@@ -38,18 +41,33 @@
 		return
 	}
 	t := r.trafficOf(a.Service)
-	t.extras = append(t.extras, a.At)
+	t.extras = append(t.extras, extra{at: a.At, by: process{q.VM, q.Boot}})
 	window := r.bounds.ExtraWindow
 	asked := 0
 	for _, back := range []time.Duration{0, window / 2, window} {
-		asked = max(asked, count(t.requests, a.At.Add(-back-window), a.At.Add(-back)))
+		requests := within(t.requests, func(at time.Time) time.Time { return at }, a.At.Add(-back-window), a.At.Add(-back))
+		asked = max(asked, len(requests))
 	}
-	extras := count(t.extras, a.At.Add(-window), a.At)
-	if bound := r.bounds.ExtraShare*float64(asked) + r.bounds.ExtraSlack; float64(extras) > bound {
-		r.findf(Budget, a.ID, "service %s got %d extra arrivals in %v for %d requests", a.Service, extras, window, asked)
+	extras := within(t.extras, func(e extra) time.Time { return e.at }, a.At.Add(-window), a.At)
+	if bound := r.bounds.ExtraShare*float64(asked) + r.bounds.ExtraSlack; float64(len(extras)) > bound {
+		r.findf(Budget, a.ID, "service %s got %d extra arrivals in %v for %d requests, %.1f are allowed; by process: %s",
+			a.Service, len(extras), window, asked, bound, byProcess(extras))
 	}
 }
 
+// byProcess tells how many extra arrivals each process sent.
+func byProcess(extras []extra) string {
+	counts := map[string]int{}
+	for _, e := range extras {
+		counts[e.by.String()]++
+	}
+	var texts []string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		texts = append(texts, fmt.Sprintf("%s %d", name, counts[name]))
+	}
+	return strings.Join(texts, ", ")
+}
+
 // checkTime checks the time that is handed on.
 func (r *Referee) checkTime(q *request, a Arrival) {
 	allowed := q.Wait - a.At.Sub(q.SentAt) + deadlineSlack
@@ -110,17 +128,18 @@
 	return oldest, newest
 }
 
-// count returns how many of the times lie in (from, to]. They may be out of
+// within returns the events in (from, to], the last first. They may be out of
 // order by what a busy machine delays.
-func count(times []time.Time, from, to time.Time) int {
-	n := 0
-	for _, t := range slices.Backward(times) {
+func within[T any](events []T, at func(T) time.Time, from, to time.Time) []T {
+	var found []T
+	for _, event := range slices.Backward(events) {
+		t := at(event)
 		if t.After(from) && !t.After(to) {
-			n++
+			found = append(found, event)
 		}
 		if from.Sub(t) > time.Second {
 			break
 		}
 	}
-	return n
+	return found
 }
--- a/internal/lab/soak/referee.go
+++ b/internal/lab/soak/referee.go
@@ -95,10 +95,22 @@
 	hadExtra coll.Set[ident.ServiceID]
 }
 
-// traffic is what a service got: the times of the requests for it and of the
+// traffic is what a service got: the times of the requests for it and the
 // arrivals beyond the first of each.
 type traffic struct {
-	requests, extras []time.Time
+	requests []time.Time
+	extras   []extra
+}
+
+// extra is an arrival beyond the first of its request.
+type extra struct {
+	at time.Time
+	by process
+}
+
+// String returns the name of the process in findings.
+func (p process) String() string {
+	return fmt.Sprintf("%s/%d", p.vm, p.boot)
 }
 
 // NewReferee returns a referee that takes troubles from calm.
--- a/internal/lab/soak/referee_test.go
+++ b/internal/lab/soak/referee_test.go
@@ -268,6 +268,23 @@
 	}
 }
 
+// A finding about the retry budget says which processes sent the repeats, since a
+// process and its successor count separately.
+func TestExtraArrivalsNameTheirProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		for n := range 7 {
+			id := fmt.Sprint("x", n)
+			w.Sent(soak.Attempt{ID: id, Route: all, VM: "vm-1", Boot: n % 2, SentAt: time.Now(), Wait: time.Second})
+			w.run(id, "s1")
+			w.run(id, "s1")
+		}
+		findings := w.Findings()
+		require.Len(t, findings, 1)
+		require.Equal(t, "service s1 got 7 extra arrivals in 10s for 7 requests, 6.4 are allowed; by process: vm-1/0 4, vm-1/1 3", findings[0].Text)
+	})
+}
+
 func TestPlanRepeatsAndOverlaps(t *testing.T) {
 	plan := soak.Plan(7, time.Minute, soak.Faults(), 9)
 	require.Equal(t, plan, soak.Plan(7, time.Minute, soak.Faults(), 9))
--- a/internal/query/hedge/budget.go
+++ b/internal/query/hedge/budget.go
@@ -88,6 +88,13 @@
 	a.queue += queueWeight * (perSlot - a.queue)
 }
 
+func (b *budget) Spending(service ident.ServiceID) Spending {
+	a := b.account(service)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Spending{Room: a.tokens, Sharers: 1}
+}
+
 func (b *budget) account(service ident.ServiceID) *account {
 	b.mu.RLock()
 	known := b.services[service]
--- a/internal/query/hedge/fleet.go
+++ b/internal/query/hedge/fleet.go
@@ -92,6 +92,18 @@
 	s.latency.add(latency)
 }
 
+func (f *fleet) Spending(service ident.ServiceID) Spending {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.account(service)
+	f.advance(s)
+	extras := sum(s.extras[:])
+	return Spending{
+		Firsts: sum(s.firsts[:]), Extras: extras, Room: f.room(s) - float64(extras),
+		Sharers: f.options.Members(), Age: f.options.Now().Sub(f.start),
+	}
+}
+
 // room is the number of extra sub-requests that this VM may send in a window.
 func (f *fleet) room(s *spending) float64 {
 	share, slack := f.options.Bound()
--- a/internal/query/hedge/none.go
+++ b/internal/query/hedge/none.go
@@ -22,3 +22,5 @@
 }
 
 func (none) Observe(ident.ServiceID, time.Duration, int, int) {}
+
+func (none) Spending(ident.ServiceID) Spending { return Spending{} }
--- a/internal/query/hedge/policy.go
+++ b/internal/query/hedge/policy.go
@@ -24,6 +24,11 @@
 	NotRun
 )
 
+// String returns the name of the reason in logs.
+func (r Reason) String() string {
+	return [...]string{"hedge", "overdue", "failed", "not_run"}[r]
+}
+
 // Policy bounds the extra sub-requests of a service. Implementations are safe
 // for concurrent use.
 type Policy interface {
@@ -38,6 +43,22 @@
 	// Observe notes a completed sub-request: the time since it was sent, and
 	// the queue and slots of the server.
 	Observe(service ident.ServiceID, latency time.Duration, queued, slots int)
+	// Spending returns what decides the next Take of a service.
+	Spending(service ident.ServiceID) Spending
+}
+
+// Spending is the state of the budget of one service at one VM, for logs and
+// dumps.
+type Spending struct {
+	// Firsts and Extras count the sub-requests within the memory of the budget.
+	Firsts int `json:"firsts"`
+	Extras int `json:"extras"`
+	// Room is the number of extra sub-requests that the budget bears at present.
+	Room float64 `json:"room"`
+	// Sharers is the number of VMs among which the slack is divided.
+	Sharers int `json:"sharers"`
+	// Age is the time since the process knows of its own spending.
+	Age time.Duration `json:"age"`
 }
 
 // Options tunes policies. The zero value is useful.
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -47,6 +47,8 @@
 	// least is the number of shards that a success needs.
 	least   int
 	outcome *Outcome
+	// denied collects the attempts that the budget did not bear.
+	denied []Denial
 }
 
 // New returns a query that arrived at now, and its first attempts.
@@ -193,6 +195,23 @@
 	return waiting
 }
 
+// Denied returns the attempts that the budget did not bear since the last call.
+func (q *Query) Denied() []Denial {
+	denied := q.denied
+	q.denied = nil
+	return denied
+}
+
+// spend asks the budget for one more attempt of a shard.
+func (q *Query) spend(index int, reason hedge.Reason) bool {
+	service := q.shards[index].service
+	if q.env.Budget.Take(service, reason) {
+		return true
+	}
+	q.denied = append(q.denied, Denial{Shard: index, Service: service, Reason: reason, Spending: q.env.Budget.Spending(service)})
+	return false
+}
+
 // Stop ends the query without an answer.
 func (q *Query) Stop() {
 	if q.outcome == nil {
@@ -282,7 +301,7 @@
 		}
 		a.hedgeAt = time.Time{}
 		if q.mayRunMore(s) {
-			if replica := q.choose(now, s); replica != nil && q.env.Budget.Take(s.service, hedge.Hedge) {
+			if replica := q.choose(now, s); replica != nil && q.spend(index, hedge.Hedge) {
 				sends = append(sends, q.send(now, index, replica, "hedge"))
 			}
 		}
@@ -320,7 +339,7 @@
 		}
 		return q.giveUp(s, sends)
 	}
-	if s.reached() && !q.env.Budget.Take(s.service, reason) {
+	if s.reached() && !q.spend(index, reason) {
 		return q.giveUp(s, sends)
 	}
 	return append(sends, q.send(now, index, replica, "retry"))
--- a/internal/query/relay/query_test.go
+++ b/internal/query/relay/query_test.go
@@ -140,6 +140,22 @@
 	}
 }
 
+// What the budget denied is told with what decided, so that logs can explain it.
+func TestDeniedAttemptsAreTold(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	q, sends := relay.New(w.env, planOf(searchRoute(1, 1)), start)
+	require.Empty(t, q.Denied())
+	require.Empty(t, q.Tick(after(40)), "hedges leave a part of the room to retries")
+	more, _ := q.Answer(after(50), sends[0].Shard, sends[0].Attempt, relay.Reply{Kind: relay.Broken})
+	require.Len(t, more, 1, "a retry may use it")
+	denied := q.Denied()
+	require.Len(t, denied, 1)
+	require.Equal(t, hedge.Hedge, denied[0].Reason)
+	require.Equal(t, shardName(0), denied[0].Service)
+	require.Equal(t, 1, denied[0].Spending.Firsts)
+	require.Empty(t, q.Denied(), "once")
+}
+
 // A pause of one server in a search over many shards: the answer leaves at the
 // goal with the parts that are in.
 func TestPausedServerAtTheGoalLeavesItsShardOut(t *testing.T) {
--- a/internal/query/relay/types.go
+++ b/internal/query/relay/types.go
@@ -100,6 +100,15 @@
 	Reason string
 }
 
+// Denial is an attempt that was not sent because the budget did not bear it.
+type Denial struct {
+	Shard   int
+	Service ident.ServiceID
+	Reason  hedge.Reason
+	// Spending is what decided.
+	Spending hedge.Spending
+}
+
 // Reply tells what became of an attempt.
 type Reply struct {
 	Kind ReplyKind
--- a/internal/query/runner/meters.go
+++ b/internal/query/runner/meters.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/routes"
 )
 
@@ -18,8 +19,22 @@
 	// outcomes holds the counters and times the histograms that were used, by
 	// outcomeKey and by the name of the route.
 	outcomes, times sync.Map
+	// repeats holds the counters of attempts beyond the first, by repeatKey.
+	repeats sync.Map
 }
 
+// repeatKey names one counter of attempts beyond the first.
+type repeatKey struct {
+	service ident.ServiceID
+	outcome string
+}
+
+// Outcomes of attempts beyond the first.
+const (
+	repeatSent   = "sent"
+	repeatDenied = "denied"
+)
+
 // outcomeKey names one counter.
 type outcomeKey struct {
 	route, kind string
@@ -46,6 +61,13 @@
 	}).Update(took.Seconds())
 }
 
+// repeat counts an attempt beyond the first that was sent, or not.
+func (m *meters) repeat(service ident.ServiceID, outcome string) {
+	known(&m.repeats, repeatKey{service, outcome}, func() *metrics.Counter {
+		return m.set.GetOrCreateCounter(fmt.Sprintf(`samphirestair_repeats_total{service=%q,outcome=%q}`, service, outcome))
+	}).Inc()
+}
+
 // known returns the value of a key, which create makes on its first use.
 func known[K comparable, V any](values *sync.Map, key K, create func() V) V {
 	if value, ok := values.Load(key); ok {
--- a/internal/query/runner/runner.go
+++ b/internal/query/runner/runner.go
@@ -237,6 +237,7 @@
 func (f *flight) start(s relay.Send) {
 	now := time.Now()
 	if s.Reason != "first" {
+		f.runner.meters.repeat(s.Replica.Service, repeatSent)
 		f.trace("request_"+s.Reason, "attempt overdue or unanswered", slog.Int("shard", s.Shard),
 			slog.String("server", string(s.Replica.ID)), slog.Duration("left", s.Left))
 	}
@@ -286,6 +287,7 @@
 			f.drain()
 		case <-timer.C:
 			f.send(f.query.Tick(time.Now()))
+			f.reportDenied()
 		case <-f.request.Gone:
 			f.query.Stop()
 			f.waiting = f.query.Waiting()
@@ -313,6 +315,17 @@
 		f.keep(r, counts)
 		f.send(sends)
 	}
+	f.reportDenied()
+}
+
+// reportDenied logs and counts the attempts that the budget did not bear.
+func (f *flight) reportDenied() {
+	for _, d := range f.query.Denied() {
+		f.runner.meters.repeat(d.Service, repeatDenied)
+		f.trace("repeat_denied", d.Reason.String(), slog.Int("shard", d.Shard), slog.String("service", string(d.Service)),
+			slog.Int("firsts", d.Spending.Firsts), slog.Int("extras", d.Spending.Extras), slog.Float64("room", d.Spending.Room),
+			slog.Int("sharers", d.Spending.Sharers), slog.Duration("age", d.Spending.Age))
+	}
 }
 
 // learnLoad takes what an answer told of its server's queue.
