--- a/internal/query/hedge/fleet_test.go
+++ b/internal/query/hedge/fleet_test.go
@@ -119,3 +119,122 @@
 	require.Equal(t, 8, hedges)
 	require.True(t, policy.Take("desk", hedge.Failed))
 }
+
+// stepTime is the time between two rounds of a simulated fleet.
+const stepTime = 50 * time.Millisecond
+
+// simFleet is a fleet whose processes always want more repeats than they get, with
+// what its backend servers saw.
+type simFleet struct {
+	t        require.TestingT
+	now      time.Time
+	policies []hedge.Policy
+	// believed is the number of VMs among which each process divides the slack.
+	believed []int
+	// requests and extras hold one count for each round.
+	requests, extras []int
+}
+
+func newSimFleet(t require.TestingT, vms int) *simFleet {
+	f := &simFleet{t: t, now: time.Unix(0, 0), policies: make([]hedge.Policy, vms), believed: make([]int, vms)}
+	for vm := range vms {
+		f.restart(vm)
+	}
+	return f
+}
+
+// restart replaces the process of a VM.
+func (f *simFleet) restart(vm int) {
+	newPolicy, err := hedge.Policies.Lookup("fleet")
+	require.NoError(f.t, err)
+	f.believed[vm] = len(f.policies)
+	f.policies[vm] = newPolicy(hedge.Options{
+		Share: fleetShare, Slack: fleetSlack, Window: fleetWindow,
+		Members: func() int { return f.believed[vm] }, Now: func() time.Time { return f.now },
+	})
+}
+
+// play lets time pass while VM i gets firsts[i] requests a round, and spends all
+// that it may if repeat is set.
+func (f *simFleet) play(length time.Duration, firsts []int, repeat bool) {
+	for range length / stepTime {
+		f.now = f.now.Add(stepTime)
+		requests, extras := 0, 0
+		for vm, policy := range f.policies {
+			policy.Sent("desk", firsts[vm])
+			requests += firsts[vm]
+			if repeat {
+				extras += takeAll(policy, 100)
+			}
+		}
+		f.requests, f.extras = append(f.requests, requests), append(f.extras, extras)
+	}
+}
+
+// requireBound checks every window against the requests in it, in the one before it
+// and in the one half a window before it.
+func (f *simFleet) requireBound() {
+	const rounds = int(fleetWindow / stepTime)
+	total := func(counts []int, end int) int {
+		sum := 0
+		for _, c := range counts[max(end-rounds, 0):max(end, 0)] {
+			sum += c
+		}
+		return sum
+	}
+	for end := 1; end <= len(f.extras); end++ {
+		requests := max(total(f.requests, end), total(f.requests, end-rounds/2), total(f.requests, end-rounds))
+		allowed := fleetShare*float64(requests) + fleetSlack
+		require.LessOrEqual(f.t, float64(total(f.extras, end)), allowed, "window that ends %v after the start", time.Duration(end)*stepTime)
+	}
+}
+
+// Guards against an allowance that each start of a process renews: what the
+// predecessor spent is still in the window.
+func TestFleetBudgetHoldsWhileProcessesRestart(t *testing.T) {
+	const vms = 6
+	firsts := []int{1, 1, 1, 1, 1, 1}
+	for name, pause := range map[string]time.Duration{"together": 0, "in_turn": 500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			f := newSimFleet(t, vms)
+			f.play(30*time.Second, firsts, false)
+			f.play(5*time.Second, firsts, true)
+			for vm := range vms {
+				f.restart(vm)
+				f.play(pause, firsts, true)
+			}
+			f.play(15*time.Second, firsts, true)
+			f.requireBound()
+		})
+	}
+}
+
+// Guards against a share that is earned twice: by the VM that callers leave, for what
+// they sent before, and by the VM to which they go.
+func TestFleetBudgetHoldsWhileCallersMove(t *testing.T) {
+	f := newSimFleet(t, 6)
+	f.play(30*time.Second, []int{2, 2, 2, 0, 0, 0}, false)
+	f.play(time.Second, []int{2, 2, 2, 0, 0, 0}, true)
+	f.play(15*time.Second, []int{0, 0, 0, 2, 2, 2}, true)
+	f.requireBound()
+}
+
+// Whatever restarts, moves of callers and changes of traffic follow each other, the
+// bound holds for all processes together.
+func TestFleetBudgetHoldsWhateverHappens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.IntRange(1, 6).Draw(t, "vms")
+		f := newSimFleet(t, vms)
+		for range rapid.IntRange(2, 12).Draw(t, "phases") {
+			for vm := range vms {
+				if rapid.IntRange(0, 3).Draw(t, "restart") == 0 {
+					f.restart(vm)
+				}
+			}
+			firsts := rapid.SliceOfN(rapid.IntRange(0, 5), vms, vms).Draw(t, "firsts")
+			length := time.Duration(rapid.IntRange(1, 300).Draw(t, "rounds")) * stepTime
+			f.play(length, firsts, rapid.IntRange(0, 2).Draw(t, "repeat") > 0)
+		}
+		f.requireBound()
+	})
+}
