Keep the admission from relying on retries under overload

Cause: an attempt that a full server refused and that the budget does not let go elsewhere loses its shard. Such searches fail within milliseconds, and gave back their room at once although servers still worked on their other attempts, so that the next search took their place; and only a quarter of refused attempts counted as overload, more than the budget can replace.

A request that failed keeps its room while its attempts are under way, and is a sign of overload if the budget denied a retry after a full server's refusal. Searches that succeed change nothing.

--- a/internal/query/runner/overload_test.go
+++ b/internal/query/runner/overload_test.go
@@ -116,7 +116,7 @@
 	mu      sync.Mutex
 }
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t *testing.T, share, slack float64) *cluster {
 	t.Helper()
 	c := &cluster{servers: map[ident.ServerID]*loadServer{}}
 	var replicas []*roster.Replica
@@ -142,7 +142,7 @@
 		env := &relay.Env{
 			Replicas: func() relay.Replicas { return c.view },
 			Choose:   newChoice(choose.Options{}),
-			Budget:   newBudget(hedge.Options{Share: 0.18, Slack: 50, Members: func() int { return loadVMs }}),
+			Budget:   newBudget(hedge.Options{Share: share, Slack: slack, Members: func() int { return loadVMs }}),
 			Latency:  newBudget(hedge.Options{Quantile: 0.9, InitialDelay: 30 * time.Millisecond}),
 			Health:   relay.NewHealth(),
 			Cold:     relay.NewColdGate(func(*roster.Replica) float64 { return math.Inf(1) }),
@@ -285,25 +285,36 @@
 // Callers ask for up to three times what all backend servers bear: servers go on at
 // their best, what they can't take is refused at once, and no route is starved.
 func TestCallersAskForMoreThanServersBear(t *testing.T) {
-	const length = 6 * time.Second
-	synctest.Test(t, func(t *testing.T) {
-		best := 0.0
-		for _, load := range []float64{0.2, 0.5, 0.9, 2, 3} {
-			o := newCluster(t).offer(load, length)
-			good := goodput(o, length)
-			t.Logf("load %.2f: goodput %.2f, sweep %+v, peek %+v", load, good, *o[sweep], *o[peek])
-			best = max(best, good)
-			if load <= 0.5 {
-				require.LessOrEqual(t, o[sweep].refused+o[peek].refused, (o[sweep].asked+o[peek].asked)/100, "refused though servers are free")
-				continue
-			}
-			require.GreaterOrEqual(t, good, keptGoodput*best)
-			require.GreaterOrEqual(t, o[sweep].share(), o[peek].share()-rankSlack)
-			for route, one := range o {
-				mean := (o[sweep].share() + o[peek].share()) / 2
-				require.GreaterOrEqual(t, one.share(), starvedShare*mean)
-				require.LessOrEqual(t, one.held, time.Duration(refusedWithin*float64(route.Goal)), one.why)
-			}
+	synctest.Test(t, func(t *testing.T) { requireBearable(t, 0.18, 50, 6*time.Second) })
+}
+
+// Guards against an admission that relies on retries: full servers refuse attempts
+// that the retry budget does not let go elsewhere, so that searches fail fast and
+// others take their place.
+func TestOverloadWithAScarceRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { requireBearable(t, 0.05, 5, 12*time.Second) })
+}
+
+// requireBearable offers up to three times the capacity to fleets with a retry budget,
+// each load for a time.
+func requireBearable(t *testing.T, share, slack float64, length time.Duration) {
+	t.Helper()
+	best := 0.0
+	for _, load := range []float64{0.2, 0.5, 0.9, 2, 3} {
+		o := newCluster(t, share, slack).offer(load, length)
+		good := goodput(o, length)
+		t.Logf("load %.2f: goodput %.2f, sweep %+v, peek %+v", load, good, *o[sweep], *o[peek])
+		best = max(best, good)
+		if load <= 0.5 {
+			require.LessOrEqual(t, o[sweep].refused+o[peek].refused, (o[sweep].asked+o[peek].asked)/100, "refused though servers are free")
+			continue
 		}
-	})
+		require.GreaterOrEqual(t, good, keptGoodput*best)
+		require.GreaterOrEqual(t, o[sweep].share(), o[peek].share()-rankSlack)
+		for route, one := range o {
+			mean := (o[sweep].share() + o[peek].share()) / 2
+			require.GreaterOrEqual(t, one.share(), starvedShare*mean)
+			require.LessOrEqual(t, one.held, time.Duration(refusedWithin*float64(route.Goal)), one.why)
+		}
+	}
 }
--- a/internal/query/runner/runner.go
+++ b/internal/query/runner/runner.go
@@ -19,6 +19,7 @@
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/query/admit"
+	"github.com/samphirestair/samphirestair/internal/query/hedge"
 	"github.com/samphirestair/samphirestair/internal/query/relay"
 )
 
@@ -103,22 +104,37 @@
 		r.report(f, refusal)
 		return refusal
 	}
-	admitted := time.Now()
-	defer func() {
-		now := time.Now()
-		r.deps.Admit.Done(now, f.asked, admit.Outcome{
-			Took: now.Sub(admitted), Late: now.After(f.asked.Deadline), Overloaded: f.overloaded(),
-		})
-	}()
+	f.admitted = time.Now()
 	plan := relay.Plan{Route: request.Route, Service: request.Service, Arrived: request.Arrived, Overhead: request.Overhead, Deadline: deadline(request)}
 	query, sends := relay.New(r.deps.Env, plan, time.Now())
 	f.query = query
 	f.send(sends)
 	answer := f.wait()
+	f.leave(answer)
 	r.report(f, answer)
 	return answer
 }
 
+// leave gives back the room of a request. One that failed keeps it while backend
+// servers may still work on its attempts: what fails fast would else be replaced
+// faster than servers bear.
+func (f *flight) leave(answer Answer) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	failed := answer.Verdict != relay.Success
+	f.outcome = &admit.Outcome{Took: now.Sub(f.admitted), Late: now.After(f.asked.Deadline), Overloaded: f.overloaded(failed)}
+	if !failed || f.open == 0 {
+		f.giveBack(now)
+	}
+}
+
+// giveBack tells the admission that the request is done, once.
+func (f *flight) giveBack(now time.Time) {
+	f.runner.deps.Admit.Done(now, f.asked, *f.outcome)
+	f.outcome = nil
+}
+
 // admission is what the admission of a request depends on: the service, that of the
 // first shard for a search, whose searches share their servers; the rank; and the
 // goal, since a later answer is worth little.
@@ -172,10 +188,10 @@
 // while the others are free.
 const fullShare = 0.25
 
-// overloaded reports whether backend servers refused many attempts of the request
-// because they were full.
-func (f *flight) overloaded() bool {
-	return float64(f.full) > fullShare*float64(len(f.calls))
+// overloaded reports whether backend servers refused more attempts of the request
+// because they were full than retries could replace.
+func (f *flight) overloaded(failed bool) bool {
+	return failed && f.starved || float64(f.full) > fullShare*float64(len(f.calls))
 }
 
 // deadline is the time by which the answer has to leave.
@@ -206,10 +222,19 @@
 	// full counts the attempts that backend servers refused because they were
 	// full.
 	full int
+	// starved is set once the budget denied a retry of a request that full servers
+	// refused.
+	starved bool
 
 	// waiting lists the attempts without a reply when the request was answered.
 	waiting []string
 
+	admitted time.Time
+	// outcome is what the admission is still to be told of an answered request, and
+	// open the number of attempts without a result. mu guards both.
+	outcome *admit.Outcome
+	open    int
+
 	parts parts
 	// results keeps the answers of a request that is no search.
 	results []pool.Result
@@ -241,6 +266,9 @@
 		f.trace("request_"+s.Reason, "attempt overdue or unanswered", slog.Int("shard", s.Shard),
 			slog.String("server", string(s.Replica.ID)), slog.Duration("left", s.Left))
 	}
+	f.mu.Lock()
+	f.open++
+	f.mu.Unlock()
 	call := f.runner.deps.Sender.Send(f.runner.target(s.Replica), f.request.Message, now.Add(s.Left), s.Wait, func(result pool.Result) {
 		f.take(reply{shard: s.Shard, attempt: s.Attempt, result: result, sentAt: now})
 	})
@@ -251,8 +279,12 @@
 func (f *flight) take(r reply) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.open--
 	if f.over {
 		f.learnLate(r)
+		if f.open == 0 && f.outcome != nil {
+			f.giveBack(time.Now())
+		}
 		return
 	}
 	f.replies = append(f.replies, r)
@@ -322,6 +354,9 @@
 func (f *flight) reportDenied() {
 	for _, d := range f.query.Denied() {
 		f.runner.meters.repeat(d.Service, repeatDenied)
+		if d.Reason == hedge.NotRun && f.full > 0 {
+			f.starved = true
+		}
 		f.trace("repeat_denied", d.Reason.String(), slog.Int("shard", d.Shard), slog.String("service", string(d.Service)),
 			slog.Int("firsts", d.Spending.Firsts), slog.Int("extras", d.Spending.Extras), slog.Float64("room", d.Spending.Room),
 			slog.Int("sharers", d.Spending.Sharers), slog.Duration("age", d.Spending.Age))
