Start each process with an empty retry budget and bound what it saves

Cause: the budget was a window that each process counted for itself. A new process had its whole part of the slack, and a VM to which callers moved earned a share for them, while what their former VM or process had spent was still in the fleet's window.

Evidence: repeat_denied shows 8 or 9 repeats within 2 s of each start, with the predecessors' 10 to 16 in the same window and the slack divided by the right number.

Why this works: requests and time fill a balance that starts empty and is bounded by the VM's part of the slack. Over any window, all processes together spend at most what they had saved (the limits) and what requests and time gave meanwhile, whoever starts or takes over callers.

Ruled out: freezes, cuts, revoked registrations and slow VMs, on which the bound held.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -43,7 +43,8 @@
 	// hedgeQuantile is the quantile of a route's latency after which an attempt
 	// is overdue. The budget bears one in ten.
 	hedgeQuantile = 0.9
-	// budgetPart is kept of the allowed share, since VMs count separately.
+	// budgetPart is the part of the allowed share that is used. The rest is left to
+	// repeats that arrive later than they were sent.
 	budgetPart = 0.9
 	// latencyDelay is used until a route has been answered often enough.
 	latencyDelay = 30 * time.Millisecond
@@ -158,7 +159,7 @@
 		Window: t.settings.Extra.Window,
 		Bound: func() (share, slack float64) {
 			extra := t.live.Load().Extra
-			return budgetPart * extra.Share, budgetPart * extra.Slack
+			return budgetPart * extra.Share, extra.Slack
 		},
 		Members: func() int { return runner.Sharers(t.follower.View()) },
 	}
--- a/internal/query/hedge/budget.go
+++ b/internal/query/hedge/budget.go
@@ -9,7 +9,7 @@
 
 func init() {
 	Policies.Register("budget", func(o Options) Policy {
-		return &budget{options: o.withDefaults(), services: map[ident.ServiceID]*account{}}
+		return &budget{options: o.withDefaults(), services: map[ident.ServiceID]*tokens{}}
 	})
 }
 
@@ -22,19 +22,19 @@
 	options Options
 
 	mu       sync.RWMutex
-	services map[ident.ServiceID]*account
+	services map[ident.ServiceID]*tokens
 }
 
-// account is the state of one service.
-type account struct {
+// tokens is the state of one service.
+type tokens struct {
 	mu      sync.Mutex
-	tokens  float64
+	saved   float64
 	queue   float64
 	latency *window
 }
 
 func (b *budget) Delay(service ident.ServiceID) (time.Duration, bool) {
-	a := b.account(service)
+	a := b.tokens(service)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delay, known := a.latency.quantile()
@@ -45,42 +45,42 @@
 }
 
 func (b *budget) Sent(service ident.ServiceID, count int) {
-	a := b.account(service)
+	a := b.tokens(service)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.tokens = min(a.tokens+b.options.Share*float64(count), b.options.Burst)
+	a.saved = min(a.saved+b.options.Share*float64(count), b.options.Burst)
 }
 
 // Take spends one token. Hedges need a saved one. Retries restore coverage and
 // may borrow, so that hedges have to wait afterwards. What was not run costs
 // backend servers nothing and is never refused.
 func (b *budget) Take(service ident.ServiceID, reason Reason) bool {
-	a := b.account(service)
+	a := b.tokens(service)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !b.allows(a, reason) {
 		return false
 	}
-	a.tokens = max(a.tokens-1, -b.options.Borrow)
+	a.saved = max(a.saved-1, -b.options.Borrow)
 	return true
 }
 
-func (b *budget) allows(a *account, reason Reason) bool {
+func (b *budget) allows(a *tokens, reason Reason) bool {
 	short := a.queue < b.options.LongQueue
 	switch reason {
 	case Hedge:
-		return short && a.tokens >= 1
+		return short && a.saved >= 1
 	case Overdue:
-		return short && a.tokens > -b.options.Borrow
+		return short && a.saved > -b.options.Borrow
 	case Failed:
-		return a.tokens > -b.options.Borrow
+		return a.saved > -b.options.Borrow
 	default:
 		return true
 	}
 }
 
 func (b *budget) Observe(service ident.ServiceID, latency time.Duration, queued, slots int) {
-	a := b.account(service)
+	a := b.tokens(service)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.latency.add(latency)
@@ -89,13 +89,13 @@
 }
 
 func (b *budget) Spending(service ident.ServiceID) Spending {
-	a := b.account(service)
+	a := b.tokens(service)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return Spending{Room: a.tokens, Sharers: 1}
+	return Spending{Balance: a.saved, Sharers: 1}
 }
 
-func (b *budget) account(service ident.ServiceID) *account {
+func (b *budget) tokens(service ident.ServiceID) *tokens {
 	b.mu.RLock()
 	known := b.services[service]
 	b.mu.RUnlock()
@@ -105,7 +105,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.services[service] == nil {
-		b.services[service] = &account{latency: newWindow(b.options.Quantile)}
+		b.services[service] = &tokens{latency: newWindow(b.options.Quantile)}
 	}
 	return b.services[service]
 }
--- a/internal/query/hedge/fleet.go
+++ b/internal/query/hedge/fleet.go
@@ -10,43 +10,52 @@
 func init() {
 	Policies.Register("fleet", func(o Options) Policy {
 		o = o.withDefaults()
-		return &fleet{options: o, start: o.Now(), accounts: map[ident.ServiceID]*spending{}}
+		return &fleet{options: o, start: o.Now(), accounts: map[ident.ServiceID]*account{}}
 	})
 }
 
-// spendBuckets is the number of parts into which the window of a budget is
-// divided.
-const spendBuckets = 10
+const (
+	// savedPart is the part of the slack that VMs may save, and refillPart the part
+	// that they get in each window. The rest is left to repeats that arrive later
+	// than they were sent, and to VMs that begin to serve before others end.
+	savedPart, refillPart = 0.5, 0.3
+	// hedgePart is the part of the saved budget that hedges may use. The rest is left
+	// to retries, which restore an answer.
+	hedgePart = 0.8
+)
 
-// fleet keeps the extra sub-requests of all VMs to a service within a share of
-// the requests plus a slack in every window of time, without a message between
-// VMs: each spends its share of its own requests and its part of the slack.
+// fleet keeps the extra sub-requests of all VMs to a service within a share of the
+// requests plus a slack in every window of time, without a message between VMs.
+//
+// Each VM has a balance that requests and time fill, up to a limit. In any window
+// all processes together spend at most what they had saved before, which the limits
+// bound, and what requests and time give within it. A process starts with nothing,
+// so that neither its start nor callers that change VMs grant anything twice.
 type fleet struct {
 	options Options
-	// start is the origin of the steady time.
+	// start is the time from which the balances fill.
 	start time.Time
 
 	mu       sync.Mutex
-	accounts map[ident.ServiceID]*spending
+	accounts map[ident.ServiceID]*account
 }
 
-// spending counts what was sent for one service. Bucket i covers the time
-// [i, i+1) in units of a tenth of the window.
-type spending struct {
+// account is the budget of one service.
+type account struct {
 	latency *window
-	latest  int64
-	firsts  [spendBuckets]int
-	extras  [spendBuckets + 1]int
+	balance float64
+	// filledAt is the time up to which the balance was filled.
+	filledAt time.Time
 }
 
 func (f *fleet) Delay(service ident.ServiceID) (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.account(service)
-	if s.latency == nil {
+	a := f.account(service)
+	if a.latency == nil {
 		return f.options.InitialDelay, true
 	}
-	delay, known := s.latency.quantile()
+	delay, known := a.latency.quantile()
 	if !known {
 		delay = f.options.InitialDelay
 	}
@@ -56,86 +65,77 @@
 func (f *fleet) Sent(service ident.ServiceID, count int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.account(service)
-	bucket := f.advance(s)
-	s.firsts[bucket%spendBuckets] += count
+	share, _ := f.options.Bound()
+	f.fill(f.account(service), share*float64(count))
 }
 
-// Take spends one extra sub-request if there is room. Hedges leave a part of
-// the room to retries, which restore an answer.
+// Take spends one extra sub-request if it was saved.
 func (f *fleet) Take(service ident.ServiceID, reason Reason) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.account(service)
-	bucket := f.advance(s)
-	room := f.room(s)
+	a := f.account(service)
+	f.fill(a, 0)
+	least := 1.0
 	if reason == Hedge || reason == Overdue {
-		room *= hedgePart
+		limit := f.limit()
+		least = min(1+(1-hedgePart)*limit, limit)
 	}
-	if float64(sum(s.extras[:])+1) > room {
+	if a.balance < least {
 		return false
 	}
-	s.extras[bucket%(spendBuckets+1)]++
+	a.balance--
 	return true
 }
 
-// hedgePart is the part of the room that hedges may use.
-const hedgePart = 0.8
-
 func (f *fleet) Observe(service ident.ServiceID, latency time.Duration, _, _ int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.account(service)
-	if s.latency == nil {
-		s.latency = newWindow(f.options.Quantile)
+	a := f.account(service)
+	if a.latency == nil {
+		a.latency = newWindow(f.options.Quantile)
 	}
-	s.latency.add(latency)
+	a.latency.add(latency)
 }
 
 func (f *fleet) Spending(service ident.ServiceID) Spending {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.account(service)
-	f.advance(s)
-	extras := sum(s.extras[:])
+	a := f.account(service)
+	f.fill(a, 0)
 	return Spending{
-		Firsts: sum(s.firsts[:]), Extras: extras, Room: f.room(s) - float64(extras),
+		Balance: a.balance, Limit: f.limit(),
 		Sharers: f.options.Members(), Age: f.options.Now().Sub(f.start),
 	}
 }
 
-// room is the number of extra sub-requests that this VM may send in a window.
-func (f *fleet) room(s *spending) float64 {
-	share, slack := f.options.Bound()
-	return share*float64(sum(s.firsts[:])) + slack/float64(max(f.options.Members(), 1))
+// slack is the VM's part of the slack.
+func (f *fleet) slack() float64 {
+	members := f.options.Members()
+	if members <= 0 {
+		return 0
+	}
+	_, slack := f.options.Bound()
+	return slack / float64(members)
 }
 
-// advance clears the buckets that time has passed and returns the present one.
-// Extra sub-requests are remembered for a bucket longer than the window, so
-// that every span of that length is covered.
-func (f *fleet) advance(s *spending) int64 {
-	now := int64(f.options.Now().Sub(f.start) / (f.options.Window / spendBuckets))
-	for next := max(s.latest+1, now-spendBuckets); next <= now; next++ {
-		s.firsts[next%spendBuckets] = 0
-		s.extras[next%(spendBuckets+1)] = 0
-	}
-	s.latest = max(s.latest, now)
-	return s.latest
+// limit bounds a balance. One sub-request can be saved in any case.
+func (f *fleet) limit() float64 {
+	return max(savedPart*f.slack(), 1)
 }
 
-func (f *fleet) account(service ident.ServiceID) *spending {
-	s := f.accounts[service]
-	if s == nil {
-		s = &spending{}
-		f.accounts[service] = s
-	}
-	return s
+// fill adds earned and what time has given to the balance of an account.
+func (f *fleet) fill(a *account, earned float64) {
+	now := f.options.Now()
+	passed := float64(now.Sub(a.filledAt)) / float64(f.options.Window)
+	a.filledAt = now
+	a.balance = min(a.balance+earned+refillPart*f.slack()*passed, f.limit())
 }
 
-func sum(counts []int) int {
-	total := 0
-	for _, c := range counts {
-		total += c
+func (f *fleet) account(service ident.ServiceID) *account {
+	a := f.accounts[service]
+	if a == nil {
+		a = &account{filledAt: f.start}
+		f.accounts[service] = a
 	}
-	return total
+	return a
 }
--- a/internal/query/hedge/policy.go
+++ b/internal/query/hedge/policy.go
@@ -50,14 +50,13 @@
 // Spending is the state of the budget of one service at one VM, for logs and
 // dumps.
 type Spending struct {
-	// Firsts and Extras count the sub-requests within the memory of the budget.
-	Firsts int `json:"firsts"`
-	Extras int `json:"extras"`
-	// Room is the number of extra sub-requests that the budget bears at present.
-	Room float64 `json:"room"`
+	// Balance is the number of extra sub-requests that were saved, and Limit the
+	// largest that may be.
+	Balance float64 `json:"balance"`
+	Limit   float64 `json:"limit"`
 	// Sharers is the number of VMs among which the slack is divided.
 	Sharers int `json:"sharers"`
-	// Age is the time since the process knows of its own spending.
+	// Age is the time since the balance began to fill.
 	Age time.Duration `json:"age"`
 }
 
@@ -86,7 +85,8 @@
 	// Bound replaces Share and Slack of a fleet-wide budget if it is set. It is
 	// asked for each attempt.
 	Bound func() (share, slack float64)
-	// Members returns the number of VMs that share Slack. nil means 1.
+	// Members returns the number of VMs that share Slack, or 0 if this one has no
+	// part in it. nil means 1.
 	Members func() int
 	// Now returns the steady time. nil means time.Now.
 	Now func() time.Time
--- a/internal/query/runner/runner.go
+++ b/internal/query/runner/runner.go
@@ -358,8 +358,7 @@
 			f.starved = true
 		}
 		f.trace("repeat_denied", d.Reason.String(), slog.Int("shard", d.Shard), slog.String("service", string(d.Service)),
-			slog.Int("firsts", d.Spending.Firsts), slog.Int("extras", d.Spending.Extras), slog.Float64("room", d.Spending.Room),
-			slog.Int("sharers", d.Spending.Sharers), slog.Duration("age", d.Spending.Age))
+			slog.Float64("balance", d.Spending.Balance), slog.Float64("limit", d.Spending.Limit), slog.Int("sharers", d.Spending.Sharers), slog.Duration("age", d.Spending.Age))
 	}
 }
 
