Divide budgets and connections by the VMs that are to serve

Cause: the slack of the retry budget was divided by the VMs that one believed to serve. VMs that leave are not among them but serve their callers until they end, so that the parts added up to more than the slack.

Evidence: in the logs of a planned restart sharers falls from 6 to 3, a VM has 28 repeats in its window, and its room is -3.3 once sharers is 6 again. TestSharersAreNotFewerWhileVMsLeave asks for 8 with three VMs known; the code before, which has another function for it, divided by 3 (read, not run, as the test does not compile there).

Why this works: the configuration in force gives how many VMs are to serve; nobody divides by less, whatever it believes, and a VM that leaves or stands by has no part and keeps one saved repeat at most (TestFleetBudgetOfAVMThatLeaves). Connections to backend servers had the same divisor and have the same cure.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -145,6 +145,15 @@
 	return t.registrar.Serving() && !t.gate.Draining()
 }
 
+// sharers is the number of VMs among which the slack of retry budgets is divided, or
+// 0 while this one does not serve, so that the VM that takes its place has its part.
+func (t *Tier) sharers() int {
+	if !t.isServing() {
+		return 0
+	}
+	return t.follower.View().Sharers
+}
+
 // buildEnv chooses the policies of queries.
 func (t *Tier) buildEnv() error {
 	newChoice, err := choose.Policies.Lookup("expect")
@@ -161,7 +170,7 @@
 			extra := t.live.Load().Extra
 			return budgetPart * extra.Share, extra.Slack
 		},
-		Members: func() int { return runner.Sharers(t.follower.View()) },
+		Members: t.sharers,
 	}
 	t.env = &relay.Env{
 		Replicas: func() relay.Replicas { return t.follower.View() },
--- a/internal/core/tier/upkeep.go
+++ b/internal/core/tier/upkeep.go
@@ -47,10 +47,10 @@
 		view := t.follower.View()
 		if view != last {
 			last = view
-			if now := runner.Sharers(view); now != sharers {
-				t.events.Record("sharers_changed", string(t.settings.VM.ID), "the number of VMs that serve changed",
-					slog.Int("from", sharers), slog.Int("to", now), slog.Int("members", len(view.Members)))
-				sharers = now
+			if view.Sharers != sharers {
+				t.events.Record("sharers_changed", string(t.settings.VM.ID), "other VMs serve, or another configuration is in force",
+					slog.Int("from", sharers), slog.Int("to", view.Sharers), slog.Int("serving", view.Serving))
+				sharers = view.Sharers
 			}
 			known := func(id ident.ServerID) bool { return view.Replica(id) != nil }
 			t.pool.Retain(known)
--- a/internal/fleet/roster/entries.go
+++ b/internal/fleet/roster/entries.go
@@ -26,8 +26,11 @@
 )
 
 // EntryCount is the number of VMs among which the connections of backend
-// servers are divided: as many as get enough connections each.
+// servers are divided: as many as get enough connections each. table may be nil.
 func EntryCount(table *routes.Table) int {
+	if table == nil {
+		return minEntries
+	}
 	scarcest := 0
 	for id, service := range table.Config().Services {
 		if table.Uses(id) && (scarcest == 0 || service.Connections < scarcest) {
--- a/internal/fleet/roster/entries_test.go
+++ b/internal/fleet/roster/entries_test.go
@@ -55,6 +55,26 @@
 	require.Equal(t, 8, roster.EntryCount(table))
 }
 
+// Guards against parts of a fleet-wide bound that add up to more than it: VMs that
+// leave, or are not known to others, use theirs too.
+func TestSharersAreNotFewerWhileVMsLeave(t *testing.T) {
+	table, err := routes.NewTable(&routes.Config{
+		Routes:   []routes.Route{lookupRoute()},
+		Services: map[ident.ServiceID]routes.Service{"used": {Connections: 64}},
+	})
+	require.NoError(t, err)
+	for serving, want := range map[int]int{0: 8, 3: 8, 8: 8, 10: 10} {
+		var members []roster.Member
+		for i := range serving {
+			m := memberOf("vantaa", i, 1)
+			m.Serving = true
+			members = append(members, m)
+		}
+		require.Equal(t, want, roster.NewView(table, nil, members, nil).Sharers, "%d known to serve", serving)
+	}
+	require.Equal(t, 6, roster.NewView(nil, nil, nil, nil).Sharers)
+}
+
 func lookupRoute() routes.Route {
 	return routes.Route{
 		Name: "lookup", Host: "desk.example", Prefix: "/", Attempts: 1, Timeout: 1,
--- a/internal/fleet/roster/types.go
+++ b/internal/fleet/roster/types.go
@@ -93,6 +93,10 @@
 	Members []Member
 	// Serving counts the members that serve callers.
 	Serving int
+	// Sharers is the number of VMs among which the fleet's connections and budgets
+	// are divided. It never is less than the number of VMs that are to serve: those
+	// that are not known, or leave, may still use their parts.
+	Sharers int
 	// ZonesOut are taken out of service.
 	ZonesOut coll.Set[ident.Zone]
 
@@ -130,6 +134,7 @@
 			v.Serving++
 		}
 	}
+	v.Sharers = max(EntryCount(table), v.Serving)
 	for _, r := range replicas {
 		if r.Draining || zonesOut.Has(r.Zone) {
 			continue
--- a/internal/query/hedge/fleet_test.go
+++ b/internal/query/hedge/fleet_test.go
@@ -221,6 +221,27 @@
 	f.requireBound()
 }
 
+// A VM that stops serving keeps nothing of its part of the slack, which the VM that
+// takes its place uses.
+func TestFleetBudgetOfAVMThatLeaves(t *testing.T) {
+	newPolicy, err := hedge.Policies.Lookup("fleet")
+	require.NoError(t, err)
+	now, members := time.Unix(0, 0), 2
+	policy := newPolicy(hedge.Options{
+		Share: fleetShare, Slack: fleetSlack, Window: fleetWindow,
+		Members: func() int { return members }, Now: func() time.Time { return now },
+	})
+	now = now.Add(time.Minute)
+	require.Equal(t, 10, int(policy.Spending("desk").Balance))
+	members = 0
+	now = now.Add(time.Minute)
+	require.Equal(t, 1, takeAll(policy, 100))
+	now = now.Add(time.Minute)
+	require.Zero(t, takeAll(policy, 100))
+	policy.Sent("desk", 5)
+	require.Equal(t, 1, takeAll(policy, 100), "what its callers earn")
+}
+
 // Whatever restarts, moves of callers and changes of traffic follow each other, the
 // bound holds for all processes together.
 func TestFleetBudgetHoldsWhateverHappens(t *testing.T) {
--- a/internal/query/runner/reply.go
+++ b/internal/query/runner/reply.go
@@ -17,12 +17,9 @@
 	// that serve use. The rest is left to others and to connections that are
 	// being replaced; a server with a long queue accepts fewer than it tells.
 	connectionPart = 0.8
-	// mostConnections bounds the connections of one VM to one backend server
-	// while few VMs are known, as after a start of the whole fleet.
+	// mostConnections bounds the connections of one VM to one backend server, whose
+	// own bound may be far above what its slots need.
 	mostConnections = 12
-	// usualMembers is the number of VMs that is assumed to serve while none is
-	// known to.
-	usualMembers = 6
 )
 
 // interpret turns the result of an attempt into what it means for the query.
@@ -78,20 +75,12 @@
 	return Target(r.deps.Beliefs.View(), replica)
 }
 
-// Sharers is the number of VMs among which connections and budgets are divided.
-func Sharers(view *roster.View) int {
-	if view.Serving == 0 {
-		return usualMembers
-	}
-	return view.Serving
-}
-
 // Target says how a backend server is reached by a VM that holds view.
 func Target(view *roster.View, replica *roster.Replica) pool.Target {
 	connections := 1
 	if view.Table != nil {
 		service := view.Table.Config().Services[replica.Service]
-		connections = int(connectionPart * float64(service.Connections) / float64(Sharers(view)))
+		connections = int(connectionPart * float64(service.Connections) / float64(view.Sharers))
 	}
 	return pool.Target{
 		ID: replica.ID, Address: replica.Address, Born: replica.Born,
