Keep cold servers' rates across restarts and gaps in what a VM knows

A new process sent to a cold server at once, whatever its predecessor had just sent, and a VM that knew of no other one took the whole rate.

Evidence: TestColdRateIsNotWholeForAVMThatKnowsNoOther failed before (8 of 8 requests a second in place of 2); the gate's first request was allowed unconditionally (read; the new test does not compile on the code before).

Why this works: the start of a process counts as a send, and each VM takes a fourth of the rate at most. A fleet of fewer than four VMs warms its servers slower than they would bear.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -180,7 +180,7 @@
 		Health:   relay.NewHealth(),
 		Cold: relay.NewColdGate(func(replica *roster.Replica) float64 {
 			return roster.ColdShare(t.follower.View(), t.settings.VM.ID, replica)
-		}),
+		}, time.Now()),
 		Options: relay.Options{Partial: t.settings.Answers.Partial}.WithDefaults(),
 	}
 	return nil
--- a/internal/fleet/roster/cold.go
+++ b/internal/fleet/roster/cold.go
@@ -8,7 +8,8 @@
 
 // coldHolders is the number of VMs that may send to one backend server in cold
 // start. Each spaces its requests evenly, so that in any second the server gets
-// at most that many beyond its rate: one below the slack of the platform.
+// at most that many beyond its rate: one below the slack of the platform. A VM that
+// knows fewer that serve takes no more, since others may not be known to it.
 const coldHolders = 4
 
 // ColdShare is the number of requests a second that a VM may send to a backend
@@ -35,5 +36,5 @@
 	if !serving || before >= coldHolders {
 		return 0
 	}
-	return rate / float64(min(coldHolders, view.Serving))
+	return rate / coldHolders
 }
--- a/internal/fleet/roster/cold_test.go
+++ b/internal/fleet/roster/cold_test.go
@@ -37,3 +37,16 @@
 	free := &roster.Replica{Server: roster.Server{ID: "i-1", Service: "free"}}
 	require.Equal(t, math.Inf(1), roster.ColdShare(view, "vm-0", free))
 }
+
+// Guards against a cold server's bound that VMs which don't know of each other use
+// several times.
+func TestColdRateIsNotWholeForAVMThatKnowsNoOther(t *testing.T) {
+	table, err := routes.NewTable(&routes.Config{
+		Routes:   []routes.Route{lookupRoute()},
+		Services: map[ident.ServiceID]routes.Service{"used": {ColdRate: 8}},
+	})
+	require.NoError(t, err)
+	view := roster.NewView(table, nil, []roster.Member{{VM: "vm-1", Serving: true}}, nil)
+	share := roster.ColdShare(view, "vm-1", &roster.Replica{Server: roster.Server{ID: "i-1", Service: "used"}})
+	require.InDelta(t, 2, share, 1e-9)
+}
--- a/internal/query/relay/cold.go
+++ b/internal/query/relay/cold.go
@@ -15,14 +15,17 @@
 	// share returns the number of requests a second that this VM may send to a
 	// cold server: 0 for none, +Inf for any number.
 	share func(replica *roster.Replica) float64
+	// start counts as a send to each server: the process before may have sent then.
+	start time.Time
 
 	mu   sync.Mutex
 	last map[ident.ServerID]time.Time
 }
 
-// NewColdGate returns a gate that asks share for the rate of each cold server.
-func NewColdGate(share func(replica *roster.Replica) float64) *ColdGate {
-	return &ColdGate{share: share, last: map[ident.ServerID]time.Time{}}
+// NewColdGate returns a gate for a process that starts at start. It asks share for
+// the rate of each cold server.
+func NewColdGate(share func(replica *roster.Replica) float64, start time.Time) *ColdGate {
+	return &ColdGate{share: share, start: start, last: map[ident.ServerID]time.Time{}}
 }
 
 // May reports whether a request may go to the cold server now.
@@ -37,7 +40,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	last, sent := g.last[replica.ID]
-	return !sent || now.Sub(last).Seconds() >= 1/rate
+	if !sent {
+		last = g.start
+	}
+	return now.Sub(last).Seconds() >= 1/rate
 }
 
 // Sent notes that a request goes to the cold server.
--- a/internal/query/relay/query_test.go
+++ b/internal/query/relay/query_test.go
@@ -54,7 +54,7 @@
 		Budget:   budget,
 		Latency:  newBudget(hedge.Options{InitialDelay: 30 * time.Millisecond}),
 		Health:   relay.NewHealth(),
-		Cold:     relay.NewColdGate(func(*roster.Replica) float64 { return w.coldRate }),
+		Cold:     relay.NewColdGate(func(*roster.Replica) float64 { return w.coldRate }, start.Add(-time.Hour)),
 		Options:  relay.Options{Partial: true}.WithDefaults(),
 	}
 	return w
@@ -355,3 +355,16 @@
 	}
 	require.Equal(t, 10, sent, "two servers, five a second each")
 }
+
+// Guards against a bound that a restart renews: the process before may have sent to
+// the cold server a moment ago.
+func TestColdServerGetsNothingAtOnceFromANewProcess(t *testing.T) {
+	share := func(*roster.Replica) float64 { return 5 }
+	cold := &roster.Replica{Server: roster.Server{ID: "i-1"}}
+	gate := relay.NewColdGate(share, start)
+	require.False(t, gate.May(after(199), cold))
+	require.True(t, gate.May(after(200), cold))
+	gate.Sent(after(200), cold.ID)
+	gate.Retain(func(ident.ServerID) bool { return false })
+	require.True(t, gate.May(after(201), cold), "another server by that name")
+}
--- a/internal/query/runner/overload_test.go
+++ b/internal/query/runner/overload_test.go
@@ -145,7 +145,7 @@
 			Budget:   newBudget(hedge.Options{Share: share, Slack: slack, Members: func() int { return loadVMs }}),
 			Latency:  newBudget(hedge.Options{Quantile: 0.9, InitialDelay: 30 * time.Millisecond}),
 			Health:   relay.NewHealth(),
-			Cold:     relay.NewColdGate(func(*roster.Replica) float64 { return math.Inf(1) }),
+			Cold:     relay.NewColdGate(func(*roster.Replica) float64 { return math.Inf(1) }, time.Now()),
 			Options:  relay.Options{Partial: true}.WithDefaults(),
 		}
 		c.runners = append(c.runners, runner.New(runner.Deps{Env: env, Sender: c, Beliefs: c, Admit: admission, Metrics: metrics.NewSet()}))
