Bound the wait of a repeat for a connection

When servers that hang go on, repeats of more than one window arrive within one.

Evidence: TestWaitForAConnectionIsShort failed before (answered after 2 s where 1 s is the most).

Why this works: after a second the attempt ends unsent and another server is chosen, so that a repeat arrives within two seconds of being counted (wait and dial), which the part of the budget that is not used covers.

--- a/internal/owner/pool/call.go
+++ b/internal/owner/pool/call.go
@@ -17,9 +17,11 @@
 	cancelled bool
 	// dial ends the opening of a connection.
 	dial context.CancelFunc
-	// queue is set while the attempt may wait for a connection.
-	queue *server
-	conn  *conn
+	// queue is set while the attempt may wait for a connection, and waitUntil the time
+	// until which it does.
+	queue     *server
+	waitUntil time.Time
+	conn      *conn
 	// written is set once the whole request was written.
 	written bool
 	// writing ends when the writing of a short request has ended.
@@ -108,6 +110,11 @@
 	return !c.cancelled
 }
 
+// expire ends an attempt that found no connection.
+func (c *Call) expire() {
+	c.finish(Result{Fate: Unsent, Reason: "no connection in time"})
+}
+
 // setConn notes the connection that carries the attempt. It returns false if
 // the attempt was given up already.
 func (c *Call) setConn(conn *conn) bool {
--- a/internal/owner/pool/pool.go
+++ b/internal/owner/pool/pool.go
@@ -26,8 +26,10 @@
 	defaultIdle = 8 * time.Second
 	// defaultMaxBody bounds the body of an answer.
 	defaultMaxBody = 8 << 20
-	// maxWaiting bounds the attempts that wait for a connection to one server.
+	// maxWaiting bounds the attempts that wait for a connection to one server, and
+	// maxWait the time for which they do.
 	maxWaiting = 8
+	maxWait    = time.Second
 	// silenceTimeout is the time after which the kernel gives up a connection
 	// whose peer acknowledges nothing.
 	silenceTimeout = 3 * time.Second
@@ -100,7 +102,7 @@
 }
 
 // Send starts one attempt, which has to end by deadline. If all connections are
-// in use, it waits for one if wait is set, and is not sent otherwise. done is
+// in use, it waits a short time for one if wait is set, and is not sent otherwise. done is
 // called once, on another goroutine or before Send returns, and must not block.
 func (p *Pool) Send(target Target, message *Message, deadline time.Time, wait bool, done func(Result)) *Call {
 	call := &Call{message: message, deadline: deadline, done: done}
@@ -285,6 +287,12 @@
 		return false
 	}
 	s.waiting = append(s.waiting, call)
+	call.waitUntil = time.Now().Add(maxWait)
+	time.AfterFunc(maxWait, func() {
+		if s.leave(call) {
+			call.expire()
+		}
+	})
 	return true
 }
 
@@ -355,8 +363,12 @@
 	}
 }
 
-// requeue puts a call back to the front of those that wait.
+// requeue puts a call back to the front of those that wait, unless its wait is over.
 func (s *server) requeue(call *Call) {
+	if !time.Now().Before(call.waitUntil) {
+		call.expire()
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting = slices.Insert(s.waiting, 0, call)
--- a/internal/owner/pool/pool_test.go
+++ b/internal/owner/pool/pool_test.go
@@ -340,3 +340,27 @@
 	time.Sleep(50 * time.Millisecond)
 	require.Len(t, b.requests, 1)
 }
+
+// Guards against repeats that wait for a connection until their deadline: the retry
+// budget counts them when they begin to wait, and they would arrive together with
+// those of a later window.
+func TestWaitForAConnectionIsShort(t *testing.T) {
+	b := newBackend(t, func(conn net.Conn, _ int, _ string) {
+		time.Sleep(2 * time.Second)
+		say(conn, reply("r1", "x"))
+	})
+	p := newPool(t)
+	target := b.target()
+	target.Connections = 1
+	results := make(chan pool.Result, 2)
+	take := func(r pool.Result) { results <- r }
+	p.Send(target, messageOf("r1", nil), time.Now().Add(6*time.Second), true, take)
+	began := time.Now()
+	p.Send(target, messageOf("r2", nil), time.Now().Add(6*time.Second), true, take)
+	r := await(t, results)
+	require.Equal(t, pool.Unsent, r.Fate)
+	require.Equal(t, "no connection in time", r.Reason)
+	require.Less(t, time.Since(began), 2*time.Second)
+	require.Equal(t, pool.Answered, await(t, results).Fate)
+	require.Len(t, b.requests, 1)
+}
