Keep a test of the pool on loopback

TestOnlyAnUnsentAttemptCanBeWithdrawn opened a connection to 192.0.2.1, an address of documentation that no machine has, to have one that stays half open. Tests send to loopback alone. A loopback socket with a full queue of connections does the same, and lets the test ask for certain that the attempt can be withdrawn and ends unsent, which it asked before only if the withdrawal happened to come in time.

--- a/internal/owner/pool/pool_test.go
+++ b/internal/owner/pool/pool_test.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/plat/heads"
@@ -297,11 +298,30 @@
 	<-b.requests
 	require.False(t, call.CancelUnsent())
 	require.Equal(t, pool.Answered, await(t, results).Fate)
-	// Nothing answers at this address, so that the connection stays half open.
-	silent := pool.Target{ID: "i-2", Address: "192.0.2.1:9", Connections: 1}
+	silent := pool.Target{ID: "i-2", Address: halfOpenAddress(t), Connections: 1}
 	call = p.Send(silent, messageOf("r2", nil), time.Now().Add(time.Second), false, func(r pool.Result) { results <- r })
-	if call.CancelUnsent() {
-		require.NotEqual(t, pool.Broken, await(t, results).Fate)
+	require.True(t, call.CancelUnsent())
+	require.Equal(t, pool.Unsent, await(t, results).Fate)
+}
+
+// halfOpenAddress returns the address of a socket whose queue of new connections is
+// full, so that further ones stay half open.
+func halfOpenAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, unix.Close(fd)) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, unix.Listen(fd, 0))
+	name, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+	for {
+		conn, err := net.DialTimeout("tcp", address, 200*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = conn.Close() })
 	}
 }
 
