--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -38,15 +38,17 @@
 	ConfigStorm Fault = "config-storm"
 	Reshard     Fault = "reshard"
 	Evacuate    Fault = "evacuate"
+	AllFail     Fault = "all-fail"
 )
 
-// Faults returns all kinds of faults.
+// Faults returns all kinds of faults. New ones come last, since schedules of earlier
+// seeds are drawn from the first ones.
 func Faults() []Fault {
 	return []Fault{
 		KillVM, KillAll, StopVM, PauseVM, Settings, CallerLink, StoreLink, ServerLink,
 		StoreDown, StoreSlow, StoreLoses, StoreForget, StoreDeaf,
 		ServerCrash, ServerSlow, ServerFails, ServerLoses, ServerSpoil, ServerDrain, ServerReuse, ServerBorn,
-		ConfigMove, ConfigStorm, Reshard, Evacuate,
+		ConfigMove, ConfigStorm, Reshard, Evacuate, AllFail,
 	}
 }
 
