--- a/internal/ops/trail/trail.go
+++ b/internal/ops/trail/trail.go
@@ -47,29 +47,31 @@
 	"request_cancelled": "given up by the caller",
 }
 
-// Read returns the lines about a request in r. Text before the first brace of a
+// read hands the lines in r that hold a word to take. Text before the first brace of a
 // line is skipped, since collectors put their own words there.
-func Read(r io.Reader, id string) ([]Line, error) {
-	var lines []Line
+func read(r io.Reader, word string, take func(Line)) error {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
 	for scanner.Scan() {
 		text := scanner.Bytes()
 		start := bytes.IndexByte(text, '{')
-		if start < 0 || !bytes.Contains(text, []byte(id)) {
+		if start < 0 || !bytes.Contains(text, []byte(word)) {
 			continue
 		}
-		if line, ok := parse(text[start:]); ok && line.Subject == id {
-			lines = append(lines, line)
+		if line, ok := parse(text[start:]); ok {
+			take(line)
 		}
 	}
-	return lines, errors.Wrap(scanner.Err(), "trail: read")
+	return errors.Wrap(scanner.Err(), "trail: read")
 }
 
 func parse(text []byte) (Line, bool) {
 	var line Line
 	var fields map[string]any
-	if json.Unmarshal(text, &line) != nil || json.Unmarshal(text, &fields) != nil {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	// Numbers stay as they were written.
+	decoder.UseNumber()
+	if json.Unmarshal(text, &line) != nil || decoder.Decode(&fields) != nil || line.Event == "" {
 		return Line{}, false
 	}
 	for key, value := range fields {
@@ -84,19 +86,30 @@
 // ReadFile returns the lines about a request in a file, which may be compressed
 // by gzip.
 func ReadFile(path, id string) ([]Line, error) {
+	var lines []Line
+	err := readFile(path, id, func(line Line) {
+		if line.Subject == id {
+			lines = append(lines, line)
+		}
+	})
+	return lines, err
+}
+
+// readFile hands the lines of a file that hold a word to take.
+func readFile(path, word string, take func(Line)) error {
 	file, err := os.Open(path)
 	if err != nil {
-		return nil, errors.Wrap(err, "trail: open")
+		return errors.Wrap(err, "trail: open")
 	}
 	defer func() { _ = file.Close() }()
 	if !strings.HasSuffix(path, ".gz") {
-		return Read(file, id)
+		return read(file, word, take)
 	}
 	plain, err := gzip.NewReader(file)
 	if err != nil {
-		return nil, errors.Wrapf(err, "trail: %s", path)
+		return errors.Wrapf(err, "trail: %s", path)
 	}
-	return Read(plain, id)
+	return read(plain, word, take)
 }
 
 // Write tells what happened to a request, in the order of time.
--- a/internal/ops/trail/trail_test.go
+++ b/internal/ops/trail/trail_test.go
@@ -46,3 +46,35 @@
 	require.NoError(t, err)
 	require.Len(t, lines, 5)
 }
+
+// The log holds lines of two VMs that were killed and started again while backend
+// servers failed.
+func TestTimelineOfARestart(t *testing.T) {
+	var line trail.Timeline
+	require.NoError(t, line.AddFile(filepath.Join("testdata", "restart.log")))
+	var text bytes.Buffer
+	require.NoError(t, line.Write(&text))
+	goldie.New(t).Assert(t, "restart", text.Bytes())
+}
+
+func TestTimelineCountsWhatWasLeftOut(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "vm.log")
+	log := `{"time":"2026-12-04T05:00:00Z","msg":"attempt_failed","vm":"vm-1","subject":"r1","reason":"reset","dropped":7}
+vm-1 | {"time":"2026-12-04T05:00:00.5Z","msg":"attempt_failed","vm":"vm-1","subject":"r2","reason":"reset"}
+no line of ours {"time":"2026-12-04T05:00:00Z"}
+`
+	require.NoError(t, os.WriteFile(path, []byte(log), 0o600))
+	var line trail.Timeline
+	require.NoError(t, line.AddFile(path))
+	var text bytes.Buffer
+	require.NoError(t, line.Write(&text))
+	require.Contains(t, text.String(), "05:00:00  0        0       0     0        0     9       0        0\n")
+}
+
+func TestEmptyTimelineSaysSo(t *testing.T) {
+	var line trail.Timeline
+	require.Error(t, line.AddFile(filepath.Join(t.TempDir(), "absent.log")))
+	var text bytes.Buffer
+	require.NoError(t, line.Write(&text))
+	require.Equal(t, "no decision in these logs\n", text.String())
+}
