Hedge by the goal until the latency of a route is known

What backend servers saw: after the start of a process nearly every lookup arrived twice.

Cause: until a route had been answered 64 times an attempt was overdue after 30 ms, whatever the route asks for; a VM with four lookups a second takes 17 s for that, and lookups of 90 ms are all slower. The same 30 ms let an attempt that was given up after 200 ms count as a silent server.

TestNewProcessHedgesByTheGoal fails on the code before (30 ms in place of 160).

Why this works: the goal of the route tells what is expected of it, and 0.4 of it was the latest time of a hedge anyway.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -46,7 +46,8 @@
 	// budgetPart is the part of the allowed share that is used. The rest is left to
 	// repeats that arrive later than they were sent.
 	budgetPart = 0.9
-	// latencyDelay is used until a route has been answered often enough.
+	// latencyDelay is used until a route without a goal has been answered often
+	// enough.
 	latencyDelay = 30 * time.Millisecond
 )
 
--- a/internal/query/course/shard.go
+++ b/internal/query/course/shard.go
@@ -169,7 +169,7 @@
 
 // dispatchAll sends the first sub-request of each shard.
 func (q *Query) dispatchAll(now time.Time) {
-	delay, hedged := q.deps.Hedge.Delay(q.spec.Service)
+	delay, hedged := q.deps.Hedge.Delay(q.spec.Service, 0)
 	q.hedgeDelay = delay
 	for i := range q.shards {
 		s := &q.shards[i]
--- a/internal/query/hedge/budget.go
+++ b/internal/query/hedge/budget.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 )
 
@@ -33,13 +34,13 @@
 	latency *window
 }
 
-func (b *budget) Delay(service ident.ServiceID) (time.Duration, bool) {
+func (b *budget) Delay(service ident.ServiceID, initial time.Duration) (time.Duration, bool) {
 	a := b.tokens(service)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delay, known := a.latency.quantile()
 	if !known {
-		delay = b.options.InitialDelay
+		delay = coll.Positive(initial, b.options.InitialDelay)
 	}
 	return delay, a.queue < b.options.LongQueue
 }
--- a/internal/query/hedge/fleet.go
+++ b/internal/query/hedge/fleet.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 )
 
@@ -48,18 +49,15 @@
 	filledAt time.Time
 }
 
-func (f *fleet) Delay(service ident.ServiceID) (time.Duration, bool) {
+func (f *fleet) Delay(service ident.ServiceID, initial time.Duration) (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	a := f.account(service)
-	if a.latency == nil {
-		return f.options.InitialDelay, true
-	}
-	delay, known := a.latency.quantile()
-	if !known {
-		delay = f.options.InitialDelay
+	if latency := f.account(service).latency; latency != nil {
+		if delay, known := latency.quantile(); known {
+			return delay, true
+		}
 	}
-	return delay, true
+	return coll.Positive(initial, f.options.InitialDelay), true
 }
 
 func (f *fleet) Sent(service ident.ServiceID, count int) {
--- a/internal/query/hedge/hedge_test.go
+++ b/internal/query/hedge/hedge_test.go
@@ -19,7 +19,7 @@
 func TestNoneNeverHedges(t *testing.T) {
 	policy := newPolicy(t, "none")
 	policy.Sent("s", 1000)
-	_, ok := policy.Delay("s")
+	_, ok := policy.Delay("s", 0)
 	require.False(t, ok)
 	require.False(t, policy.Take("s", hedge.Hedge))
 	require.True(t, policy.Take("s", hedge.Failed))
@@ -27,13 +27,13 @@
 
 func TestBudgetDelaysByTheQuantile(t *testing.T) {
 	policy := newPolicy(t, "budget")
-	delay, ok := policy.Delay("s")
+	delay, ok := policy.Delay("s", 0)
 	require.True(t, ok)
 	require.Equal(t, 50*time.Millisecond, delay)
 	for i := range 10_000 {
 		policy.Observe("s", time.Duration(i%100+1)*time.Millisecond, 1, 2)
 	}
-	delay, ok = policy.Delay("s")
+	delay, ok = policy.Delay("s", 0)
 	require.True(t, ok)
 	require.InEpsilon(t, 95*time.Millisecond, delay, 0.03)
 }
--- a/internal/query/hedge/none.go
+++ b/internal/query/hedge/none.go
@@ -13,7 +13,7 @@
 // none never hedges and always retries.
 type none struct{}
 
-func (none) Delay(ident.ServiceID) (time.Duration, bool) { return 0, false }
+func (none) Delay(ident.ServiceID, time.Duration) (time.Duration, bool) { return 0, false }
 
 func (none) Sent(ident.ServiceID, int) {}
 
--- a/internal/query/hedge/policy.go
+++ b/internal/query/hedge/policy.go
@@ -33,8 +33,9 @@
 // for concurrent use.
 type Policy interface {
 	// Delay returns the time after which an unanswered sub-request may be
-	// hedged. ok is false while the service is not hedged at all.
-	Delay(service ident.ServiceID) (delay time.Duration, ok bool)
+	// hedged: initial until the service has answered often enough, or that of the
+	// options if it is 0. ok is false while the service is not hedged at all.
+	Delay(service ident.ServiceID, initial time.Duration) (delay time.Duration, ok bool)
 	// Sent notes that first attempts were sent.
 	Sent(service ident.ServiceID, count int)
 	// Take reports whether one more sub-request may be sent, and counts it if
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -237,7 +237,7 @@
 // silentAfter is the time without an answer after which a server counts as
 // silent rather than slow.
 func (q *Query) silentAfter() time.Duration {
-	delay, _ := q.env.Latency.Delay(ident.ServiceID(q.plan.Route.Name))
+	delay, _ := q.usualDelay()
 	return max(silentFactor*delay, minSilent)
 }
 
@@ -384,16 +384,28 @@
 
 // hedgeAt returns the time at which an attempt that is sent at now is overdue.
 func (q *Query) hedgeAt(now time.Time) time.Time {
-	delay, ok := q.env.Latency.Delay(ident.ServiceID(q.plan.Route.Name))
+	delay, ok := q.usualDelay()
 	if !ok {
 		return time.Time{}
 	}
-	if goal := q.plan.Route.Goal; goal > 0 {
-		delay = min(delay, time.Duration(q.env.Options.HedgeShare*float64(goal)))
+	if latest := q.latestHedge(); latest > 0 {
+		delay = min(delay, latest)
 	}
 	return now.Add(delay)
 }
 
+// usualDelay is the time by which an attempt is usually answered. Until the route has
+// been answered often enough the goal tells what is expected of it.
+func (q *Query) usualDelay() (delay time.Duration, ok bool) {
+	return q.env.Latency.Delay(ident.ServiceID(q.plan.Route.Name), q.latestHedge())
+}
+
+// latestHedge is the time after which a hedge leaves at the latest, or 0 if the route
+// has no goal.
+func (q *Query) latestHedge() time.Duration {
+	return time.Duration(q.env.Options.HedgeShare * float64(q.plan.Route.Goal))
+}
+
 // mayRunMore reports whether one more backend server may run the shard.
 func (q *Query) mayRunMore(s *shard) bool {
 	running := 0
--- a/internal/query/relay/query_test.go
+++ b/internal/query/relay/query_test.go
@@ -368,3 +368,16 @@
 	gate.Retain(func(ident.ServerID) bool { return false })
 	require.True(t, gate.May(after(201), cold), "another server by that name")
 }
+
+// Guards against a process that hedges nearly every request after its start, and so
+// spends its retry budget, because it doesn't know yet how long answers take.
+func TestNewProcessHedgesByTheGoal(t *testing.T) {
+	w := newWorld(t, 1, 10)
+	q, _ := relay.New(w.env, planOf(lookupRoute(true)), start)
+	require.Equal(t, after(160), q.Next(), "0.4 of the goal of 400 ms")
+	for range 100 {
+		w.env.Latency.Observe("lookup", 70*time.Millisecond, 0, 0)
+	}
+	q, _ = relay.New(w.env, planOf(lookupRoute(true)), start)
+	require.InDelta(t, 70, q.Next().Sub(start).Milliseconds(), 1)
+}
