--- a/internal/core/tier/upkeep.go
+++ b/internal/core/tier/upkeep.go
@@ -40,18 +40,16 @@
 	var probes conc.WaitGroup
 	defer probes.Wait()
 	var last *roster.View
-	sharers := 0
 	lastProbe, lastWarm := map[ident.ServerID]time.Time{}, map[ident.ServerID]time.Time{}
 	warming := make(chan struct{}, warmLimit)
 	for sleep.For(ctx, upkeepEvery) {
 		view := t.follower.View()
 		if view != last {
-			last = view
-			if view.Sharers != sharers {
+			if last == nil || view.Sharers != last.Sharers {
 				t.events.Record("sharers_changed", string(t.settings.VM.ID), "other VMs serve, or another configuration is in force",
-					slog.Int("from", sharers), slog.Int("to", view.Sharers), slog.Int("serving", view.Serving))
-				sharers = view.Sharers
+					slog.Int("sharers", view.Sharers), slog.Int("serving", view.Serving))
 			}
+			last = view
 			known := func(id ident.ServerID) bool { return view.Replica(id) != nil }
 			t.pool.Retain(known)
 			t.env.Health.Retain(known)
--- a/internal/owner/pool/pool_test.go
+++ b/internal/owner/pool/pool_test.go
@@ -342,18 +342,25 @@
 	require.Len(t, b.accepted, 2)
 }
 
+// sendBehind sends two requests over one connection, so that the second waits for the
+// first.
+func sendBehind(t *testing.T, b *backend, left time.Duration) (second *pool.Call, results <-chan pool.Result) {
+	t.Helper()
+	p := newPool(t)
+	target := b.target()
+	target.Connections = 1
+	both := make(chan pool.Result, 2)
+	take := func(r pool.Result) { both <- r }
+	p.Send(target, messageOf("r1", nil), time.Now().Add(left), true, take)
+	return p.Send(target, messageOf("r2", nil), time.Now().Add(left), true, take), both
+}
+
 func TestWaitingAttemptThatIsGivenUpIsNeverSent(t *testing.T) {
 	b := newBackend(t, func(conn net.Conn, _ int, _ string) {
 		time.Sleep(100 * time.Millisecond)
 		say(conn, reply("r1", "x"))
 	})
-	p := newPool(t)
-	target := b.target()
-	target.Connections = 1
-	results := make(chan pool.Result, 2)
-	take := func(r pool.Result) { results <- r }
-	p.Send(target, messageOf("r1", nil), time.Now().Add(time.Second), true, take)
-	second := p.Send(target, messageOf("r2", nil), time.Now().Add(time.Second), true, take)
+	second, results := sendBehind(t, b, time.Second)
 	require.True(t, second.CancelUnsent())
 	require.Equal(t, pool.Unsent, await(t, results).Fate)
 	require.Equal(t, pool.Answered, await(t, results).Fate)
@@ -369,14 +376,8 @@
 		time.Sleep(2 * time.Second)
 		say(conn, reply("r1", "x"))
 	})
-	p := newPool(t)
-	target := b.target()
-	target.Connections = 1
-	results := make(chan pool.Result, 2)
-	take := func(r pool.Result) { results <- r }
-	p.Send(target, messageOf("r1", nil), time.Now().Add(6*time.Second), true, take)
 	began := time.Now()
-	p.Send(target, messageOf("r2", nil), time.Now().Add(6*time.Second), true, take)
+	_, results := sendBehind(t, b, 6*time.Second)
 	r := await(t, results)
 	require.Equal(t, pool.Unsent, r.Fate)
 	require.Equal(t, "no connection in time", r.Reason)
