Wait until a started program is in place before its signals are judged

Cause, read from how the kernel starts a program: the starter goes on before the signal handlers of its own are cleared in the new process, so that the first look may show those of the test. Not shown by a run of its own.

--- a/internal/lab/soak/process_test.go
+++ b/internal/lab/soak/process_test.go
@@ -20,6 +20,8 @@
 		if want {
 			require.Eventually(t, handles, 5*time.Second, time.Millisecond)
 		} else {
+			// Until the kernel has replaced the program, it shows what the test catches.
+			require.Eventually(t, func() bool { return !handles() }, 5*time.Second, time.Millisecond)
 			require.Never(t, handles, 200*time.Millisecond, 10*time.Millisecond)
 		}
 		p.Close()
