Name the parts of an answer in few header lines

Cause: the gate wrote one header line for each part's signature.

Change: signatures share lines of up to 4 kB, so that neither the number of lines nor the length of one grows beyond what callers take.

Ruled out: one line for all. 270 signatures of 33 bytes are 9 kB, above the 8 kB that many clients bound a line to.

TestSearchAnswerOfManyShardsHasFewHeaders, at twice the shards, fails on the code before (540 lines, at most 6 now).

--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -254,8 +254,8 @@
 			answer.Result.Release()
 			return
 		}
-		for _, signature := range answer.Signatures {
-			ctx.Response.Header.Add(g.deps.Names.Parts, signature)
+		for value := range lists(answer.Signatures) {
+			ctx.Response.Header.Add(g.deps.Names.Parts, value)
 		}
 		ctx.Response.Header.Set(g.deps.Names.Missing, strconv.Itoa(answer.Missing))
 		ctx.SetBody(answer.Records)
--- a/internal/front/gate/gate_test.go
+++ b/internal/front/gate/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -94,7 +95,7 @@
 	require.NoError(t, err)
 	response := &fasthttp.Response{}
 	response.Header.DisableNormalizing()
-	require.NoError(t, response.Read(bufio.NewReader(conn)))
+	require.NoError(t, response.Read(bufio.NewReaderSize(conn, 64<<10)))
 	return response
 }
 
@@ -122,6 +123,28 @@
 	require.NotContains(t, string(request.Message.Head), "chunked")
 }
 
+// The number of header lines must not grow with the shards: callers accept few.
+func TestSearchAnswerOfManyShardsHasFewHeaders(t *testing.T) {
+	const shards = 2 * 270
+	signatures := make([]string, shards)
+	for i := range signatures {
+		signatures[i] = fmt.Sprintf("%04x.07.5a2.600.0.c9f2a4d1.%08x", i, i)
+	}
+	behind := newTier(t)
+	behind.answer = func(runner.Request) runner.Answer {
+		return runner.Answer{Records: []byte("sixteen bytes..."), Signatures: signatures}
+	}
+	response := ask(t, newGate(behind), "GET /all/ HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n\r\n")
+	var named []string
+	lines := response.Header.PeekAll("X-Part-Signatures")
+	for _, line := range lines {
+		require.LessOrEqual(t, len(line), 4<<10)
+		named = append(named, strings.Split(string(line), ", ")...)
+	}
+	require.Equal(t, signatures, named)
+	require.LessOrEqual(t, len(lines), 6)
+}
+
 func TestSearchAnswerNamesItsParts(t *testing.T) {
 	behind := newTier(t)
 	behind.answer = func(runner.Request) runner.Answer {
--- a/internal/front/gate/message.go
+++ b/internal/front/gate/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"iter"
 	"strconv"
 	"strings"
 	"time"
@@ -133,6 +134,33 @@
 	return names
 }
 
+// maxListLength is the longest header value of a list in bytes. Callers bound both
+// the length of a header line, often to 8 kB, and the number of lines.
+const maxListLength = 4 << 10
+
+// lists joins items by commas into as few header values as maxListLength allows.
+func lists(items []string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		const separator = ", "
+		var list []byte
+		for _, item := range items {
+			if len(list) > 0 && len(list)+len(separator)+len(item) > maxListLength {
+				if !yield(string(list)) {
+					return
+				}
+				list = list[:0]
+			}
+			if len(list) > 0 {
+				list = append(list, separator...)
+			}
+			list = append(list, item...)
+		}
+		if len(list) > 0 {
+			yield(string(list))
+		}
+	}
+}
+
 // copyResponse passes a backend server's answer on.
 func copyResponse(ctx *fasthttp.RequestCtx, from *fasthttp.Response) {
 	ctx.SetStatusCode(from.StatusCode())
