Take what a VM may save beyond its part of the slack from its refill

Cause: any VM may save one repeat. With 23 VMs and a slack of 33 that is 0.7 of the slack in place of 0.5, and the refill of 0.3 leaves nothing to repeats that arrive later than they were sent.

Change: the refill of a VM is what its part of the slack leaves after what it may save. Nothing changes where the part is two or more.

TestFleetBudgetHoldsWithManyVMs (36 VMs, slack 40) fails before: 69 of 68.8.

--- a/internal/query/hedge/fleet.go
+++ b/internal/query/hedge/fleet.go
@@ -121,12 +121,19 @@
 	return max(savedPart*f.slack(), 1)
 }
 
+// refill is what a balance gets in each window. Where a VM may save more than its part
+// of the slack, it gets less.
+func (f *fleet) refill() float64 {
+	slack := f.slack()
+	return max(min(refillPart*slack, (savedPart+refillPart)*slack-f.limit()), 0)
+}
+
 // fill adds earned and what time has given to the balance of an account.
 func (f *fleet) fill(a *account, earned float64) {
 	now := f.options.Now()
 	passed := float64(now.Sub(a.filledAt)) / float64(f.options.Window)
 	a.filledAt = now
-	a.balance = min(a.balance+earned+refillPart*f.slack()*passed, f.limit())
+	a.balance = min(a.balance+earned+f.refill()*passed, f.limit())
 }
 
 func (f *fleet) account(service ident.ServiceID) *account {
--- a/internal/query/hedge/fleet_test.go
+++ b/internal/query/hedge/fleet_test.go
@@ -211,6 +211,24 @@
 	}
 }
 
+// Guards against VMs whose part of the slack is so small that the one repeat that each
+// may save is more than that part.
+func TestFleetBudgetHoldsWithManyVMs(t *testing.T) {
+	// Each VM gets a request every period rounds, one after the other.
+	const vms, period = 36, 50
+	f := newSimFleet(t, vms)
+	for round := range 20 * period {
+		firsts := make([]int, vms)
+		for vm := range firsts {
+			if (round+vm*period/vms)%period == 0 {
+				firsts[vm] = 1
+			}
+		}
+		f.play(stepTime, firsts, round >= 10*period)
+	}
+	f.requireBound()
+}
+
 // Guards against a share that is earned twice: by the VM that callers leave, for what
 // they sent before, and by the VM to which they go.
 func TestFleetBudgetHoldsWhileCallersMove(t *testing.T) {
