Catch up with the store without pauses after an outage

Cause: a watch tells at most 500 changes. After 9 s of a reshard there were some thousand; the follower rested a second after each answer as it does in a storm, so that it learnt versions 5, 8, 10, 14 and 17 at 12.7, 14.9, 16.0, 18.1 and 21.3 s. Each answer also counted as a confirmation, so that a VM took itself as up to date and answered 404.

Ruled out: a watch that hangs after the outage; the first answer came 0.1 s after its end.

Change: an answer to a watch that is large enough to be cut off is followed by the next watch at once, and confirms nothing.

TestManyMissedChangesAreKnownSoonAfterAnOutage (version 2 in place of 5) and TestAgeGrowsWhileChangesAreMissing fail before; the stand-in store cuts answers off as the platform does.

--- a/internal/fleet/roster/follower.go
+++ b/internal/fleet/roster/follower.go
@@ -39,6 +39,11 @@
 	// return soon.
 	firstReadTimeout = 600 * time.Millisecond
 	lastReadTimeout  = 2400 * time.Millisecond
+	// backlogItems and backlogBytes are the sizes from which the answer to a watch is
+	// probably not all that changed: a store tells at most some hundred changes, or a
+	// megabyte, at once.
+	backlogItems = 100
+	backlogBytes = 128 << 10
 	// minRetry and maxRetry bound the pause after a failed call. It is drawn at
 	// random, so that VMs do not call together when the store returns.
 	minRetry = 150 * time.Millisecond
@@ -108,7 +113,9 @@
 	batch coll.Option[depot.Batch]
 	// whole marks a reading of all keys.
 	whole bool
-	err   error
+	// behind is set if more changes are to be expected at once.
+	behind bool
+	err    error
 }
 
 // NewFollower returns a follower for book, which it owns from then on.
@@ -260,7 +267,9 @@
 		} else {
 			f.book.Apply(now, batch)
 		}
-		f.confirmed.Store(&n.asked)
+		if !n.behind {
+			f.confirmed.Store(&n.asked)
+		}
 	}
 }
 
@@ -303,15 +312,26 @@
 			continue
 		}
 		failures = 0
-		f.send(ctx, note{asked: asked, batch: coll.Some(batch), whole: !known})
+		behind := known && isBacklog(batch)
+		f.send(ctx, note{asked: asked, batch: coll.Some(batch), whole: !known, behind: behind})
 		changed := len(batch.Items) > 0 && known
 		revision, known = max(revision, batch.Revision), true
-		if changed && f.rest(ctx) {
+		if changed && !behind && f.rest(ctx) {
 			known = false
 		}
 	}
 }
 
+// isBacklog reports whether an answer to a watch is so large that more changes are
+// probably left.
+func isBacklog(batch depot.Batch) bool {
+	size := 0
+	for _, item := range batch.Items {
+		size += len(item.Value)
+	}
+	return len(batch.Items) >= backlogItems || size >= backlogBytes
+}
+
 func (f *Follower) readAll(ctx context.Context, timeout time.Duration) (depot.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/internal/fleet/roster/follower_test.go
+++ b/internal/fleet/roster/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -61,6 +62,47 @@
 	})
 }
 
+// The store turns the VM away while much changes, and then tells it in many answers.
+func TestManyMissedChangesAreKnownSoonAfterAnOutage(t *testing.T) {
+	follow(t, func(store *depsrv.Store, f *roster.Follower, _ *roster.Registrar) {
+		store.Set("config:", encode(1))
+		time.Sleep(5 * time.Second)
+		store.SetFaults(depsrv.Faults{Down: true})
+		for version := range 4 {
+			for i := range 800 {
+				store.Set(fmt.Sprint("server:i-", i), encode(registered()))
+			}
+			store.Set("config:", encode(version+2))
+		}
+		time.Sleep(9 * time.Second)
+		store.SetFaults(depsrv.Faults{})
+		time.Sleep(1500 * time.Millisecond)
+		require.EqualValues(t, 5, f.View().Table.Config().Version)
+	})
+}
+
+// While changes are still missing, the VM can't tell that a route does not exist.
+func TestAgeGrowsWhileChangesAreMissing(t *testing.T) {
+	follow(t, func(store *depsrv.Store, f *roster.Follower, _ *roster.Registrar) {
+		store.Set("config:", encode(1))
+		time.Sleep(5 * time.Second)
+		store.SetFaults(depsrv.Faults{Down: true})
+		for i := range 3000 {
+			store.Set(fmt.Sprint("server:i-", i%800), encode(registered()))
+		}
+		store.Set("config:", encode(2))
+		time.Sleep(9 * time.Second)
+		store.SetFaults(depsrv.Faults{Delay: 100 * time.Millisecond})
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			if age, _ := f.Age(time.Now()); age < 4*time.Second {
+				require.EqualValues(t, 2, f.View().Table.Config().Version)
+			}
+		}
+		require.EqualValues(t, 2, f.View().Table.Config().Version)
+	})
+}
+
 func TestLostHistoryIsReadAgain(t *testing.T) {
 	follow(t, func(store *depsrv.Store, f *roster.Follower, _ *roster.Registrar) {
 		time.Sleep(time.Second)
--- a/internal/lab/depsrv/store.go
+++ b/internal/lab/depsrv/store.go
@@ -168,6 +168,9 @@
 // expiryPoll is the time between two looks for lapsed leases during a watch.
 const expiryPoll = 100 * time.Millisecond
 
+// mostEvents is the largest number of changes in one answer to a watch.
+const mostEvents = 500
+
 func (s *Store) changesAfter(prefix string, after ident.Revision) (depot.Batch, chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -180,9 +183,14 @@
 	}
 	batch := depot.Batch{Revision: s.revision}
 	for _, item := range s.history {
-		if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
-			batch.Items = append(batch.Items, item)
+		if item.Revision <= after || !strings.HasPrefix(item.Key, prefix) {
+			continue
+		}
+		if len(batch.Items) == mostEvents {
+			batch.Revision = batch.Items[mostEvents-1].Revision
+			break
 		}
+		batch.Items = append(batch.Items, item)
 	}
 	return batch, s.changed, nil
 }
