Keep the parts of searches in their zone, merged by VMs there

Change: roster.Eligible and StayShare say who serves and what stays; link/ferry carries the attempts for another zone to a VM there, which sends them and answers with signatures and the greatest records. The VM of the caller keeps all decisions. Connections are opened ahead to servers of the own zone only.

--- a/internal/conf/fwconf/settings.go
+++ b/internal/conf/fwconf/settings.go
@@ -21,6 +21,7 @@
 	Depot   Depot
 	Answers Answers
 	Extra   Extra
+	Cost    Cost
 	Log     Log
 }
 
@@ -79,6 +80,13 @@
 	Window time.Duration
 }
 
+// Cost weighs what requests cost the operators against the time that they take.
+type Cost struct {
+	// Stay is the part of a route's goal that an answer may be expected to take
+	// longer from a backend server of the VM's own availability zone.
+	Stay float64
+}
+
 // Log says how the process logs.
 type Log struct {
 	Level slog.Level
@@ -93,6 +101,7 @@
 	defaultShare        = 0.1
 	defaultSlack        = 20
 	defaultWindow       = 10 * time.Second
+	defaultStay         = 0.2
 )
 
 // Values of settings that are either on or off.
@@ -121,6 +130,7 @@
 		Depot:   readDepot(file.Section("depot", true)),
 		Answers: readAnswers(file.Section("answers", false)),
 		Extra:   readExtra(file.Section("extra", false)),
+		Cost:    readCost(file.Section("cost", false)),
 		Log:     readLog(file.Section("log", false)),
 	}
 	if err := file.Err(); err != nil {
@@ -171,6 +181,10 @@
 	}
 }
 
+func readCost(section *strict.Section) Cost {
+	return Cost{Stay: section.Number("stay", coll.Some(defaultStay), 0, 1)}
+}
+
 func readLog(section *strict.Section) Log {
 	return Log{Level: section.Level("level")}
 }
--- a/internal/conf/routes/table.go
+++ b/internal/conf/routes/table.go
@@ -52,6 +52,11 @@
 	return t.used.Has(service)
 }
 
+// Used returns the services that routes name, in no order.
+func (t *Table) Used() coll.Set[ident.ServiceID] {
+	return t.used
+}
+
 // Match returns the route with the longest prefix that begins path, or nil.
 // host may carry a port.
 func (t *Table) Match(host, path string) *Route {
--- a/internal/core/tier/stop.go
+++ b/internal/core/tier/stop.go
@@ -42,6 +42,9 @@
 		if err := t.gate.Shutdown(); err != nil {
 			t.events.Record("stop_failed", "callers", err.Error())
 		}
+		if err := t.ferry.Shutdown(); err != nil {
+			t.events.Record("stop_failed", "peers", err.Error())
+		}
 	}()
 	select {
 	case <-closed:
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -23,6 +23,7 @@
 	"github.com/samphirestair/samphirestair/internal/fleet/pulse"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/front/gate"
+	"github.com/samphirestair/samphirestair/internal/link/ferry"
 	"github.com/samphirestair/samphirestair/internal/ops/admin"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/plat/depot"
@@ -77,6 +78,9 @@
 	registrar *roster.Registrar
 	pulse     *pulse.Pulse
 	pool      *pool.Pool
+	carrier   *ferry.Client
+	carriers  *runner.Carriers
+	ferry     *ferry.Server
 	env       *relay.Env
 	admission admit.Queue
 	gate      *gate.Gate
@@ -122,7 +126,14 @@
 	if t.admission, ok = newAdmit(admit.Options{}).(admit.Queue); !ok {
 		return nil, errors.New("tier: requests can't wait under this admission policy")
 	}
-	run := runner.New(runner.Deps{Env: t.env, Admit: t.admission, Sender: t.pool, Beliefs: t.follower, Events: t.events, Metrics: t.metrics})
+	t.carrier = ferry.NewClient()
+	t.ferry = ferry.NewServer(t.pool, t.events)
+	t.carriers = runner.NewCarriers(t.follower, t.pulse.Table())
+	t.env.Carries = t.carriers.Has
+	run := runner.New(runner.Deps{
+		Env: t.env, Admit: t.admission, Sender: t.pool, Carrier: t.carrier, Carriers: t.carriers,
+		Beliefs: t.follower, Events: t.events, Metrics: t.metrics,
+	})
 	t.gate = gate.New(gate.Deps{
 		Runner: run, Beliefs: t.follower, Self: self,
 		Serving: t.registrar.Serving, Usable: t.registrar.Usable, Peers: t.pulse.Table(),
@@ -176,13 +187,14 @@
 	t.env = &relay.Env{
 		Replicas: func() relay.Replicas { return t.follower.View() },
 		Choose:   newChoice(choose.Options{}),
+		Zone:     t.settings.VM.Zone,
 		Budget:   newBudget(budget),
 		Latency:  newBudget(hedge.Options{Quantile: hedgeQuantile, InitialDelay: latencyDelay}),
 		Health:   relay.NewHealth(),
 		Cold: relay.NewColdGate(func(replica *roster.Replica) float64 {
 			return roster.ColdShare(t.follower.View(), t.settings.VM.ID, replica)
 		}, time.Now()),
-		Options: relay.Options{Partial: t.settings.Answers.Partial}.WithDefaults(),
+		Options: relay.Options{Partial: t.settings.Answers.Partial, Stay: t.settings.Cost.Stay}.WithDefaults(),
 	}
 	return nil
 }
@@ -250,7 +262,7 @@
 
 // listeners are the ports that are open while a process runs.
 type listeners struct {
-	callers, directory, ready, admin net.Listener
+	callers, directory, ready, peers, admin net.Listener
 }
 
 // listen opens all ports, or none.
@@ -263,6 +275,7 @@
 		{&l.callers, t.settings.Listen.Callers},
 		{&l.directory, t.settings.Listen.Directory},
 		{&l.ready, t.settings.Listen.Ready},
+		{&l.peers, t.settings.Listen.Peers},
 		{&l.admin, t.settings.Listen.Admin},
 	} {
 		listener, err := net.Listen("tcp", port.address)
@@ -276,7 +289,7 @@
 
 func (l *listeners) close() error {
 	var err error
-	for _, listener := range []net.Listener{l.callers, l.directory, l.ready, l.admin} {
+	for _, listener := range []net.Listener{l.callers, l.directory, l.ready, l.peers, l.admin} {
 		if listener != nil {
 			err = errors.CombineErrors(err, listener.Close())
 		}
@@ -303,6 +316,7 @@
 	t.serve(&running, "callers", t.gate.Serve, ports.callers)
 	t.serve(&running, "directory", t.directory.Serve, ports.directory)
 	t.serve(&running, "ready", t.ready.Serve, ports.ready)
+	t.serve(&running, "peers", t.ferry.Serve, ports.peers)
 	t.serve(&running, "admin", t.admin.Serve, ports.admin)
 	t.events.Record("process_started", string(t.settings.VM.ID), "settings read", slog.String("callers", t.settings.Listen.Callers))
 	<-stop
--- a/internal/core/tier/upkeep.go
+++ b/internal/core/tier/upkeep.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/base/sleep"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
@@ -54,6 +55,7 @@
 			t.pool.Retain(known)
 			t.env.Health.Retain(known)
 			t.env.Cold.Retain(known)
+			t.retainPeers(view)
 			for _, tries := range []map[ident.ServerID]time.Time{lastProbe, lastWarm} {
 				maps.DeleteFunc(tries, func(id ident.ServerID, _ time.Time) bool { return !known(id) })
 			}
@@ -74,8 +76,19 @@
 	}
 }
 
-// warm opens a connection to each backend server that may get requests and has
-// none, so that requests do not wait for it.
+// retainPeers forgets the VMs that are gone.
+func (t *Tier) retainPeers(view *roster.View) {
+	vms, addresses := coll.NewSet[ident.VMID](), coll.NewSet[string]()
+	for _, m := range view.Members {
+		vms.Add(m.VM)
+		addresses.Add(m.Peer)
+	}
+	t.carriers.Retain(vms.Has)
+	t.carrier.Retain(addresses.Has)
+}
+
+// warm opens a connection to each backend server that requests go to at first and that
+// has none, so that they do not wait for it.
 func (t *Tier) warm(running *conc.WaitGroup, warming chan struct{}, view *roster.View, last map[ident.ServerID]time.Time) {
 	if view.Table == nil {
 		return
@@ -85,7 +98,7 @@
 		if opened >= warmPerRound {
 			return
 		}
-		if !view.Table.Uses(replica.Service) || t.pool.Connected(replica.ID) || t.env.Health.IsDown(replica.ID) ||
+		if !view.Table.Uses(replica.Service) || !t.isNear(view, replica) || t.pool.Connected(replica.ID) || t.env.Health.IsDown(replica.ID) ||
 			now.Sub(last[replica.ID]) < warmPause {
 			continue
 		}
@@ -103,6 +116,13 @@
 	}
 }
 
+// isNear reports whether requests of this VM go to a backend server at first: it is in
+// the VM's zone, or the zone has none of its service.
+func (t *Tier) isNear(view *roster.View, replica *roster.Replica) bool {
+	zone := t.settings.VM.Zone
+	return replica.Zone == zone || view.StayShare(replica.Service, zone) < 1
+}
+
 // probe takes a backend server as up again if it accepts a connection.
 func (t *Tier) probe(view *roster.View, replica *roster.Replica) {
 	if t.pool.Probe(runner.Target(view, replica), probeTimeout) {
--- a/internal/fleet/roster/duty.go
+++ b/internal/fleet/roster/duty.go
@@ -46,6 +46,10 @@
 	begun time.Time
 	// askedAt is the time at which a caller asked last.
 	askedAt time.Time
+	// judged is the view by which chosen was found: whether the VM is among those
+	// that serve.
+	judged *View
+	chosen bool
 	// unwantedSince is the time from which others were preferred, or zero.
 	unwantedSince time.Time
 }
@@ -111,7 +115,11 @@
 	if !holds(members, self) {
 		return d.mode == serving
 	}
-	return Entries(members, EntryCount(view.Table)).Has(self)
+	if view != d.judged {
+		count := EntryCount(view.Table)
+		d.judged, d.chosen = view, Entries(Eligible(members, view.Reach(), count), count).Has(self)
+	}
+	return d.chosen
 }
 
 // isRelaxed reports whether the VM may learn of changes with some delay. One
--- a/internal/fleet/roster/types.go
+++ b/internal/fleet/roster/types.go
@@ -102,6 +102,8 @@
 
 	replicas map[ident.ServiceID][]*Replica
 	servers  map[ident.ServerID]*Replica
+	// serving holds the members that serve callers by zone.
+	serving map[ident.Zone][]Member
 }
 
 // Replicas returns the backend servers of a service that may get requests. The
@@ -115,6 +117,12 @@
 	return v.servers[id]
 }
 
+// ServingIn returns the members that serve callers in a zone. The slice must not be
+// changed.
+func (v *View) ServingIn(zone ident.Zone) []Member {
+	return v.serving[zone]
+}
+
 // All returns the backend servers that may get requests, in no order.
 func (v *View) All() iter.Seq2[ident.ServerID, *Replica] {
 	return maps.All(v.servers)
@@ -128,10 +136,12 @@
 		ZonesOut: zonesOut,
 		replicas: map[ident.ServiceID][]*Replica{},
 		servers:  make(map[ident.ServerID]*Replica, len(replicas)),
+		serving:  map[ident.Zone][]Member{},
 	}
 	for _, m := range members {
 		if m.Serving {
 			v.Serving++
+			v.serving[m.Zone] = append(v.serving[m.Zone], m)
 		}
 	}
 	v.Sharers = max(EntryCount(table), v.Serving)
--- /dev/null
+++ b/internal/link/ferry/ferry_test.go
@@ -0,0 +1,196 @@
+package ferry_test
+
+import (
+	"bytes"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirestair/samphirestair/internal/link/ferry"
+	"github.com/samphirestair/samphirestair/internal/owner/pool"
+)
+
+const patience = 10 * time.Second
+
+// backend answers attempts after the time of their server.
+type backend struct {
+	delays map[string]time.Duration
+	mu     sync.Mutex
+	sent   []pool.Target
+}
+
+func (b *backend) Send(target pool.Target, _ *pool.Message, _ time.Time, _ bool, done func(pool.Result)) *pool.Call {
+	b.mu.Lock()
+	b.sent = append(b.sent, target)
+	b.mu.Unlock()
+	if delay := b.delays[string(target.ID)]; delay >= 0 {
+		time.AfterFunc(delay, func() { done(part(string(target.ID))) })
+	}
+	return &pool.Call{}
+}
+
+// part is the answer of a server: a record of its name.
+func part(server string) pool.Result {
+	response := fasthttp.AcquireResponse()
+	response.SetBody(record(server))
+	return pool.Result{Status: 200, Signature: "of " + server, Response: response, Running: 1, Slots: 2}
+}
+
+func record(text string) []byte {
+	return append([]byte(text), make([]byte, 16-len(text))...)
+}
+
+// collected is what a client was told.
+type collected struct {
+	mu      sync.Mutex
+	reports []*ferry.Report
+	ended   chan error
+	fate    pool.Fate
+}
+
+func (c *collected) take(r *ferry.Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reports = append(c.reports, r)
+}
+
+func (c *collected) end(fate pool.Fate, err error) {
+	c.fate = fate
+	c.ended <- err
+}
+
+func serve(t *testing.T, b *backend) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := ferry.NewServer(b, nil)
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve(listener) })
+	t.Cleanup(func() {
+		require.NoError(t, server.Shutdown())
+		running.Wait()
+	})
+	return listener.Addr().String()
+}
+
+func orderOf(servers ...string) *ferry.Order {
+	order := &ferry.Order{Request: "r1", Head: []byte("GET / HTTP/1.1\r\n"), Limit: 2, LeftMicros: 1e6, PatienceMicros: 30e3}
+	for i, server := range servers {
+		order.Sends = append(order.Sends, ferry.Send{Seq: uint32(i), Server: server, Address: "127.0.0.1:1", Connections: 3})
+	}
+	return order
+}
+
+func send(t *testing.T, client *ferry.Client, address string, order *ferry.Order) *collected {
+	t.Helper()
+	c := &collected{ended: make(chan error, 1)}
+	client.Send(address, order, c.take, c.end)
+	select {
+	case err := <-c.ended:
+		if err != nil {
+			t.Log(err)
+			c.ended <- err
+		}
+	case <-time.After(patience):
+		require.Fail(t, "the order did not end")
+	}
+	return c
+}
+
+func TestFirstReportHoldsTheGreatestRecordsOfAllParts(t *testing.T) {
+	b := &backend{}
+	client, address := ferry.NewClient(), serve(t, b)
+	for range 3 {
+		c := send(t, client, address, orderOf("a", "d", "c", "b"))
+		require.Empty(t, c.ended)
+		require.Len(t, c.reports, 1)
+		require.Equal(t, bytes.Join([][]byte{record("d"), record("c")}, nil), c.reports[0].Records)
+		require.Len(t, c.reports[0].Outcomes, 4)
+		for _, o := range c.reports[0].Outcomes {
+			require.Equal(t, "of "+string("adcb"[o.Seq]), o.Signature)
+			require.EqualValues(t, 200, o.Status)
+			require.EqualValues(t, 2, o.Slots)
+			require.False(t, o.Alone)
+		}
+	}
+}
+
+// Parts of servers that pause come later, each with its own records, and hold up
+// nothing.
+func TestLatePartsAreReportedAlone(t *testing.T) {
+	b := &backend{delays: map[string]time.Duration{"e": 150 * time.Millisecond}}
+	c := send(t, ferry.NewClient(), serve(t, b), orderOf("a", "b", "c", "d", "e"))
+	require.Empty(t, c.ended)
+	require.Greater(t, len(c.reports), 1)
+	require.Len(t, c.reports[0].Outcomes, 4)
+	last := c.reports[len(c.reports)-1]
+	require.Len(t, last.Outcomes, 1)
+	require.True(t, last.Outcomes[0].Alone)
+	require.Equal(t, record("e"), last.Outcomes[0].Records)
+	require.GreaterOrEqual(t, last.Outcomes[0].Micros, uint32(140e3))
+}
+
+// The VM is heard while all its backend servers stand still.
+func TestSignsOfLifeWhileServersStandStill(t *testing.T) {
+	b := &backend{delays: map[string]time.Duration{"a": time.Second, "b": time.Second}}
+	c := send(t, ferry.NewClient(), serve(t, b), orderOf("a", "b"))
+	require.Empty(t, c.ended)
+	require.Greater(t, len(c.reports), 5)
+	require.Empty(t, c.reports[0].Outcomes)
+}
+
+func TestVMThatIsNotThereGotNothing(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	c := send(t, ferry.NewClient(), address, orderOf("a"))
+	require.Error(t, <-c.ended)
+	require.Equal(t, pool.Unsent, c.fate)
+}
+
+// A VM that takes the order and falls silent may have sent it.
+func TestSilentVMMayHaveSentTheOrder(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	began := time.Now()
+	c := send(t, ferry.NewClient(), listener.Addr().String(), orderOf("a"))
+	require.Error(t, <-c.ended)
+	require.Equal(t, pool.Broken, c.fate)
+	require.Less(t, time.Since(began), 5*time.Second)
+}
+
+func TestCancelledOrderEndsSoon(t *testing.T) {
+	b := &backend{delays: map[string]time.Duration{"a": 0, "b": 3 * time.Second}}
+	client, address := ferry.NewClient(), serve(t, b)
+	c := &collected{ended: make(chan error, 1)}
+	began := time.Now()
+	ordered := client.Send(address, orderOf("a", "b"), c.take, c.end)
+	ordered.Cancel()
+	require.Error(t, <-c.ended)
+	require.Equal(t, pool.Broken, c.fate)
+	require.Less(t, time.Since(began), time.Second)
+}
+
+func FuzzOrder(f *testing.F) {
+	good, err := orderOf("a").MarshalMsg(nil)
+	require.NoError(f, err)
+	f.Add(good)
+	f.Add([]byte("\x81\xa1s\xdd\xff\xff\xff\xff"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var first, second ferry.Order
+		if _, err := first.UnmarshalMsg(data); err != nil {
+			return
+		}
+		again, err := first.MarshalMsg(nil)
+		require.NoError(t, err)
+		_, err = second.UnmarshalMsg(again)
+		require.NoError(t, err)
+		require.Equal(t, len(first.Sends), len(second.Sends))
+	})
+}
--- /dev/null
+++ b/internal/link/ferry/server.go
@@ -0,0 +1,232 @@
+package ferry
+
+import (
+	"bufio"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tinylib/msgp/msgp"
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/owner/pool"
+	"github.com/samphirestair/samphirestair/internal/query/merge"
+)
+
+const (
+	orderPath = "/v1/order"
+	// maxOrder is the largest order in bytes, and maxSends the largest number of its
+	// attempts.
+	maxOrder = 16 << 20
+	maxSends = 4096
+	// maxLimit bounds the records that are kept of one order.
+	maxLimit = 1 << 16
+	// signEvery is the time between two signs of life to a VM that waits. They also
+	// show that it left.
+	signEvery = 50 * time.Millisecond
+	// lateEvery is the time in which outcomes gather after the first report.
+	lateEvery = 3 * time.Millisecond
+	// quorumShare, quorumFactor and quorumSlack say when the parts that are missing
+	// are overdue: from the time that a quorum took.
+	quorumShare  = 0.75
+	quorumFactor = 1.5
+	quorumSlack  = 3 * time.Millisecond
+)
+
+// Sender sends attempts to backend servers.
+type Sender interface {
+	Send(target pool.Target, message *pool.Message, deadline time.Time, wait bool, done func(pool.Result)) *pool.Call
+}
+
+// Server carries out the orders of other VMs. It is safe for concurrent use.
+type Server struct {
+	sender Sender
+	events *events.Recorder
+	http   *fasthttp.Server
+}
+
+// NewServer returns a server that sends through sender.
+func NewServer(sender Sender, recorder *events.Recorder) *Server {
+	s := &Server{sender: sender, events: recorder}
+	s.http = &fasthttp.Server{
+		Handler:               s.serve,
+		MaxRequestBodySize:    maxOrder,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		NoDefaultContentType:  true,
+		CloseOnShutdown:       true,
+		Logger:                silent{},
+	}
+	return s
+}
+
+// silent drops the messages of fasthttp about connections of other VMs.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
+// Serve accepts orders from l until Shutdown.
+func (s *Server) Serve(l net.Listener) error {
+	return errors.Wrap(s.http.Serve(l), "ferry: serve")
+}
+
+// Shutdown stops accepting orders and waits for those being carried out.
+func (s *Server) Shutdown() error {
+	return errors.Wrap(s.http.Shutdown(), "ferry: shutdown")
+}
+
+func (s *Server) serve(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != orderPath {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	var order Order
+	if _, err := order.UnmarshalMsg(ctx.PostBody()); err != nil || len(order.Sends) > maxSends || order.Limit > maxLimit {
+		s.events.Sample("order_refused", ctx.RemoteAddr().String(), "unusable order")
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	job := newJob(&order, time.Now())
+	job.start(s.sender, &order)
+	ctx.SetBodyStreamWriter(job.report)
+}
+
+// job is one order under way.
+type job struct {
+	begun   time.Time
+	pending int
+	total   int
+	limit   int
+	// reportAt is the time of the first report unless all attempts end sooner.
+	reportAt time.Time
+	results  chan ended
+	calls    []*pool.Call
+}
+
+// ended is the result of one attempt.
+type ended struct {
+	seq    uint32
+	result pool.Result
+	at     time.Time
+}
+
+func newJob(order *Order, now time.Time) *job {
+	return &job{
+		begun: now, pending: len(order.Sends), total: len(order.Sends), limit: int(order.Limit),
+		reportAt: now.Add(time.Duration(order.PatienceMicros) * time.Microsecond),
+		results:  make(chan ended, len(order.Sends)),
+	}
+}
+
+// start sends all attempts.
+func (j *job) start(sender Sender, order *Order) {
+	message := &pool.Message{ID: order.Request, Head: order.Head, Body: order.Body, NoBody: order.NoBody}
+	deadline := j.begun.Add(time.Duration(order.LeftMicros) * time.Microsecond)
+	for _, send := range order.Sends {
+		target := pool.Target{
+			ID: ident.ServerID(send.Server), Address: send.Address, Born: send.Born, Connections: int(send.Connections),
+		}
+		seq := send.Seq
+		j.calls = append(j.calls, sender.Send(target, message, deadline, false, func(r pool.Result) {
+			j.results <- ended{seq: seq, result: r, at: time.Now()}
+		}))
+	}
+}
+
+// report writes reports until all attempts have ended. The attempts that are left when
+// the other VM has closed the connection are given up.
+func (j *job) report(w *bufio.Writer) {
+	defer j.end()
+	out := msgp.NewWriter(w)
+	for first := true; first || j.pending > 0; first = false {
+		report := j.gather(first)
+		err := report.EncodeMsg(out)
+		if err == nil {
+			err = out.Flush()
+		}
+		if err == nil {
+			err = w.Flush()
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// end gives up the attempts that are left, and releases their results.
+func (j *job) end() {
+	if j.pending == 0 {
+		return
+	}
+	for _, call := range j.calls {
+		call.Cancel()
+	}
+	for ; j.pending > 0; j.pending-- {
+		r := <-j.results
+		r.result.Release()
+	}
+}
+
+// gather waits for the outcomes of one report. The first one holds all parts until the
+// rest is overdue; later ones what gathers in a short time, or nothing.
+func (j *job) gather(first bool) *Report {
+	report := &Report{}
+	records := merge.NewRecords(j.limit)
+	timer := time.NewTimer(signEvery)
+	defer timer.Stop()
+	if first {
+		timer.Reset(time.Until(j.reportAt))
+	}
+	for j.pending > 0 {
+		select {
+		case r := <-j.results:
+			j.pending--
+			report.Outcomes = append(report.Outcomes, j.outcome(&r, records, !first))
+			switch {
+			case !first && len(report.Outcomes) == 1:
+				timer.Reset(lateEvery)
+			case first && j.total-j.pending == j.quorum():
+				took := time.Since(j.begun)
+				overdue := time.Duration(quorumFactor*float64(took)) + quorumSlack - took
+				timer.Reset(min(overdue, max(time.Until(j.reportAt), 0)))
+			default:
+			}
+			continue
+		case <-timer.C:
+		}
+		break
+	}
+	report.Records = records.Bytes()
+	return report
+}
+
+func (j *job) quorum() int {
+	return max(int(quorumShare*float64(j.total)), 1)
+}
+
+// outcome turns a result into its report. The records of a part are merged into
+// records, or reported alone.
+func (j *job) outcome(r *ended, records *merge.Records, alone bool) Outcome {
+	result := &r.result
+	o := Outcome{
+		Seq: r.seq, Fate: uint8(result.Fate), Status: uint16(result.Status), Signature: result.Signature, Reason: result.Reason,
+		Micros:  uint32(r.at.Sub(j.begun).Microseconds()),
+		Running: uint32(result.Running), Waiting: uint32(result.Waiting), Slots: uint32(result.Slots),
+		RetryMicros: uint64(result.RetryAfter.Microseconds()), Misdirected: result.Misdirected,
+	}
+	if result.IsPart() {
+		o.Alone = alone
+		if alone {
+			own := merge.NewRecords(j.limit)
+			own.Add(result.Response.Body())
+			o.Records = own.Bytes()
+		} else {
+			records.Add(result.Response.Body())
+		}
+	}
+	result.Release()
+	return o
+}
--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -227,6 +227,7 @@
 		}
 	}
 	status := response.StatusCode()
+	result.Status = status
 	result.Misdirected = status == fasthttp.StatusMisdirectedRequest
 	if notRun || result.Misdirected {
 		result.Fate = NotRun
--- a/internal/owner/pool/types.go
+++ b/internal/owner/pool/types.go
@@ -65,6 +65,8 @@
 	// Response is the whole answer if Fate is Answered, and nil otherwise. The
 	// receiver owns it.
 	Response *fasthttp.Response
+	// Status is that of the answer, or 0 if there is none.
+	Status int
 	// Signature is that of the backend server.
 	Signature string
 	// Cancelled is set if the attempt was given up before it ended.
@@ -78,6 +80,20 @@
 	Running, Waiting, Slots int
 }
 
+// Size returns the length of the body in bytes.
+func (r *Result) Size() int {
+	if r.Response == nil {
+		return 0
+	}
+	return len(r.Response.Body())
+}
+
+// IsPart reports whether the answer may be a part of a search: a success that is the
+// backend server's own.
+func (r *Result) IsPart() bool {
+	return r.Fate == Answered && r.Status >= 200 && r.Status < 300 && r.Signature != ""
+}
+
 // Release returns the response to its pool. The result must not be used
 // afterwards.
 func (r *Result) Release() {
--- a/internal/query/choose/choose_test.go
+++ b/internal/query/choose/choose_test.go
@@ -7,11 +7,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/query/choose"
 )
 
-var replicas = []ident.ServerID{"s/a", "s/b"}
+var replicas = []choose.Candidate{{Server: "s/a"}, {Server: "s/b"}}
 
 func newPolicy(t *testing.T, name string) choose.Policy {
 	t.Helper()
@@ -27,9 +26,9 @@
 	times := []time.Duration{first, second}
 	for range 1000 {
 		i := policy.Choose(now, replicas)
-		policy.Sent(now, replicas[i])
+		policy.Sent(now, replicas[i].Server)
 		now = now.Add(times[i])
-		policy.Answered(now, replicas[i], choose.Sample{Completed: true, Service: times[i], Queued: 0, Slots: 2})
+		policy.Answered(now, replicas[i].Server, choose.Sample{Completed: true, Service: times[i], Queued: 0, Slots: 2})
 		if i == 0 {
 			count++
 		}
--- a/internal/query/choose/expect.go
+++ b/internal/query/choose/expect.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -29,16 +30,16 @@
 
 // Choose compares all replicas while it knows them well, and two random ones
 // otherwise, so that entries with old knowledge do not all take the same. While one
-// of them is unreliable, all are compared in any case. Servers that refused or did
-// not answer lately are the last resort.
-func (e *expect) Choose(now time.Time, candidates []ident.ServerID) int {
+// of them is unreliable, or a detour sets the entries' choices apart, all are compared
+// in any case. Servers that refused or did not answer lately are the last resort.
+func (e *expect) Choose(now time.Time, candidates []Candidate) int {
 	var room [usualReplicas]int
 	usable := e.usable(now, candidates, room[:0])
 	if len(usable) == 1 {
 		return usable[0]
 	}
 	count := len(usable)
-	if e.anyStale(now, candidates) && !e.anyUnreliable(now, candidates) {
+	if !anyDetour(candidates) && e.anyStale(now, candidates) && !e.anyUnreliable(now, candidates) {
 		count = min(count, 2)
 	}
 	average := e.average.load()
@@ -46,7 +47,7 @@
 	best, lowest := usable[start], time.Duration(-1)
 	for i := range count {
 		index := usable[(start+i)%len(usable)]
-		expected := e.server(candidates[index]).expected(now, average, e.options)
+		expected := e.server(candidates[index].Server).expected(now, average, e.options) + candidates[index].Detour
 		if lowest < 0 || expected < lowest {
 			best, lowest = index, expected
 		}
@@ -56,9 +57,9 @@
 
 // usable appends the indexes of the servers that are not avoided, or of all if
 // all are.
-func (e *expect) usable(now time.Time, candidates []ident.ServerID, usable []int) []int {
-	for i, id := range candidates {
-		if !e.server(id).avoided(now) {
+func (e *expect) usable(now time.Time, candidates []Candidate, usable []int) []int {
+	for i, c := range candidates {
+		if !e.server(c.Server).avoided(now) {
 			usable = append(usable, i)
 		}
 	}
@@ -86,18 +87,22 @@
 	e.server(id).abandoned(now, elapsed)
 }
 
-func (e *expect) anyStale(now time.Time, candidates []ident.ServerID) bool {
-	for _, id := range candidates {
-		if e.server(id).stale(now, e.options.StaleAfter) {
+func anyDetour(candidates []Candidate) bool {
+	return slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Detour > 0 })
+}
+
+func (e *expect) anyStale(now time.Time, candidates []Candidate) bool {
+	for _, c := range candidates {
+		if e.server(c.Server).stale(now, e.options.StaleAfter) {
 			return true
 		}
 	}
 	return false
 }
 
-func (e *expect) anyUnreliable(now time.Time, candidates []ident.ServerID) bool {
-	for _, id := range candidates {
-		if e.server(id).unreliable(now, e.options) {
+func (e *expect) anyUnreliable(now time.Time, candidates []Candidate) bool {
+	for _, c := range candidates {
+		if e.server(c.Server).unreliable(now, e.options) {
 			return true
 		}
 	}
--- a/internal/query/choose/policy.go
+++ b/internal/query/choose/policy.go
@@ -14,7 +14,7 @@
 type Policy interface {
 	// Choose returns the index of the replica to use. candidates is not empty
 	// and holds only servers that may receive work.
-	Choose(now time.Time, candidates []ident.ServerID) int
+	Choose(now time.Time, candidates []Candidate) int
 	// Sent notes that a sub-request goes to a server.
 	Sent(now time.Time, server ident.ServerID)
 	// Answered notes the answer to a sub-request.
@@ -23,6 +23,14 @@
 	Abandoned(now time.Time, server ident.ServerID, elapsed time.Duration)
 }
 
+// Candidate is a replica that may be chosen.
+type Candidate struct {
+	Server ident.ServerID
+	// Detour is added to its expected completion time, for what the way to it
+	// costs besides time.
+	Detour time.Duration
+}
+
 // Sample is what an answer told about its server.
 type Sample struct {
 	// Completed is set if the server ran the sub-request.
--- a/internal/query/choose/random.go
+++ b/internal/query/choose/random.go
@@ -17,7 +17,7 @@
 	options Options
 }
 
-func (r *random) Choose(_ time.Time, candidates []ident.ServerID) int {
+func (r *random) Choose(_ time.Time, candidates []Candidate) int {
 	return r.options.IntN(len(candidates))
 }
 
--- a/internal/query/choose/shed_test.go
+++ b/internal/query/choose/shed_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/query/choose"
 )
 
@@ -17,7 +17,7 @@
 	t        *testing.T
 	random   *rand.Rand
 	entries  []choose.Policy
-	replicas []ident.ServerID
+	replicas []choose.Candidate
 	// refuses holds the share of its requests that each replica refuses.
 	refuses []float64
 	now     time.Time
@@ -31,7 +31,7 @@
 func newShedLoad(t *testing.T, refuses ...float64) *shedLoad {
 	l := &shedLoad{
 		t: t, random: rand.New(rand.NewPCG(7, 8)), refuses: refuses, now: time.Unix(0, 0),
-		replicas: []ident.ServerID{"s/a", "s/b", "s/c"},
+		replicas: []choose.Candidate{{Server: "s/a"}, {Server: "s/b"}, {Server: "s/c"}},
 	}
 	construct, err := choose.Policies.Lookup("expect")
 	require.NoError(t, err)
@@ -50,10 +50,10 @@
 		l.now = l.now.Add(time.Second / (shedEntries * shedPerSec))
 		policy := l.entries[l.random.IntN(len(l.entries))]
 		requests++
-		left := append([]ident.ServerID{}, l.replicas...)
+		left := slices.Clone(l.replicas)
 		for try := 0; len(left) > 0; try++ {
 			at := policy.Choose(l.now, left)
-			id := left[at]
+			id := left[at].Server
 			index := int(id[len(id)-1] - 'a')
 			if try == 0 {
 				first[index]++
--- a/internal/query/course/shard.go
+++ b/internal/query/course/shard.go
@@ -7,6 +7,7 @@
 	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/query/choose"
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
 )
 
@@ -110,7 +111,7 @@
 // room holds the targets and candidates of one choice at a time.
 type room struct {
 	fresh, again [4]target
-	candidates   [4]ident.ServerID
+	candidates   [4]choose.Candidate
 }
 
 // options lists the servers for a shard. wait is the earliest time at which
@@ -235,7 +236,7 @@
 	}
 	candidates := q.room.candidates[:0]
 	for i := range targets {
-		candidates = append(candidates, targets[i].server)
+		candidates = append(candidates, choose.Candidate{Server: targets[i].server})
 	}
 	return targets[q.deps.Choose.Choose(now, candidates)]
 }
--- a/internal/query/relay/overdue.go
+++ b/internal/query/relay/overdue.go
@@ -21,6 +21,9 @@
 	// from the time that the quorum took.
 	quorumFactor = 1.5
 	quorumSlack  = 3 * time.Millisecond
+	// carriedSlack is added for an attempt that another VM sends: the way there and
+	// back, and the time for which it gathers answers.
+	carriedSlack = 6 * time.Millisecond
 )
 
 // hedgeAt returns the time at which an attempt that is sent at now is overdue.
@@ -58,8 +61,13 @@
 	overdue := q.start.Add(time.Duration(quorumFactor*float64(now.Sub(q.start))) + quorumSlack)
 	for i := range q.shards {
 		for j := range q.shards[i].attempts {
-			if a := &q.shards[i].attempts[j]; a.open && a.hedgeAt.After(overdue) {
-				a.hedgeAt = overdue
+			a := &q.shards[i].attempts[j]
+			due := overdue
+			if a.carried {
+				due = due.Add(carriedSlack)
+			}
+			if a.open && a.hedgeAt.After(due) {
+				a.hedgeAt = due
 			}
 		}
 	}
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -6,6 +6,7 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
+	"github.com/samphirestair/samphirestair/internal/query/choose"
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
 )
 
@@ -329,16 +330,20 @@
 func (q *Query) send(now time.Time, index int, replica *roster.Replica, reason string) Send {
 	s := &q.shards[index]
 	a := attempt{server: replica.ID, sentAt: now, open: true, mayRun: true, reached: true}
+	a.carried = reason == "first" && q.carries(replica)
 	if q.plan.Route.Idempotent {
 		a.hedgeAt = q.hedgeAt(now)
 	}
+	if a.carried && !a.hedgeAt.IsZero() {
+		a.hedgeAt = a.hedgeAt.Add(carriedSlack)
+	}
 	s.attempts = append(s.attempts, a)
 	q.env.Choose.Sent(now, replica.ID)
 	if now.Before(replica.ColdUntil) {
 		q.env.Cold.Sent(now, replica.ID)
 	}
 	return Send{
-		Shard: index, Attempt: len(s.attempts) - 1, Replica: replica,
+		Shard: index, Attempt: len(s.attempts) - 1, Replica: replica, Crosses: q.env.crosses(replica), Carried: a.carried, Overdue: a.hedgeAt.Sub(now),
 		Left: q.plan.Deadline.Sub(now), Wait: len(s.attempts) > 1, Reason: reason,
 	}
 }
@@ -358,8 +363,8 @@
 // not tried, that is not down and, if possible, not cold. It returns nil if
 // there is none.
 func (q *Query) choose(now time.Time, s *shard) *roster.Replica {
-	var room [4]ident.ServerID
-	ids := room[:0]
+	var room [4]choose.Candidate
+	candidates := room[:0]
 	var replicas [4]*roster.Replica
 	list := replicas[:0]
 	warm := 0
@@ -387,8 +392,13 @@
 	if len(list) == 0 {
 		return nil
 	}
+	detour := q.detour(s.service, list)
 	for _, r := range list {
-		ids = append(ids, r.ID)
+		c := choose.Candidate{Server: r.ID}
+		if q.env.crosses(r) {
+			c.Detour = detour
+		}
+		candidates = append(candidates, c)
 	}
-	return list[q.env.Choose.Choose(now, ids)]
+	return list[q.env.Choose.Choose(now, candidates)]
 }
--- a/internal/query/relay/query_test.go
+++ b/internal/query/relay/query_test.go
@@ -23,16 +23,20 @@
 	env      *relay.Env
 	// coldRate is what a cold server gets a second.
 	coldRate float64
+	// stay is the share of requests that stay in their zone.
+	stay float64
 }
 
 func (w *world) Replicas(service ident.ServiceID) []*roster.Replica {
 	return w.replicas[service]
 }
 
+func (w *world) StayShare(ident.ServiceID, ident.Zone) float64 { return w.stay }
+
 // newWorld returns a world in which at most saved attempts are extra.
 func newWorld(t *testing.T, services int, saved float64) *world {
 	t.Helper()
-	w := &world{coldRate: math.Inf(1), replicas: map[ident.ServiceID][]*roster.Replica{}}
+	w := &world{coldRate: math.Inf(1), stay: 1, replicas: map[ident.ServiceID][]*roster.Replica{}}
 	for i := range services {
 		service := shardName(i)
 		for _, copyName := range []string{"a", "b"} {
--- a/internal/query/relay/shard.go
+++ b/internal/query/relay/shard.go
@@ -36,6 +36,8 @@
 	server  ident.ServerID
 	sentAt  time.Time
 	hedgeAt time.Time
+	// carried is set if another VM sends it.
+	carried bool
 	// open is set until a reply arrives.
 	open bool
 	// mayRun is set while the backend server may run it or have run it.
--- a/internal/query/relay/types.go
+++ b/internal/query/relay/types.go
@@ -16,6 +16,9 @@
 // Replicas finds the backend servers of a service that may get requests now.
 type Replicas interface {
 	Replicas(service ident.ServiceID) []*roster.Replica
+	// StayShare is the share of the requests to a service that VMs of a zone keep
+	// in their zone.
+	StayShare(service ident.ServiceID, zone ident.Zone) float64
 }
 
 // Env is what queries share. It is safe for concurrent use.
@@ -23,6 +26,11 @@
 	// Replicas is asked again for each attempt.
 	Replicas func() Replicas
 	Choose   choose.Policy
+	// Zone is that of this VM. If it is empty, all zones are alike.
+	Zone ident.Zone
+	// Carries reports whether a VM of another zone can send for this one. nil means that
+	// none can.
+	Carries func(zone ident.Zone) bool
 	// Budget bounds what is sent in addition, by service.
 	Budget hedge.Policy
 	// Latency tells when an attempt is overdue, by route.
@@ -43,6 +51,9 @@
 	GoalMargin time.Duration
 	// HedgeShare is the largest part of the goal before a hedge is sent.
 	HedgeShare float64
+	// Stay is the part of a route's goal that an answer may be expected to take
+	// longer from the VM's own zone than from another.
+	Stay float64
 	// RetryAfter is the shortest time after which a refused caller may return;
 	// as much again is added at random.
 	RetryAfter time.Duration
@@ -91,6 +102,12 @@
 	// Shard and Attempt name the attempt in Answer.
 	Shard, Attempt int
 	Replica        *roster.Replica
+	// Carried is set if a VM in the server's zone may send it for this one.
+	Carried bool
+	// Overdue is the time after which it will be hedged.
+	Overdue time.Duration
+	// Crosses is set if the server is in another zone than this VM.
+	Crosses bool
 	// Left is the time that the backend server may take.
 	Left time.Duration
 	// Wait is set if the attempt may wait for a connection, because no other
--- a/internal/query/runner/meters.go
+++ b/internal/query/runner/meters.go
@@ -21,6 +21,13 @@
 	outcomes, times sync.Map
 	// repeats holds the counters of attempts beyond the first, by repeatKey.
 	repeats sync.Map
+	// near and far count what is read in the VM's own zone and in others.
+	near, far traffic
+}
+
+// traffic counts attempts, and the bytes of the answers to them.
+type traffic struct {
+	attempts, bytes *metrics.Counter
 }
 
 // repeatKey names one counter of attempts beyond the first.
@@ -41,11 +48,26 @@
 }
 
 func newMeters(set *metrics.Set) *meters {
-	m := &meters{set: set}
+	m := &meters{set: set, near: newTraffic(set, "own"), far: newTraffic(set, "other")}
 	set.NewGauge("samphirestair_requests_in_flight", func() float64 { return float64(m.inFlight.Load()) })
 	return m
 }
 
+func newTraffic(set *metrics.Set, zone string) traffic {
+	return traffic{
+		attempts: set.GetOrCreateCounter(fmt.Sprintf(`samphirestair_attempts_total{zone=%q}`, zone)),
+		bytes:    set.GetOrCreateCounter(fmt.Sprintf(`samphirestair_answer_bytes_total{zone=%q}`, zone)),
+	}
+}
+
+// traffic returns the counters of an attempt.
+func (m *meters) traffic(crosses bool) *traffic {
+	if crosses {
+		return &m.far
+	}
+	return &m.near
+}
+
 // enter counts a request under way. The returned function ends it.
 func (m *meters) enter() func() {
 	m.inFlight.Add(1)
--- a/internal/query/runner/overload_test.go
+++ b/internal/query/runner/overload_test.go
@@ -174,7 +174,7 @@
 			signature := fmt.Sprint(c.number)
 			c.mu.Unlock()
 			time.AfterFunc(oneWay, func() {
-				done(pool.Result{Response: response, Signature: signature, Running: running, Waiting: waiting, Slots: loadSlots})
+				done(pool.Result{Status: 200, Response: response, Signature: signature, Running: running, Waiting: waiting, Slots: loadSlots})
 			})
 		}, func(running, waiting int) {
 			time.AfterFunc(oneWay, func() {
--- a/internal/query/runner/reply.go
+++ b/internal/query/runner/reply.go
@@ -1,14 +1,12 @@
 package runner
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/query/choose"
-	"github.com/samphirestair/samphirestair/internal/query/merge"
 	"github.com/samphirestair/samphirestair/internal/query/relay"
 )
 
@@ -25,13 +23,18 @@
 // interpret turns the result of an attempt into what it means for the query.
 func (f *flight) interpret(now time.Time, r reply) relay.Reply {
 	result := &r.result
+	if r.block != nil && r.block.isSpoiled(f.parts) {
+		meaning := relay.Reply{Kind: relay.Broken, Reason: "merged with the part of another shard"}
+		meaning.Sample.Refused = true
+		return meaning
+	}
 	sample := choose.Sample{Queued: result.Running + result.Waiting, Slots: result.Slots, RetryAfter: result.RetryAfter}
 	meaning := relay.Reply{Reason: result.Reason, Misdirected: result.Misdirected}
 	switch result.Fate {
 	case pool.Answered:
 		meaning.Kind, meaning.Reason = f.judge(r)
 		sample.Completed = meaning.Kind == relay.Served
-		sample.Service = now.Sub(r.sentAt)
+		sample.Service = r.elapsed(now)
 		sample.Refused = !sample.Completed
 	case pool.NotRun:
 		meaning.Kind = relay.NotRun
@@ -53,12 +56,12 @@
 // judge says whether a whole answer is of use. Without a signature it is not
 // the backend server's own, and for a search only a success is a part.
 func (f *flight) judge(r reply) (relay.ReplyKind, string) {
-	status := r.result.Response.StatusCode()
+	status := r.result.Status
 	success := status >= 200 && status < 300
 	switch {
 	case success && r.result.Signature == "":
 		return relay.Broken, "answer without signature"
-	case success && f.request.Route.IsSearch() && slices.Contains(f.parts.signatures, r.result.Signature):
+	case success && f.request.Route.IsSearch() && f.parts.isForeign(r.shard, r.result.Signature):
 		return relay.Broken, "signature of another part"
 	case success:
 		return relay.Served, ""
@@ -87,17 +90,3 @@
 		Connections: min(max(connections, 1), mostConnections),
 	}
 }
-
-// parts collects the parts of a search.
-type parts struct {
-	signatures []string
-	records    *merge.Records
-}
-
-func (p *parts) add(result pool.Result, limit int) {
-	if p.records == nil {
-		p.records = merge.NewRecords(limit)
-	}
-	p.signatures = append(p.signatures, result.Signature)
-	p.records.Add(result.Response.Body())
-}
--- a/internal/query/runner/room.go
+++ b/internal/query/runner/room.go
@@ -66,7 +66,7 @@
 // overloaded reports whether backend servers refused more attempts of the request
 // because they were full than retries could replace.
 func (f *flight) overloaded(failed bool) bool {
-	return failed && f.starved || float64(f.full) > fullShare*float64(len(f.calls))
+	return failed && f.starved || float64(f.full) > fullShare*float64(f.attempts)
 }
 
 // leave gives back the room of a request. One that failed keeps it while backend
--- a/internal/query/runner/runner.go
+++ b/internal/query/runner/runner.go
@@ -15,6 +15,7 @@
 	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
+	"github.com/samphirestair/samphirestair/internal/link/ferry"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/query/admit"
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
@@ -75,6 +76,10 @@
 type Deps struct {
 	Env    *relay.Env
 	Sender Sender
+	// Carrier sends orders to the VMs of Carriers. Both are nil if VMs send all attempts
+	// themselves.
+	Carrier  Carrier
+	Carriers *Carriers
 	// Admit decides which requests are taken on.
 	Admit   admit.Queue
 	Beliefs Beliefs
@@ -97,6 +102,9 @@
 func (r *Runner) Run(request Request) Answer {
 	f := &flight{runner: r, request: request, wake: make(chan struct{}, 1)}
 	defer r.meters.enter()()
+	if request.Route.IsSearch() {
+		f.parts = newParts(request.Route.Limit, len(request.Route.Shards))
+	}
 	f.asked = f.admission()
 	if refusal, refused := f.enter(); refused {
 		r.report(f, refusal)
@@ -130,7 +138,9 @@
 	asked admit.Request
 	query *relay.Query
 	calls []sent
-	wake  chan struct{}
+	// orders are the groups of attempts that other VMs send.
+	orders []*ferry.Ordered
+	wake   chan struct{}
 
 	mu      sync.Mutex
 	replies []reply
@@ -153,8 +163,10 @@
 	// open the number of attempts without a result. mu guards both.
 	outcome *admit.Outcome
 	open    int
+	// attempts counts all attempts.
+	attempts int
 
-	parts parts
+	parts *parts
 	// results keeps the answers of a request that is no search.
 	results []pool.Result
 }
@@ -170,10 +182,24 @@
 	shard, attempt int
 	result         pool.Result
 	sentAt         time.Time
+	// took is the time that the attempt took at the VM that sent it for this one.
+	took time.Duration
+	// block holds the part if another VM merged it with others, and records are its
+	// records if that VM reported it alone.
+	block   *block
+	records []byte
+}
+
+// elapsed is the time that the attempt took.
+func (r *reply) elapsed(now time.Time) time.Duration {
+	if r.took > 0 {
+		return r.took
+	}
+	return now.Sub(r.sentAt)
 }
 
 func (f *flight) send(sends []relay.Send) {
-	for _, s := range sends {
+	for _, s := range f.carry(sends) {
 		f.start(s)
 	}
 }
@@ -183,12 +209,16 @@
 	if s.Reason != "first" {
 		f.runner.meters.repeat(s.Replica.Service, repeatSent)
 		f.trace("request_"+s.Reason, "attempt overdue or unanswered", slog.Int("shard", s.Shard),
-			slog.String("server", string(s.Replica.ID)), slog.Duration("left", s.Left))
+			slog.String("server", string(s.Replica.ID)), slog.Bool("crosses", s.Crosses), slog.Duration("left", s.Left))
 	}
+	traffic := f.runner.meters.traffic(s.Crosses)
+	traffic.attempts.Inc()
 	f.mu.Lock()
 	f.open++
+	f.attempts++
 	f.mu.Unlock()
 	call := f.runner.deps.Sender.Send(f.runner.target(s.Replica), f.request.Message, now.Add(s.Left), s.Wait, func(result pool.Result) {
+		traffic.bytes.Add(result.Size())
 		f.take(reply{shard: s.Shard, attempt: s.Attempt, result: result, sentAt: now})
 	})
 	f.calls = append(f.calls, sent{call: call, shard: s.Shard, attempt: s.Attempt})
@@ -196,23 +226,36 @@
 
 // take accepts the result of an attempt, on any goroutine.
 func (f *flight) take(r reply) {
+	f.takeAll([]reply{r})
+}
+
+// takeAll accepts the results of attempts, on any goroutine.
+func (f *flight) takeAll(replies []reply) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.open--
+	f.open -= len(replies)
 	if f.over {
-		f.learnLate(r)
+		for _, r := range replies {
+			f.learnLate(r)
+		}
 		if f.open == 0 && f.outcome != nil {
 			f.giveBack(time.Now())
 		}
 		return
 	}
-	f.replies = append(f.replies, r)
+	f.replies = append(f.replies, replies...)
 	select {
 	case f.wake <- struct{}{}:
 	default:
 	}
 }
 
+func (f *flight) isOver() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.over
+}
+
 // learnLate learns from a reply that came after the answer.
 func (f *flight) learnLate(r reply) {
 	now := time.Now()
@@ -298,8 +341,14 @@
 // keep keeps what the answer to the caller needs.
 func (f *flight) keep(r reply, counts bool) {
 	if f.request.Route.IsSearch() {
-		if counts {
-			f.parts.add(r.result, f.request.Route.Limit)
+		switch {
+		case r.block != nil && !r.block.spoiled:
+			f.parts.addBlock(r.block)
+		case counts && r.result.Response != nil:
+			f.parts.add(r.shard, r.result.Signature, r.result.Response.Body())
+		case counts:
+			f.parts.add(r.shard, r.result.Signature, r.records)
+		default:
 		}
 		r.result.Release()
 		return
@@ -323,6 +372,9 @@
 	for _, s := range f.calls {
 		s.call.CancelAfter(linger)
 	}
+	for _, ordered := range f.orders {
+		ordered.Cancel()
+	}
 }
 
 func (f *flight) finish(outcome relay.Outcome) Answer {
@@ -334,7 +386,8 @@
 	answer := Answer{Outcome: outcome}
 	if outcome.Verdict == relay.Success {
 		if f.request.Route.IsSearch() {
-			answer.Signatures, answer.Records = f.parts.signatures, f.parts.records.Bytes()
+			answer.Signatures, answer.Records = f.parts.merged()
+			answer.Missing = len(f.request.Route.Shards) - len(answer.Signatures)
 		} else {
 			answer.Result = f.results[outcome.Attempt]
 			f.results[outcome.Attempt].Response = nil
@@ -385,7 +438,7 @@
 		parts = f.query.Parts()
 	}
 	f.trace(kind, answer.Reason, slog.Duration("took", took), slog.Int("parts", parts), slog.Int("missing", answer.Missing),
-		slog.Int("attempts", len(f.calls)), slog.String("waiting", strings.Join(f.waiting, ",")), slog.Uint64("version", uint64(r.version())), slog.Duration("retry_after", answer.RetryAfter))
+		slog.Int("attempts", f.attempts), slog.String("waiting", strings.Join(f.waiting, ",")), slog.Uint64("version", uint64(r.version())), slog.Duration("retry_after", answer.RetryAfter))
 }
 
 func (r *Runner) version() ident.Version {
