Let VMs that stand by follow the other VMs alone, and guard restarts and pauses

Change: a VM that stands by watches registrations of VMs only, renews a lease of 12 s, and is woken by a datagram of a VM that takes it as one to serve. A VM steps down once those that are preferred serve. What a first reading holds is logged in one line.

Soak: servers that leave say so, and refuse with times to come back; the referee checks both by connection.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -111,7 +111,7 @@
 	t.registrar = roster.NewRegistrar(edge.Depot, t.follower, self, t.events)
 	var err error
 	t.pulse, err = pulse.New(pulse.Deps{
-		Self: self.VM, View: t.follower.View, Serving: t.isServing, Depot: edge.Depot, Events: t.events,
+		Self: self.VM, View: t.follower.View, Serving: t.isServing, Wake: t.registrar.Wake, Depot: edge.Depot, Events: t.events,
 	}, settings.Listen.Peers)
 	if err != nil {
 		return nil, err
--- a/internal/fleet/pulse/pulse.go
+++ b/internal/fleet/pulse/pulse.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
@@ -36,8 +37,11 @@
 	View func() *roster.View
 	// Serving reports whether this VM serves callers.
 	Serving func() bool
-	Depot   depot.Depot
-	Events  *events.Recorder
+	// Wake is called for each datagram that reaches a VM which does not serve: another
+	// VM takes it as one that is to.
+	Wake   func()
+	Depot  depot.Depot
+	Events *events.Recorder
 }
 
 // Pulse exchanges datagrams with the other VMs that serve. The first VM in
@@ -48,6 +52,9 @@
 	table   *Table
 	conn    net.PacketConn
 	evicted map[ident.VMID]time.Time
+	// chosen are the VMs that are to serve by viewed.
+	viewed *roster.View
+	chosen coll.Set[ident.VMID]
 }
 
 // New returns a pulse that receives on address, "ip:port".
@@ -92,8 +99,13 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if vm, ok := decode(buffer[:n]); ok && err == nil {
-			p.table.Heard(time.Now(), vm)
+		vm, ok := decode(buffer[:n])
+		if !ok || err != nil {
+			continue
+		}
+		p.table.Heard(time.Now(), vm)
+		if !p.deps.Serving() {
+			p.deps.Wake()
 		}
 	}
 }
@@ -124,19 +136,26 @@
 	}
 }
 
-// send sends a datagram to each peer that serves, and returns them.
+// send sends a datagram to each peer that serves, and returns them. Those that are to
+// serve get one too: a VM that stands by learns little on its own.
 func (p *Pulse) send() []ident.VMID {
 	datagram := []byte(prefix + string(p.deps.Self))
+	view := p.deps.View()
+	if view != p.viewed {
+		p.viewed, p.chosen = view, view.Chosen()
+	}
 	var peers []ident.VMID
-	for _, m := range p.deps.View().Members {
-		if !m.Serving || m.VM == p.deps.Self {
+	for _, m := range view.Members {
+		if m.VM == p.deps.Self || !m.Serving && !p.chosen.Has(m.VM) {
 			continue
 		}
 		address, err := netip.ParseAddrPort(m.Peer)
 		if err != nil {
 			continue
 		}
-		peers = append(peers, m.VM)
+		if m.Serving {
+			peers = append(peers, m.VM)
+		}
 		if _, err := p.conn.WriteTo(datagram, net.UDPAddrFromAddrPort(address)); err != nil {
 			p.deps.Events.Sample("pulse_unsent", string(m.VM), err.Error())
 		}
--- a/internal/fleet/roster/book.go
+++ b/internal/fleet/roster/book.go
@@ -42,6 +42,9 @@
 	// zonesOut holds the key of each zone that is out of service.
 	zonesOut map[ident.Zone]string
 
+	// begun is set once all keys were read. What the first reading holds is told in one
+	// line, since a large fleet has thousands of registrations.
+	begun bool
 	// lost is set while the store does not answer.
 	lost bool
 	// graceUntil ends the time in which a missing registration may come back.
@@ -120,6 +123,11 @@
 			b.returnZone(zone)
 		}
 	}
+	if !b.begun {
+		b.begun = true
+		b.events.Record("store_read", string(b.self), "first reading",
+			slog.Int("servers", len(b.servers)), slog.Int("vms", len(b.members)), slog.Uint64("revision", uint64(batch.Revision)))
+	}
 	b.Tick(now)
 }
 
@@ -250,7 +258,7 @@
 	if known != nil && outdated(known, &server, item.Revision) {
 		return
 	}
-	if known == nil || known.value.Draining != server.Draining || !known.value.SameProcess(&server) || !known.removeAt.IsZero() {
+	if b.begun && (known == nil || known.value.Draining != server.Draining || !known.value.SameProcess(&server) || !known.removeAt.IsZero()) {
 		b.events.Record("server_known", id, "registration", slog.String("service", string(server.Service)),
 			slog.String("address", server.Address), slog.Bool("draining", server.Draining), slog.Duration("cold", server.ColdFor))
 	}
@@ -307,7 +315,9 @@
 	}
 	if known == nil || known.value != member || !known.removeAt.IsZero() {
 		b.changed = true
-		b.events.Record("vm_known", string(member.VM), "registration", slog.String("address", member.Caller), slog.Bool("leaving", member.Leaving))
+		if b.begun {
+			b.events.Record("vm_known", string(member.VM), "registration", slog.String("address", member.Caller), slog.Bool("leaving", member.Leaving))
+		}
 	}
 	b.members[item.Key] = &record[Member]{value: member, key: item.Key, revision: item.Revision}
 }
--- a/internal/fleet/roster/duty.go
+++ b/internal/fleet/roster/duty.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 )
 
@@ -13,6 +14,9 @@
 	// stepDownAfter is the time for which a VM goes on serving after others
 	// were preferred, so that a short absence changes nothing.
 	stepDownAfter = 5 * time.Second
+	// replacedBy bounds the time for which it goes on because those that were preferred
+	// do not all serve.
+	replacedBy = 20 * time.Second
 	// relaxAfter is the time for which a VM that does not serve still follows all
 	// changes after it served or was asked by a caller: callers may hold old
 	// lists, of up to three times 5 s.
@@ -46,10 +50,9 @@
 	begun time.Time
 	// askedAt is the time at which a caller asked last.
 	askedAt time.Time
-	// judged is the view by which chosen was found: whether the VM is among those
-	// that serve.
+	// judged is the view by which chosen was found, the VMs that are to serve.
 	judged *View
-	chosen bool
+	chosen coll.Set[ident.VMID]
 	// unwantedSince is the time from which others were preferred, or zero.
 	unwantedSince time.Time
 }
@@ -75,7 +78,7 @@
 			d.enter(now, serving)
 		}
 	case serving:
-		if d.isOverdue(now, wanted) {
+		if d.isOverdue(now, wanted) && (d.isReplaced(view) || now.Sub(d.unwantedSince) >= replacedBy) {
 			d.enter(now, retiring)
 		}
 	case retiring:
@@ -105,6 +108,16 @@
 	return now.Sub(d.unwantedSince) >= stepDownAfter
 }
 
+// isReplaced reports whether all VMs that are to serve do.
+func (d *duty) isReplaced(view *View) bool {
+	for _, m := range view.Members {
+		if !m.Serving && d.chosen.Has(m.VM) {
+			return false
+		}
+	}
+	return true
+}
+
 // isWanted reports whether this VM is among those that serve. While no VM
 // serves, the first ones wait for others to register.
 func (d *duty) isWanted(now time.Time, self ident.VMID, view *View) bool {
@@ -116,10 +129,9 @@
 		return d.mode == serving
 	}
 	if view != d.judged {
-		count := EntryCount(view.Table)
-		d.judged, d.chosen = view, Entries(Eligible(members, view.Reach(), count), count).Has(self)
+		d.judged, d.chosen = view, view.Chosen()
 	}
-	return d.chosen
+	return d.chosen.Has(self)
 }
 
 // isRelaxed reports whether the VM may learn of changes with some delay. One
--- a/internal/fleet/roster/follower.go
+++ b/internal/fleet/roster/follower.go
@@ -29,9 +29,13 @@
 	// third of the tightest bound on a change, 3 s.
 	defaultGather = time.Second
 	// standbyWait and standbyGather are the same for a VM that serves no
-	// callers. It reads all keys before it serves.
-	standbyWait   = 20 * time.Second
+	// callers. It follows the other VMs alone, so that it can name those that serve, and
+	// reads all keys before it serves.
+	standbyWait   = 25 * time.Second
 	standbyGather = 5 * time.Second
+	// confirmWait is that of the watch after a stale reading, which only tells what
+	// changed since.
+	confirmWait = time.Millisecond
 	// firstReadTimeout bounds the first reading of all keys, and each one that
 	// follows a failed one may take twice as long, up to lastReadTimeout. A
 	// store that is two orders of magnitude slow answers within the first; a
@@ -113,9 +117,9 @@
 	batch coll.Option[depot.Batch]
 	// whole marks a reading of all keys.
 	whole bool
-	// behind is set if more changes are to be expected at once.
-	behind bool
-	err    error
+	// confirms is set if the beliefs are up to date with the batch.
+	confirms bool
+	err      error
 }
 
 // NewFollower returns a follower for book, which it owns from then on.
@@ -267,7 +271,7 @@
 		} else {
 			f.book.Apply(now, batch)
 		}
-		if !n.behind {
+		if n.confirms {
 			f.confirmed.Store(&n.asked)
 		}
 	}
@@ -279,46 +283,81 @@
 	f.lost.Store(f.book.IsLost())
 }
 
+// reading is how far the store was read.
+type reading struct {
+	revision ident.Revision
+	// known is set once all keys were read; changes are followed from then on.
+	known bool
+	// stale is set until the first reading of a process is made up for.
+	stale bool
+	// timeout bounds the next reading of all keys.
+	timeout time.Duration
+	// failures counts the failed calls in a row.
+	failures int
+}
+
 // read calls the store: all keys once, then watches from there on. After lost
-// history, and when the VM begins to serve, it reads all keys again.
+// history, and when the VM begins to serve, it reads all keys again. The first reading of
+// a process may be stale, as many start together; the watch that follows makes up for it.
 func (f *Follower) read(ctx context.Context) {
-	revision, known := ident.Revision(0), false
-	timeout, failures := firstReadTimeout, 0
+	r := &reading{stale: true, timeout: firstReadTimeout}
 	for ctx.Err() == nil {
-		asked := f.asking()
-		var batch depot.Batch
-		var refresh bool
-		var err error
-		if known {
-			batch, refresh, err = f.watch(ctx, revision)
-		} else {
-			batch, err = f.readAll(ctx, timeout)
-		}
-		if refresh {
-			known = false
-			continue
-		}
-		if err != nil && !known {
-			timeout = min(2*timeout, lastReadTimeout)
+		if r.known {
+			f.readChanges(ctx, r)
 		} else {
-			timeout = firstReadTimeout
-		}
-		if err != nil {
-			known = known && !errors.Is(err, depot.ErrCompacted)
-			f.send(ctx, note{err: err})
-			if failures++; failures > 1 {
-				sleep.For(ctx, retryPause())
-			}
-			continue
+			f.readKeys(ctx, r)
 		}
-		failures = 0
-		behind := known && isBacklog(batch)
-		f.send(ctx, note{asked: asked, batch: coll.Some(batch), whole: !known, behind: behind})
-		changed := len(batch.Items) > 0 && known
-		revision, known = max(revision, batch.Revision), true
-		if changed && !behind && f.rest(ctx) {
-			known = false
+	}
+}
+
+// readKeys reads all keys.
+func (f *Follower) readKeys(ctx context.Context, r *reading) {
+	asked := f.asking()
+	batch, err := f.readAll(ctx, r.timeout, r.stale)
+	if err != nil {
+		r.timeout = min(2*r.timeout, lastReadTimeout)
+		f.fail(ctx, r, err)
+		return
+	}
+	r.timeout, r.failures = firstReadTimeout, 0
+	f.send(ctx, note{asked: asked, batch: coll.Some(batch), whole: true, confirms: !r.stale})
+	r.revision, r.known = max(r.revision, batch.Revision), true
+}
+
+// readChanges waits for changes, and lets more gather after some.
+func (f *Follower) readChanges(ctx context.Context, r *reading) {
+	asked, about := f.asking(), f.scope(r.stale)
+	batch, refresh, err := f.watch(ctx, r.revision, about)
+	if refresh {
+		r.known = false
+		return
+	}
+	if err != nil {
+		if errors.Is(err, depot.ErrCompacted) {
+			r.known, r.stale = false, false
 		}
+		f.fail(ctx, r, err)
+		return
+	}
+	r.failures = 0
+	r.revision = max(r.revision, batch.Revision)
+	behind := isBacklog(batch)
+	f.send(ctx, note{asked: asked, batch: coll.Some(batch), confirms: !behind && about.prefix == watchAll})
+	if behind {
+		return
+	}
+	gather := len(batch.Items) > 0 && !r.stale
+	r.stale = false
+	if gather && f.rest(ctx) {
+		r.known = false
+	}
+}
+
+// fail notes a failed call, and pauses after the second one in a row.
+func (f *Follower) fail(ctx context.Context, r *reading, err error) {
+	f.send(ctx, note{err: err})
+	if r.failures++; r.failures > 1 {
+		sleep.For(ctx, retryPause())
 	}
 }
 
@@ -332,15 +371,34 @@
 	return len(batch.Items) >= backlogItems || size >= backlogBytes
 }
 
-func (f *Follower) readAll(ctx context.Context, timeout time.Duration) (depot.Batch, error) {
+func (f *Follower) readAll(ctx context.Context, timeout time.Duration, stale bool) (depot.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return f.depot.Range(ctx, watchAll)
+	return f.depot.Range(ctx, watchAll, stale)
+}
+
+// scope is what a watch is about, and how long it waits.
+type scope struct {
+	prefix string
+	wait   time.Duration
+}
+
+// scope returns that of the next watch. After a stale reading all changes since are told
+// at once.
+func (f *Follower) scope(stale bool) scope {
+	switch {
+	case stale:
+		return scope{watchAll, confirmWait}
+	case f.active.Load():
+		return scope{watchAll, time.Duration(touchPart * float64(f.options.Touch))}
+	default:
+		return scope{PrefixMembers, standbyWait}
+	}
 }
 
 // watch waits for changes. refresh is set if the wait was ended to read all
 // keys.
-func (f *Follower) watch(ctx context.Context, revision ident.Revision) (batch depot.Batch, refresh bool, err error) {
+func (f *Follower) watch(ctx context.Context, revision ident.Revision, about scope) (batch depot.Batch, refresh bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ended := make(chan struct{})
@@ -354,11 +412,7 @@
 			interrupted <- false
 		}
 	}()
-	wait := standbyWait
-	if f.active.Load() {
-		wait = time.Duration(touchPart * float64(f.options.Touch))
-	}
-	batch, err = f.depot.Watch(ctx, watchAll, revision, wait)
+	batch, err = f.depot.Watch(ctx, about.prefix, revision, about.wait)
 	close(ended)
 	return batch, <-interrupted, err
 }
--- a/internal/fleet/roster/local.go
+++ b/internal/fleet/roster/local.go
@@ -68,6 +68,12 @@
 	return min(maxLean*servers/(callers-servers), 1)
 }
 
+// Chosen returns the members that are to serve callers.
+func (v *View) Chosen() coll.Set[ident.VMID] {
+	count := EntryCount(v.Table)
+	return Entries(Eligible(v.Members, v.Reach(), count), count)
+}
+
 // Eligible returns the members among which those that serve are chosen: VMs of the
 // zones that reach most services, without weak VMs where strong ones suffice. Callers
 // use all VMs that serve alike, so that the weakest bounds what count of them bear.
--- a/internal/fleet/roster/registrar.go
+++ b/internal/fleet/roster/registrar.go
@@ -24,6 +24,11 @@
 	memberLease = 4 * time.Second
 	// renewEvery leaves room for two lost renewals within memberLease.
 	renewEvery = 1200 * time.Millisecond
+	// standbyLease and standbyRenew are the same for a VM that serves no callers. If it
+	// dies, no caller is told of it; a place among those that serve stays empty until
+	// its registration lapses.
+	standbyLease = 3 * memberLease
+	standbyRenew = 3 * renewEvery
 	// dutyEvery is the time between two looks whether this VM is to serve.
 	dutyEvery = 200 * time.Millisecond
 	// recentBeliefs is the age up to which the beliefs of a VM that stands by serve
@@ -66,11 +71,12 @@
 
 // Usable reports whether this VM's beliefs may serve a caller. Those of a VM that
 // stands by may be old, and those of one that stood still are; they are brought up to
-// date then. While the store does not answer, old ones are better than none. It is
-// safe for concurrent use.
+// date then. While the store does not answer, old ones are better than none, unless this
+// process never had them confirmed. It is safe for concurrent use.
 func (r *Registrar) Usable(now time.Time) bool {
 	if r.follower.Lost() {
-		return true
+		_, confirmed := r.follower.Age(now)
+		return confirmed
 	}
 	trusted := r.follower.Trusted(now)
 	if r.serving.Load() {
@@ -87,6 +93,18 @@
 	return trusted && known && age <= recentBeliefs
 }
 
+// Wake makes a VM that stands by read all keys, since another VM takes it as one that
+// serves. It is safe for concurrent use.
+func (r *Registrar) Wake() {
+	if r.serving.Load() || r.follower.Fresh() {
+		return
+	}
+	r.mu.Lock()
+	r.duty.askedAt = time.Now()
+	r.mu.Unlock()
+	r.follower.SetActive(true)
+}
+
 // Leave announces that the VM takes no new callers. It does not wait.
 func (r *Registrar) Leave() {
 	r.want(func(m *Member) { m.Leaving = true })
@@ -123,10 +141,13 @@
 	deciding.Go(func() { r.decide(ctx) })
 	defer deciding.Wait()
 	r.awaitFirstReading(ctx)
-	lease, written := depot.LeaseID(0), Member{}
+	lease, written, wait := depot.LeaseID(0), Member{}, renewEvery
 	for ctx.Err() == nil {
 		wanted := r.wantedNow()
 		if lease == 0 || written != wanted || !r.follower.Registered() {
+			if wanted.Serving && !written.Serving {
+				lease = 0
+			}
 			next, err := r.register(ctx, lease, wanted)
 			if err != nil {
 				r.events.Sample("registration_failed", string(r.self), err.Error())
@@ -136,11 +157,32 @@
 			}
 			lease, written = next, wanted
 		}
-		r.pause(ctx, renewEvery)
-		if err := r.renew(ctx, lease); errors.Is(err, depot.ErrNoLease) {
+		r.pause(ctx, wait)
+		wait = renewal(written)
+		err := r.renew(ctx, lease)
+		if errors.Is(err, depot.ErrNoLease) {
 			lease = 0
 		}
+		if err != nil {
+			wait = renewEvery
+		}
+	}
+}
+
+// length is that of the lease of a registration.
+func length(m Member) time.Duration {
+	if m.Serving {
+		return memberLease
+	}
+	return standbyLease
+}
+
+// renewal is the time between two renewals of its lease.
+func renewal(m Member) time.Duration {
+	if m.Serving {
+		return renewEvery
 	}
+	return standbyRenew
 }
 
 // awaitFirstReading lets a VM that starts again find its former duty before it
@@ -194,7 +236,7 @@
 	defer cancel()
 	var err error
 	if lease == 0 {
-		lease, err = r.depot.Grant(ctx, memberLease)
+		lease, err = r.depot.Grant(ctx, length(member))
 	}
 	if err == nil {
 		err = r.put(ctx, lease, member)
--- /dev/null
+++ b/internal/front/gate/stop_test.go
@@ -0,0 +1,99 @@
+package gate_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirestair/samphirestair/internal/front/gate"
+	"github.com/samphirestair/samphirestair/internal/query/runner"
+)
+
+// counted answers requests after a while and notes which it read.
+type counted struct {
+	*tier
+	mu   sync.Mutex
+	read map[string]bool
+}
+
+func (c *counted) Run(request runner.Request) runner.Answer {
+	c.mu.Lock()
+	c.read[request.Message.ID] = true
+	c.mu.Unlock()
+	time.Sleep(15 * time.Millisecond)
+	return c.answer(request)
+}
+
+// stopLoad is callers that send as fast as they are answered, half of them each request
+// on a connection of its own.
+type stopLoad struct {
+	address  string
+	stopped  chan struct{}
+	mu       sync.Mutex
+	answered map[string]bool
+}
+
+func (l *stopLoad) call(caller int) {
+	var conn net.Conn
+	for n := 0; ; n++ {
+		select {
+		case <-l.stopped:
+			return
+		default:
+		}
+		if conn == nil {
+			var err error
+			if conn, err = net.Dial("tcp", l.address); err != nil {
+				time.Sleep(time.Millisecond)
+				continue
+			}
+		}
+		id := fmt.Sprintf("c%d-%d", caller, n)
+		_, _ = fmt.Fprintf(conn, "GET /one/a HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: %s\r\n\r\n", id)
+		var response fasthttp.Response
+		err := response.Read(bufio.NewReader(conn))
+		if err == nil {
+			l.mu.Lock()
+			l.answered[id] = true
+			l.mu.Unlock()
+		}
+		if err != nil || response.ConnectionClose() || caller%2 == 0 {
+			_ = conn.Close()
+			conn = nil
+		}
+	}
+}
+
+// A planned stop under load, on kept connections and new ones: each request that was read
+// is answered.
+func TestPlannedStopUnderLoadCutsOffNoRequest(t *testing.T) {
+	for round := range 5 {
+		behind := &counted{tier: newTier(t), read: map[string]bool{}}
+		g := newGate(behind.tier, func(d *gate.Deps) { d.Runner = behind })
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		var serving, calling sync.WaitGroup
+		serving.Go(func() { _ = g.Serve(listener) })
+		load := &stopLoad{address: listener.Addr().String(), stopped: make(chan struct{}), answered: map[string]bool{}}
+		for caller := range 40 {
+			calling.Go(func() { load.call(caller) })
+		}
+		time.Sleep(time.Duration(100+17*round) * time.Millisecond)
+		g.Drain()
+		time.Sleep(50 * time.Millisecond)
+		require.NoError(t, g.Shutdown())
+		serving.Wait()
+		close(load.stopped)
+		calling.Wait()
+		require.Greater(t, len(load.answered), 100)
+		for id := range behind.read {
+			require.True(t, load.answered[id], "request %s was read and has no answer", id)
+		}
+	}
+}
--- a/internal/front/gate/watcher.go
+++ b/internal/front/gate/watcher.go
@@ -3,8 +3,9 @@
 import (
 	"net"
 	"sync"
-	"syscall"
 	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/socket"
 )
 
 const (
@@ -72,30 +73,10 @@
 		return false
 	}
 	for one := range w.waiting {
-		if now.Sub(one.since) >= watchAfter && hasLeft(one.conn) {
+		if now.Sub(one.since) >= watchAfter && socket.HasLeft(one.conn) {
 			close(one.gone)
 			delete(w.waiting, one)
 		}
 	}
 	return true
 }
-
-// hasLeft reports whether the peer closed or reset the connection.
-func hasLeft(conn net.Conn) bool {
-	raw, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return true
-	}
-	left := false
-	err = control.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, failed := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		left = failed == nil && n == 0 ||
-			failed != nil && failed != syscall.EAGAIN && failed != syscall.EINTR
-	})
-	return left || err != nil
-}
--- a/internal/lab/depsrv/store.go
+++ b/internal/lab/depsrv/store.go
@@ -24,6 +24,8 @@
 	LoseAnswers bool
 	// Delay is added to each call.
 	Delay time.Duration
+	// Behind makes stale readings return what was there when it was set.
+	Behind bool
 	// Deaf leaves watches that begin now without an answer for good.
 	Deaf bool
 }
@@ -41,6 +43,10 @@
 	faults    Faults
 	changed   chan struct{}
 	calls     int
+	// staleReads counts the stale readings among the calls, and behind is what they
+	// return while they are behind.
+	staleReads int
+	behind     depot.Batch
 }
 
 var _ depot.Depot = (*Store)(nil)
@@ -68,6 +74,12 @@
 func (s *Store) SetFaults(faults Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if faults.Behind && !s.faults.Behind {
+		s.behind = depot.Batch{Revision: s.revision}
+		for _, one := range s.items {
+			s.behind.Items = append(s.behind.Items, one.item)
+		}
+	}
 	s.faults = faults
 }
 
@@ -112,14 +124,27 @@
 	return s.calls
 }
 
+// StaleReads returns the number of stale readings among the calls.
+func (s *Store) StaleReads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.staleReads
+}
+
 // Range implements depot.Depot.
-func (s *Store) Range(ctx context.Context, prefix string) (depot.Batch, error) {
+func (s *Store) Range(ctx context.Context, prefix string, stale bool) (depot.Batch, error) {
 	if err := s.enter(ctx); err != nil {
 		return depot.Batch{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
+	if stale {
+		s.staleReads++
+		if s.faults.Behind {
+			return s.behind, nil
+		}
+	}
 	batch := depot.Batch{Revision: s.revision}
 	for key, one := range s.items {
 		if strings.HasPrefix(key, prefix) {
--- a/internal/lab/soak/arrivals.go
+++ b/internal/lab/soak/arrivals.go
@@ -86,6 +86,22 @@
 	}
 }
 
+// checkNotices checks that a VM heeds what a server said of itself, in touch or not.
+func (r *Referee) checkNotices(q *request, a Arrival) {
+	n := r.noticed[a.Conn]
+	if n == nil {
+		return
+	}
+	if !n.leavingAt.IsZero() && q.SentAt.Sub(n.leavingAt) > r.bounds.Drain {
+		r.findf(Drain, a.ID, "reaches %s %v after its answers said that it leaves", a.Server, a.At.Sub(n.leavingAt))
+	}
+	if a.At.After(n.quietFrom) && a.At.Before(n.quietUntil) {
+		if n.requests++; n.requests > quietTolerance {
+			r.findf(Quiet, a.ID, "%d requests reach %s in a time in which it asked for none", n.requests, a.Server)
+		}
+	}
+}
+
 // checkConfig checks that the service is that of a version in force.
 func (r *Referee) checkConfig(q *request, a Arrival) {
 	_, newest := r.usedBy(q, a)
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -39,6 +39,7 @@
 	Reshard     Fault = "reshard"
 	Evacuate    Fault = "evacuate"
 	AllFail     Fault = "all-fail"
+	ServerQuiet Fault = "server-quiet"
 )
 
 // Faults returns all kinds of faults. New ones come last, since schedules of earlier
@@ -48,7 +49,7 @@
 		KillVM, KillAll, StopVM, PauseVM, Settings, CallerLink, StoreLink, ServerLink,
 		StoreDown, StoreSlow, StoreLoses, StoreForget, StoreDeaf,
 		ServerCrash, ServerSlow, ServerFails, ServerLoses, ServerSpoil, ServerDrain, ServerReuse, ServerBorn,
-		ConfigMove, ConfigStorm, Reshard, Evacuate, AllFail,
+		ConfigMove, ConfigStorm, Reshard, Evacuate, AllFail, ServerQuiet,
 	}
 }
 
--- a/internal/lab/soak/referee.go
+++ b/internal/lab/soak/referee.go
@@ -26,6 +26,7 @@
 	Config  = "config"  // an old configuration was used
 	Ended   = "ended"   // a process ended by itself, or did not stop in time
 	Recover = "recover" // the fleet does not serve again
+	Quiet   = "quiet"   // work for a server that asked for quiet
 )
 
 // Tolerances of promises that a few exceptions do not break, as the users' rules
@@ -44,6 +45,10 @@
 	// much time, and deadlineSlack the excess that does not count.
 	deadlineTolerance = 20
 	deadlineSlack     = 500 * time.Millisecond
+	// quietTolerance is the number of requests that may come in a quiet time, and
+	// quietDelay the time after which it binds.
+	quietTolerance = 2
+	quietDelay     = 500 * time.Millisecond
 )
 
 // Referee decides from what callers and backend servers report which promises
@@ -62,6 +67,9 @@
 	leaving map[ident.ServerID]time.Time
 	zones   map[ident.ServerID]ident.Zone
 	out     map[ident.Zone]time.Time
+	// noticed holds what servers said of themselves, by connection: that of a VM which is
+	// known by nothing else.
+	noticed map[string]*noticed
 	// seen is the highest version whose effect was seen of a process, and when.
 	seen     map[process]sighting
 	findings []Finding
@@ -79,6 +87,14 @@
 	boot int
 }
 
+// noticed is what the VM at the other end of a connection was told.
+type noticed struct {
+	leavingAt time.Time
+	// quietFrom and quietUntil bound the time in which requests count.
+	quietFrom, quietUntil time.Time
+	requests              int
+}
+
 type sighting struct {
 	version ident.Version
 	at      time.Time
@@ -125,6 +141,7 @@
 		zones:    map[ident.ServerID]ident.Zone{},
 		out:      map[ident.Zone]time.Time{},
 		seen:     map[process]sighting{},
+		noticed:  map[string]*noticed{},
 		counts:   map[string]int{},
 	}
 }
@@ -165,6 +182,23 @@
 	r.leaving[server] = at
 }
 
+// Told notes what a backend server says of itself, before it does.
+func (r *Referee) Told(n Notice) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.noticed[n.Conn]
+	if known == nil {
+		known = &noticed{}
+		r.noticed[n.Conn] = known
+	}
+	if n.Leaving && known.leavingAt.IsZero() {
+		known.leavingAt = n.At
+	}
+	if n.Quiet > 0 {
+		known.quietFrom, known.quietUntil, known.requests = n.At.Add(quietDelay), n.At.Add(n.Quiet), 0
+	}
+}
+
 // ZoneOut notes that the store accepted that a zone is out, or with a zero time
 // that it is back.
 func (r *Referee) ZoneOut(zone ident.Zone, at time.Time) {
@@ -222,6 +256,7 @@
 	}
 	r.checkRuns(q, a)
 	r.checkFallback(q, a)
+	r.checkNotices(q, a)
 	if r.inTouch(string(q.VM), a.At) && r.calm.Unharmed(string(a.Server), a.At.Add(-r.bounds.Contact), a.At) {
 		r.checkTime(q, a)
 		r.checkPlace(q, a)
--- a/internal/lab/soak/referee_test.go
+++ b/internal/lab/soak/referee_test.go
@@ -62,6 +62,13 @@
 	w.Arrived(soak.Arrival{ID: id, Server: "i-1", Service: service, At: time.Now(), Ran: true, Left: 500 * time.Millisecond, Told: true})
 }
 
+// arriveOn lets a new request arrive on a connection.
+func (w *world) arriveOn(conn string) {
+	w.Arrived(soak.Arrival{
+		ID: w.send(one), Server: "i-1", Service: "desk", At: time.Now(), Ran: true, Left: 500 * time.Millisecond, Told: true, Conn: conn,
+	})
+}
+
 // reply lets a server answer a request with one record.
 func (w *world) reply(id string, service ident.ServiceID, whole bool) string {
 	signature := fmt.Sprintf("%s-%s", id, service)
@@ -196,6 +203,32 @@
 			time.Sleep(3900 * time.Millisecond)
 			w.serve()
 		}},
+		{"a server whose answers said that it leaves", soak.Drain, func(w *world) {
+			w.Told(soak.Notice{Conn: "c1", Server: "i-1", At: time.Now(), Leaving: true})
+			time.Sleep(3100 * time.Millisecond)
+			w.arriveOn("c1")
+		}},
+		{"a server that said so on another connection", "", func(w *world) {
+			w.Told(soak.Notice{Conn: "c1", Server: "i-1", At: time.Now(), Leaving: true})
+			time.Sleep(3100 * time.Millisecond)
+			w.arriveOn("c2")
+		}},
+		{"a server that asked for quiet", soak.Quiet, func(w *world) {
+			w.Told(soak.Notice{Conn: "c1", Server: "i-1", At: time.Now(), Quiet: 2 * time.Second})
+			time.Sleep(600 * time.Millisecond)
+			for range 3 {
+				w.arriveOn("c1")
+			}
+		}},
+		{"a server whose quiet time is over", "", func(w *world) {
+			w.Told(soak.Notice{Conn: "c1", Server: "i-1", At: time.Now(), Quiet: 2 * time.Second})
+			w.arriveOn("c1")
+			time.Sleep(600 * time.Millisecond)
+			w.arriveOn("c1")
+			w.arriveOn("c1")
+			time.Sleep(1500 * time.Millisecond)
+			w.arriveOn("c1")
+		}},
 		{"a zone that is out", soak.Evac, func(w *world) {
 			w.ZoneOut("vantaa", time.Now())
 			time.Sleep(5100 * time.Millisecond)
--- a/internal/lab/soak/types.go
+++ b/internal/lab/soak/types.go
@@ -109,6 +109,19 @@
 	Left time.Duration
 	Told bool
 	Body string
+	// Conn names the connection that it came on.
+	Conn string
+}
+
+// Notice is what a backend server says of itself in an answer on a connection.
+type Notice struct {
+	Conn   string
+	Server ident.ServerID
+	At     time.Time
+	// Leaving is set if it takes no new requests.
+	Leaving bool
+	// Quiet is the time for which it wants none from the VM that the answer goes to.
+	Quiet time.Duration
 }
 
 // Reply is what a backend server answered to a request that it ran.
--- a/internal/link/ferry/ferry_test.go
+++ b/internal/link/ferry/ferry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -177,6 +178,29 @@
 	require.Less(t, time.Since(began), time.Second)
 }
 
+// A VM stood still while an order came and was given up: it sends nothing of it.
+func TestOrderThatWasGivenUpIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	body, err := orderOf("a", "b").MarshalMsg(nil)
+	require.NoError(t, err)
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	_, err = fmt.Fprintf(conn, "POST /v1/order HTTP/1.1\r\nHost: vm\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	require.NoError(t, err)
+	require.NoError(t, conn.Close())
+	b := &backend{}
+	server := ferry.NewServer(b, nil)
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve(listener) })
+	time.Sleep(200 * time.Millisecond)
+	require.NoError(t, server.Shutdown())
+	running.Wait()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	require.Empty(t, b.sent)
+}
+
 func FuzzOrder(f *testing.F) {
 	good, err := orderOf("a").MarshalMsg(nil)
 	require.NoError(f, err)
--- a/internal/link/ferry/server.go
+++ b/internal/link/ferry/server.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/base/socket"
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/query/merge"
@@ -89,6 +90,12 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
+	if socket.HasLeft(ctx.Conn()) {
+		// This VM may have stood still since the order came.
+		s.events.Sample("order_dropped", ctx.RemoteAddr().String(), "the VM that sent it has given it up")
+		ctx.SetConnectionClose()
+		return
+	}
 	job := newJob(&order, time.Now())
 	job.start(s.sender, &order)
 	ctx.SetBodyStreamWriter(job.report)
--- a/internal/link/ferry/wire_gen.go
+++ b/internal/link/ferry/wire_gen.go
@@ -78,7 +78,7 @@
 				return
 			}
 			if cap(z.Sends) >= int(zb0002) {
-				z.Sends = (z.Sends)[:zb0002]
+				z.Sends = z.Sends[:zb0002]
 			} else {
 				z.Sends = make([]Send, zb0002)
 			}
@@ -303,7 +303,7 @@
 				return
 			}
 			if cap(z.Sends) >= int(zb0002) {
-				z.Sends = (z.Sends)[:zb0002]
+				z.Sends = z.Sends[:zb0002]
 			} else {
 				z.Sends = make([]Send, zb0002)
 			}
@@ -644,7 +644,7 @@
 				return
 			}
 			if cap(z.Outcomes) >= int(zb0002) {
-				z.Outcomes = (z.Outcomes)[:zb0002]
+				z.Outcomes = z.Outcomes[:zb0002]
 			} else {
 				z.Outcomes = make([]Outcome, zb0002)
 			}
@@ -755,7 +755,7 @@
 				return
 			}
 			if cap(z.Outcomes) >= int(zb0002) {
-				z.Outcomes = (z.Outcomes)[:zb0002]
+				z.Outcomes = z.Outcomes[:zb0002]
 			} else {
 				z.Outcomes = make([]Outcome, zb0002)
 			}
--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -45,6 +45,9 @@
 
 	mu   sync.Mutex
 	call *Call
+	// last is the id of the request before. A second, late answer to it would be taken as
+	// the answer to the same request sent once more.
+	last string
 	// closed is set when the connection ended while it was idle.
 	closed bool
 }
@@ -89,7 +92,11 @@
 	if c.closed {
 		return false
 	}
-	c.call = call
+	if c.last != "" && c.last == call.message.ID {
+		c.close()
+		return false
+	}
+	c.call, c.last = call, call.message.ID
 	return true
 }
 
--- a/internal/owner/pool/notice_test.go
+++ b/internal/owner/pool/notice_test.go
@@ -100,6 +100,39 @@
 	require.Equal(t, pool.Unsent, ask(t, p, b.target(), "r3").Fate)
 }
 
+// A refusal comes twice, the second time late: the same request, sent once more, does not
+// take it as its answer, which would say that a request has not run that does.
+func TestSecondRefusalIsNotTheAnswerToTheNextAttempt(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: r1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	var refused atomic.Bool
+	b := newBackend(t, func(conn net.Conn, number int, _ string) {
+		if refused.CompareAndSwap(false, true) {
+			say(conn, refusal)
+			return
+		}
+		if number > 0 {
+			say(conn, refusal)
+			time.Sleep(20 * time.Millisecond)
+		}
+		say(conn, reply("r1", "ran"))
+	})
+	p := newNoticePool()
+	require.Equal(t, pool.NotRun, ask(t, p, b.target(), "r1").Fate)
+	second := ask(t, p, b.target(), "r1")
+	require.Equal(t, pool.Answered, second.Fate, second.Reason)
+	require.Equal(t, "ran", string(second.Response.Body()))
+}
+
+// A VM that stood still has no time left for what it was about to send.
+func TestNothingIsSentAfterItsDeadline(t *testing.T) {
+	b := newBackend(t, func(conn net.Conn, _ int, _ string) { say(conn, reply("r1", "late")) })
+	done := make(chan pool.Result, 1)
+	newNoticePool().Send(b.target(), &pool.Message{ID: "r1", Head: []byte("GET / HTTP/1.1\r\n")}, time.Now().Add(-time.Millisecond), true,
+		func(r pool.Result) { done <- r })
+	require.Equal(t, pool.Unsent, (<-done).Fate)
+	require.Empty(t, b.requests)
+}
+
 // Backend servers in trouble send bytes that are no answer, without end, in each part of
 // one: the attempt ends, the connection is closed, and memory stays flat.
 func TestBytesWithoutEnd(t *testing.T) {
--- a/internal/owner/pool/pool.go
+++ b/internal/owner/pool/pool.go
@@ -138,9 +138,13 @@
 	}
 }
 
-// hold ends an attempt whose backend server leaves or asked for quiet, and reports
-// whether it did.
+// hold ends an attempt whose time is over, as after the VM stood still, or whose backend
+// server leaves or asked for quiet. It reports whether it did.
 func (p *Pool) hold(target *Target, call *Call) bool {
+	if !time.Now().Before(call.deadline) {
+		call.finish(Result{Fate: Unsent, Reason: "too late to be sent"})
+		return true
+	}
 	process := target.process()
 	if p.options.Board.Leaving(process) {
 		call.finish(Result{Fate: Unsent, Leaving: true, Reason: "the server leaves"})
--- a/internal/plat/depot/depot.go
+++ b/internal/plat/depot/depot.go
@@ -53,8 +53,8 @@
 // ends when its context does.
 type Depot interface {
 	// Range returns all items whose key begins with prefix. Items may be newer
-	// than Batch.Revision.
-	Range(ctx context.Context, prefix string) (Batch, error)
+	// than Batch.Revision. A stale reading is cheap and may be seconds old.
+	Range(ctx context.Context, prefix string, stale bool) (Batch, error)
 	// Watch returns the changes after a revision to keys that begin with prefix
 	// as soon as there is one, or an empty batch after wait. It fails with
 	// ErrCompacted or ErrUnavailable.
