Let a VM that starts without the store learn from other VMs

Change: the settings name seeds; a VM whose first reading fails asks them for the beliefs of another VM, and uses those until the store has answered. It names itself to nobody before.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -22,6 +22,7 @@
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/fleet/pulse"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
+	"github.com/samphirestair/samphirestair/internal/fleet/seeds"
 	"github.com/samphirestair/samphirestair/internal/front/gate"
 	"github.com/samphirestair/samphirestair/internal/link/ferry"
 	"github.com/samphirestair/samphirestair/internal/ops/admin"
@@ -88,6 +89,7 @@
 	gate      *gate.Gate
 	ready     *fasthttp.Server
 	directory *fasthttp.Server
+	control   *fasthttp.Server
 	admin     *admin.Server
 }
 
@@ -107,9 +109,13 @@
 		Cores: settings.VM.Cores, Boot: rand.Uint64(),
 	}
 	book := roster.NewBook(self.VM, edge.Reader, t.events)
-	t.follower = roster.NewFollower(edge.Depot, book, roster.FollowerOptions{Touch: settings.Depot.Touch})
+	peers, err := seeds.NewClient(settings.SeedList())
+	if err != nil {
+		return nil, err
+	}
+	t.follower = roster.NewFollower(edge.Depot, book, roster.FollowerOptions{Touch: settings.Depot.Touch, Peers: peers})
+	t.control = gate.NewServer(seeds.Handler(t.follower))
 	t.registrar = roster.NewRegistrar(edge.Depot, t.follower, self, t.events)
-	var err error
 	t.pulse, err = pulse.New(pulse.Deps{
 		Self: self.VM, View: t.follower.View, Serving: t.isServing, Wake: t.registrar.Wake, Depot: edge.Depot, Events: t.events,
 	}, settings.Listen.Peers)
@@ -266,7 +272,7 @@
 
 // listeners are the ports that are open while a process runs.
 type listeners struct {
-	callers, directory, ready, peers, admin net.Listener
+	callers, directory, ready, peers, control, admin net.Listener
 }
 
 // listen opens all ports, or none.
@@ -280,8 +286,12 @@
 		{&l.directory, t.settings.Listen.Directory},
 		{&l.ready, t.settings.Listen.Ready},
 		{&l.peers, t.settings.Listen.Peers},
+		{&l.control, t.settings.Listen.Control},
 		{&l.admin, t.settings.Listen.Admin},
 	} {
+		if port.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp", port.address)
 		if err != nil {
 			return nil, errors.CombineErrors(errors.Wrapf(err, "tier: listen on %s", port.address), l.close())
@@ -293,7 +303,7 @@
 
 func (l *listeners) close() error {
 	var err error
-	for _, listener := range []net.Listener{l.callers, l.directory, l.ready, l.peers, l.admin} {
+	for _, listener := range []net.Listener{l.callers, l.directory, l.ready, l.peers, l.control, l.admin} {
 		if listener != nil {
 			err = errors.CombineErrors(err, listener.Close())
 		}
@@ -321,6 +331,9 @@
 	t.serve(&running, "directory", t.directory.Serve, ports.directory)
 	t.serve(&running, "ready", t.ready.Serve, ports.ready)
 	t.serve(&running, "peers", t.ferry.Serve, ports.peers)
+	if ports.control != nil {
+		t.serve(&running, "control", t.control.Serve, ports.control)
+	}
 	t.serve(&running, "admin", t.admin.Serve, ports.admin)
 	t.events.Record("process_started", string(t.settings.VM.ID), "settings read", slog.String("callers", t.settings.Listen.Callers))
 	<-stop
--- a/internal/fleet/roster/book.go
+++ b/internal/fleet/roster/book.go
@@ -287,6 +287,7 @@
 
 func (b *Book) takeZone(zone ident.Zone, key string) {
 	if _, out := b.zonesOut[zone]; out {
+		b.zonesOut[zone] = key
 		return
 	}
 	b.zonesOut[zone] = key
--- a/internal/fleet/roster/duty_test.go
+++ b/internal/fleet/roster/duty_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/lab/depsrv"
 )
@@ -225,3 +226,47 @@
 		require.True(t, c.registrars["vm-0"].Usable(time.Now()))
 	})
 }
+
+// told is another VM that knows version 6 and one server.
+type told struct{ asked int }
+
+func (p *told) Ask(context.Context) (*roster.Snapshot, time.Duration, error) {
+	p.asked++
+	server := roster.Server{ID: "i-1", Service: "a", Address: "10.0.0.5:80"}
+	return &roster.Snapshot{Config: &routes.Config{Version: 6}, Servers: []roster.Server{server}}, time.Second, nil
+}
+
+// A VM starts while the store is down: it serves callers by what another VM knows, until
+// the store is back.
+func TestVMThatStartsWithoutTheStoreAsksOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, peers := depsrv.New(), &told{}
+		store.Set("config:", encode(7))
+		store.SetFaults(depsrv.Faults{Down: true})
+		f := roster.NewFollower(store, roster.NewBook("vm-1", plainReader{}, nil), roster.FollowerOptions{Peers: peers})
+		r := roster.NewRegistrar(store, f, roster.Member{VM: "vm-1"}, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		var running conc.WaitGroup
+		running.Go(func() { f.Run(ctx) })
+		running.Go(func() { r.Run(ctx) })
+		time.Sleep(time.Second)
+		require.EqualValues(t, 6, f.View().Table.Config().Version)
+		require.Len(t, f.View().Replicas("a"), 1)
+		require.True(t, r.Usable(time.Now()))
+		require.False(t, r.Serving(), "it names itself once the store is back")
+		age, known := f.Age(time.Now())
+		require.True(t, known)
+		require.GreaterOrEqual(t, age, time.Second)
+
+		store.SetFaults(depsrv.Faults{})
+		time.Sleep(5 * time.Second)
+		require.EqualValues(t, 7, f.View().Table.Config().Version)
+		require.Empty(t, f.View().Replicas("a"), "its registration is not in the store")
+		asked := peers.asked
+		store.SetFaults(depsrv.Faults{Down: true})
+		time.Sleep(5 * time.Second)
+		require.Equal(t, asked, peers.asked, "beliefs of its own are as good")
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/fleet/roster/follower.go
+++ b/internal/fleet/roster/follower.go
@@ -69,11 +69,20 @@
 	Touch time.Duration
 	// Gather is the pause after a watch that told changes.
 	Gather time.Duration
+	// Peers are asked while the store has not answered since the start. nil means that
+	// there are none.
+	Peers Peers
 	// Suspended returns the time for which the machine has been suspended. nil
 	// means boot.Suspended.
 	Suspended func() time.Duration
 }
 
+// Peers are other VMs that may know what is in force.
+type Peers interface {
+	// Ask returns the beliefs of another VM, and their age.
+	Ask(ctx context.Context) (*Snapshot, time.Duration, error)
+}
+
 // Follower keeps a Book up to date. Its goroutine is the only one that touches
 // the book; others read the published view.
 type Follower struct {
@@ -119,6 +128,8 @@
 	whole bool
 	// confirms is set if the beliefs are up to date with the batch.
 	confirms bool
+	// snapshot is what another VM told in place of the store.
+	snapshot *Snapshot
 	err      error
 }
 
@@ -259,6 +270,12 @@
 
 func (f *Follower) enter(n note) {
 	now := time.Now()
+	if n.snapshot != nil {
+		if f.book.Adopt(now, n.snapshot) {
+			f.confirmed.Store(&n.asked)
+		}
+		return
+	}
 	if n.err != nil && !errors.Is(n.err, depot.ErrCompacted) && !errors.Is(n.err, depot.ErrNoLease) {
 		f.book.Lost(now, n.err.Error())
 		return
@@ -290,6 +307,8 @@
 	known bool
 	// stale is set until the first reading of a process is made up for.
 	stale bool
+	// told is set once another VM told what is in force, while the store does not answer.
+	told bool
 	// timeout bounds the next reading of all keys.
 	timeout time.Duration
 	// failures counts the failed calls in a row.
@@ -317,6 +336,9 @@
 	if err != nil {
 		r.timeout = min(2*r.timeout, lastReadTimeout)
 		f.fail(ctx, r, err)
+		if r.stale && !r.told {
+			r.told = f.askPeers(ctx)
+		}
 		return
 	}
 	r.timeout, r.failures = firstReadTimeout, 0
@@ -324,6 +346,23 @@
 	r.revision, r.known = max(r.revision, batch.Revision), true
 }
 
+// askPeers takes the beliefs of another VM in place of a first reading, and reports
+// whether there are any.
+func (f *Follower) askPeers(ctx context.Context) bool {
+	if f.options.Peers == nil {
+		return false
+	}
+	asked := f.asking()
+	snapshot, age, err := f.options.Peers.Ask(ctx)
+	if err != nil {
+		f.book.events.Sample("peers_unknowing", "beliefs", err.Error())
+		return false
+	}
+	asked.at = asked.at.Add(-age)
+	f.send(ctx, note{asked: asked, snapshot: snapshot})
+	return true
+}
+
 // readChanges waits for changes, and lets more gather after some.
 func (f *Follower) readChanges(ctx context.Context, r *reading) {
 	asked, about := f.asking(), f.scope(r.stale)
--- /dev/null
+++ b/internal/fleet/seeds/seeds.go
@@ -0,0 +1,139 @@
+// Package seeds lets a VM that starts while the store does not answer learn from other
+// VMs what is in force.
+package seeds
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirestair/samphirestair/internal/fleet/roster"
+	"github.com/samphirestair/samphirestair/internal/plat/httpc"
+)
+
+const (
+	path = "/v1/beliefs"
+	// ageHeader tells in milliseconds how old the beliefs are.
+	ageHeader = "X-Age-Ms"
+	// askTimeout bounds the question to one VM.
+	askTimeout = 500 * time.Millisecond
+	// connections is the number of connections to one VM.
+	connections = 2
+)
+
+// ErrUnknown means that no VM could tell.
+var ErrUnknown = errors.New("seeds: no VM knows what is in force")
+
+// Beliefs is what a VM believes about the fleet.
+type Beliefs interface {
+	View() *roster.View
+	// Age is the time since the beliefs were known to be up to date.
+	Age(now time.Time) (age time.Duration, known bool)
+}
+
+// Handler returns a handler that tells other VMs the beliefs of this one.
+func Handler(beliefs Beliefs) fasthttp.RequestHandler {
+	t := &teller{beliefs: beliefs}
+	return t.serve
+}
+
+// teller keeps the encoded beliefs, since many VMs may start together.
+type teller struct {
+	beliefs Beliefs
+
+	mu      sync.Mutex
+	view    *roster.View
+	encoded []byte
+}
+
+func (t *teller) serve(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != path {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	now := time.Now()
+	age, known := t.beliefs.Age(now)
+	body, err := t.encode(now)
+	if !known || err != nil || body == nil {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.Response.Header.Set(ageHeader, strconv.FormatInt(age.Milliseconds(), 10))
+	ctx.SetBody(body)
+}
+
+// encode returns the encoded beliefs, or nil if there are none.
+func (t *teller) encode(now time.Time) ([]byte, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	view := t.beliefs.View()
+	if view == t.view {
+		return t.encoded, nil
+	}
+	snapshot := view.Snapshot(now)
+	if snapshot == nil {
+		return nil, nil
+	}
+	encoded, err := json.Marshal(snapshot)
+	if err != nil {
+		return nil, errors.Wrap(err, "seeds: encode")
+	}
+	t.view, t.encoded = view, encoded
+	return encoded, nil
+}
+
+// Client asks other VMs. It is safe for concurrent use.
+type Client struct {
+	clients []*httpc.Client
+}
+
+// NewClient returns a client that asks the VMs at the given addresses, "ip:port".
+func NewClient(addresses []string) (*Client, error) {
+	c := &Client{}
+	for _, address := range addresses {
+		client, err := httpc.New("http://"+address, httpc.Options{Timeout: askTimeout, DialTimeout: askTimeout, Connections: connections})
+		if err != nil {
+			return nil, errors.Wrapf(err, "seeds: %s", address)
+		}
+		c.clients = append(c.clients, client)
+	}
+	return c, nil
+}
+
+// Ask returns the beliefs of another VM and their age. It fails with ErrUnknown.
+func (c *Client) Ask(ctx context.Context) (*roster.Snapshot, time.Duration, error) {
+	var failed error
+	for _, i := range rand.Perm(len(c.clients)) {
+		snapshot, age, err := ask(ctx, c.clients[i])
+		if err == nil {
+			return snapshot, age, nil
+		}
+		failed = errors.CombineErrors(failed, err)
+	}
+	return nil, 0, errors.CombineErrors(errors.WithStack(ErrUnknown), failed)
+}
+
+func ask(ctx context.Context, client *httpc.Client) (*roster.Snapshot, time.Duration, error) {
+	answer, err := client.Do(ctx, httpc.Call{Path: path})
+	if err != nil {
+		return nil, 0, err
+	}
+	if answer.Status != fasthttp.StatusOK {
+		return nil, 0, errors.Newf("seeds: status %d", answer.Status)
+	}
+	age, err := strconv.ParseInt(answer.Header(ageHeader), 10, 64)
+	if err != nil || age < 0 {
+		return nil, 0, errors.Newf("seeds: age %q", answer.Header(ageHeader))
+	}
+	snapshot := &roster.Snapshot{}
+	if err := json.Unmarshal(answer.Body, snapshot); err != nil {
+		return nil, 0, errors.Wrap(err, "seeds: decode")
+	}
+	return snapshot, time.Duration(age) * time.Millisecond, nil
+}
--- /dev/null
+++ b/internal/fleet/seeds/seeds_test.go
@@ -0,0 +1,96 @@
+package seeds_test
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/routes"
+	"github.com/samphirestair/samphirestair/internal/fleet/roster"
+	"github.com/samphirestair/samphirestair/internal/fleet/seeds"
+)
+
+type beliefs struct {
+	view  *roster.View
+	age   time.Duration
+	known bool
+}
+
+func (b *beliefs) View() *roster.View                  { return b.view }
+func (b *beliefs) Age(time.Time) (time.Duration, bool) { return b.age, b.known }
+
+func viewOf(t *testing.T, version ident.Version) *roster.View {
+	t.Helper()
+	table, err := routes.NewTable(&routes.Config{
+		Version:  version,
+		Routes:   []routes.Route{{Name: "lookup", Host: "desk.example", Prefix: "/", Attempts: 1, Timeout: time.Second, Split: []routes.Share{{Service: "desk", Weight: 1}}}},
+		Services: map[ident.ServiceID]routes.Service{"desk": {Connections: 26}},
+	})
+	require.NoError(t, err)
+	return roster.NewView(table, []*roster.Replica{
+		{Server: roster.Server{ID: "i-1", Service: "desk", Zone: "vantaa", Address: "10.0.0.5:80", Born: 7}},
+		{Server: roster.Server{ID: "i-2", Service: "desk", Zone: "lahti", Address: "10.0.0.6:80"}, ColdUntil: time.Now().Add(time.Minute)},
+	}, []roster.Member{{VM: "vm-2", Zone: "vantaa", Serving: true, Caller: "10.0.0.2:80"}}, coll.NewSet[ident.Zone]("espoo"))
+}
+
+func serve(t *testing.T, b *beliefs) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &fasthttp.Server{Handler: seeds.Handler(b)}
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve(listener) })
+	t.Cleanup(func() {
+		require.NoError(t, server.Shutdown())
+		running.Wait()
+	})
+	return listener.Addr().String()
+}
+
+// A VM that starts without the store knows from another one what is in force, but for
+// servers that get no requests.
+func TestBeliefsOfAnotherVMAreAdopted(t *testing.T) {
+	b := &beliefs{view: viewOf(t, 9), age: 1500 * time.Millisecond, known: true}
+	silent := &beliefs{view: viewOf(t, 4)}
+	client, err := seeds.NewClient([]string{serve(t, silent), serve(t, b)})
+	require.NoError(t, err)
+	snapshot, age, err := client.Ask(t.Context())
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, age, 1500*time.Millisecond)
+
+	book := roster.NewBook("vm-1", nil, nil)
+	require.True(t, book.Adopt(time.Now(), snapshot))
+	view := book.View()
+	require.EqualValues(t, 9, view.Table.Config().Version)
+	require.NotNil(t, view.Table.Match("desk.example", "/x"))
+	require.Len(t, view.Replicas("desk"), 2)
+	require.Equal(t, int64(7), view.Replicas("desk")[0].Born)
+	require.True(t, view.Replicas("desk")[1].ColdUntil.After(time.Now().Add(50*time.Second)))
+	require.Equal(t, 1, view.Serving)
+	require.True(t, view.ZonesOut.Has("espoo"))
+
+	older := *snapshot.Config
+	older.Version = 8
+	require.False(t, book.Adopt(time.Now(), &roster.Snapshot{Config: &older}), "a process never returns to an older version")
+}
+
+func TestNobodyKnows(t *testing.T) {
+	for name, addresses := range map[string][]string{
+		"no seeds":             nil,
+		"seed without beliefs": {serve(t, &beliefs{view: roster.NewView(nil, nil, nil, nil)})},
+		"seed that is down":    {"127.0.0.1:1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, err := seeds.NewClient(addresses)
+			require.NoError(t, err)
+			_, _, err = client.Ask(t.Context())
+			require.ErrorIs(t, err, seeds.ErrUnknown)
+		})
+	}
+}
