--- a/internal/front/gate/stop_test.go
+++ b/internal/front/gate/stop_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
 
 	"github.com/samphirestair/samphirestair/internal/front/gate"
 	"github.com/samphirestair/samphirestair/internal/query/runner"
@@ -97,3 +99,37 @@
 		}
 	}
 }
+
+// FuzzRequest lets a caller send anything: what is passed on has a route, a request line
+// of its own and no second request inside.
+func FuzzRequest(f *testing.F) {
+	for _, seed := range []string{
+		"GET /one/a HTTP/1.1\r\nHost: desk.example\r\n\r\n",
+		"POST /one/a HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 3\r\n\r\nabc",
+		"POST /all/ HTTP/1.1\r\nHost: desk.example:80\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"POST /one/a HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"GET http://desk.example/one/ HTTP/1.1\r\nHost: desk.example\r\n folded: x\r\n\r\n", "\x00",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		behind := newTier(t)
+		behind.requests = make(chan runner.Request, 1000)
+		g := newGate(behind)
+		listener := fasthttputil.NewInmemoryListener()
+		go func() { _ = g.Serve(listener) }()
+		conn, err := listener.Dial()
+		require.NoError(t, err)
+		require.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+		_, _ = conn.Write(append(data, "\r\n\r\n"...))
+		_, _ = bufio.NewReader(conn).ReadByte()
+		_ = conn.Close()
+		require.NoError(t, listener.Close())
+		for len(behind.requests) > 0 {
+			head := string((<-behind.requests).Message.Head)
+			require.True(t, strings.HasSuffix(head, "\r\n"))
+			require.NotContains(t, head, "\r\n\r\n")
+			require.NotContains(t, strings.ReplaceAll(head, "\r\n", ""), "\n")
+		}
+	})
+}
--- a/internal/owner/pool/notice_test.go
+++ b/internal/owner/pool/notice_test.go
@@ -181,3 +181,47 @@
 		})
 	}
 }
+
+// FuzzAnswer lets a server answer with anything: nothing is taken as the whole answer to
+// the request that names another one, and every attempt ends.
+func FuzzAnswer(f *testing.F) {
+	for _, seed := range []string{
+		reply("r1", "body"), reply("r2", "body"), "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nRetry-After: 1e300\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab",
+		"HTTP/1.1 200 OK\r\nX-Load: 9,,-1\r\nKeep-Alive: timeout=-7\r\nContent-Length: 0\r\n\r\n", "\x00\xff", "HTTP/1.1 100 Continue\r\n\r\n",
+	} {
+		f.Add([]byte(seed))
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(f, err)
+	f.Cleanup(func() { require.NoError(f, listener.Close()) })
+	var answer atomic.Pointer[[]byte]
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 4096))
+			_, _ = conn.Write(*answer.Load())
+			_ = conn.Close()
+		}
+	}()
+	f.Fuzz(func(t *testing.T, data []byte) {
+		answer.Store(&data)
+		r := ask(t, newNoticePool(), pool.Target{ID: "i-1", Address: listener.Addr().String(), Connections: 1}, "r1")
+		defer r.Release()
+		require.GreaterOrEqual(t, r.RetryAfter, time.Duration(0))
+		if r.Fate != pool.Answered {
+			return
+		}
+		if id := r.Response.Header.Peek("X-Request-Id"); len(id) > 0 {
+			require.Equal(t, "r1", string(id))
+		}
+		// Answers with these statuses have no body, whatever length they name.
+		bodiless := r.Status == 204 || r.Status == 304
+		if length := r.Response.Header.ContentLength(); length >= 0 && !bodiless {
+			require.Len(t, r.Response.Body(), length)
+		}
+	})
+}
