Name at most 64 VMs to callers

Found on the walk of limits (docs/CAPACITY.md): callers read up to 64 addresses of a list, and a service with 500 connections or more would have named more VMs than that.

--- a/internal/fleet/roster/entries.go
+++ b/internal/fleet/roster/entries.go
@@ -23,6 +23,8 @@
 	connectionsPerEntry = 6
 	// minEntries keeps callers served while VMs or a zone are lost.
 	minEntries = 6
+	// maxEntries is the largest number of addresses that callers read of a list.
+	maxEntries = 64
 )
 
 // EntryCount is the number of VMs among which the connections of backend
@@ -37,7 +39,7 @@
 			scarcest = service.Connections
 		}
 	}
-	return max(int(connectionsUsed*float64(scarcest)/connectionsPerEntry), minEntries)
+	return min(max(int(connectionsUsed*float64(scarcest)/connectionsPerEntry), minEntries), maxEntries)
 }
 
 // Entries chooses the members that serve callers: count of them, spread evenly
--- a/internal/fleet/roster/entries_test.go
+++ b/internal/fleet/roster/entries_test.go
@@ -44,15 +44,16 @@
 }
 
 func TestEntryCountFollowsTheScarcestService(t *testing.T) {
-	config := &routes.Config{
-		Routes: []routes.Route{lookupRoute()},
-		Services: map[ident.ServiceID]routes.Service{
-			"used": {Connections: 64}, "unused": {Connections: 2},
-		},
+	for connections, want := range map[int]int{64: 8, 2: 6, 5000: 64} {
+		table, err := routes.NewTable(&routes.Config{
+			Routes: []routes.Route{lookupRoute()},
+			Services: map[ident.ServiceID]routes.Service{
+				"used": {Connections: connections}, "unused": {Connections: 2},
+			},
+		})
+		require.NoError(t, err)
+		require.Equal(t, want, roster.EntryCount(table))
 	}
-	table, err := routes.NewTable(config)
-	require.NoError(t, err)
-	require.Equal(t, 8, roster.EntryCount(table))
 }
 
 // Guards against parts of a fleet-wide bound that add up to more than it: VMs that
