--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -106,16 +106,10 @@
 		NoDefaultDate:                 true,
 		DisableHeaderNamesNormalizing: true,
 		DisablePreParseMultipartForm:  true,
-		Logger:                        silent{},
+		Logger:                        events.Silent{},
 	}
 }
 
-// silent drops the messages of fasthttp about connections of callers.
-type silent struct{}
-
-// Printf implements fasthttp.Logger.
-func (silent) Printf(string, ...any) {}
-
 // Serve answers requests from l until Shutdown.
 func (g *Gate) Serve(l net.Listener) error {
 	return errors.Wrap(g.server.Serve(l), "gate: serve")
--- a/internal/link/ferry/client.go
+++ b/internal/link/ferry/client.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
+	"github.com/samphirestair/samphirestair/internal/plat/httpc"
 )
 
 const (
@@ -71,7 +72,7 @@
 			MaxIdleConnDuration:      idleTimeout,
 			WriteTimeout:             silenceTimeout,
 			StreamResponseBody:       true,
-			RetryIfErr:               neverRetry,
+			RetryIfErr:               httpc.NeverRetry,
 			NoDefaultUserAgentHeader: true,
 			Dial:                     dial,
 		}
@@ -80,20 +81,10 @@
 	return host
 }
 
-func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
-	return false, false
-}
-
-// dialError marks a connection that could not be opened.
-type dialError struct{ error }
-
-// Unwrap returns the cause.
-func (e dialError) Unwrap() error { return e.error }
-
 func dial(address string) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
-		return nil, dialError{err}
+		return nil, errors.Wrapf(httpc.ErrNotSent, "%v", err)
 	}
 	return &livelyConn{conn}, nil
 }
@@ -167,8 +158,7 @@
 
 // fateOf tells whether an order that failed may have reached the VM.
 func fateOf(err error) pool.Fate {
-	var failure dialError
-	if errors.As(err, &failure) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	if errors.Is(err, httpc.ErrNotSent) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return pool.Unsent
 	}
 	return pool.Broken
--- a/internal/link/ferry/server.go
+++ b/internal/link/ferry/server.go
@@ -13,6 +13,7 @@
 	"github.com/samphirestair/samphirestair/internal/base/socket"
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
+	"github.com/samphirestair/samphirestair/internal/query/hedge"
 	"github.com/samphirestair/samphirestair/internal/query/merge"
 )
 
@@ -29,11 +30,6 @@
 	signEvery = 50 * time.Millisecond
 	// lateEvery is the time in which outcomes gather after the first report.
 	lateEvery = 3 * time.Millisecond
-	// quorumShare, quorumFactor and quorumSlack say when the parts that are missing
-	// are overdue: from the time that a quorum took.
-	quorumShare  = 0.75
-	quorumFactor = 1.5
-	quorumSlack  = 3 * time.Millisecond
 )
 
 // Sender sends attempts to backend servers.
@@ -58,17 +54,11 @@
 		NoDefaultDate:         true,
 		NoDefaultContentType:  true,
 		CloseOnShutdown:       true,
-		Logger:                silent{},
+		Logger:                events.Silent{},
 	}
 	return s
 }
 
-// silent drops the messages of fasthttp about connections of other VMs.
-type silent struct{}
-
-// Printf implements fasthttp.Logger.
-func (silent) Printf(string, ...any) {}
-
 // Serve accepts orders from l until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
 	return errors.Wrap(s.http.Serve(l), "ferry: serve")
@@ -195,9 +185,9 @@
 			switch {
 			case !first && len(report.Outcomes) == 1:
 				timer.Reset(lateEvery)
-			case first && j.total-j.pending == j.quorum():
+			case first && j.total-j.pending == hedge.Quorum(j.total):
 				took := time.Since(j.begun)
-				overdue := time.Duration(quorumFactor*float64(took)) + quorumSlack - took
+				overdue := hedge.OverdueAfter(took) - took
 				timer.Reset(min(overdue, max(time.Until(j.reportAt), 0)))
 			default:
 			}
@@ -210,10 +200,6 @@
 	return report
 }
 
-func (j *job) quorum() int {
-	return max(int(quorumShare*float64(j.total)), 1)
-}
-
 // outcome turns a result into its report. The records of a part are merged into
 // records, or reported alone.
 func (j *job) outcome(r *ended, records *merge.Records, alone bool) Outcome {
--- a/internal/link/mesh/outbox.go
+++ b/internal/link/mesh/outbox.go
@@ -11,6 +11,7 @@
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/plat/httpc"
 )
 
 // errStatus means that the receiver refused a batch.
@@ -39,7 +40,7 @@
 			Addr:                          to.Peer,
 			MaxConns:                      m.options.Transfers + 1,
 			MaxIdemponentCallAttempts:     1,
-			RetryIfErr:                    neverRetry,
+			RetryIfErr:                    httpc.NeverRetry,
 			ReadTimeout:                   m.options.Timeout,
 			WriteTimeout:                  m.options.Timeout,
 			MaxIdleConnDuration:           idleConnection,
@@ -52,10 +53,6 @@
 	}
 }
 
-func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
-	return false, false
-}
-
 // add appends messages and starts a transfer if one is free.
 func (o *outbox) add(appendTo func(*msgs.Batch)) {
 	o.mu.Lock()
--- a/internal/plat/httpc/client.go
+++ b/internal/plat/httpc/client.go
@@ -115,6 +115,11 @@
 	return false, req.Header.IsGet() && !errors.Is(err, fasthttp.ErrTimeout)
 }
 
+// NeverRetry is for clients whose calls must not be repeated by the library.
+func NeverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
+	return false, false
+}
+
 // Do performs the call and returns its answer, whatever the status. It fails
 // with ErrNotSent or ErrNoAnswer, at the latest when ctx ends.
 func (c *Client) Do(ctx context.Context, call Call) (*Answer, error) {
--- a/internal/query/relay/overdue.go
+++ b/internal/query/relay/overdue.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/query/hedge"
 )
 
 const (
@@ -12,15 +13,8 @@
 	// Servers that are an order of magnitude slow still answer within it.
 	silentFactor = 6
 	minSilent    = 200 * time.Millisecond
-	// quorumShare is the share of the shards whose answers tell how long this
-	// search takes; its shards ask for similar work.
-	quorumShare = 0.75
 	// minQuorum is the number of shards from which a quorum says something.
 	minQuorum = 4
-	// quorumFactor and quorumSlack give the time after which a shard is overdue,
-	// from the time that the quorum took.
-	quorumFactor = 1.5
-	quorumSlack  = 3 * time.Millisecond
 	// carriedSlack is added for an attempt that another VM sends: the way there and
 	// back, and the time for which it gathers answers.
 	carriedSlack = 6 * time.Millisecond
@@ -54,11 +48,11 @@
 // answered: those that take much longer than the quorum wait for a server that
 // is paused, slow or full.
 func (q *Query) hurry(now time.Time) {
-	if q.hurried || float64(q.parts) < quorumShare*float64(len(q.shards)) || len(q.shards) < minQuorum {
+	if q.hurried || q.parts < hedge.Quorum(len(q.shards)) || len(q.shards) < minQuorum {
 		return
 	}
 	q.hurried = true
-	overdue := q.start.Add(time.Duration(quorumFactor*float64(now.Sub(q.start))) + quorumSlack)
+	overdue := q.start.Add(hedge.OverdueAfter(now.Sub(q.start)))
 	for i := range q.shards {
 		for j := range q.shards[i].attempts {
 			a := &q.shards[i].attempts[j]
