--- /dev/null
+++ b/internal/fleet/roster/reading.go
@@ -0,0 +1,193 @@
+package roster
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/base/sleep"
+	"github.com/samphirestair/samphirestair/internal/plat/depot"
+)
+
+// reading is how far the store was read.
+type reading struct {
+	revision ident.Revision
+	// known is set once all keys were read; changes are followed from then on.
+	known bool
+	// stale is set until the first reading of a process is made up for.
+	stale bool
+	// told is set once another VM told what is in force, while the store does not answer.
+	told bool
+	// timeout bounds the next reading of all keys.
+	timeout time.Duration
+	// failures counts the failed calls in a row.
+	failures int
+}
+
+// read calls the store: all keys once, then watches from there on. After lost
+// history, and when the VM begins to serve, it reads all keys again. The first reading of
+// a process may be stale, as many start together; the watch that follows makes up for it.
+func (f *Follower) read(ctx context.Context) {
+	r := &reading{stale: true, timeout: firstReadTimeout}
+	for ctx.Err() == nil {
+		if r.known {
+			f.readChanges(ctx, r)
+		} else {
+			f.readKeys(ctx, r)
+		}
+	}
+}
+
+// readKeys reads all keys.
+func (f *Follower) readKeys(ctx context.Context, r *reading) {
+	asked := f.asking()
+	batch, err := f.readAll(ctx, r.timeout, r.stale)
+	if err != nil {
+		r.timeout = min(2*r.timeout, lastReadTimeout)
+		f.fail(ctx, r, err)
+		if r.stale && !r.told {
+			r.told = f.askPeers(ctx)
+		}
+		return
+	}
+	r.timeout, r.failures = firstReadTimeout, 0
+	f.send(ctx, note{asked: asked, batch: coll.Some(batch), whole: true, confirms: !r.stale})
+	r.revision, r.known = max(r.revision, batch.Revision), true
+}
+
+// askPeers takes the beliefs of another VM in place of a first reading, and reports
+// whether there are any.
+func (f *Follower) askPeers(ctx context.Context) bool {
+	if f.options.Peers == nil {
+		return false
+	}
+	asked := f.asking()
+	snapshot, age, err := f.options.Peers.Ask(ctx)
+	if err != nil {
+		f.book.events.Sample("peers_unknowing", "beliefs", err.Error())
+		return false
+	}
+	asked.at = asked.at.Add(-age)
+	f.send(ctx, note{asked: asked, snapshot: snapshot})
+	return true
+}
+
+// readChanges waits for changes, and lets more gather after some.
+func (f *Follower) readChanges(ctx context.Context, r *reading) {
+	asked, about := f.asking(), f.scope(r.stale)
+	batch, refresh, err := f.watch(ctx, r.revision, about)
+	if refresh {
+		r.known = false
+		return
+	}
+	if err != nil {
+		if errors.Is(err, depot.ErrCompacted) {
+			// A stale reading may lie before the history again.
+			r.known, r.stale = false, !r.stale && !f.active.Load()
+		}
+		f.fail(ctx, r, err)
+		return
+	}
+	r.failures = 0
+	r.revision = max(r.revision, batch.Revision)
+	behind := isBacklog(batch)
+	f.send(ctx, note{asked: asked, batch: coll.Some(batch), confirms: !behind && about.prefix == watchAll})
+	if behind {
+		return
+	}
+	gather := len(batch.Items) > 0 || r.stale
+	r.stale = false
+	if gather && f.rest(ctx) {
+		r.known = false
+	}
+}
+
+// fail notes a failed call, and pauses after the second one in a row.
+func (f *Follower) fail(ctx context.Context, r *reading, err error) {
+	f.send(ctx, note{err: err})
+	if r.failures++; r.failures > 1 {
+		sleep.For(ctx, retryPause())
+	}
+}
+
+// isBacklog reports whether an answer to a watch is so large that more changes are
+// probably left.
+func isBacklog(batch depot.Batch) bool {
+	size := 0
+	for _, item := range batch.Items {
+		size += len(item.Value)
+	}
+	return len(batch.Items) >= backlogItems || size >= backlogBytes
+}
+
+func (f *Follower) readAll(ctx context.Context, timeout time.Duration, stale bool) (depot.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return f.depot.Range(ctx, watchAll, stale)
+}
+
+// scope is what a watch is about, and how long it waits.
+type scope struct {
+	prefix string
+	wait   time.Duration
+}
+
+// scope returns that of the next watch. After a stale reading all changes since are told
+// at once.
+func (f *Follower) scope(stale bool) scope {
+	switch {
+	case stale:
+		return scope{watchAll, confirmWait}
+	case f.active.Load():
+		return scope{watchAll, time.Duration(touchPart * float64(f.options.Touch))}
+	default:
+		return scope{PrefixMembers, standbyWait}
+	}
+}
+
+// watch waits for changes. refresh is set if the wait was ended to read all
+// keys.
+func (f *Follower) watch(ctx context.Context, revision ident.Revision, about scope) (batch depot.Batch, refresh bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan struct{})
+	interrupted := make(chan bool, 1)
+	go func() {
+		select {
+		case <-f.refresh:
+			cancel()
+			interrupted <- true
+		case <-ended:
+			interrupted <- false
+		}
+	}()
+	batch, err = f.depot.Watch(ctx, about.prefix, revision, about.wait)
+	close(ended)
+	return batch, <-interrupted, err
+}
+
+// rest lets changes gather. It reports whether all keys are to be read.
+func (f *Follower) rest(ctx context.Context) bool {
+	pause := standbyGather
+	if f.active.Load() {
+		pause = f.options.Gather
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-f.refresh:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+func retryPause() time.Duration {
+	return minRetry + rand.N(maxRetry-minRetry)
+}
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -364,6 +364,16 @@
 	return running < q.plan.Route.Attempts
 }
 
+// takes reports whether a server takes requests of this VM, as far as it is known.
+func (q *Query) takes(now time.Time, r *roster.Replica) bool {
+	switch {
+	case q.env.Health.IsDown(r.ID), q.env.Notices.Leaving(r.Process()), q.env.Notices.Quiet(now, r.Process()) > 0:
+		return false
+	default:
+		return !now.Before(r.ColdUntil) || q.env.Cold.May(now, r)
+	}
+}
+
 // choose returns the server for the next attempt of a shard: one that it has
 // not tried, that is not down and, if possible, not cold. It returns nil if
 // there is none.
@@ -374,13 +384,7 @@
 	list := replicas[:0]
 	warm := 0
 	for _, r := range q.env.Replicas().Replicas(s.service) {
-		if s.tried(now, r.ID) {
-			continue
-		}
-		if q.env.Health.IsDown(r.ID) || q.env.Notices.Leaving(r.Process()) || q.env.Notices.Quiet(now, r.Process()) > 0 {
-			continue
-		}
-		if now.Before(r.ColdUntil) && !q.env.Cold.May(now, r) {
+		if !q.takes(now, r) || s.tried(now, r.ID) {
 			continue
 		}
 		if !now.Before(r.ColdUntil) {
