Let given-up attempts of another VM end on their connections

A search that is answered at its goal gave up the late attempts of its orders at once, and closed their connections; attempts of a VM's own may go on for 150 ms for that. Orders now grant 80 ms, since it takes longer to notice there that nobody waits; the VM that sends looks at the connection before each sign of life in place of waiting for a write to fail.

--- a/internal/link/ferry/server.go
+++ b/internal/link/ferry/server.go
@@ -28,6 +28,10 @@
 	// signEvery is the time between two signs of life to a VM that waits. They also
 	// show that it left.
 	signEvery = 50 * time.Millisecond
+	// linger is the time for which attempts that nobody waits for may go on, so that
+	// their connections stay of use. With the notice of it, it stays below the half second
+	// after which a backend server may no longer work for a caller that left.
+	linger = 80 * time.Millisecond
 	// lateEvery is the time in which outcomes gather after the first report.
 	lateEvery = 3 * time.Millisecond
 )
@@ -88,7 +92,8 @@
 	}
 	job := newJob(&order, time.Now())
 	job.start(s.sender, &order)
-	ctx.SetBodyStreamWriter(job.report)
+	conn := ctx.Conn()
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { job.report(w, conn) })
 }
 
 // job is one order under way.
@@ -135,11 +140,14 @@
 
 // report writes reports until all attempts have ended. The attempts that are left when
 // the other VM has closed the connection are given up.
-func (j *job) report(w *bufio.Writer) {
+func (j *job) report(w *bufio.Writer, conn net.Conn) {
 	defer j.end()
 	out := msgp.NewWriter(w)
 	for first := true; first || j.pending > 0; first = false {
 		report := j.gather(first)
+		if socket.HasLeft(conn) {
+			return
+		}
 		err := report.EncodeMsg(out)
 		if err == nil {
 			err = out.Flush()
@@ -159,7 +167,7 @@
 		return
 	}
 	for _, call := range j.calls {
-		call.Cancel()
+		call.CancelAfter(linger)
 	}
 	for ; j.pending > 0; j.pending-- {
 		r := <-j.results
