Take the youngest beliefs when the store does not answer

Cause: seeds.Client.Ask took the beliefs of the first seed that answered. A VM that stands by follows registrations of VMs alone, so its configuration may be minutes old, and a VM that starts while the store is down would have used servers and routes that others know to be gone.

Ruled out: the age that a seed tells counts from its last confirmed reading of all keys, so that it can be compared between seeds.

Before: TestYoungestBeliefsAreTaken fails (an old seed is taken in two of four orders, at random). After: it passes, -race, three times.

--- a/internal/fleet/seeds/seeds.go
+++ b/internal/fleet/seeds/seeds.go
@@ -5,12 +5,12 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
@@ -106,34 +106,51 @@
 	return c, nil
 }
 
-// Ask returns the beliefs of another VM and their age. It fails with ErrUnknown.
+// Ask asks all VMs, and returns the beliefs that are the youngest and their age. It
+// fails with ErrUnknown.
 func (c *Client) Ask(ctx context.Context) (*roster.Snapshot, time.Duration, error) {
-	var failed error
-	for _, i := range rand.Perm(len(c.clients)) {
-		snapshot, age, err := ask(ctx, c.clients[i])
-		if err == nil {
-			return snapshot, age, nil
+	answers := make([]told, len(c.clients))
+	var asking conc.WaitGroup
+	for i, client := range c.clients {
+		asking.Go(func() { answers[i] = ask(ctx, client) })
+	}
+	asking.Wait()
+	youngest := told{err: errors.WithStack(ErrUnknown)}
+	for _, answer := range answers {
+		switch {
+		case answer.err != nil:
+			if youngest.snapshot == nil {
+				youngest.err = errors.CombineErrors(youngest.err, answer.err)
+			}
+		case youngest.snapshot == nil || answer.age < youngest.age:
+			youngest = answer
 		}
-		failed = errors.CombineErrors(failed, err)
 	}
-	return nil, 0, errors.CombineErrors(errors.WithStack(ErrUnknown), failed)
+	return youngest.snapshot, youngest.age, youngest.err
+}
+
+// told is the answer of a VM.
+type told struct {
+	snapshot *roster.Snapshot
+	age      time.Duration
+	err      error
 }
 
-func ask(ctx context.Context, client *httpc.Client) (*roster.Snapshot, time.Duration, error) {
+func ask(ctx context.Context, client *httpc.Client) told {
 	answer, err := client.Do(ctx, httpc.Call{Path: path})
 	if err != nil {
-		return nil, 0, err
+		return told{err: err}
 	}
 	if answer.Status != fasthttp.StatusOK {
-		return nil, 0, errors.Newf("seeds: status %d", answer.Status)
+		return told{err: errors.Newf("seeds: status %d", answer.Status)}
 	}
 	age, err := strconv.ParseInt(answer.Header(ageHeader), 10, 64)
 	if err != nil || age < 0 {
-		return nil, 0, errors.Newf("seeds: age %q", answer.Header(ageHeader))
+		return told{err: errors.Newf("seeds: age %q", answer.Header(ageHeader))}
 	}
 	snapshot := &roster.Snapshot{}
 	if err := json.Unmarshal(answer.Body, snapshot); err != nil {
-		return nil, 0, errors.Wrap(err, "seeds: decode")
+		return told{err: errors.Wrap(err, "seeds: decode")}
 	}
-	return snapshot, time.Duration(age) * time.Millisecond, nil
+	return told{snapshot: snapshot, age: time.Duration(age) * time.Millisecond}
 }
--- a/internal/fleet/seeds/seeds_test.go
+++ b/internal/fleet/seeds/seeds_test.go
@@ -80,6 +80,28 @@
 	require.False(t, book.Adopt(time.Now(), &roster.Snapshot{Config: &older}), "a process never returns to an older version")
 }
 
+// A VM that stands by may have been told of nothing for minutes, while another one was
+// in touch with the store a moment ago.
+func TestYoungestBeliefsAreTaken(t *testing.T) {
+	old := serve(t, &beliefs{view: viewOf(t, 8), age: 4 * time.Minute, known: true})
+	young := serve(t, &beliefs{view: viewOf(t, 9), age: 2 * time.Second, known: true})
+	for name, addresses := range map[string][]string{
+		"old first":      {old, young},
+		"young first":    {young, old},
+		"one is down":    {old, "127.0.0.1:1", young},
+		"many old, late": {old, old, old, old, young},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, err := seeds.NewClient(addresses)
+			require.NoError(t, err)
+			snapshot, age, err := client.Ask(t.Context())
+			require.NoError(t, err)
+			require.EqualValues(t, 9, snapshot.Config.Version)
+			require.InDelta(t, 2*time.Second, age, float64(time.Second))
+		})
+	}
+}
+
 func TestNobodyKnows(t *testing.T) {
 	for name, addresses := range map[string][]string{
 		"no seeds":             nil,
