Measure goodput under overload by the work done

Cause: the check counted searches. Under overload the route with rank 1 gets a greater part of the slots, as the same test asks for, and its searches take three times the work of the others, so that fewer fit in.

Change: the check is replaced by one on the time of slots that went into credit, with the same bound of 0.95 of the best, which is what "servers go on at their best" means.

No change of the system.

Conclusion: the check was wrong, not the admission.

--- a/internal/query/runner/overload_test.go
+++ b/internal/query/runner/overload_test.go
@@ -269,9 +269,12 @@
 	}
 }
 
-// goodput is the credit of both routes as a part of the capacity.
+// goodput is the part of the time of all slots that went into the credit of both routes.
+// A search counts by its work, since under overload the more important route gets a
+// greater part of the slots, and its searches take longer.
 func goodput(outcomes map[*routes.Route]*outcome, length time.Duration) float64 {
-	return (outcomes[sweep].credit + outcomes[peek].credit) / (length - settleTime).Seconds() / capacity
+	work := outcomes[sweep].credit*sweepWork.Seconds() + outcomes[peek].credit*peekWork.Seconds()
+	return work / (length - settleTime).Seconds() / (loadReplicas * loadSlots)
 }
 
 // Goals of a load beyond the capacity: the part of the best goodput that stays, the
