Learn whom to ask at a start without the store from datagrams

Change: VMs that serve already send datagrams to each other, also to those whose process is down, as long as they are registered. The address of the sender is what a VM that starts needs; the question goes to the port for other VMs. VMs that are registered no more get a greeting each second for a minute.

Limit: a VM hears nothing for up to a second, and a VM that never served is not greeted.

--- a/internal/conf/fwconf/settings.go
+++ b/internal/conf/fwconf/settings.go
@@ -5,7 +5,6 @@
 import (
 	"log/slog"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,11 +47,8 @@
 	Directory string
 	// Ready tells the platform whether this VM is ready.
 	Ready string
-	// Peers takes datagrams of other VMs.
+	// Peers takes datagrams and requests of other VMs.
 	Peers string
-	// Control takes questions of VMs that start while the store does not answer. It is
-	// empty if there are none.
-	Control string
 	// Admin takes requests of operators and collectors.
 	Admin string
 }
@@ -63,17 +59,6 @@
 	// Touch is the time in which a VM has to notice that its connection to the
 	// store went silent, and to catch up.
 	Touch time.Duration
-	// Seeds are the control addresses, each "ip:port" and separated by commas, of VMs
-	// that are asked while the store does not answer at the start.
-	Seeds string
-}
-
-// SeedList returns the addresses of the VMs that are asked at the start.
-func (s *Settings) SeedList() []string {
-	if s.Depot.Seeds == "" {
-		return nil
-	}
-	return strings.Split(s.Depot.Seeds, ",")
 }
 
 // Answers says how requests are answered.
@@ -180,7 +165,6 @@
 		Directory: section.Address("directory", coll.None[string]()),
 		Ready:     section.Address("ready", coll.None[string]()),
 		Peers:     section.Address("peers", coll.None[string]()),
-		Control:   section.Addresses("control"),
 		Admin:     section.Address("admin", coll.None[string]()),
 	}
 }
@@ -189,7 +173,6 @@
 	return Depot{
 		URL:   section.URL("url", coll.None[string]()),
 		Touch: section.Duration("touch", coll.Some(defaultTouch), 500*time.Millisecond, time.Hour),
-		Seeds: section.Addresses("seeds"),
 	}
 }
 
--- a/internal/conf/strict/getters.go
+++ b/internal/conf/strict/getters.go
@@ -107,22 +107,6 @@
 	})
 }
 
-// Addresses returns IP addresses with ports, separated by commas, in canonical form. It
-// may be empty.
-func (s *Section) Addresses(key string) string {
-	return get(s, key, coll.Some(""), "addresses such as 10.0.0.1:7000, separated by commas", func(text string) (string, bool) {
-		list := splitList(text)
-		for i, one := range list {
-			address, err := netip.ParseAddrPort(one)
-			if err != nil || address.Port() == 0 || !isHost(address.Addr()) {
-				return "", false
-			}
-			list[i] = address.String()
-		}
-		return strings.Join(list, ","), true
-	})
-}
-
 // IP returns an IP address in canonical form.
 func (s *Section) IP(key string, fallback coll.Option[string]) string {
 	return get(s, key, fallback, "an IP address such as 10.0.0.1", func(text string) (string, bool) {
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -89,7 +89,6 @@
 	gate      *gate.Gate
 	ready     *fasthttp.Server
 	directory *fasthttp.Server
-	control   *fasthttp.Server
 	admin     *admin.Server
 }
 
@@ -109,13 +108,10 @@
 		Cores: settings.VM.Cores, Boot: rand.Uint64(),
 	}
 	book := roster.NewBook(self.VM, edge.Reader, t.events)
-	peers, err := seeds.NewClient(settings.SeedList())
-	if err != nil {
-		return nil, err
-	}
+	peers := seeds.NewClient(func() []string { return t.pulse.Contacts() })
 	t.follower = roster.NewFollower(edge.Depot, book, roster.FollowerOptions{Touch: settings.Depot.Touch, Peers: peers})
-	t.control = gate.NewServer(seeds.Handler(t.follower))
 	t.registrar = roster.NewRegistrar(edge.Depot, t.follower, self, t.events)
+	var err error
 	t.pulse, err = pulse.New(pulse.Deps{
 		Self: self.VM, View: t.follower.View, Serving: t.isServing, Wake: t.registrar.Wake, Depot: edge.Depot, Events: t.events,
 	}, settings.Listen.Peers)
@@ -136,7 +132,7 @@
 		return nil, errors.New("tier: requests can't wait under this admission policy")
 	}
 	t.carrier = ferry.NewClient()
-	t.ferry = ferry.NewServer(t.pool, t.events)
+	t.ferry = ferry.NewServer(t.pool, seeds.Handler(t.follower), t.events)
 	t.carriers = runner.NewCarriers(t.follower, t.pulse.Table())
 	t.env.Carries = t.carriers.Has
 	run := runner.New(runner.Deps{
@@ -272,7 +268,7 @@
 
 // listeners are the ports that are open while a process runs.
 type listeners struct {
-	callers, directory, ready, peers, control, admin net.Listener
+	callers, directory, ready, peers, admin net.Listener
 }
 
 // listen opens all ports, or none.
@@ -286,12 +282,8 @@
 		{&l.directory, t.settings.Listen.Directory},
 		{&l.ready, t.settings.Listen.Ready},
 		{&l.peers, t.settings.Listen.Peers},
-		{&l.control, t.settings.Listen.Control},
 		{&l.admin, t.settings.Listen.Admin},
 	} {
-		if port.address == "" {
-			continue
-		}
 		listener, err := net.Listen("tcp", port.address)
 		if err != nil {
 			return nil, errors.CombineErrors(errors.Wrapf(err, "tier: listen on %s", port.address), l.close())
@@ -303,7 +295,7 @@
 
 func (l *listeners) close() error {
 	var err error
-	for _, listener := range []net.Listener{l.callers, l.directory, l.ready, l.peers, l.control, l.admin} {
+	for _, listener := range []net.Listener{l.callers, l.directory, l.ready, l.peers, l.admin} {
 		if listener != nil {
 			err = errors.CombineErrors(err, listener.Close())
 		}
@@ -331,9 +323,6 @@
 	t.serve(&running, "directory", t.directory.Serve, ports.directory)
 	t.serve(&running, "ready", t.ready.Serve, ports.ready)
 	t.serve(&running, "peers", t.ferry.Serve, ports.peers)
-	if ports.control != nil {
-		t.serve(&running, "control", t.control.Serve, ports.control)
-	}
 	t.serve(&running, "admin", t.admin.Serve, ports.admin)
 	t.events.Record("process_started", string(t.settings.VM.ID), "settings read", slog.String("callers", t.settings.Listen.Callers))
 	<-stop
--- a/internal/fleet/pulse/pulse.go
+++ b/internal/fleet/pulse/pulse.go
@@ -1,6 +1,7 @@
 package pulse
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"net"
@@ -22,8 +23,12 @@
 	// datagramSize is the largest datagram that is read, in bytes. It holds the
 	// id of a VM after a short prefix.
 	datagramSize = 256
-	// prefix tells datagrams of this protocol from others.
-	prefix = "pulse1 "
+	// beatPrefix and greetingPrefix tell the datagrams of this protocol from others.
+	// The id of the sender follows.
+	beatPrefix     = "pulse1 "
+	greetingPrefix = "hello1 "
+	// greetEvery is the time between two greetings to VMs that are absent.
+	greetEvery = time.Second
 	// evictEvery is the time between two deletions of one VM's registration.
 	evictEvery = 2 * time.Second
 	// evictTimeout bounds one deletion.
@@ -52,6 +57,11 @@
 	table   *Table
 	conn    net.PacketConn
 	evicted map[ident.VMID]time.Time
+	// contacts are the addresses of VMs that were heard, and absent those of VMs that
+	// may start again.
+	contacts  *contacts
+	absent    *absent
+	greetedAt time.Time
 	// chosen are the VMs that are to serve by viewed.
 	viewed *roster.View
 	chosen coll.Set[ident.VMID]
@@ -63,7 +73,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "pulse: listen")
 	}
-	return &Pulse{deps: deps, table: NewTable(), conn: conn, evicted: map[ident.VMID]time.Time{}}, nil
+	return &Pulse{deps: deps, table: NewTable(), conn: conn, evicted: map[ident.VMID]time.Time{}, contacts: newContacts(), absent: newAbsent()}, nil
 }
 
 // Table returns what is known of the peers.
@@ -71,6 +81,12 @@
 	return p.table
 }
 
+// Contacts returns the addresses, "ip:port", from which VMs that serve were heard
+// lately. It is safe for concurrent use.
+func (p *Pulse) Contacts() []string {
+	return p.contacts.list(time.Now())
+}
+
 // Run sends and receives until ctx ends.
 func (p *Pulse) Run(ctx context.Context) {
 	var parts conc.WaitGroup
@@ -95,26 +111,34 @@
 func (p *Pulse) receive() {
 	buffer := make([]byte, datagramSize)
 	for {
-		n, _, err := p.conn.ReadFrom(buffer)
+		n, from, err := p.conn.ReadFrom(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		vm, ok := decode(buffer[:n])
+		vm, isBeat, ok := decode(buffer[:n])
 		if !ok || err != nil {
 			continue
 		}
-		p.table.Heard(time.Now(), vm)
+		now := time.Now()
+		p.contacts.heard(now, from.String())
+		if !isBeat {
+			continue
+		}
+		p.table.Heard(now, vm)
 		if !p.deps.Serving() {
 			p.deps.Wake()
 		}
 	}
 }
 
-func decode(datagram []byte) (ident.VMID, bool) {
-	if len(datagram) <= len(prefix) || string(datagram[:len(prefix)]) != prefix {
-		return "", false
+// decode returns the sender of a datagram, and whether it is one of the regular ones to
+// VMs that serve or are to.
+func decode(datagram []byte) (vm ident.VMID, isBeat, ok bool) {
+	if id, found := bytes.CutPrefix(datagram, []byte(beatPrefix)); found {
+		return ident.VMID(id), true, len(id) > 0
 	}
-	return ident.VMID(datagram[len(prefix):]), true
+	id, found := bytes.CutPrefix(datagram, []byte(greetingPrefix))
+	return ident.VMID(id), false, found && len(id) > 0
 }
 
 // beat tells the peers that this VM lives, and judges them.
@@ -139,12 +163,13 @@
 // send sends a datagram to each peer that serves, and returns them. Those that are to
 // serve get one too: a VM that stands by learns little on its own.
 func (p *Pulse) send() []ident.VMID {
-	datagram := []byte(prefix + string(p.deps.Self))
+	datagram := []byte(beatPrefix + string(p.deps.Self))
 	view := p.deps.View()
 	if view != p.viewed {
 		p.viewed, p.chosen = view, view.Chosen()
 	}
 	var peers []ident.VMID
+	present := map[ident.VMID]netip.AddrPort{}
 	for _, m := range view.Members {
 		if m.VM == p.deps.Self || !m.Serving && !p.chosen.Has(m.VM) {
 			continue
@@ -156,13 +181,33 @@
 		if m.Serving {
 			peers = append(peers, m.VM)
 		}
-		if _, err := p.conn.WriteTo(datagram, net.UDPAddrFromAddrPort(address)); err != nil {
-			p.deps.Events.Sample("pulse_unsent", string(m.VM), err.Error())
-		}
+		present[m.VM] = address
+		p.write(datagram, m.VM, address)
 	}
+	p.greet(present)
 	return peers
 }
 
+// greet sends greetings to VMs that are absent. One of them that starts again while the
+// store does not answer learns by it whom it can ask.
+func (p *Pulse) greet(present map[ident.VMID]netip.AddrPort) {
+	now := time.Now()
+	absent := p.absent.look(now, present)
+	if now.Sub(p.greetedAt) < greetEvery {
+		return
+	}
+	p.greetedAt = now
+	for vm, address := range absent {
+		p.write([]byte(greetingPrefix+string(p.deps.Self)), vm, address)
+	}
+}
+
+func (p *Pulse) write(datagram []byte, to ident.VMID, address netip.AddrPort) {
+	if _, err := p.conn.WriteTo(datagram, net.UDPAddrFromAddrPort(address)); err != nil {
+		p.deps.Events.Sample("pulse_unsent", string(to), err.Error())
+	}
+}
+
 // evictable returns the silent peers whose registration this VM has to delete.
 func (p *Pulse) evictable(now time.Time, peers []ident.VMID) []ident.VMID {
 	if p.table.CutOff() {
--- a/internal/fleet/seeds/seeds.go
+++ b/internal/fleet/seeds/seeds.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -24,7 +26,9 @@
 	// askTimeout bounds the question to one VM.
 	askTimeout = 500 * time.Millisecond
 	// connections is the number of connections to one VM.
-	connections = 2
+	connections = 1
+	// maxAsked bounds the number of VMs that are asked at a time.
+	maxAsked = 6
 )
 
 // ErrUnknown means that no VM could tell.
@@ -90,29 +94,25 @@
 
 // Client asks other VMs. It is safe for concurrent use.
 type Client struct {
-	clients []*httpc.Client
+	addresses func() []string
 }
 
-// NewClient returns a client that asks the VMs at the given addresses, "ip:port".
-func NewClient(addresses []string) (*Client, error) {
-	c := &Client{}
-	for _, address := range addresses {
-		client, err := httpc.New("http://"+address, httpc.Options{Timeout: askTimeout, DialTimeout: askTimeout, Connections: connections})
-		if err != nil {
-			return nil, errors.Wrapf(err, "seeds: %s", address)
-		}
-		c.clients = append(c.clients, client)
-	}
-	return c, nil
+// NewClient returns a client that asks VMs at the addresses, "ip:port", that addresses
+// returns at the time of the question.
+func NewClient(addresses func() []string) *Client {
+	return &Client{addresses: addresses}
 }
 
-// Ask asks all VMs, and returns the beliefs that are the youngest and their age. It
+// Ask asks some VMs, and returns the beliefs that are the youngest and their age. It
 // fails with ErrUnknown.
 func (c *Client) Ask(ctx context.Context) (*roster.Snapshot, time.Duration, error) {
-	answers := make([]told, len(c.clients))
+	addresses := slices.Clone(c.addresses())
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses = addresses[:min(len(addresses), maxAsked)]
+	answers := make([]told, len(addresses))
 	var asking conc.WaitGroup
-	for i, client := range c.clients {
-		asking.Go(func() { answers[i] = ask(ctx, client) })
+	for i, address := range addresses {
+		asking.Go(func() { answers[i] = ask(ctx, address) })
 	}
 	asking.Wait()
 	youngest := told{err: errors.WithStack(ErrUnknown)}
@@ -136,7 +136,12 @@
 	err      error
 }
 
-func ask(ctx context.Context, client *httpc.Client) told {
+func ask(ctx context.Context, address string) told {
+	client, err := httpc.New("http://"+address, httpc.Options{Timeout: askTimeout, DialTimeout: askTimeout, Connections: connections})
+	if err != nil {
+		return told{err: errors.Wrapf(err, "seeds: %s", address)}
+	}
+	defer client.Close()
 	answer, err := client.Do(ctx, httpc.Call{Path: path})
 	if err != nil {
 		return told{err: err}
--- a/internal/fleet/seeds/seeds_test.go
+++ b/internal/fleet/seeds/seeds_test.go
@@ -53,13 +53,16 @@
 	return listener.Addr().String()
 }
 
+func clientOf(addresses ...string) *seeds.Client {
+	return seeds.NewClient(func() []string { return addresses })
+}
+
 // A VM that starts without the store knows from another one what is in force, but for
 // servers that get no requests.
 func TestBeliefsOfAnotherVMAreAdopted(t *testing.T) {
 	b := &beliefs{view: viewOf(t, 9), age: 1500 * time.Millisecond, known: true}
 	silent := &beliefs{view: viewOf(t, 4)}
-	client, err := seeds.NewClient([]string{serve(t, silent), serve(t, b)})
-	require.NoError(t, err)
+	client := clientOf(serve(t, silent), serve(t, b))
 	snapshot, age, err := client.Ask(t.Context())
 	require.NoError(t, err)
 	require.GreaterOrEqual(t, age, 1500*time.Millisecond)
@@ -92,8 +95,7 @@
 		"many old, late": {old, old, old, old, young},
 	} {
 		t.Run(name, func(t *testing.T) {
-			client, err := seeds.NewClient(addresses)
-			require.NoError(t, err)
+			client := clientOf(addresses...)
 			snapshot, age, err := client.Ask(t.Context())
 			require.NoError(t, err)
 			require.EqualValues(t, 9, snapshot.Config.Version)
@@ -109,9 +111,8 @@
 		"seed that is down":    {"127.0.0.1:1"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			client, err := seeds.NewClient(addresses)
-			require.NoError(t, err)
-			_, _, err = client.Ask(t.Context())
+			client := clientOf(addresses...)
+			_, _, err := client.Ask(t.Context())
 			require.ErrorIs(t, err, seeds.ErrUnknown)
 		})
 	}
--- a/internal/link/ferry/ferry_test.go
+++ b/internal/link/ferry/ferry_test.go
@@ -64,11 +64,13 @@
 	c.ended <- err
 }
 
+func nowhere(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusNotFound) }
+
 func serve(t *testing.T, b *backend) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := ferry.NewServer(b, nil)
+	server := ferry.NewServer(b, nowhere, nil)
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve(listener) })
 	t.Cleanup(func() {
@@ -190,7 +192,7 @@
 	require.NoError(t, err)
 	require.NoError(t, conn.Close())
 	b := &backend{}
-	server := ferry.NewServer(b, nil)
+	server := ferry.NewServer(b, nowhere, nil)
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve(listener) })
 	time.Sleep(200 * time.Millisecond)
--- a/internal/link/ferry/server.go
+++ b/internal/link/ferry/server.go
@@ -44,13 +44,15 @@
 // Server carries out the orders of other VMs. It is safe for concurrent use.
 type Server struct {
 	sender Sender
+	others fasthttp.RequestHandler
 	events *events.Recorder
 	http   *fasthttp.Server
 }
 
-// NewServer returns a server that sends through sender.
-func NewServer(sender Sender, recorder *events.Recorder) *Server {
-	s := &Server{sender: sender, events: recorder}
+// NewServer returns a server that sends through sender. others answers the requests that
+// are no orders.
+func NewServer(sender Sender, others fasthttp.RequestHandler, recorder *events.Recorder) *Server {
+	s := &Server{sender: sender, others: others, events: recorder}
 	s.http = &fasthttp.Server{
 		Handler:               s.serve,
 		MaxRequestBodySize:    maxOrder,
@@ -75,7 +77,7 @@
 
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != orderPath {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		s.others(ctx)
 		return
 	}
 	var order Order
