Hold back from a server that leaves while it is registered

Cause, found by reading: what a backend server said of leaving was forgotten after ten minutes, also of one that was still registered as ready. It would have got requests again, which no rule allows before a new process of it is known.

Change: the notice is kept while the process is registered, and ten minutes beyond. The three places that asked whether a server leaves or wants quiet share one question with one lock, Board.Of.

The test of the former limit is replaced: it asked that a notice ends after eleven minutes whatever the registration says; now it does so only after the registration is gone. It fails on the former code at one hour.

Conclusion: one more way closed in which a departed server is used again.

--- a/internal/core/tier/upkeep.go
+++ b/internal/core/tier/upkeep.go
@@ -12,6 +12,7 @@
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/base/sleep"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
+	"github.com/samphirestair/samphirestair/internal/owner/notice"
 	"github.com/samphirestair/samphirestair/internal/query/runner"
 )
 
@@ -62,7 +63,10 @@
 		}
 		now := time.Now()
 		t.pool.Sweep(now)
-		t.board.Sweep(now)
+		t.board.Sweep(now, func(p notice.Process) bool {
+			replica := view.Replica(p.ID)
+			return replica != nil && replica.Process() == p
+		})
 		if t.isServing() {
 			t.warm(&probes, warming, view, lastWarm)
 		}
--- a/internal/owner/notice/board.go
+++ b/internal/owner/notice/board.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// keepLeaving is the time for which a notice of leaving is kept: the process is gone
-	// by then, or registers under another start.
+	// keepLeaving is the time for which a notice of leaving is kept after the process
+	// was registered.
 	keepLeaving = 10 * time.Minute
 	// spreadPart is the part of a quiet time by which it is extended at random, so that
 	// VMs do not return together, and maxSpread bounds it.
@@ -39,6 +39,11 @@
 	Quiet time.Duration
 }
 
+// Holds reports whether the server gets no requests now.
+func (n Notice) Holds() bool {
+	return n.Leaving || n.Quiet > 0
+}
+
 // Options tunes a Board. The zero value gives the defaults.
 type Options struct {
 	// MaxQuiet bounds a quiet time.
@@ -58,7 +63,8 @@
 // entry is what is known of one process.
 type entry struct {
 	leaving bool
-	// leavingAt is the time of the last notice of leaving.
+	// leavingAt is the time of the last notice of leaving, or at which the process was
+	// still registered.
 	leavingAt  time.Time
 	quietUntil time.Time
 }
@@ -73,7 +79,7 @@
 
 // Post takes the notice of an answer that was read at now.
 func (b *Board) Post(now time.Time, p Process, n Notice) {
-	if !n.Leaving && n.Quiet <= 0 {
+	if !n.Holds() {
 		return
 	}
 	b.mu.Lock()
@@ -96,26 +102,26 @@
 	b.notices[p] = e
 }
 
-// Leaving reports whether a process said that it leaves.
-func (b *Board) Leaving(p Process) bool {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	return b.notices[p].leaving
-}
-
-// Quiet returns the time for which a process still wants no requests, or 0.
-func (b *Board) Quiet(now time.Time, p Process) time.Duration {
+// Of returns what holds for a process at now. Quiet is the time that is left.
+func (b *Board) Of(now time.Time, p Process) Notice {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
-	return max(b.notices[p].quietUntil.Sub(now), 0)
+	e := b.notices[p]
+	return Notice{Leaving: e.leaving, Quiet: max(e.quietUntil.Sub(now), 0)}
 }
 
-// Sweep forgets the notices that are over. Whether the process is still registered does
-// not matter: its registration may lapse and come back.
-func (b *Board) Sweep(now time.Time) {
+// Sweep forgets the notices that are over. That of a process which leaves is kept while
+// the process is registered, and for some time beyond: its registration may lapse and
+// come back.
+func (b *Board) Sweep(now time.Time, registered func(Process) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for p, e := range b.notices {
+		if e.leaving && registered(p) {
+			e.leavingAt = now
+			b.notices[p] = e
+			continue
+		}
 		if !now.Before(e.quietUntil) && (!e.leaving || now.Sub(e.leavingAt) >= keepLeaving) {
 			delete(b.notices, p)
 		}
--- a/internal/owner/notice/board_test.go
+++ b/internal/owner/notice/board_test.go
@@ -18,21 +18,31 @@
 func ExampleBoard() {
 	board := notice.NewBoard(notice.Options{})
 	board.Post(start, one, notice.Notice{Leaving: true})
-	fmt.Println(board.Leaving(one))
-	fmt.Println(board.Leaving(notice.Process{ID: "i-1", Born: 6}), "after it started again")
+	fmt.Println(board.Of(start, one).Leaving)
+	fmt.Println(board.Of(start, notice.Process{ID: "i-1", Born: 6}).Leaving, "after it started again")
 	// Output:
 	// true
 	// false after it started again
 }
 
+// A process that leaves may stay registered for long, and its registration may lapse and
+// come back.
 func TestLeavingIsKeptWhateverTheRegistrationSays(t *testing.T) {
 	b := notice.NewBoard(notice.Options{})
 	b.Post(start, one, notice.Notice{Leaving: true})
 	b.Post(start, one, notice.Notice{})
-	b.Sweep(start.Add(9 * time.Minute))
-	require.True(t, b.Leaving(one))
-	b.Sweep(start.Add(11 * time.Minute))
-	require.False(t, b.Leaving(one))
+	registered := func(p notice.Process) bool { return p == one }
+	gone := func(notice.Process) bool { return false }
+	leavesAfter := func(after time.Duration, registered func(notice.Process) bool) bool {
+		now := start.Add(after)
+		b.Sweep(now, registered)
+		return b.Of(now, one).Leaving
+	}
+	require.True(t, leavesAfter(9*time.Minute, gone))
+	require.True(t, leavesAfter(9*time.Minute+30*time.Second, registered))
+	require.True(t, leavesAfter(time.Hour, registered))
+	require.True(t, leavesAfter(time.Hour+9*time.Minute, gone))
+	require.False(t, leavesAfter(time.Hour+11*time.Minute, gone))
 }
 
 func TestQuietTimeEnds(t *testing.T) {
@@ -45,10 +55,10 @@
 		t.Run(name, func(t *testing.T) {
 			b := notice.NewBoard(notice.Options{MaxQuiet: 5 * time.Second})
 			b.Post(start, one, notice.Notice{Quiet: test.told})
-			quiet := b.Quiet(start, one)
+			quiet := b.Of(start, one).Quiet
 			require.GreaterOrEqual(t, quiet, test.least)
 			require.LessOrEqual(t, quiet, test.most)
-			require.Zero(t, b.Quiet(start.Add(test.most), one))
+			require.Zero(t, b.Of(start.Add(test.most), one).Quiet)
 		})
 	}
 }
@@ -58,5 +68,5 @@
 	b := notice.NewBoard(notice.Options{})
 	b.Post(start, one, notice.Notice{Quiet: 3 * time.Second})
 	b.Post(start, one, notice.Notice{Quiet: 100 * time.Millisecond})
-	require.GreaterOrEqual(t, b.Quiet(start, one), 3*time.Second)
+	require.GreaterOrEqual(t, b.Of(start, one).Quiet, 3*time.Second)
 }
--- a/internal/owner/pool/pool.go
+++ b/internal/owner/pool/pool.go
@@ -130,29 +130,23 @@
 		call.finish(Result{Fate: Unsent, Reason: "too late to be sent"})
 		return true
 	}
-	process := target.process()
-	if p.options.Board.Leaving(process) {
+	switch said := p.options.Board.Of(time.Now(), target.process()); {
+	case said.Leaving:
 		call.finish(Result{Fate: Unsent, Leaving: true, Reason: "the server leaves"})
 		return true
-	}
-	if quiet := p.options.Board.Quiet(time.Now(), process); quiet > 0 {
-		call.finish(Result{Fate: Unsent, RetryAfter: quiet, Reason: "the server asked for quiet"})
+	case said.Quiet > 0:
+		call.finish(Result{Fate: Unsent, RetryAfter: said.Quiet, Reason: "the server asked for quiet"})
 		return true
+	default:
+		return false
 	}
-	return false
-}
-
-// isHeld reports whether a backend server leaves or asked for quiet.
-func (p *Pool) isHeld(target *Target) bool {
-	process := target.process()
-	return p.options.Board.Leaving(process) || p.options.Board.Quiet(time.Now(), process) > 0
 }
 
 // Probe opens a connection to target and keeps it for later requests. It
 // reports whether that worked within timeout.
 func (p *Pool) Probe(target Target, timeout time.Duration) bool {
 	srv := p.server(target)
-	if p.isHeld(&target) || !srv.reserve() {
+	if p.options.Board.Of(time.Now(), target.process()).Holds() || !srv.reserve() {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
--- a/internal/query/relay/quiet.go
+++ b/internal/query/relay/quiet.go
@@ -15,11 +15,12 @@
 func (q *Query) quietFor(now time.Time, s *shard) time.Duration {
 	least := time.Duration(0)
 	for _, r := range q.env.Replicas().Replicas(s.service) {
-		if q.env.Health.IsDown(r.ID) || q.env.Notices.Leaving(r.Process()) {
+		said := q.env.Notices.Of(now, r.Process())
+		if q.env.Health.IsDown(r.ID) || said.Leaving {
 			continue
 		}
-		if quiet := q.env.Notices.Quiet(now, r.Process()); quiet > 0 && (least == 0 || quiet < least) {
-			least = quiet
+		if said.Quiet > 0 && (least == 0 || said.Quiet < least) {
+			least = said.Quiet
 		}
 	}
 	return least
