Forget backend servers and services that are gone

Cause: what the choice of servers, the retry budget, the latencies and the admission know was kept for ever, one entry for each name that was ever used.

Change: upkeep drops entries ten minutes after a name was known last, coll.Recent holds the times. Windows of the budget are some 10 s, so that a service that comes back has the balance that it would have anyway.

Tests: each of the three Retain methods, with a state that is in use and one that is not. Not dropped: counters of routes, which may not go back.

--- /dev/null
+++ b/internal/base/coll/recent_test.go
@@ -0,0 +1,20 @@
+package coll_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/coll"
+)
+
+func ExampleRecent() {
+	seen, now := coll.Recent[string]{}, time.Unix(0, 0)
+	seen.See(now, slices.Values([]string{"a", "b"}))
+	now = now.Add(40 * time.Second)
+	seen.See(now, slices.Values([]string{"b"}))
+	now = now.Add(40 * time.Second)
+	seen.Forget(now, time.Minute)
+	fmt.Println(seen.Has("a"), seen.Has("b"))
+	// Output: false true
+}
--- a/internal/core/tier/upkeep.go
+++ b/internal/core/tier/upkeep.go
@@ -28,6 +28,11 @@
 	warmPerRound = 40
 	// warmLimit bounds the connections being opened ahead at the same time.
 	warmLimit = 80
+	// forgetAfter is the time after which what was learnt of a backend server or service
+	// that is not known any more is forgotten, and forgetEvery that between two looks. It
+	// is longer than several windows of the retry budget.
+	forgetAfter = 10 * time.Minute
+	forgetEvery = time.Minute
 	// probePause is the time between two tries of one backend server.
 	probePause = 600 * time.Millisecond
 	// warmPause is the time between two connections that are opened ahead to one
@@ -44,6 +49,7 @@
 	var last *roster.View
 	lastProbe, lastWarm := map[ident.ServerID]time.Time{}, map[ident.ServerID]time.Time{}
 	warming := make(chan struct{}, warmLimit)
+	learnt := &learnt{servers: coll.Recent[ident.ServerID]{}, services: coll.Recent[ident.ServiceID]{}}
 	for sleep.For(ctx, upkeepEvery) {
 		view := t.follower.View()
 		if view != last {
@@ -62,6 +68,7 @@
 			}
 		}
 		now := time.Now()
+		t.forget(now, view, learnt)
 		t.pool.Sweep(now)
 		t.board.Sweep(now, func(p notice.Process) bool {
 			replica := view.Replica(p.ID)
@@ -81,6 +88,39 @@
 	}
 }
 
+// learnt names the backend servers and services of which something may be kept.
+type learnt struct {
+	servers  coll.Recent[ident.ServerID]
+	services coll.Recent[ident.ServiceID]
+	// view is the last one that was looked at.
+	view     *roster.View
+	forgotAt time.Time
+}
+
+// forget drops what was learnt of names that have been gone for long.
+func (t *Tier) forget(now time.Time, view *roster.View, l *learnt) {
+	due := now.Sub(l.forgotAt) >= forgetEvery
+	if view != l.view || due {
+		l.view = view
+		for id := range view.All() {
+			l.servers[id] = now
+		}
+		if view.Table != nil {
+			l.services.See(now, maps.Keys(view.Table.Used()))
+		}
+	}
+	if !due {
+		return
+	}
+	l.forgotAt = now
+	l.servers.Forget(now, forgetAfter)
+	l.services.Forget(now, forgetAfter)
+	t.env.Choose.Retain(l.servers.Has)
+	t.env.Budget.Retain(l.services.Has)
+	t.env.Latency.Retain(l.services.Has)
+	t.admission.Retain(l.services.Has)
+}
+
 // retainPeers forgets the VMs that are gone.
 func (t *Tier) retainPeers(view *roster.View) {
 	vms, addresses := coll.NewSet[ident.VMID](), coll.NewSet[string]()
--- a/internal/query/admit/policy.go
+++ b/internal/query/admit/policy.go
@@ -53,6 +53,9 @@
 	Leave(turn *Turn) bool
 	// State tells of each service how much is admitted.
 	State() map[ident.ServiceID]ServiceState
+	// Retain forgets the services for which keep is false, unless requests to them
+	// run or wait.
+	Retain(keep func(ident.ServiceID) bool)
 }
 
 // ServiceState is how much of a service's traffic is admitted.
--- a/internal/query/admit/room.go
+++ b/internal/query/admit/room.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -144,6 +145,14 @@
 	return states
 }
 
+func (r *room) Retain(keep func(ident.ServiceID) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.services, func(id ident.ServiceID, s *space) bool {
+		return !keep(id) && s.running == 0 && !s.anyWaiting()
+	})
+}
+
 // space returns the state of a service.
 func (r *room) space(id ident.ServiceID) *space {
 	s := r.services[id]
--- a/internal/query/admit/room_test.go
+++ b/internal/query/admit/room_test.go
@@ -144,3 +144,17 @@
 	require.GreaterOrEqual(t, important, less)
 	require.Greater(t, less, important/4)
 }
+
+// A service that is gone is forgotten once none of its requests runs or waits.
+func TestServicesThatAreGoneAreForgotten(t *testing.T) {
+	queue, now := newRoom(t), time.Unix(0, 0)
+	require.True(t, queue.Admit(now, request(now, 0)).Admitted)
+	gone := func(ident.ServiceID) bool { return false }
+	queue.Retain(gone)
+	require.Equal(t, 1, queue.State()["s"].Running)
+	queue.Done(now, request(now, 0), admit.Outcome{})
+	queue.Retain(func(id ident.ServiceID) bool { return id == "s" })
+	require.Contains(t, queue.State(), ident.ServiceID("s"))
+	queue.Retain(gone)
+	require.Empty(t, queue.State())
+}
--- a/internal/query/choose/choose_test.go
+++ b/internal/query/choose/choose_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/query/choose"
 )
 
@@ -92,3 +93,15 @@
 	require.Equal(t, 1, policy.Choose(now, replicas))
 	require.Equal(t, 0, policy.Choose(now.Add(21*time.Millisecond), replicas))
 }
+
+// What was learnt of a server is gone with it: one of the same name that comes back is
+// judged anew.
+func TestServersThatAreGoneAreForgotten(t *testing.T) {
+	policy := newPolicy(t, "expect")
+	share(policy, 50*time.Millisecond, time.Millisecond)
+	now := time.Unix(60, 0)
+	policy.Answered(now, "s/b", choose.Sample{Refused: true, RetryAfter: 400 * time.Millisecond})
+	require.Zero(t, policy.Choose(now, replicas))
+	policy.Retain(func(id ident.ServerID) bool { return id == "s/a" })
+	require.Equal(t, 1, policy.Choose(now, replicas), "the slow one is still known as slow")
+}
--- a/internal/query/choose/expect.go
+++ b/internal/query/choose/expect.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -87,6 +88,12 @@
 	e.server(id).abandoned(now, elapsed)
 }
 
+func (e *expect) Retain(keep func(ident.ServerID) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	maps.DeleteFunc(e.servers, func(id ident.ServerID, _ *server) bool { return !keep(id) })
+}
+
 func anyDetour(candidates []Candidate) bool {
 	return slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Detour > 0 })
 }
--- a/internal/query/choose/policy.go
+++ b/internal/query/choose/policy.go
@@ -21,6 +21,8 @@
 	Answered(now time.Time, server ident.ServerID, sample Sample)
 	// Abandoned notes that a sub-request was given up after the given time.
 	Abandoned(now time.Time, server ident.ServerID, elapsed time.Duration)
+	// Retain forgets the servers for which keep is false.
+	Retain(keep func(ident.ServerID) bool)
 }
 
 // Candidate is a replica that may be chosen.
--- a/internal/query/choose/random.go
+++ b/internal/query/choose/random.go
@@ -26,3 +26,5 @@
 func (*random) Answered(time.Time, ident.ServerID, Sample) {}
 
 func (*random) Abandoned(time.Time, ident.ServerID, time.Duration) {}
+
+func (*random) Retain(func(ident.ServerID) bool) {}
--- a/internal/query/hedge/budget.go
+++ b/internal/query/hedge/budget.go
@@ -1,6 +1,7 @@
 package hedge
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -110,3 +111,9 @@
 	}
 	return b.services[service]
 }
+
+func (b *budget) Retain(keep func(ident.ServiceID) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	maps.DeleteFunc(b.services, func(id ident.ServiceID, _ *tokens) bool { return !keep(id) })
+}
--- a/internal/query/hedge/fleet.go
+++ b/internal/query/hedge/fleet.go
@@ -1,6 +1,7 @@
 package hedge
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -106,6 +107,12 @@
 	}
 }
 
+func (f *fleet) Retain(keep func(ident.ServiceID) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	maps.DeleteFunc(f.accounts, func(id ident.ServiceID, _ *account) bool { return !keep(id) })
+}
+
 // slack is the VM's part of the slack.
 func (f *fleet) slack() float64 {
 	members := f.options.Members()
--- a/internal/query/hedge/fleet_test.go
+++ b/internal/query/hedge/fleet_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
 )
 
@@ -279,3 +280,18 @@
 		f.requireBound()
 	})
 }
+
+// The budget of a service that was out of use for long is no greater when it comes back,
+// and that of others stays as it is.
+func TestServicesThatAreGoneAreForgotten(t *testing.T) {
+	now := time.Unix(0, 0)
+	policy := fleetOf(t, 1, &now)[0]
+	now = now.Add(10 * fleetWindow)
+	whole := takeAll(policy, 1000)
+	require.Positive(t, whole)
+	policy.Retain(func(id ident.ServiceID) bool { return id == "desk" })
+	require.Zero(t, takeAll(policy, 1000), "it is still in use")
+	now = now.Add(10 * fleetWindow)
+	policy.Retain(func(ident.ServiceID) bool { return false })
+	require.Equal(t, whole, takeAll(policy, 1000))
+}
--- a/internal/query/hedge/none.go
+++ b/internal/query/hedge/none.go
@@ -24,3 +24,5 @@
 func (none) Observe(ident.ServiceID, time.Duration, int, int) {}
 
 func (none) Spending(ident.ServiceID) Spending { return Spending{} }
+
+func (none) Retain(func(ident.ServiceID) bool) {}
--- a/internal/query/hedge/policy.go
+++ b/internal/query/hedge/policy.go
@@ -46,6 +46,9 @@
 	Observe(service ident.ServiceID, latency time.Duration, queued, slots int)
 	// Spending returns what decides the next Take of a service.
 	Spending(service ident.ServiceID) Spending
+	// Retain forgets the services for which keep is false. One that comes back has
+	// what it may save by then, so that it must have been out of use for long.
+	Retain(keep func(ident.ServiceID) bool)
 }
 
 // Spending is the state of the budget of one service at one VM, for logs and
