Check the settings of VMs by check, and suggest flags

Cause: check took any file as a document, so that a settings file of forward gave a list of faults about sections that it must not have; an unknown flag was named without the nearest known one, as settings are.

Change: check tells documents and both kinds of settings apart by their sections. The suggestion of a near name moves to base/near, for flags too.

Tests: golden files with a good and a bad file of each kind, and a misspelt command and flag.

--- a/internal/conf/strict/file.go
+++ b/internal/conf/strict/file.go
@@ -16,6 +16,7 @@
 	"gopkg.in/ini.v1"
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/base/near"
 )
 
 // maxSize bounds the size of a file in bytes.
@@ -73,6 +74,12 @@
 	f.byName[placed.name] = s
 }
 
+// Has reports whether the file has the named section. It does not make it known.
+func (f *File) Has(name string) bool {
+	_, ok := f.byName[name]
+	return ok
+}
+
 // Section returns the named section. If the file lacks it and it is required,
 // that is a fault. The section returned then is empty and notes no faults.
 func (f *File) Section(name string, required bool) *Section {
@@ -126,7 +133,7 @@
 	return Faults{{
 		Line:    s.line,
 		Section: s.name,
-		Problem: "unknown section" + suggest(kind, f.sectionNames()),
+		Problem: "unknown section" + near.Suggest(kind, f.sectionNames()),
 		Allowed: strings.Join(f.sectionForms(), ", "),
 	}}
 }
--- a/internal/conf/strict/section.go
+++ b/internal/conf/strict/section.go
@@ -4,16 +4,12 @@
 	"fmt"
 	"strings"
 
-	"github.com/agnivade/levenshtein"
 	"gopkg.in/ini.v1"
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/base/near"
 )
 
-// maxDistance is the number of edits up to which a known name is suggested in
-// place of an unknown one.
-const maxDistance = 3
-
 // setting is one key of a section with its value.
 type setting struct {
 	value string
@@ -102,24 +98,9 @@
 			Line:    s.settings[key].line,
 			Section: s.name,
 			Key:     key,
-			Problem: "unknown key" + suggest(key, known),
+			Problem: "unknown key" + near.Suggest(key, known),
 			Allowed: strings.Join(known, ", "),
 		})
 	}
 	return faults
 }
-
-// suggest returns a question that names the known name nearest to the given
-// one, or nothing if none is near.
-func suggest(name string, known []string) string {
-	best, distance := "", maxDistance+1
-	for _, candidate := range known {
-		if d := levenshtein.ComputeDistance(name, candidate); d < distance {
-			best, distance = candidate, d
-		}
-	}
-	if best == "" {
-		return ""
-	}
-	return fmt.Sprintf(", did you mean %q?", best)
-}
--- a/internal/ops/cmdln/check.go
+++ b/internal/ops/cmdln/check.go
@@ -8,28 +8,68 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/fwconf"
 	"github.com/samphirestair/samphirestair/internal/conf/strict"
 	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
+	"github.com/samphirestair/samphirestair/internal/conf/vmconf"
 )
 
 func (c *CLI) checkCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:     "check FILE",
-		Short:   "Check a document without applying it",
-		Long:    "Check a document without applying it. All faults are listed at once. Nothing is read but the file.",
-		Example: "  samphirestair check agent-desk.ini",
+		Short:   "Check a document or the settings of a VM",
+		Long:    "Check a document without applying it, or the settings of a VM that serves or forwards without starting it. What the file is follows from its sections. All faults are listed at once. Nothing is read but the file.",
+		Example: "  samphirestair check agent-desk.ini\n  samphirestair check vm-3.ini",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			document, err := readDocument(args[0])
-			if err != nil {
-				return classify(err)
-			}
-			c.printSummary(document)
-			return nil
+			return classify(c.check(args[0]))
 		},
 	}
 }
 
+// Sections that only the settings of VMs have, and only those of VMs that forward.
+const (
+	settingsSection   = "vm"
+	forwardingSection = "depot"
+)
+
+// check checks the file at path, whatever it is.
+func (c *CLI) check(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fail(ExitUsage, "cli: %v", err)
+	}
+	switch file := strict.Parse(data); {
+	case file.Has(forwardingSection):
+		settings, err := fwconf.Load(path)
+		if err != nil {
+			return faultsIn(path, err)
+		}
+		c.printForwarding(path, settings)
+	case file.Has(settingsSection):
+		settings, err := vmconf.Load(path, vmconf.Options{PolicyNames: c.deps.PolicyNames})
+		if err != nil {
+			return faultsIn(path, err)
+		}
+		c.printServing(path, settings)
+	default:
+		document, err := readDocument(path)
+		if err != nil {
+			return err
+		}
+		c.printSummary(document)
+	}
+	return nil
+}
+
+func (c *CLI) printForwarding(path string, settings *fwconf.Settings) {
+	c.printf("%s: VM %s in zone %s, callers at %s\n", path, settings.VM.ID, settings.VM.Zone, settings.Listen.Callers)
+}
+
+func (c *CLI) printServing(path string, settings *vmconf.Settings) {
+	c.printf("%s: VM %s in zone %s, callers at %s\n", path, settings.VM.ID, settings.VM.Zone, settings.CallerAddress())
+}
+
 // readDocument reads and checks a document file.
 func readDocument(path string) (*svcdoc.Document, error) {
 	data, err := os.ReadFile(path)
--- a/internal/ops/cmdln/cmdln.go
+++ b/internal/ops/cmdln/cmdln.go
@@ -7,11 +7,14 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 
+	"github.com/samphirestair/samphirestair/internal/base/near"
 	"github.com/samphirestair/samphirestair/internal/conf/change"
 	"github.com/samphirestair/samphirestair/internal/conf/fwconf"
 	"github.com/samphirestair/samphirestair/internal/conf/vmconf"
@@ -103,13 +106,13 @@
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	err := root.ExecuteContext(ctx)
+	command, err := root.ExecuteContextC(ctx)
 	if err == nil {
 		return ExitOK
 	}
 	code := exitCode(err)
 	if text := err.Error(); text != "" {
-		_, _ = fmt.Fprintln(stderr, text)
+		_, _ = fmt.Fprintln(stderr, text+suggestion(command, text))
 	}
 	if code == ExitUsage {
 		_, _ = fmt.Fprintln(stderr, "run samphirestair help for the commands")
@@ -117,6 +120,21 @@
 	return code
 }
 
+// unknownFlag begins the message of the library about a flag that it does not know.
+const unknownFlag = "unknown flag: --"
+
+// suggestion returns a question that names the flag of a command that is nearest to the
+// unknown one of a message, if there is one. Commands are suggested by the library.
+func suggestion(command *cobra.Command, message string) string {
+	name, ok := strings.CutPrefix(message, unknownFlag)
+	if !ok {
+		return ""
+	}
+	var known []string
+	command.Flags().VisitAll(func(f *pflag.Flag) { known = append(known, "--"+f.Name) })
+	return near.Suggest("--"+name, known)
+}
+
 // exitCode returns the code of an error. Errors that no command returned come
 // from the reading of the command line.
 func exitCode(err error) int {
--- a/internal/ops/cmdln/cmdln_test.go
+++ b/internal/ops/cmdln/cmdln_test.go
@@ -104,6 +104,10 @@
 		"check testdata/desk.ini",
 		"check testdata/bad.ini",
 		"check testdata/absent.ini",
+		"check testdata/vm.ini",
+		"check testdata/badvm.ini",
+		"check testdata/fwvm.ini",
+		"check testdata/badfwvm.ini",
 		"diff testdata/desk.ini",
 		"apply testdata/desk.ini --by aino",
 		"apply testdata/desk.ini --by aino",
@@ -150,7 +154,7 @@
 
 func TestUsage(t *testing.T) {
 	s := newSession(t)
-	s.runAll("bogus", "zone", "zone away espoo", "apply", "apply a b", "show --limit 3", "apply testdata/desk.ini --expect x", "serve")
+	s.runAll("bogus", "forwad", "forward --setings x", "zone", "zone away espoo", "apply", "apply a b", "show --limit 3", "apply testdata/desk.ini --expect x", "serve")
 	t.Setenv("SAMPHIRESTAIR_STORE", "")
 	s.run("show")
 	s.golden("usage")
--- a/internal/ops/cmdln/forward.go
+++ b/internal/ops/cmdln/forward.go
@@ -22,7 +22,7 @@
 			return classify(faultsIn(*path, err))
 		}
 		if *checkOnly {
-			c.printf("%s: VM %s in zone %s, callers at %s\n", *path, settings.VM.ID, settings.VM.Zone, settings.Listen.Callers)
+			c.printForwarding(*path, settings)
 			return nil
 		}
 		if err := c.deps.Forward(settings, load); err != nil {
--- a/internal/ops/cmdln/serve.go
+++ b/internal/ops/cmdln/serve.go
@@ -21,7 +21,7 @@
 			return classify(faultsIn(*path, err))
 		}
 		if *checkOnly {
-			c.printf("%s: VM %s in zone %s, callers at %s\n", *path, settings.VM.ID, settings.VM.Zone, settings.CallerAddress())
+			c.printServing(*path, settings)
 			return nil
 		}
 		if err := c.deps.Serve(command.Context(), settings); err != nil {
