Let VMs that stand by follow only those that serve

The second write: a VM wrote its registration again when a watch had not told it within 1.2 s. And 36 VMs served at first for 18: a VM chose by a reading that was not confirmed, before it knew all servers.

Ruled out: renewals (a tenth of the price, 498); longer pauses, which the history of 20 s bounds.

Change: VMs that serve register under a prefix of their own, which is all that a VM that stands by follows, and reads again when the history is lost. What a VM wrote is in its beliefs without a watch, and a registration of a former duty that a late write left is replaced. Beliefs are fresh once they are confirmed. If no VM serves, those that stand by follow all.

Tests: TestRestartsOfVMsThatStandByCostTheOthersNothing (887 calls for at most 810 before), TestRegistrationOfAFormerDutyIsReplaced, both fail on the former code. View.Chosen is worked out once for a view.

--- a/internal/fleet/pulse/pulse.go
+++ b/internal/fleet/pulse/pulse.go
@@ -12,7 +12,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
-	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
@@ -62,9 +61,6 @@
 	contacts  *contacts
 	absent    *absent
 	greetedAt time.Time
-	// chosen are the VMs that are to serve by viewed.
-	viewed *roster.View
-	chosen coll.Set[ident.VMID]
 }
 
 // New returns a pulse that receives on address, "ip:port".
@@ -165,13 +161,10 @@
 func (p *Pulse) send() []ident.VMID {
 	datagram := []byte(beatPrefix + string(p.deps.Self))
 	view := p.deps.View()
-	if view != p.viewed {
-		p.viewed, p.chosen = view, view.Chosen()
-	}
 	var peers []ident.VMID
 	present := map[ident.VMID]netip.AddrPort{}
 	for _, m := range view.Members {
-		if m.VM == p.deps.Self || !m.Serving && !p.chosen.Has(m.VM) {
+		if m.VM == p.deps.Self || !m.Serving && !view.Chosen().Has(m.VM) {
 			continue
 		}
 		address, err := netip.ParseAddrPort(m.Peer)
@@ -233,7 +226,7 @@
 func (p *Pulse) evict(ctx context.Context, vm ident.VMID) {
 	ctx, cancel := context.WithTimeout(ctx, evictTimeout)
 	defer cancel()
-	if err := p.deps.Depot.Delete(ctx, roster.PrefixMembers+string(vm)); err != nil {
+	if err := p.deps.Depot.Delete(ctx, roster.ServingKey(vm)); err != nil {
 		p.deps.Events.Sample("eviction_failed", string(vm), err.Error())
 		return
 	}
--- a/internal/fleet/roster/book.go
+++ b/internal/fleet/roster/book.go
@@ -16,8 +16,32 @@
 	"github.com/samphirestair/samphirestair/internal/plat/depot"
 )
 
-// PrefixMembers begins the keys under which VMs register.
-const PrefixMembers = "fleet/"
+const (
+	// PrefixMembers begins the keys under which VMs register.
+	PrefixMembers = "fleet/"
+	// prefixServing and prefixStandby begin those of VMs that serve callers, and that
+	// stand by. A VM that stands by follows the former alone.
+	prefixServing = PrefixMembers + "serving/"
+	prefixStandby = PrefixMembers + "standby/"
+)
+
+// ServingKey returns the key under which a VM registers while it serves callers.
+func ServingKey(vm ident.VMID) string {
+	return prefixServing + string(vm)
+}
+
+// key returns the key under which a VM registers.
+func (m *Member) key() string {
+	if m.Serving {
+		return ServingKey(m.VM)
+	}
+	return prefixStandby + string(m.VM)
+}
+
+// memberOf returns the VM that registers under a key.
+func memberOf(key string) ident.VMID {
+	return ident.VMID(key[strings.LastIndexByte(key, '/')+1:])
+}
 
 const (
 	// lapseGrace is the time after the return of the store within which
@@ -38,7 +62,7 @@
 
 	table   *routes.Table
 	servers map[ident.ServerID]*record[Replica]
-	members map[string]*record[Member]
+	members map[ident.VMID]*record[Member]
 	// zonesOut holds the key of each zone that is out of service.
 	zonesOut map[ident.Zone]string
 
@@ -69,7 +93,7 @@
 		reader:   reader,
 		events:   recorder,
 		servers:  map[ident.ServerID]*record[Replica]{},
-		members:  map[string]*record[Member]{},
+		members:  map[ident.VMID]*record[Member]{},
 		zonesOut: map[ident.Zone]string{},
 		changed:  true,
 	}
@@ -100,26 +124,29 @@
 	b.lost = false
 }
 
-// Load takes a reading of all keys in place of what was known.
-func (b *Book) Load(now time.Time, batch depot.Batch) {
+// Load takes a reading of all keys that begin with prefix in place of what was known of
+// them.
+func (b *Book) Load(now time.Time, prefix string, batch depot.Batch) {
 	b.Answered(now)
 	present := make(coll.Set[string], len(batch.Items))
+	missing := func(key string) bool { return strings.HasPrefix(key, prefix) && !present.Has(key) }
 	for _, item := range batch.Items {
 		present.Add(item.Key)
 		b.take(now, item)
 	}
 	for id, r := range b.servers {
-		if !present.Has(r.key) {
+		if missing(r.key) {
 			b.dropServer(now, id, r)
 		}
 	}
-	for key, r := range b.members {
-		if !present.Has(key) {
-			b.dropMember(now, key, r)
+	for vm, r := range b.members {
+		// A registration of this VM may be newer than the reading.
+		if missing(r.key) && r.revision <= batch.Revision {
+			b.dropMember(now, vm, r)
 		}
 	}
 	for zone, key := range b.zonesOut {
-		if !present.Has(key) {
+		if missing(key) {
 			b.returnZone(zone)
 		}
 	}
@@ -169,19 +196,22 @@
 			b.events.Record("server_gone", string(id), "registration lapsed", slog.String("service", string(r.value.Service)))
 		}
 	}
-	for key, r := range b.members {
+	for vm, r := range b.members {
 		if !r.removeAt.IsZero() && !now.Before(r.removeAt) {
-			delete(b.members, key)
+			delete(b.members, vm)
 			b.changed = true
-			b.events.Record("vm_gone", string(r.value.VM), "registration lapsed")
+			b.events.Record("vm_gone", string(vm), "registration lapsed")
 		}
 	}
 }
 
-// SelfMissing reports whether the VM's own registration is not in the store.
-func (b *Book) SelfMissing() bool {
-	r, ok := b.members[PrefixMembers+string(b.self)]
-	return !ok || !r.removeAt.IsZero()
+// Own returns the VM's own registration in the store, or nil.
+func (b *Book) Own() *Member {
+	r, ok := b.members[b.self]
+	if !ok || !r.removeAt.IsZero() {
+		return nil
+	}
+	return &r.value
 }
 
 // View returns the present beliefs.
@@ -310,7 +340,7 @@
 		b.events.Record("member_unusable", item.Key, err.Error())
 		return
 	}
-	known := b.members[item.Key]
+	known := b.members[member.VM]
 	if known != nil && item.Revision < known.revision {
 		return
 	}
@@ -320,12 +350,16 @@
 			b.events.Record("vm_known", string(member.VM), "registration", slog.String("address", member.Caller), slog.Bool("leaving", member.Leaving))
 		}
 	}
-	b.members[item.Key] = &record[Member]{value: member, key: item.Key, revision: item.Revision}
+	b.members[member.VM] = &record[Member]{value: member, key: item.Key, revision: item.Revision}
 }
 
 func (b *Book) remove(now time.Time, item depot.Item) {
-	if r, ok := b.members[item.Key]; ok && r.revision < item.Revision {
-		b.dropMember(now, item.Key, r)
+	if strings.HasPrefix(item.Key, PrefixMembers) {
+		// A VM whose duty changes registers under another key before or after.
+		vm := memberOf(item.Key)
+		if r, ok := b.members[vm]; ok && r.key == item.Key && r.revision < item.Revision {
+			b.dropMember(now, vm, r)
+		}
 		return
 	}
 	switch kind, name := b.reader.Subject(item.Key); kind {
@@ -360,9 +394,9 @@
 
 // dropMember keeps a VM whose registration lapsed for a while. One that said
 // that it leaves is forgotten at once.
-func (b *Book) dropMember(now time.Time, key string, r *record[Member]) {
+func (b *Book) dropMember(now time.Time, vm ident.VMID, r *record[Member]) {
 	if r.value.Leaving {
-		delete(b.members, key)
+		delete(b.members, vm)
 		b.changed = true
 		return
 	}
--- a/internal/fleet/roster/book_test.go
+++ b/internal/fleet/roster/book_test.go
@@ -114,7 +114,7 @@
 	d.apply(start, d.put("server:i-1", registered()), d.put("server:i-2", registered()))
 	d.Lost(start, "no answer")
 	back := start.Add(30 * time.Second)
-	d.Load(back, depot.Batch{Revision: d.revision})
+	d.Load(back, "", depot.Batch{Revision: d.revision})
 	require.Len(t, d.ids(), 2)
 	d.apply(back.Add(time.Second), d.put("server:i-2", registered()))
 	d.Tick(back.Add(3 * time.Second))
@@ -156,7 +156,7 @@
 	d := newDesk()
 	d.apply(start, d.put("server:i-1", registered()), d.put("out:espoo", true))
 	kept := d.put("server:i-2", registered())
-	d.Load(start.Add(time.Minute), depot.Batch{Items: []depot.Item{kept}, Revision: d.revision})
+	d.Load(start.Add(time.Minute), "", depot.Batch{Items: []depot.Item{kept}, Revision: d.revision})
 	require.Equal(t, []ident.ServerID{"i-2"}, d.ids())
 	require.Empty(t, d.View().ZonesOut)
 }
--- a/internal/fleet/roster/duty.go
+++ b/internal/fleet/roster/duty.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 )
 
@@ -17,6 +16,9 @@
 	// replacedBy bounds the time for which it goes on because those that were preferred
 	// do not all serve.
 	replacedBy = 20 * time.Second
+	// firstServe is the time in which VMs that are chosen at the start of a fleet begin
+	// to serve. Others don't follow all changes until they do.
+	firstServe = 5 * time.Second
 	// relaxAfter is the time for which a VM that does not serve still follows all
 	// changes after it served or was asked by a caller: callers may hold old
 	// lists, of up to three times 5 s.
@@ -48,11 +50,10 @@
 	// since is the start of the mode, or of the wish to leave it.
 	since time.Time
 	begun time.Time
+	// served is set once a VM of the fleet served callers.
+	served bool
 	// askedAt is the time at which a caller asked last.
 	askedAt time.Time
-	// judged is the view by which chosen was found, the VMs that are to serve.
-	judged *View
-	chosen coll.Set[ident.VMID]
 	// unwantedSince is the time from which others were preferred, or zero.
 	unwantedSince time.Time
 }
@@ -111,7 +112,7 @@
 // isReplaced reports whether all VMs that are to serve do.
 func (d *duty) isReplaced(view *View) bool {
 	for _, m := range view.Members {
-		if !m.Serving && d.chosen.Has(m.VM) {
+		if !m.Serving && view.Chosen().Has(m.VM) {
 			return false
 		}
 	}
@@ -128,20 +129,24 @@
 	if !holds(members, self) {
 		return d.mode == serving
 	}
-	if view != d.judged {
-		d.judged, d.chosen = view, view.Chosen()
-	}
-	return d.chosen.Has(self)
+	return view.Chosen().Has(self)
 }
 
 // isRelaxed reports whether the VM may learn of changes with some delay: others serve, or
 // are to. One whose own registration is not known yet may be about to serve.
 func (d *duty) isRelaxed(now time.Time, self ident.VMID, view *View) bool {
-	othersServe := view.Serving > 0 || len(d.chosen) > 0 && !d.chosen.Has(self)
-	return d.mode == standingBy && view.Table != nil && othersServe &&
+	d.served = d.served || view.Serving > 0
+	return d.mode == standingBy && view.Table != nil && (view.Serving > 0 || d.othersBegin(now, self, view)) &&
 		holds(view.Members, self) && now.Sub(d.askedAt) >= relaxAfter
 }
 
+// othersBegin reports whether other VMs are about to serve at the start of a fleet.
+func (d *duty) othersBegin(now time.Time, self ident.VMID, view *View) bool {
+	age := now.Sub(d.begun)
+	chosen := view.Chosen()
+	return !d.served && age >= settleTime && age < firstServe && len(chosen) > 0 && !chosen.Has(self)
+}
+
 func holds(members []Member, self ident.VMID) bool {
 	for _, m := range members {
 		if m.VM == self {
--- a/internal/fleet/roster/duty_test.go
+++ b/internal/fleet/roster/duty_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -114,6 +115,53 @@
 	})
 }
 
+// VMs that stand by follow those that serve alone: others that stand by start again one
+// after the other without a call of theirs.
+func TestRestartsOfVMsThatStandByCostTheOthersNothing(t *testing.T) {
+	withCrew(t, func(t *testing.T, c *crew) {
+		const vms, restarts = 40, 30
+		c.start(t, vms)
+		time.Sleep(10 * time.Second)
+		serving := c.serving(t)
+		before := c.store.Calls() - c.store.StaleReads()
+		for i, left := 0, restarts; left > 0; i++ {
+			vm := ident.VMID(fmt.Sprint("vm-", i))
+			if slices.Contains(serving, vm) {
+				continue
+			}
+			c.stops[vm]()
+			time.Sleep(time.Second)
+			c.boot(t, vm)
+			left--
+		}
+		calls := c.store.Calls() - c.store.StaleReads() - before
+		standby := vms - len(serving)
+		renewals := restarts * (len(serving)*10/12 + standby*10/36)
+		watches := restarts * (len(serving) + standby/15)
+		require.Less(t, calls, renewals+watches+restarts*5, "a lease, a registration and three watches for each start")
+		require.Equal(t, serving, c.serving(t))
+	})
+}
+
+// What the store holds may be from a write that took effect late.
+func TestRegistrationOfAFormerDutyIsReplaced(t *testing.T) {
+	withCrew(t, func(t *testing.T, c *crew) {
+		c.start(t, 12)
+		time.Sleep(40 * time.Second)
+		serving := c.serving(t)
+		for vm, r := range c.registrars {
+			if r.Serving() {
+				continue
+			}
+			c.store.Set(roster.ServingKey(vm), []byte(fmt.Sprintf(`{"vm":%q,"zone":"vantaa","cores":1,"serving":true}`, vm)))
+			time.Sleep(5 * time.Second)
+			require.Equal(t, serving, c.serving(t), vm)
+			require.Len(t, c.store.Keys(), 13, "one for each VM and the configuration")
+			return
+		}
+	})
+}
+
 // A caller with a very old list wakes a VM that stands by; until its beliefs
 // are up to date it refuses.
 func TestCallerWakesAVMThatStandsBy(t *testing.T) {
@@ -296,3 +344,23 @@
 		running.Wait()
 	})
 }
+
+// The history is gone while VMs stand by: one reading of those that serve helps each.
+func TestLostHistoryCostsAVMThatStandsByOneReading(t *testing.T) {
+	withCrew(t, func(t *testing.T, c *crew) {
+		const vms = 40
+		c.start(t, vms)
+		time.Sleep(30 * time.Second)
+		for i := range 2000 {
+			c.store.Set(fmt.Sprint("other:", i), encode(i))
+		}
+		before, stale := c.store.Calls(), c.store.StaleReads()
+		c.store.Compact()
+		time.Sleep(16 * time.Second)
+		calls, serving := c.store.Calls()-before, len(c.serving(t))
+		standby := vms - serving
+		renewals := 16 * (serving*10/12 + standby*10/36)
+		require.Zero(t, c.store.StaleReads()-stale)
+		require.Less(t, calls, renewals+standby*3+serving*16*3/2)
+	})
+}
--- a/internal/fleet/roster/follower.go
+++ b/internal/fleet/roster/follower.go
@@ -26,7 +26,7 @@
 	// third of the tightest bound on a change, 3 s.
 	defaultGather = time.Second
 	// standbyWait and standbyGather are the same for a VM that serves no
-	// callers. It follows the other VMs alone, so that it can name those that serve, and
+	// callers. It follows the VMs that serve alone, so that it can name them, and
 	// reads all keys before it serves.
 	// The wait is below the time for which a store keeps its history, 20 s: a longer one
 	// ends with a reading of all keys.
@@ -96,17 +96,17 @@
 	// stalledAt the end of the last time in which it stood still.
 	aliveAt, stalledAt atomic.Pointer[time.Time]
 	notes              chan note
-	// registered is set while the VM's own registration is in the store.
-	registered atomic.Bool
+	// registered is the VM's own registration in the store, if there is one.
+	registered atomic.Pointer[Member]
 	// active is set unless the VM stands by while others serve callers.
 	active atomic.Bool
-	// fresh is set once all keys were read since the VM became active.
+	// fresh is set once the beliefs were up to date since the VM became active.
 	fresh atomic.Bool
 	// lost is set while the store does not answer.
 	lost atomic.Bool
 	// refresh ends a wait so that all keys are read.
 	refresh chan struct{}
-	// loaded is closed once all keys were read.
+	// loaded is closed once the beliefs were up to date.
 	loaded     chan struct{}
 	loadedOnce sync.Once
 }
@@ -123,8 +123,9 @@
 	// asked is the start of the call.
 	asked confirmation
 	batch coll.Option[depot.Batch]
-	// whole marks a reading of all keys.
-	whole bool
+	// whole marks a reading of all keys that begin with prefix.
+	whole  bool
+	prefix string
 	// confirms is set if the beliefs are up to date with the batch.
 	confirms bool
 	// snapshot is what another VM told in place of the store.
@@ -200,13 +201,18 @@
 	return confirmation{at: time.Now(), suspended: f.options.Suspended()}
 }
 
-// Registered reports whether the VM's own registration was in the store when
-// it was last read. It is safe for concurrent use.
-func (f *Follower) Registered() bool {
+// Own returns the VM's own registration in the store as far as it is known, or nil. It is
+// safe for concurrent use.
+func (f *Follower) Own() *Member {
 	return f.registered.Load()
 }
 
-// Loaded returns a channel that is closed once all keys were read.
+// Wrote enters the VM's own registration, so that it is known without a watch.
+func (f *Follower) Wrote(ctx context.Context, item depot.Item) {
+	f.send(ctx, note{batch: coll.Some(depot.Batch{Items: []depot.Item{item}, Revision: item.Revision})})
+}
+
+// Loaded returns a channel that is closed once the beliefs were up to date.
 func (f *Follower) Loaded() <-chan struct{} {
 	return f.loaded
 }
@@ -255,7 +261,7 @@
 		case n := <-f.notes:
 			f.enter(n)
 			f.publish()
-			if n.whole {
+			if n.confirms {
 				f.loadedOnce.Do(func() { close(f.loaded) })
 			}
 		case <-ticker.C:
@@ -282,20 +288,20 @@
 	f.book.Answered(now)
 	if batch, ok := n.batch.Get(); ok {
 		if n.whole {
-			f.book.Load(now, batch)
-			f.fresh.Store(f.active.Load())
+			f.book.Load(now, n.prefix, batch)
 		} else {
 			f.book.Apply(now, batch)
 		}
 		if n.confirms {
 			f.confirmed.Store(&n.asked)
+			f.fresh.Store(f.active.Load())
 		}
 	}
 }
 
 func (f *Follower) publish() {
 	f.view.Store(f.book.View())
-	f.registered.Store(!f.book.SelfMissing())
+	f.registered.Store(f.book.Own())
 	f.lost.Store(f.book.IsLost())
 }
 
--- a/internal/fleet/roster/follower_test.go
+++ b/internal/fleet/roster/follower_test.go
@@ -17,6 +17,12 @@
 
 // follow runs a follower and a registrar against a stand-in store in a bubble
 // of synthetic time.
+// own is the VM that follows the store, and standbyKey where it registers while it stands
+// by.
+var own = roster.Member{VM: "vm-1", Caller: "10.0.0.1:80"}
+
+const standbyKey = roster.PrefixMembers + "standby/vm-1"
+
 func follow(t *testing.T, test func(store *depsrv.Store, f *roster.Follower, r *roster.Registrar)) {
 	t.Helper()
 	followWith(t, roster.FollowerOptions{}, test)
@@ -27,7 +33,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := depsrv.New()
 		f := roster.NewFollower(store, roster.NewBook("vm-1", plainReader{}, nil), options)
-		r := roster.NewRegistrar(store, f, roster.Member{VM: "vm-1", Caller: "10.0.0.1:80"}, nil)
+		r := roster.NewRegistrar(store, f, own, nil)
 		ctx, cancel := context.WithCancel(t.Context())
 		var running conc.WaitGroup
 		running.Go(func() { f.Run(ctx) })
@@ -184,10 +190,10 @@
 func TestRevokedRegistrationIsWrittenAgain(t *testing.T) {
 	follow(t, func(store *depsrv.Store, f *roster.Follower, _ *roster.Registrar) {
 		time.Sleep(3 * time.Second)
-		require.True(t, f.Registered())
-		store.Revoke(roster.PrefixMembers + "vm-1")
+		require.Equal(t, &own, f.Own())
+		store.Revoke(standbyKey)
 		time.Sleep(3 * time.Second)
-		require.Equal(t, []string{roster.PrefixMembers + "vm-1"}, store.Keys())
+		require.Equal(t, []string{standbyKey}, store.Keys())
 	})
 }
 
@@ -199,7 +205,7 @@
 		require.Empty(t, store.Keys())
 		store.SetFaults(depsrv.Faults{})
 		time.Sleep(2 * time.Second)
-		require.Equal(t, []string{roster.PrefixMembers + "vm-1"}, store.Keys())
+		require.Equal(t, []string{standbyKey}, store.Keys())
 		require.Len(t, f.View().Members, 1)
 	})
 }
@@ -210,8 +216,8 @@
 		time.Sleep(5 * time.Second)
 		store.SetFaults(depsrv.Faults{})
 		time.Sleep(3 * time.Second)
-		require.True(t, f.Registered())
-		require.Equal(t, []string{roster.PrefixMembers + "vm-1"}, store.Keys())
+		require.Equal(t, &own, f.Own())
+		require.Equal(t, []string{standbyKey}, store.Keys())
 	})
 }
 
--- a/internal/fleet/roster/local.go
+++ b/internal/fleet/roster/local.go
@@ -68,10 +68,13 @@
 	return min(maxLean*servers/(callers-servers), 1)
 }
 
-// Chosen returns the members that are to serve callers.
+// Chosen returns the members that are to serve callers. The set must not be changed.
 func (v *View) Chosen() coll.Set[ident.VMID] {
-	count := EntryCount(v.Table)
-	return Entries(Eligible(v.Members, v.Reach(), count), count)
+	v.chosenOnce.Do(func() {
+		count := EntryCount(v.Table)
+		v.chosen = Entries(Eligible(v.Members, v.Reach(), count), count)
+	})
+	return v.chosen
 }
 
 // Eligible returns the members among which those that serve are chosen: VMs of the
--- a/internal/fleet/roster/reading.go
+++ b/internal/fleet/roster/reading.go
@@ -42,10 +42,10 @@
 	}
 }
 
-// readKeys reads all keys.
+// readKeys reads all keys that this VM follows.
 func (f *Follower) readKeys(ctx context.Context, r *reading) {
-	asked := f.asking()
-	batch, err := f.readAll(ctx, r.timeout, r.stale)
+	asked, about := f.asking(), f.scope(r.stale)
+	batch, err := f.readAll(ctx, about.prefix, r.timeout, r.stale)
 	if err != nil {
 		r.timeout = min(2*r.timeout, lastReadTimeout)
 		f.fail(ctx, r, err)
@@ -55,7 +55,7 @@
 		return
 	}
 	r.timeout, r.failures = firstReadTimeout, 0
-	f.send(ctx, note{asked: asked, batch: coll.Some(batch), whole: true, confirms: !r.stale})
+	f.send(ctx, note{asked: asked, batch: coll.Some(batch), whole: true, prefix: about.prefix, confirms: !r.stale && about.prefix == watchAll})
 	r.revision, r.known = max(r.revision, batch.Revision), true
 }
 
@@ -87,7 +87,7 @@
 	if err != nil {
 		if errors.Is(err, depot.ErrCompacted) {
 			// A stale reading may lie before the history again.
-			r.known, r.stale = false, !r.stale && !f.active.Load()
+			r.known, r.stale = false, false
 		}
 		f.fail(ctx, r, err)
 		return
@@ -124,10 +124,10 @@
 	return len(batch.Items) >= backlogItems || size >= backlogBytes
 }
 
-func (f *Follower) readAll(ctx context.Context, timeout time.Duration, stale bool) (depot.Batch, error) {
+func (f *Follower) readAll(ctx context.Context, prefix string, timeout time.Duration, stale bool) (depot.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return f.depot.Range(ctx, watchAll, stale)
+	return f.depot.Range(ctx, prefix, stale)
 }
 
 // scope is what a watch is about, and how long it waits.
@@ -145,7 +145,7 @@
 	case f.active.Load():
 		return scope{watchAll, time.Duration(touchPart * float64(f.options.Touch))}
 	default:
-		return scope{PrefixMembers, standbyWait}
+		return scope{prefixServing, standbyWait}
 	}
 }
 
--- a/internal/fleet/roster/registrar.go
+++ b/internal/fleet/roster/registrar.go
@@ -141,11 +141,13 @@
 	deciding.Go(func() { r.decide(ctx) })
 	defer deciding.Wait()
 	r.awaitFirstReading(ctx)
-	lease, written, wait := depot.LeaseID(0), Member{}, renewEvery
+	var lease depot.LeaseID
+	var written Member
+	var wait time.Duration
 	for ctx.Err() == nil {
 		wanted := r.wantedNow()
-		if lease == 0 || written != wanted || !r.follower.Registered() {
-			if wanted.Serving && !written.Serving {
+		if lease == 0 || written != wanted || !r.isRegistered(written) {
+			if wanted.Serving != written.Serving {
 				lease = 0
 			}
 			next, err := r.register(ctx, lease, wanted)
@@ -156,6 +158,7 @@
 				continue
 			}
 			lease, written = next, wanted
+			wait = renewal(written)
 		}
 		r.pause(ctx, wait)
 		wait = renewal(written)
@@ -169,6 +172,13 @@
 	}
 }
 
+// isRegistered reports whether the store holds this registration, as far as it is known.
+// It may hold another one that a late write left.
+func (r *Registrar) isRegistered(m Member) bool {
+	own := r.follower.Own()
+	return own != nil && *own == m
+}
+
 // length is that of the lease of a registration.
 func length(m Member) time.Duration {
 	if m.Serving {
@@ -239,7 +249,7 @@
 		lease, err = r.depot.Grant(ctx, length(member))
 	}
 	if err == nil {
-		err = r.put(ctx, lease, member)
+		err = r.put(ctx, lease, member, r.follower.Own())
 	}
 	r.follower.Report(ctx, err)
 	if err != nil {
@@ -250,12 +260,20 @@
 	return lease, nil
 }
 
-func (r *Registrar) put(ctx context.Context, lease depot.LeaseID, member Member) error {
+// put writes the registration in place of the one that is known, if any.
+func (r *Registrar) put(ctx context.Context, lease depot.LeaseID, member Member, former *Member) error {
 	value, err := json.Marshal(member)
 	if err != nil {
 		return errors.Wrap(err, "roster: encode member")
 	}
-	_, err = r.depot.Put(ctx, depot.Write{Key: PrefixMembers + string(r.self), Value: value, Lease: lease})
+	write := depot.Write{Key: member.key(), Value: value, Lease: lease}
+	if former != nil && former.key() != write.Key {
+		write.Delete = former.key()
+	}
+	revision, err := r.depot.Put(ctx, write)
+	if err == nil {
+		r.follower.Wrote(ctx, depot.Item{Key: write.Key, Value: value, Revision: revision})
+	}
 	return err
 }
 
--- a/internal/fleet/roster/snapshot.go
+++ b/internal/fleet/roster/snapshot.go
@@ -47,8 +47,7 @@
 		b.servers[server.ID] = &record[Replica]{value: Replica{Server: server, ColdUntil: now.Add(server.ColdFor)}}
 	}
 	for _, m := range s.Members {
-		key := PrefixMembers + string(m.VM)
-		b.members[key] = &record[Member]{value: m, key: key}
+		b.members[m.VM] = &record[Member]{value: m, key: m.key()}
 	}
 	for _, zone := range s.ZonesOut {
 		b.zonesOut[zone] = ""
--- a/internal/fleet/roster/types.go
+++ b/internal/fleet/roster/types.go
@@ -8,6 +8,7 @@
 	"iter"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
@@ -110,6 +111,9 @@
 	servers  map[ident.ServerID]*Replica
 	// serving holds the members that serve callers by zone.
 	serving map[ident.Zone][]Member
+
+	chosenOnce sync.Once
+	chosen     coll.Set[ident.VMID]
 }
 
 // Replicas returns the backend servers of a service that may get requests. The
--- a/internal/lab/depsrv/store.go
+++ b/internal/lab/depsrv/store.go
@@ -247,6 +247,9 @@
 	if write.Lease != 0 && s.leases[write.Lease] == nil {
 		return 0, depot.ErrNoLease
 	}
+	if write.Delete != "" {
+		s.remove(write.Delete)
+	}
 	return s.write(write), s.lost()
 }
 
--- a/internal/plat/depot/depot.go
+++ b/internal/plat/depot/depot.go
@@ -42,11 +42,13 @@
 	Revision ident.Revision
 }
 
-// Write sets a key. Lease is 0 for a key that stays until it is deleted.
+// Write sets a key. Lease is 0 for a key that stays until it is deleted. Delete names
+// another key that is deleted at once with it, if any.
 type Write struct {
-	Key   string
-	Value []byte
-	Lease LeaseID
+	Key    string
+	Value  []byte
+	Lease  LeaseID
+	Delete string
 }
 
 // Depot is the store. Implementations are safe for concurrent use; every call
