Tell why attempts left the zone of their VM

The log of a search that was late, partial, refused or failed tells how many attempts left the VM's zone, by reason: no server of the zone takes them, more callers than the zone's servers bear, or a faster one elsewhere. A counter in each query, no line more.

--- a/internal/query/relay/local.go
+++ b/internal/query/relay/local.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"fmt"
 	"hash/maphash"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
@@ -25,6 +27,37 @@
 	return q.plan.Route.IsSearch() && q.env.crosses(r) && q.env.Carries != nil && q.env.Carries(r.Zone)
 }
 
+// crossing is why an attempt leaves the zone of its VM.
+type crossing uint8
+
+const (
+	// noServerHere: none of the zone takes the attempt.
+	noServerHere crossing = iota
+	// moreCallers: the zone has more callers than its servers bear.
+	moreCallers
+	// slowerHere: one of another zone is expected to answer sooner by more than the
+	// settings allow for.
+	slowerHere
+	crossings
+)
+
+// String returns the reason as logs tell it.
+func (c crossing) String() string {
+	return [...]string{"no server here", "more callers here", "slower here"}[c]
+}
+
+// Crossings tells how many attempts have left the zone of the VM, by reason, or nothing
+// if none has.
+func (q *Query) Crossings() string {
+	var parts []string
+	for reason, count := range q.crossed {
+		if count > 0 {
+			parts = append(parts, fmt.Sprintf("%s %d", crossing(reason), count))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
 // prefer delays the candidates that are not in the zone which the next attempt of a
 // shard is to go to. The servers in list are those of the candidates.
 func (q *Query) prefer(s *shard, list []*roster.Replica, candidates []choose.Candidate) {
@@ -43,16 +76,18 @@
 // by which servers of other zones have to be faster. It is 0 if no zone is preferred.
 func (q *Query) preferred(s *shard, list []*roster.Replica) (ident.Zone, time.Duration) {
 	stay := time.Duration(q.env.Options.Stay * float64(q.plan.Route.Goal))
-	if stay == 0 {
-		return "", 0
-	}
 	if slices.ContainsFunc(list, func(r *roster.Replica) bool { return !q.env.crosses(r) }) {
 		if share := q.env.Replicas().StayShare(s.service, q.env.Zone); share < 1 && rand.Float64() >= share {
-			// The zone has more callers than its servers bear.
+			s.crossing = moreCallers
 			return "", 0
 		}
+		s.crossing = slowerHere
 		return q.env.Zone, stay
 	}
+	s.crossing = noServerHere
+	if stay == 0 {
+		return "", 0
+	}
 	if zone, ok := q.foremost(list); ok && len(s.attempts) == 0 {
 		return zone, time.Duration(gatherPart * float64(stay))
 	}
--- a/internal/query/relay/local_test.go
+++ b/internal/query/relay/local_test.go
@@ -148,3 +148,40 @@
 		require.InDelta(t, mean, count, 0.3*float64(mean), id)
 	}
 }
+
+// A search tells why its attempts left the zone.
+func TestCrossingsAreTold(t *testing.T) {
+	for name, test := range map[string]struct {
+		zone   ident.Zone
+		stay   float64
+		reason string
+	}{
+		"in its zone":          {"vantaa", 1, ""},
+		"no server":            {"lahti", 1, "no server here 6"},
+		"more callers in zone": {"vantaa", 0, "more callers here"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newZonedWorld(t, 6)
+			w.env.Zone, w.stay = test.zone, test.stay
+			told := ""
+			for i := 0; i < 50 && told == ""; i++ {
+				q, _ := relay.New(w.env, planOf(searchRoute(6, 0.5)), start)
+				told = q.Crossings()
+			}
+			if test.reason == "" {
+				require.Empty(t, told)
+			}
+			require.Contains(t, told, test.reason)
+		})
+	}
+	w := newZonedWorld(t, 1)
+	for _, r := range w.replicas[shardName(0)] {
+		took := farTime
+		if r.Zone == w.env.Zone {
+			took = 300 * time.Millisecond
+		}
+		w.env.Choose.Answered(start, r.ID, choose.Sample{Completed: true, Service: took, Slots: 2})
+	}
+	q, _ := relay.New(w.env, planOf(searchRoute(1, 1)), start)
+	require.Equal(t, "slower here 1", q.Crossings())
+}
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -39,6 +39,8 @@
 	outcome *Outcome
 	// quiet is the longest time for which the servers of a shard want no requests.
 	quiet time.Duration
+	// crossed counts the attempts that left the zone of the VM, by reason.
+	crossed [crossings]int
 	// denied collects the attempts that the budget did not bear.
 	denied []Denial
 }
@@ -346,6 +348,9 @@
 		a.hedgeAt = a.hedgeAt.Add(carriedSlack)
 	}
 	s.attempts = append(s.attempts, a)
+	if q.env.crosses(replica) {
+		q.crossed[s.crossing]++
+	}
 	q.env.Choose.Sent(now, replica.ID)
 	if now.Before(replica.ColdUntil) {
 		q.env.Cold.Sent(now, replica.ID)
--- a/internal/query/relay/shard.go
+++ b/internal/query/relay/shard.go
@@ -22,6 +22,8 @@
 	retryReason hedge.Reason
 	// faulty is an attempt that a backend server answered with its own failure.
 	faulty int
+	// crossing is why the last chosen server may be one of another zone.
+	crossing crossing
 }
 
 type shardState uint8
--- a/internal/query/runner/runner.go
+++ b/internal/query/runner/runner.go
@@ -433,12 +433,12 @@
 	if kind == "request_answered" {
 		return
 	}
-	parts := 0
+	parts, crossed := 0, ""
 	if f.query != nil {
-		parts = f.query.Parts()
+		parts, crossed = f.query.Parts(), f.query.Crossings()
 	}
 	f.trace(kind, answer.Reason, slog.Duration("took", took), slog.Int("parts", parts), slog.Int("missing", answer.Missing),
-		slog.Int("attempts", f.attempts), slog.String("waiting", strings.Join(f.waiting, ",")), slog.Uint64("version", uint64(r.version())), slog.Duration("retry_after", answer.RetryAfter))
+		slog.Int("attempts", f.attempts), slog.String("crossed", crossed), slog.String("waiting", strings.Join(f.waiting, ",")), slog.Uint64("version", uint64(r.version())), slog.Duration("retry_after", answer.RetryAfter))
 }
 
 func (r *Runner) version() ident.Version {
