Write log lines with less work

The handler called a function for each part of a line, so that durations could be written as text, each event formatted the name of its counter, and the attributes were copied.

Change: durations become text before the handler, counters are kept by kind, attributes are put into an array.

--- a/cmd/samphirestair/main.go
+++ b/cmd/samphirestair/main.go
@@ -84,7 +84,7 @@
 func forward(caught *signals, settings *fwconf.Settings, load func() (*fwconf.Settings, error)) error {
 	output := events.NewWriter(os.Stdout)
 	defer output.Close(logCloseTimeout)
-	logger := slog.New(slog.NewJSONHandler(output, &slog.HandlerOptions{Level: settings.Log.Level, ReplaceAttr: readable}))
+	logger := events.NewLogger(output, settings.Log.Level)
 	client, err := httpc.New(settings.Depot.URL, httpc.Options{})
 	if err != nil {
 		return err
@@ -102,14 +102,6 @@
 	return process.Run(caught.stop, caught.reload)
 }
 
-// readable writes times with their unit.
-func readable(_ []string, attr slog.Attr) slog.Attr {
-	if attr.Value.Kind() == slog.KindDuration {
-		attr.Value = slog.StringValue(attr.Value.Duration().Round(time.Microsecond).String())
-	}
-	return attr
-}
-
 func newLogger(settings vmconf.Log) *slog.Logger {
 	options := &slog.HandlerOptions{Level: settings.Level}
 	if settings.Format == "json" {
--- a/internal/core/events/events.go
+++ b/internal/core/events/events.go
@@ -12,8 +12,12 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// historySize is the number of decisions kept for operators.
-const historySize = 200
+const (
+	// historySize is the number of decisions kept for operators.
+	historySize = 200
+	// usualAttrs is the number of attributes that most lines have at most.
+	usualAttrs = 12
+)
 
 // Decision is one decision that changed what callers or backend servers see.
 type Decision struct {
@@ -26,8 +30,11 @@
 // Recorder records decisions. It is safe for concurrent use. A nil Recorder
 // discards them.
 type Recorder struct {
-	logger  *slog.Logger
-	set     *metrics.Set
+	logger *slog.Logger
+	set    *metrics.Set
+	// counters holds the counter of each kind.
+	counters sync.Map
+
 	mu      sync.Mutex
 	history []Decision
 	samples map[sample]time.Time
@@ -51,7 +58,11 @@
 }
 
 func (r *Recorder) log(kind, subject, reason string, attrs []slog.Attr) {
-	all := append([]slog.Attr{slog.String("subject", subject), slog.String("reason", reason)}, attrs...)
+	var room [usualAttrs]slog.Attr
+	all := append(room[:0], slog.String("subject", subject), slog.String("reason", reason))
+	for _, attr := range attrs {
+		all = append(all, readable(attr))
+	}
 	r.logger.LogAttrs(context.Background(), slog.LevelInfo, kind, all...)
 }
 
@@ -61,7 +72,11 @@
 	if r == nil {
 		return
 	}
-	r.set.GetOrCreateCounter(fmt.Sprintf("samphirestair_decisions_total{kind=%q}", kind)).Inc()
+	counter, ok := r.counters.Load(kind)
+	if !ok {
+		counter, _ = r.counters.LoadOrStore(kind, r.set.GetOrCreateCounter(fmt.Sprintf("samphirestair_decisions_total{kind=%q}", kind)))
+	}
+	counter.(*metrics.Counter).Inc()
 }
 
 // History returns the latest decisions, oldest first.
