Ask other VMs at once when the first reading fails

Reading the registrations of VMs first put a second time-out, of 0.6 s with a silent store, before the question to other VMs. A failed reading of either kind is now followed by it.

--- a/internal/fleet/roster/reading.go
+++ b/internal/fleet/roster/reading.go
@@ -65,7 +65,7 @@
 	asked := f.asking()
 	batch, err := f.readAll(ctx, PrefixMembers, r.timeout, true)
 	if err != nil {
-		f.fail(ctx, r, err)
+		f.unread(ctx, r, err)
 		return
 	}
 	stoodBy, othersServe := false, false
@@ -87,11 +87,7 @@
 	asked, about := f.asking(), f.scope(r.stale)
 	batch, err := f.readAll(ctx, about.prefix, r.timeout, r.stale)
 	if err != nil {
-		r.timeout = min(2*r.timeout, lastReadTimeout)
-		f.fail(ctx, r, err)
-		if f.View().Table == nil && !r.told {
-			r.told = f.askPeers(ctx)
-		}
+		f.unread(ctx, r, err)
 		return
 	}
 	r.timeout, r.failures = firstReadTimeout, 0
@@ -99,6 +95,16 @@
 	r.revision, r.known = max(r.revision, batch.Revision), true
 }
 
+// unread notes a reading that failed. While this VM knows no configuration, it asks other
+// VMs.
+func (f *Follower) unread(ctx context.Context, r *reading, err error) {
+	r.timeout = min(2*r.timeout, lastReadTimeout)
+	f.fail(ctx, r, err)
+	if f.View().Table == nil && !r.told {
+		r.told = f.askPeers(ctx)
+	}
+}
+
 // askPeers takes the beliefs of another VM in place of a first reading, and reports
 // whether there are any.
 func (f *Follower) askPeers(ctx context.Context) bool {
