Bound the addresses of VMs that were heard

Found in the diff: addresses were dropped only when they were asked for, that is at a start without the store, so that a VM kept one for each address that ever sent a datagram. 64 are kept now.

--- a/internal/fleet/pulse/contacts.go
+++ b/internal/fleet/pulse/contacts.go
@@ -1,6 +1,7 @@
 package pulse
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -13,6 +14,8 @@
 	// contactAge is the time for which an address is known after a datagram came from
 	// it. It bears the loss of one greeting.
 	contactAge = 2500 * time.Millisecond
+	// maxContacts bounds the addresses that are kept. It is more than are ever asked.
+	maxContacts = 64
 	// absentFor is the time for which a VM that is known no more may start again.
 	absentFor = time.Minute
 )
@@ -31,23 +34,26 @@
 func (c *contacts) heard(now time.Time, address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if _, known := c.heardAt[address]; !known && len(c.heardAt) >= maxContacts {
+		c.forget(now)
+		if len(c.heardAt) >= maxContacts {
+			return
+		}
+	}
 	c.heardAt[address] = now
 }
 
-// list returns the addresses, and forgets those that were not heard lately.
+// forget drops the addresses that were not heard lately.
+func (c *contacts) forget(now time.Time) {
+	maps.DeleteFunc(c.heardAt, func(_ string, at time.Time) bool { return now.Sub(at) > contactAge })
+}
+
+// list returns the addresses that were heard lately.
 func (c *contacts) list(now time.Time) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var addresses []string
-	for address, at := range c.heardAt {
-		if now.Sub(at) > contactAge {
-			delete(c.heardAt, address)
-			continue
-		}
-		addresses = append(addresses, address)
-	}
-	slices.Sort(addresses)
-	return addresses
+	c.forget(now)
+	return slices.Sorted(maps.Keys(c.heardAt))
 }
 
 // absent keeps the addresses of VMs that were known a while ago. It is not safe for
