Look for carriers once per zone and search

Found in a reading of the whole change: each shard of a search asked, for each candidate and once more when it was sent, whether a VM of that zone can send. The question takes two locks and goes through the VMs of the zone, and a search has up to 270 shards.

Change: a query decides once about a zone, its place in the order and whether it has a carrier; the order needs no hash any more. Whether an attempt crosses is worked out once.

Before and after, questions of one search of 12 shards in two other zones: 36, 2 (TestCarriersAreLookedForOncePerZone). No time was measured.

Conclusion: same choices, since the first attempts of all shards are sent at the same moment.

--- a/internal/query/relay/local.go
+++ b/internal/query/relay/local.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"hash/maphash"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -17,14 +16,32 @@
 // than those of the VM's own that binds among other zones.
 const gatherPart = 0.5
 
-// crosses reports whether requests to a server leave this VM's zone.
-func (e *Env) crosses(r *roster.Replica) bool {
-	return e.Zone != "" && r.Zone != e.Zone
+// crosses reports whether requests to a zone leave this VM's.
+func (e *Env) crosses(zone ident.Zone) bool {
+	return e.Zone != "" && zone != e.Zone
 }
 
-// carries reports whether a VM in the zone of a server may send an attempt of a search.
-func (q *Query) carries(r *roster.Replica) bool {
-	return q.plan.Route.IsSearch() && q.env.crosses(r) && q.env.Carries != nil && q.env.Carries(r.Zone)
+// place is what a query decides once about a zone.
+type place struct {
+	zone ident.Zone
+	// rank is its place in the order in which this query prefers other zones.
+	rank uint64
+	// carries is set if a VM there may send attempts of this query.
+	carries bool
+}
+
+// place returns that of a zone. Its carrier is looked for once, since the first attempts
+// of all shards are sent at the same time.
+func (q *Query) place(zone ident.Zone) place {
+	for _, p := range q.places {
+		if p.zone == zone {
+			return p
+		}
+	}
+	carries := q.env.crosses(zone) && q.plan.Route.IsSearch() && q.env.Carries != nil && q.env.Carries(zone)
+	p := place{zone: zone, rank: rand.Uint64(), carries: carries}
+	q.places = append(q.places, p)
+	return p
 }
 
 // crossing is why an attempt leaves the zone of its VM.
@@ -76,7 +93,7 @@
 // by which servers of other zones have to be faster. It is 0 if no zone is preferred.
 func (q *Query) preferred(s *shard, list []*roster.Replica) (ident.Zone, time.Duration) {
 	stay := time.Duration(q.env.Options.Stay * float64(q.plan.Route.Goal))
-	if slices.ContainsFunc(list, func(r *roster.Replica) bool { return !q.env.crosses(r) }) {
+	if slices.ContainsFunc(list, func(r *roster.Replica) bool { return !q.env.crosses(r.Zone) }) {
 		if share := q.env.Replicas().StayShare(s.service, q.env.Zone); share < 1 && rand.Float64() >= share {
 			s.crossing = moreCallers
 			return "", 0
@@ -101,9 +118,8 @@
 func (q *Query) foremost(list []*roster.Replica) (zone ident.Zone, ok bool) {
 	least := uint64(0)
 	for _, r := range list {
-		rank := maphash.String(q.seed, string(r.Zone))
-		if q.carries(r) && (!ok || rank < least) {
-			zone, least, ok = r.Zone, rank, true
+		if p := q.place(r.Zone); p.carries && (!ok || p.rank < least) {
+			zone, least, ok = r.Zone, p.rank, true
 		}
 	}
 	return zone, ok
--- a/internal/query/relay/local_test.go
+++ b/internal/query/relay/local_test.go
@@ -185,3 +185,16 @@
 	q, _ := relay.New(w.env, planOf(searchRoute(1, 1)), start)
 	require.Equal(t, "slower here 1", q.Crossings())
 }
+
+// Looking for a VM that can send takes locks, and a search has hundreds of shards.
+func TestCarriersAreLookedForOncePerZone(t *testing.T) {
+	w := newZonedWorld(t, 12)
+	w.env.Zone = "lahti"
+	asked := map[ident.Zone]int{}
+	w.env.Carries = func(zone ident.Zone) bool {
+		asked[zone]++
+		return true
+	}
+	relay.New(w.env, planOf(searchRoute(12, 0.5)), start)
+	require.Equal(t, map[ident.Zone]int{"vantaa": 1, "espoo": 1}, asked)
+}
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"hash/maphash"
 	"strconv"
 	"time"
 
@@ -23,8 +22,8 @@
 type Query struct {
 	env  *Env
 	plan Plan
-	// seed gives the order in which zones are preferred.
-	seed maphash.Seed
+	// places holds the zones of backend servers that were looked at.
+	places []place
 	// goal is the time from which a partial answer is good enough.
 	goal   time.Time
 	shards []shard
@@ -47,7 +46,7 @@
 
 // New returns a query that arrived at now, and its first attempts.
 func New(env *Env, plan Plan, now time.Time) (*Query, []Send) {
-	q := &Query{env: env, plan: plan, seed: maphash.MakeSeed(), least: 1, start: now}
+	q := &Query{env: env, plan: plan, least: 1, start: now}
 	if plan.Route.IsSearch() {
 		q.least = plan.Route.LeastShards()
 		q.shards = make([]shard, len(plan.Route.Shards))
@@ -340,7 +339,8 @@
 func (q *Query) send(now time.Time, index int, replica *roster.Replica, reason string) Send {
 	s := &q.shards[index]
 	a := attempt{server: replica.ID, sentAt: now, open: true, mayRun: true, reached: true}
-	a.carried = reason == "first" && q.carries(replica)
+	crosses := q.env.crosses(replica.Zone)
+	a.carried = reason == "first" && q.place(replica.Zone).carries
 	if q.plan.Route.Idempotent {
 		a.hedgeAt = q.hedgeAt(now)
 	}
@@ -348,7 +348,7 @@
 		a.hedgeAt = a.hedgeAt.Add(carriedSlack)
 	}
 	s.attempts = append(s.attempts, a)
-	if q.env.crosses(replica) {
+	if crosses {
 		q.crossed[s.crossing]++
 	}
 	q.env.Choose.Sent(now, replica.ID)
@@ -356,7 +356,7 @@
 		q.env.Cold.Sent(now, replica.ID)
 	}
 	return Send{
-		Shard: index, Attempt: len(s.attempts) - 1, Replica: replica, Crosses: q.env.crosses(replica), Carried: a.carried, Overdue: a.hedgeAt.Sub(now),
+		Shard: index, Attempt: len(s.attempts) - 1, Replica: replica, Crosses: crosses, Carried: a.carried, Overdue: a.hedgeAt.Sub(now),
 		Left: q.plan.Deadline.Sub(now), Wait: len(s.attempts) > 1, Reason: reason,
 	}
 }
