Keep one way to forget names in maps

The change had written seven loops or closures that remove the entries of a map whose keys are not to be kept, and the addresses of VMs that were heard had a copy of coll.Recent. coll.Retain and coll.Recent serve all; View.IDs replaces a loop. reply.go and pool share the rule of a successful status.

No behaviour changes; the tests are those that were there, and an example.

--- a/internal/base/coll/recent_test.go
+++ b/internal/base/coll/recent_test.go
@@ -18,3 +18,10 @@
 	fmt.Println(seen.Has("a"), seen.Has("b"))
 	// Output: false true
 }
+
+func ExampleRetain() {
+	failures := map[string]int{"a": 1, "b": 2}
+	coll.Retain(failures, func(id string) bool { return id == "b" })
+	fmt.Println(failures)
+	// Output: map[b:2]
+}
--- a/internal/core/tier/upkeep.go
+++ b/internal/core/tier/upkeep.go
@@ -64,7 +64,7 @@
 			t.env.Cold.Retain(known)
 			t.retainPeers(view)
 			for _, tries := range []map[ident.ServerID]time.Time{lastProbe, lastWarm} {
-				maps.DeleteFunc(tries, func(id ident.ServerID, _ time.Time) bool { return !known(id) })
+				coll.Retain(tries, known)
 			}
 		}
 		now := time.Now()
@@ -102,9 +102,7 @@
 	due := now.Sub(l.forgotAt) >= forgetEvery
 	if view != l.view || due {
 		l.view = view
-		for id := range view.All() {
-			l.servers[id] = now
-		}
+		l.servers.See(now, view.IDs())
 		if view.Table != nil {
 			l.services.See(now, maps.Keys(view.Table.Used()))
 		}
--- a/internal/fleet/pulse/contacts.go
+++ b/internal/fleet/pulse/contacts.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 )
 
@@ -24,18 +25,18 @@
 // concurrent use.
 type contacts struct {
 	mu      sync.Mutex
-	heardAt map[string]time.Time
+	heardAt coll.Recent[string]
 }
 
 func newContacts() *contacts {
-	return &contacts{heardAt: map[string]time.Time{}}
+	return &contacts{heardAt: coll.Recent[string]{}}
 }
 
 func (c *contacts) heard(now time.Time, address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, known := c.heardAt[address]; !known && len(c.heardAt) >= maxContacts {
-		c.forget(now)
+	if !c.heardAt.Has(address) && len(c.heardAt) >= maxContacts {
+		c.heardAt.Forget(now, contactAge)
 		if len(c.heardAt) >= maxContacts {
 			return
 		}
@@ -43,16 +44,11 @@
 	c.heardAt[address] = now
 }
 
-// forget drops the addresses that were not heard lately.
-func (c *contacts) forget(now time.Time) {
-	maps.DeleteFunc(c.heardAt, func(_ string, at time.Time) bool { return now.Sub(at) > contactAge })
-}
-
 // list returns the addresses that were heard lately.
 func (c *contacts) list(now time.Time) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.forget(now)
+	c.heardAt.Forget(now, contactAge)
 	return slices.Sorted(maps.Keys(c.heardAt))
 }
 
--- a/internal/fleet/roster/types.go
+++ b/internal/fleet/roster/types.go
@@ -133,6 +133,11 @@
 	return v.serving[zone]
 }
 
+// IDs returns the ids of the backend servers that may get requests, in no order.
+func (v *View) IDs() iter.Seq[ident.ServerID] {
+	return maps.Keys(v.servers)
+}
+
 // All returns the backend servers that may get requests, in no order.
 func (v *View) All() iter.Seq2[ident.ServerID, *Replica] {
 	return maps.All(v.servers)
--- a/internal/owner/pool/types.go
+++ b/internal/owner/pool/types.go
@@ -99,7 +99,12 @@
 // IsPart reports whether the answer may be a part of a search: a success that is the
 // backend server's own.
 func (r *Result) IsPart() bool {
-	return r.Fate == Answered && r.Status >= 200 && r.Status < 300 && r.Signature != ""
+	return r.Fate == Answered && r.IsSuccess() && r.Signature != ""
+}
+
+// IsSuccess reports whether the status of the answer is one of success.
+func (r *Result) IsSuccess() bool {
+	return r.Status >= 200 && r.Status < 300
 }
 
 // Release returns the response to its pool. The result must not be used
--- a/internal/query/choose/expect.go
+++ b/internal/query/choose/expect.go
@@ -1,11 +1,11 @@
 package choose
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 )
 
@@ -91,7 +91,7 @@
 func (e *expect) Retain(keep func(ident.ServerID) bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	maps.DeleteFunc(e.servers, func(id ident.ServerID, _ *server) bool { return !keep(id) })
+	coll.Retain(e.servers, keep)
 }
 
 func anyDetour(candidates []Candidate) bool {
--- a/internal/query/hedge/budget.go
+++ b/internal/query/hedge/budget.go
@@ -1,7 +1,6 @@
 package hedge
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -115,5 +114,5 @@
 func (b *budget) Retain(keep func(ident.ServiceID) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	maps.DeleteFunc(b.services, func(id ident.ServiceID, _ *tokens) bool { return !keep(id) })
+	coll.Retain(b.services, keep)
 }
--- a/internal/query/hedge/fleet.go
+++ b/internal/query/hedge/fleet.go
@@ -1,7 +1,6 @@
 package hedge
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -110,7 +109,7 @@
 func (f *fleet) Retain(keep func(ident.ServiceID) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	maps.DeleteFunc(f.accounts, func(id ident.ServiceID, _ *account) bool { return !keep(id) })
+	coll.Retain(f.accounts, keep)
 }
 
 // slack is the VM's part of the slack.
--- a/internal/query/relay/cold.go
+++ b/internal/query/relay/cold.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 )
@@ -57,9 +58,5 @@
 func (g *ColdGate) Retain(keep func(id ident.ServerID) bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for id := range g.last {
-		if !keep(id) {
-			delete(g.last, id)
-		}
-	}
+	coll.Retain(g.last, keep)
 }
--- a/internal/query/relay/health.go
+++ b/internal/query/relay/health.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 )
 
@@ -70,9 +71,5 @@
 func (h *Health) Retain(keep func(id ident.ServerID) bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for id := range h.failures {
-		if !keep(id) {
-			delete(h.failures, id)
-		}
-	}
+	coll.Retain(h.failures, keep)
 }
--- a/internal/query/runner/carry.go
+++ b/internal/query/runner/carry.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/link/ferry"
@@ -85,11 +86,7 @@
 func (c *Carriers) Retain(keep func(vm ident.VMID) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for vm := range c.avoidUntil {
-		if !keep(vm) {
-			delete(c.avoidUntil, vm)
-		}
-	}
+	coll.Retain(c.avoidUntil, keep)
 }
 
 // carry sends the attempts that go to other zones through VMs there, and returns the
--- a/internal/query/runner/reply.go
+++ b/internal/query/runner/reply.go
@@ -57,7 +57,7 @@
 // the backend server's own, and for a search only a success is a part.
 func (f *flight) judge(r reply) (relay.ReplyKind, string) {
 	status := r.result.Status
-	success := status >= 200 && status < 300
+	success := r.result.IsSuccess()
 	switch {
 	case success && r.result.Signature == "":
 		return relay.Broken, "answer without signature"
