Read a file that is checked once

check read a file to tell what it is, and again to parse it. All three kinds are parsed from what was read. The golden files stay as they are.

--- a/internal/ops/cmdln/check.go
+++ b/internal/ops/cmdln/check.go
@@ -41,21 +41,21 @@
 	}
 	switch file := strict.Parse(data); {
 	case file.Has(forwardingSection):
-		settings, err := fwconf.Load(path)
+		settings, err := fwconf.Parse(data)
 		if err != nil {
 			return faultsIn(path, err)
 		}
 		c.printForwarding(path, settings)
 	case file.Has(settingsSection):
-		settings, err := vmconf.Load(path, vmconf.Options{PolicyNames: c.deps.PolicyNames})
+		settings, err := vmconf.Parse(data, vmconf.Options{PolicyNames: c.deps.PolicyNames})
 		if err != nil {
 			return faultsIn(path, err)
 		}
 		c.printServing(path, settings)
 	default:
-		document, err := readDocument(path)
+		document, err := svcdoc.Parse(data)
 		if err != nil {
-			return err
+			return faultsIn(path, err)
 		}
 		c.printSummary(document)
 	}
