--- a/internal/fleet/roster/duty.go
+++ b/internal/fleet/roster/duty.go
@@ -61,9 +61,7 @@
 // look returns the mode at now, given the present beliefs and whether they are
 // fresh enough to serve callers.
 func (d *duty) look(now time.Time, self ident.VMID, view *View, fresh bool) mode {
-	if d.begun.IsZero() {
-		d.begun = now
-	}
+	d.see(now, view)
 	if view.Table == nil {
 		return d.mode
 	}
@@ -93,6 +91,14 @@
 	return d.mode
 }
 
+// see notes the first look, and whether a VM of the fleet serves.
+func (d *duty) see(now time.Time, view *View) {
+	if d.begun.IsZero() {
+		d.begun = now
+	}
+	d.served = d.served || view.Serving > 0
+}
+
 func (d *duty) enter(now time.Time, m mode) {
 	d.mode, d.since, d.unwantedSince = m, now, time.Time{}
 }
@@ -136,7 +142,6 @@
 // are to. One whose own registration is not known yet may be about to serve, unless it
 // resumed standing by.
 func (d *duty) isRelaxed(now time.Time, self ident.VMID, view *View, resumed bool) bool {
-	d.served = d.served || view.Serving > 0
 	return d.mode == standingBy && (view.Serving > 0 || d.othersBegin(now, self, view)) &&
 		(resumed || holds(view.Members, self)) && now.Sub(d.askedAt) >= relaxAfter
 }
--- a/internal/fleet/roster/follower_test.go
+++ b/internal/fleet/roster/follower_test.go
@@ -32,18 +32,24 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		store := depsrv.New()
-		f := roster.NewFollower(store, roster.NewBook("vm-1", plainReader{}, nil), options)
-		r := roster.NewRegistrar(store, f, own, nil)
-		ctx, cancel := context.WithCancel(t.Context())
-		var running conc.WaitGroup
-		running.Go(func() { f.Run(ctx) })
-		running.Go(func() { r.Run(ctx) })
-		test(store, f, r)
-		cancel()
-		running.Wait()
+		followStore(t, store, options, func(f *roster.Follower, r *roster.Registrar) { test(store, f, r) })
 	})
 }
 
+// followStore runs a VM over a store while test does.
+func followStore(t *testing.T, store *depsrv.Store, options roster.FollowerOptions, test func(f *roster.Follower, r *roster.Registrar)) {
+	t.Helper()
+	f := roster.NewFollower(store, roster.NewBook("vm-1", plainReader{}, nil), options)
+	r := roster.NewRegistrar(store, f, own, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	var running conc.WaitGroup
+	running.Go(func() { f.Run(ctx) })
+	running.Go(func() { r.Run(ctx) })
+	test(f, r)
+	cancel()
+	running.Wait()
+}
+
 func TestChangesAreKnownWellBeforeTheBoundOfThreeSeconds(t *testing.T) {
 	follow(t, func(store *depsrv.Store, f *roster.Follower, _ *roster.Registrar) {
 		time.Sleep(time.Second)
--- a/internal/fleet/roster/local.go
+++ b/internal/fleet/roster/local.go
@@ -88,11 +88,9 @@
 	}
 	near, far := make([]Member, 0, len(members)), []Member{}
 	for _, m := range members {
-		switch {
-		case m.Leaving:
-		case reach[m.Zone] >= reachPart*best:
+		if reach[m.Zone] >= reachPart*best {
 			near = append(near, m)
-		default:
+		} else {
 			far = append(far, m)
 		}
 	}
--- a/internal/fleet/roster/reading.go
+++ b/internal/fleet/roster/reading.go
@@ -62,7 +62,6 @@
 // others serve, it goes on so without reading all keys: after a loss of all power, those
 // that serve need the store for themselves.
 func (f *Follower) resume(ctx context.Context, r *reading) {
-	asked := f.asking()
 	batch, err := f.readAll(ctx, PrefixMembers, r.timeout, true)
 	if err != nil {
 		f.unread(ctx, r, err)
@@ -78,7 +77,7 @@
 	}
 	f.resumed.Store(true)
 	f.active.Store(false)
-	f.send(ctx, note{asked: asked, batch: coll.Some(batch), whole: true, prefix: PrefixMembers})
+	f.send(ctx, note{batch: coll.Some(batch), whole: true, prefix: PrefixMembers})
 	r.revision, r.known, r.stale = batch.Revision, true, false
 }
 
--- a/internal/fleet/roster/registrar.go
+++ b/internal/fleet/roster/registrar.go
@@ -81,13 +81,9 @@
 	if r.serving.Load() {
 		return trusted
 	}
-	r.mu.Lock()
-	r.duty.askedAt = now
-	r.mu.Unlock()
-	if r.follower.Fresh() {
+	if r.wake(now); r.follower.Fresh() {
 		return trusted
 	}
-	r.follower.SetActive(true)
 	age, known := r.follower.Age(now)
 	return trusted && known && age <= recentBeliefs
 }
@@ -95,11 +91,15 @@
 // Wake makes a VM that stands by read all keys, since another VM takes it as one that
 // serves. It is safe for concurrent use.
 func (r *Registrar) Wake() {
-	if r.serving.Load() || r.follower.Fresh() {
-		return
+	if !r.serving.Load() && !r.follower.Fresh() {
+		r.wake(time.Now())
 	}
+}
+
+// wake lets the VM follow all changes for a while.
+func (r *Registrar) wake(now time.Time) {
 	r.mu.Lock()
-	r.duty.askedAt = time.Now()
+	r.duty.askedAt = now
 	r.mu.Unlock()
 	r.follower.SetActive(true)
 }
@@ -248,7 +248,7 @@
 		lease, err = r.depot.Grant(ctx, length(member))
 	}
 	if err == nil {
-		err = r.put(ctx, lease, member, r.follower.Own())
+		err = r.put(ctx, lease, member)
 	}
 	r.follower.Report(ctx, err)
 	if err != nil {
@@ -260,13 +260,13 @@
 }
 
 // put writes the registration in place of the one that is known, if any.
-func (r *Registrar) put(ctx context.Context, lease depot.LeaseID, member Member, former *Member) error {
+func (r *Registrar) put(ctx context.Context, lease depot.LeaseID, member Member) error {
 	value, err := json.Marshal(member)
 	if err != nil {
 		return errors.Wrap(err, "roster: encode member")
 	}
 	write := depot.Write{Key: member.key(), Value: value, Lease: lease}
-	if former != nil && former.key() != write.Key {
+	if former := r.follower.Own(); former != nil && former.key() != write.Key {
 		write.Delete = former.key()
 	}
 	revision, err := r.depot.Put(ctx, write)
--- a/internal/lab/depsrv/store.go
+++ b/internal/lab/depsrv/store.go
@@ -151,7 +151,9 @@
 	if stale {
 		s.staleReads++
 		if s.faults.Behind {
-			return s.behind, nil
+			behind := s.behind
+			behind.Items = slices.DeleteFunc(slices.Clone(behind.Items), func(i depot.Item) bool { return !strings.HasPrefix(i.Key, prefix) })
+			return behind, nil
 		}
 	}
 	batch := depot.Batch{Revision: s.revision}
