Ask for the age before the store is asked again

Cause: the test asks whether the beliefs are usable, which has the store read, and then for their age. If the reading is answered first, which the order of goroutines decides, the age is rightly 0.

--- a/internal/fleet/roster/follower_test.go
+++ b/internal/fleet/roster/follower_test.go
@@ -140,9 +140,9 @@
 		require.True(t, r.Usable(time.Now()))
 
 		suspended.Add(int64(10 * time.Second))
-		require.False(t, r.Usable(time.Now()))
 		age, _ := f.Age(time.Now())
 		require.Greater(t, age, 10*time.Second)
+		require.False(t, r.Usable(time.Now()), "it asks the store")
 		time.Sleep(50 * time.Millisecond)
 		require.True(t, r.Usable(time.Now()), "the store has answered")
 
