Log and count what VMs know of the limits that servers name

The header is read; no decision uses it yet. New are the log lines server_limited, server_limit_changed, server_limit_lifted and server_limit_unreadable, and the section limits of the state dump: which VM knows of a limit since when, and how many requests it wrote to that server since.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -221,6 +221,7 @@
 		"silent":      func() any { return t.heartbeats.Detector().SilentPeers() },
 		"down":        func() any { return t.env.Health.Down() },
 		"admission":   func() any { return t.admission.State() },
+		"limits":      func() any { return t.notices.Limits() },
 		"budget":      func() any { return t.budget() },
 		"decisions":   func() any { return t.events.History() },
 	}
--- a/internal/owner/notice/tracker.go
+++ b/internal/owner/notice/tracker.go
@@ -1,13 +1,16 @@
 // Package notice tracks what backend servers announce in their answers: that they
-// are leaving, or that they want no requests from this VM for some time.
+// are leaving, that they want no requests from this VM for some time, or that they take
+// only so many requests per second from all VMs.
 package notice
 
 import (
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/core/events"
 )
@@ -38,6 +41,26 @@
 	Leaving bool
 	// Backoff is the time for which the server wants no requests from this VM, or 0.
 	Backoff time.Duration
+	// Limit is the limit in force, or Unlimited. It is absent if the answer doesn't tell.
+	Limit coll.Option[Limit]
+}
+
+// Limit is the number of requests per second that a server takes from all VMs together.
+type Limit float64
+
+// Unlimited stands for the absence of a limit.
+var Unlimited = Limit(math.Inf(1))
+
+// LimitState describes the limit of a server that named one.
+type LimitState struct {
+	Limit Limit `json:"limit"`
+	// Since is when this VM learned that the server has a limit.
+	Since time.Time `json:"since"`
+	// HeardAt is when the limit was last named to this VM.
+	HeardAt time.Time `json:"heard"`
+	// Sent is the number of requests that this VM wrote to the server since then, on its
+	// own behalf or for other VMs.
+	Sent int `json:"sent"`
 }
 
 // BlocksRequests reports whether the server must not be sent requests now.
@@ -68,6 +91,8 @@
 	// leaving process was last seen as registered, whichever is later.
 	lastLeavingAt time.Time
 	backoffUntil  time.Time
+	// limit is nil if the server has none.
+	limit *LimitState
 }
 
 // NewTracker returns a tracker without notices.
@@ -81,7 +106,7 @@
 // Observe records the notice of an answer that was read at now. A backoff does not
 // shorten an earlier one that ends later.
 func (t *Tracker) Observe(now time.Time, p Process, n Notice) {
-	if !n.BlocksRequests() {
+	if !n.BlocksRequests() && !t.changesLimit(p, n) {
 		return
 	}
 	t.mu.Lock()
@@ -101,26 +126,98 @@
 			t.options.Events.Sample("server_quiet", string(p.ID), "requested in its refusal", slog.Duration("quiet", backoff))
 		}
 	}
+	if limit, told := n.Limit.Get(); told {
+		e.limit = t.updateLimit(now, p, e.limit, limit)
+	}
 	t.notices[p] = e
 }
 
+// changesLimit reports whether n names a limit or lifts one.
+func (t *Tracker) changesLimit(p Process, n Notice) bool {
+	limit, told := n.Limit.Get()
+	if !told || limit != Unlimited {
+		return told
+	}
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.notices[p].limit != nil
+}
+
+// updateLimit returns the state of a process's limit after an answer, and logs changes.
+func (t *Tracker) updateLimit(now time.Time, p Process, known *LimitState, limit Limit) *LimitState {
+	switch {
+	case limit == Unlimited:
+		if known != nil {
+			t.options.Events.Record("server_limit_lifted", string(p.ID), "not named in its answer",
+				slog.Float64("limit", float64(known.Limit)), slog.Duration("lasted", now.Sub(known.Since)), slog.Int("sent", known.Sent))
+		}
+		return nil
+	case known == nil:
+		t.options.Events.Record("server_limited", string(p.ID), "named in its answer", slog.Float64("limit", float64(limit)))
+		return &LimitState{Limit: limit, Since: now, HeardAt: now}
+	case known.Limit != limit:
+		t.options.Events.Sample("server_limit_changed", string(p.ID), "named in its answer",
+			slog.Float64("limit", float64(limit)), slog.Float64("before", float64(known.Limit)))
+	}
+	return &LimitState{Limit: limit, Since: known.Since, HeardAt: now, Sent: known.Sent}
+}
+
+// ReportUnreadableLimit logs that a server named a limit that can't be read. The limit
+// that it named before remains in force.
+func (t *Tracker) ReportUnreadableLimit(p Process, text string) {
+	t.options.Events.Sample("server_limit_unreadable", string(p.ID), "not a number of requests", slog.String("text", text))
+}
+
+// CountSent counts a request that is written to a server, if the server has a limit.
+func (t *Tracker) CountSent(p Process) {
+	t.mu.RLock()
+	limited := t.notices[p].limit != nil
+	t.mu.RUnlock()
+	if !limited {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if limit := t.notices[p].limit; limit != nil {
+		limit.Sent++
+	}
+}
+
+// Limits returns the state of the servers that have a limit.
+func (t *Tracker) Limits() map[ident.ServerID]LimitState {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	limits := map[ident.ServerID]LimitState{}
+	for p, e := range t.notices {
+		if e.limit != nil {
+			limits[p.ID] = *e.limit
+		}
+	}
+	return limits
+}
+
 // Get returns the notice in force for a process at now. Its Backoff is the time that is
 // left.
 func (t *Tracker) Get(now time.Time, p Process) Notice {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	e := t.notices[p]
-	return Notice{Leaving: e.leaving, Backoff: max(e.backoffUntil.Sub(now), 0)}
+	n := Notice{Leaving: e.leaving, Backoff: max(e.backoffUntil.Sub(now), 0), Limit: coll.Some(Unlimited)}
+	if e.limit != nil {
+		n.Limit = coll.Some(e.limit.Limit)
+	}
+	return n
 }
 
 // Sweep removes the notices that are no longer in force. That of a leaving process is
 // kept while the process is registered and for leavingRetention after that, because a
-// registration may lapse and come back. It is to be called regularly.
+// registration may lapse and come back. A limit is kept while the process is registered.
+// Sweep is to be called regularly.
 func (t *Tracker) Sweep(now time.Time, registered func(Process) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for p, e := range t.notices {
-		if e.leaving && registered(p) {
+		if (e.leaving || e.limit != nil) && registered(p) {
 			e.lastLeavingAt = now
 			t.notices[p] = e
 			continue
--- a/internal/owner/notice/tracker_test.go
+++ b/internal/owner/notice/tracker_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
 )
 
@@ -70,3 +72,35 @@
 	tracker.Observe(start, one, notice.Notice{Backoff: 100 * time.Millisecond})
 	require.GreaterOrEqual(t, tracker.Get(start, one).Backoff, 3*time.Second)
 }
+
+func TestLimitIsKnownUntilAnAnswerNamesNone(t *testing.T) {
+	tracker := notice.NewTracker(notice.Options{})
+	limitAt := func(after time.Duration) notice.Limit {
+		limit, known := tracker.Get(start.Add(after), one).Limit.Get()
+		require.True(t, known)
+		return limit
+	}
+	tracker.Observe(start, one, notice.Notice{Limit: coll.Some(notice.Unlimited)})
+	require.Equal(t, notice.Unlimited, limitAt(0))
+	require.Empty(t, tracker.Limits())
+
+	tracker.Observe(start, one, notice.Notice{Limit: coll.Some(notice.Limit(14.5))})
+	tracker.CountSent(one)
+	tracker.Observe(start.Add(time.Second), one, notice.Notice{Limit: coll.Some(notice.Limit(7))})
+	tracker.Observe(start.Add(2*time.Second), one, notice.Notice{})
+	tracker.CountSent(one)
+	tracker.Sweep(start.Add(time.Hour), func(notice.Process) bool { return true })
+	require.Equal(t, notice.Limit(7), limitAt(time.Hour))
+	want := notice.LimitState{Limit: 7, Since: start, HeardAt: start.Add(time.Second), Sent: 2}
+	require.Equal(t, map[ident.ServerID]notice.LimitState{"i-1": want}, tracker.Limits())
+
+	tracker.Observe(start.Add(time.Hour), one, notice.Notice{Limit: coll.Some(notice.Unlimited)})
+	require.Equal(t, notice.Unlimited, limitAt(time.Hour))
+}
+
+func TestLimitOfAnUnregisteredProcessIsForgotten(t *testing.T) {
+	tracker := notice.NewTracker(notice.Options{})
+	tracker.Observe(start, one, notice.Notice{Limit: coll.Some(notice.Limit(3))})
+	tracker.Sweep(start, func(notice.Process) bool { return false })
+	require.Empty(t, tracker.Limits())
+}
--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
 )
 
@@ -78,6 +80,7 @@
 		c.close()
 		return true
 	}
+	c.pool.options.Tracker.CountSent(c.server.target.process())
 	head := c.encode(call)
 	if !isShort {
 		go c.write(call, head, call.message.Body, time.Until(call.deadline))
@@ -223,6 +226,7 @@
 func (c *conn) parseHeaders(call *Call, response *fasthttp.Response) (result Result, keepFor time.Duration, err error) {
 	names := &c.pool.options.Names
 	result.Response = response
+	result.Limit = coll.Some(notice.Unlimited)
 	notRun, mismatched := false, false
 	for key, value := range response.Header.All() {
 		switch name := string(key); {
@@ -236,6 +240,8 @@
 			result.parseLoad(string(value))
 		case strings.EqualFold(name, names.Leaving):
 			result.Leaving = string(value) == leavingValue
+		case strings.EqualFold(name, names.Limit):
+			result.Limit = c.parseLimit(string(value))
 		case strings.EqualFold(name, "Retry-After"):
 			result.RetryAfter = parseSeconds(string(value))
 		case strings.EqualFold(name, "Keep-Alive"):
@@ -245,6 +251,10 @@
 	status := response.StatusCode()
 	result.Status = status
 	result.Misdirected = status == fasthttp.StatusMisdirectedRequest
+	if mismatched {
+		// The answer to an earlier request may carry an outdated limit.
+		result.Limit = coll.None[notice.Limit]()
+	}
 	c.recordNotice(status, &result)
 	if mismatched {
 		return Result{}, 0, errors.New("answer belongs to another request")
@@ -260,10 +270,10 @@
 // misdirected request was answered by a different server, so its answer says nothing.
 func (c *conn) recordNotice(status int, result *Result) {
 	if result.Misdirected {
-		result.Leaving = false
+		result.Leaving, result.Limit = false, coll.None[notice.Limit]()
 		return
 	}
-	n := notice.Notice{Leaving: result.Leaving}
+	n := notice.Notice{Leaving: result.Leaving, Limit: result.Limit}
 	if status == fasthttp.StatusServiceUnavailable {
 		n.Backoff = result.RetryAfter
 	}
@@ -287,6 +297,16 @@
 	r.Running, r.Waiting, r.Slots = numbers[0], numbers[1], numbers[2]
 }
 
+// parseLimit parses a limit. It is absent if the text is invalid.
+func (c *conn) parseLimit(text string) coll.Option[notice.Limit] {
+	limit, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
+		c.pool.options.Tracker.ReportUnreadableLimit(c.server.target.process(), text)
+		return coll.None[notice.Limit]()
+	}
+	return coll.Some(notice.Limit(limit))
+}
+
 // maxSeconds bounds times in headers of backend servers, so that they fit a Duration.
 const maxSeconds = 1e6
 
--- a/internal/owner/pool/notice_test.go
+++ b/internal/owner/pool/notice_test.go
@@ -12,6 +12,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/owner/notice"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/plat/header"
 )
@@ -226,3 +228,34 @@
 		}
 	})
 }
+
+// A limit that can't be read must neither set nor lift one, and the answer of a different
+// server or to an earlier request must say nothing about this server's limit.
+func TestLimitInAnswers(t *testing.T) {
+	const head, rest = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n", "Content-Length: 0\r\n\r\n"
+	for name, test := range map[string]struct {
+		answer string
+		want   coll.Option[notice.Limit]
+	}{
+		"whole number":    {head + "X-Server-Limit: 15\r\n" + rest, coll.Some(notice.Limit(15))},
+		"fraction":        {head + "X-Server-Limit: 0.5\r\n" + rest, coll.Some(notice.Limit(0.5))},
+		"none":            {head + rest, coll.Some(notice.Unlimited)},
+		"not a number":    {head + "X-Server-Limit: NaN\r\n" + rest, coll.Some(notice.Limit(4))},
+		"infinite":        {head + "X-Server-Limit: +Inf\r\n" + rest, coll.Some(notice.Limit(4))},
+		"negative":        {head + "X-Server-Limit: -1\r\n" + rest, coll.Some(notice.Limit(4))},
+		"text":            {head + "X-Server-Limit: few\r\n" + rest, coll.Some(notice.Limit(4))},
+		"empty":           {head + "X-Server-Limit: \r\n" + rest, coll.Some(notice.Limit(4))},
+		"other server":    {"HTTP/1.1 421 Misdirected\r\n" + rest, coll.Some(notice.Limit(4))},
+		"earlier request": {head + "X-Request-Id: r0\r\n" + rest, coll.Some(notice.Limit(4))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, func(conn net.Conn, _ int, _ string) { say(conn, test.answer) })
+			tracker := notice.NewTracker(notice.Options{})
+			p := pool.New(metrics.NewSet(), pool.Options{Names: header.Default(), Tracker: tracker})
+			process := notice.Process{ID: b.target().ID, Born: b.target().Born}
+			tracker.Observe(time.Now(), process, notice.Notice{Limit: coll.Some(notice.Limit(4))})
+			ask(t, p, b.target(), "r1")
+			require.Equal(t, test.want, tracker.Get(time.Now(), process).Limit)
+		})
+	}
+}
--- a/internal/owner/pool/types.go
+++ b/internal/owner/pool/types.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
 )
@@ -82,6 +83,9 @@
 	Misdirected bool
 	// RetryAfter is the time after which the backend server may accept requests again.
 	RetryAfter time.Duration
+	// Limit is the limit that the backend server named, or notice.Unlimited if its answer
+	// names none. It is absent if there is no answer or its limit can't be read.
+	Limit coll.Option[notice.Limit]
 	// Running and Waiting count the requests of the backend server, and Slots those
 	// that it can run at a time. Slots is 0 if the answer did not report the load.
 	Running, Waiting, Slots int
--- a/internal/plat/header/header.go
+++ b/internal/plat/header/header.go
@@ -21,6 +21,9 @@
 	Load string
 	// Leaving is "1" in the answers of a backend server that takes no new requests.
 	Leaving string
+	// Limit is the number of requests per second, a decimal number, that the backend
+	// server takes from all VMs together. It is absent if there is no limit.
+	Limit string
 	// PartSignatures lists the signatures of the shards' answers that are part of a search
 	// result.
 	PartSignatures string
@@ -38,6 +41,7 @@
 		NotRun:         "X-Not-Run",
 		Load:           "X-Load",
 		Leaving:        "X-Server-Leaving",
+		Limit:          "X-Server-Limit",
 		PartSignatures: "X-Part-Signatures",
 		MissingParts:   "X-Missing-Parts",
 	}
