--- a/internal/lab/soak/arrivals.go
+++ b/internal/lab/soak/arrivals.go
@@ -106,6 +106,22 @@
 	}
 }
 
+// checkLimit checks that the VMs that know the limit of a server keep to it together.
+func (r *Checker) checkLimit(q *request, a Arrival) {
+	n, l := r.notices[a.Conn], r.limits[a.Server]
+	if n == nil || l == nil || n.limitedFrom.IsZero() || a.At.Before(n.limitedFrom) ||
+		!r.faults.NoneBetween(string(q.VM), a.At.Add(-r.bounds.Contact), a.At) {
+		return
+	}
+	l.arrivals = append(l.arrivals, a.At)
+	window := r.bounds.LimitWindow
+	got := len(eventsBetween(l.arrivals, func(at time.Time) time.Time { return at }, a.At.Add(-window), a.At))
+	allowed := r.bounds.LimitFactor*l.limit*window.Seconds() + r.bounds.LimitSlack
+	if a.At.Sub(l.since) >= r.bounds.Contact && float64(got) > allowed {
+		r.addFindingf(Limit, a.ID, "%s, whose limit is %v per second, got %d requests in %v, %.1f are allowed", a.Server, l.limit, got, window, allowed)
+	}
+}
+
 // checkConfig checks that the service belongs to a version that may still be used.
 func (r *Checker) checkConfig(q *request, a Arrival) {
 	_, newest := r.versionsServing(q, a)
--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -27,6 +27,7 @@
 	Ended   = "ended"   // a process exited by itself, or did not stop in time
 	Recover = "recover" // the fleet did not recover after the faults
 	Quiet   = "quiet"   // requests reached a server that had asked for none
+	Limit   = "limit"   // a server got more requests than the limit that it had named
 )
 
 // Tolerances of promises that the users' rules let be missed a few times.
@@ -48,6 +49,9 @@
 	// quietDelay the time after the notice from which they count.
 	quietTolerance = 2
 	quietDelay     = 500 * time.Millisecond
+	// limitDelay is the time after an answer that names a limit from which the arrivals
+	// on its connection count.
+	limitDelay = 500 * time.Millisecond
 )
 
 // Checker finds broken promises from the events that callers and backend servers
@@ -69,6 +73,7 @@
 	// notices holds the notices of servers by connection, because only the connection
 	// identifies the VM that received them.
 	notices map[string]*noticeState
+	limits  map[ident.ServerID]*limitState
 	// newestSeen is the newest version that a process is known to have used, and when.
 	newestSeen map[process]observation
 	findings   []Finding
@@ -92,6 +97,15 @@
 	// quietFrom and quietUntil bound the period in which requests are counted.
 	quietFrom, quietUntil time.Time
 	requests              int
+	// limitedFrom is the time from which arrivals count against the server's limit.
+	limitedFrom time.Time
+}
+
+// limitState is the limit that a server names at present, in requests per second.
+type limitState struct {
+	limit    float64
+	since    time.Time
+	arrivals []time.Time
 }
 
 type observation struct {
@@ -141,6 +155,7 @@
 		outSince:     map[ident.Zone]time.Time{},
 		newestSeen:   map[process]observation{},
 		notices:      map[string]*noticeState{},
+		limits:       map[ident.ServerID]*limitState{},
 		exceptions:   map[string]int{},
 	}
 }
@@ -193,11 +208,25 @@
 	if n.Leaving && known.leavingAt.IsZero() {
 		known.leavingAt = n.At
 	}
+	if n.Limited && known.limitedFrom.IsZero() {
+		known.limitedFrom = n.At.Add(limitDelay)
+	}
 	if n.Quiet > 0 {
 		known.quietFrom, known.quietUntil, known.requests = n.At.Add(quietDelay), n.At.Add(n.Quiet), 0
 	}
 }
 
+// SetLimit records that a server names a limit in all its answers from now on. A limit
+// below 0 records that it names none.
+func (r *Checker) SetLimit(server ident.ServerID, limit float64, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.limits, server)
+	if limit >= 0 {
+		r.limits[server] = &limitState{limit: limit, since: at}
+	}
+}
+
 // SetZoneOut records the time at which the store accepted that a zone is out. A zero
 // time records that it is back.
 func (r *Checker) SetZoneOut(zone ident.Zone, at time.Time) {
@@ -256,6 +285,7 @@
 	r.checkRuns(q, a)
 	r.checkFallback(q, a)
 	r.checkNotices(q, a)
+	r.checkLimit(q, a)
 	if r.boundsApply(string(q.VM), a.At) && r.faults.NoUnplannedBetween(string(a.Server), a.At.Add(-r.bounds.Contact), a.At) {
 		r.checkTimeLeft(q, a)
 		r.checkAvailability(q, a)
--- a/internal/lab/soak/checker_test.go
+++ b/internal/lab/soak/checker_test.go
@@ -17,6 +17,7 @@
 	Contact: 4 * time.Second, Drain: 3 * time.Second, Evacuate: 5 * time.Second, Config: 3 * time.Second,
 	Rollback: 250 * time.Millisecond, Grace: 6 * time.Second, CloseRace: 200 * time.Millisecond, Gone: 500 * time.Millisecond,
 	Late: 500 * time.Millisecond, ExtraShare: 0.2, ExtraSlack: 5, ExtraWindow: 10 * time.Second, Recovery: 12 * time.Second,
+	LimitFactor: 1.5, LimitSlack: 5, LimitWindow: 4 * time.Second,
 }
 
 var (
@@ -232,6 +233,36 @@
 			time.Sleep(1500 * time.Millisecond)
 			w.arriveOn("c1")
 		}},
+		{"a server that named a limit", soak.Limit, func(w *scenario) {
+			w.SetLimit("i-1", 2, time.Now())
+			w.NoticeSent(soak.Notice{Conn: "c1", Server: "i-1", At: time.Now(), Limited: true})
+			time.Sleep(2 * time.Second)
+			for range 18 {
+				w.arriveOn("c1")
+				time.Sleep(120 * time.Millisecond)
+			}
+		}},
+		{"a server whose limit is kept to, and VMs that don't know it yet", "", func(w *scenario) {
+			w.SetLimit("i-1", 2, time.Now())
+			w.NoticeSent(soak.Notice{Conn: "c1", Server: "i-1", At: time.Now(), Limited: true})
+			for range 20 {
+				w.arriveOn("c2")
+			}
+			time.Sleep(2 * time.Second)
+			for range 17 {
+				w.arriveOn("c1")
+				time.Sleep(120 * time.Millisecond)
+			}
+		}},
+		{"a server that names no limit any more", "", func(w *scenario) {
+			w.SetLimit("i-1", 2, time.Now())
+			w.NoticeSent(soak.Notice{Conn: "c1", Server: "i-1", At: time.Now(), Limited: true})
+			time.Sleep(5 * time.Second)
+			w.SetLimit("i-1", -1, time.Now())
+			for range 30 {
+				w.arriveOn("c1")
+			}
+		}},
 		{"a zone that is out", soak.Evac, func(w *scenario) {
 			w.SetZoneOut("vantaa", time.Now())
 			time.Sleep(5100 * time.Millisecond)
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -40,6 +40,7 @@
 	Evacuate     Fault = "evacuate"
 	AllFail      Fault = "all-fail"
 	ServerQuiet  Fault = "server-quiet"
+	ServerLimits Fault = "server-limits"
 )
 
 // Faults returns all kinds of faults. New kinds are appended: the order determines
@@ -49,7 +50,7 @@
 		KillVM, KillAll, StopVM, PauseVM, Settings, CallerLink, StoreLink, ServerLink,
 		StoreDown, StoreSlow, StoreLoses, StoreForget, StoreDeaf,
 		ServerCrash, ServerSlow, ServerFails, ServerLoses, ServerSpoils, ServerDrain, ServerReuse, ServerReborn,
-		ConfigMove, ConfigStorm, Reshard, Evacuate, AllFail, ServerQuiet,
+		ConfigMove, ConfigStorm, Reshard, Evacuate, AllFail, ServerQuiet, ServerLimits,
 	}
 }
 
--- a/internal/lab/soak/types.go
+++ b/internal/lab/soak/types.go
@@ -35,6 +35,11 @@
 	ExtraShare  float64
 	ExtraSlack  float64
 	ExtraWindow time.Duration
+	// LimitFactor, LimitSlack and LimitWindow bound the arrivals at a server that names a
+	// limit: LimitFactor times what the limit allows in LimitWindow, plus LimitSlack.
+	LimitFactor float64
+	LimitSlack  float64
+	LimitWindow time.Duration
 	// Recovery is the time after the faults within which the fleet has to serve as before.
 	Recovery time.Duration
 }
@@ -124,6 +129,8 @@
 	// Quiet is the time for which the server asks the VM that receives the answer to send
 	// no requests.
 	Quiet time.Duration
+	// Limited is set if the answer names the server's limit.
+	Limited bool
 }
 
 // Reply is what a backend server answered to a request that it ran.
