Keep to the limits that backend servers name, all VMs together

Callers saw nothing; a server that named a limit of 15 requests a second went on to get 44. Cause: no VM used the limit that answers name. Class: a bound of the whole fleet that each VM has to keep its part of without asking the others, as with the retry budget.

Each serving VM now spaces its requests to such a server by an equal part of the limit. The pacer that did this for servers in cold start does it for both; it checks and counts in one step, where two requests of one VM could pass the check before either was counted. A request that no server's rate allows waits a moment for it or is refused at once with the time to come back. VMs that are too many to send one request each at the same time spread them at random.

Ruled out: limits that are only lost on a path or after a restart; two VMs heard of the limit within 0.2 s and went on.

--- a/internal/core/tier/maintain.go
+++ b/internal/core/tier/maintain.go
@@ -64,7 +64,7 @@
 			known := func(id ident.ServerID) bool { return view.Replica(id) != nil }
 			t.pool.Retain(known)
 			t.env.Health.Retain(known)
-			t.env.Cold.Retain(known)
+			t.env.Pace.Retain(known)
 			t.retainPeers(view)
 			for _, times := range []map[ident.ServerID]time.Time{lastProbe, lastWarmUp} {
 				coll.Retain(times, known)
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -204,14 +205,28 @@
 		Latency:  newBudget(hedge.Options{Quantile: hedgeQuantile, InitialDelay: initialHedgeDelay}),
 		Health:   relay.NewHealth(),
 		Notices:  t.notices,
-		Cold: relay.NewColdLimiter(func(replica *roster.Replica) float64 {
-			return roster.ColdStartRate(t.follower.View(), t.settings.VM.ID, replica)
-		}, time.Now()),
-		Options: relay.Options{Partial: t.settings.Answers.Partial, CrossZonePenalty: t.settings.Cost.Stay}.WithDefaults(),
+		Pace:     relay.NewPacer(t.pace, time.Now()),
+		Options:  relay.Options{Partial: t.settings.Answers.Partial, CrossZonePenalty: t.settings.Cost.Stay}.WithDefaults(),
 	}
 	return nil
 }
 
+// pace returns this VM's part of the rate of a backend server that is in cold start or
+// names a limit.
+func (t *Tier) pace(now time.Time, replica *roster.Replica) relay.Pace {
+	pace := relay.Pace{Rate: math.Inf(1)}
+	if limit, limited := t.notices.Limit(replica.Process()); limited {
+		pace.Rate, pace.Spread = roster.LimitedRate(t.follower.View(), t.settings.VM.ID, float64(limit.Limit))
+		pace.Since = limit.Since
+	}
+	if now.Before(replica.ColdUntil) {
+		if cold := roster.ColdStartRate(t.follower.View(), t.settings.VM.ID, replica); cold < pace.Rate {
+			pace.Rate = cold
+		}
+	}
+	return pace
+}
+
 // sections returns the sections of the state dump.
 func (t *Tier) sections() map[string]admin.Section {
 	return map[string]admin.Section{
--- a/internal/lab/soak/checker_test.go
+++ b/internal/lab/soak/checker_test.go
@@ -64,6 +64,14 @@
 	w.Arrived(soak.Arrival{ID: id, Server: "i-1", Service: service, At: time.Now(), Ran: true, TimeLeft: 500 * time.Millisecond, HasTimeLeft: true})
 }
 
+// arriveEvery lets a number of requests arrive on a connection, spaced by interval.
+func (w *scenario) arriveEvery(interval time.Duration, count int, conn string) {
+	for range count {
+		w.arriveOn(conn)
+		time.Sleep(interval)
+	}
+}
+
 // arriveOn reports that a new request runs after it arrived on a connection.
 func (w *scenario) arriveOn(conn string) {
 	w.Arrived(soak.Arrival{
@@ -237,31 +245,21 @@
 			w.SetLimit("i-1", 2, time.Now())
 			w.NoticeSent(soak.Notice{Conn: "c1", Server: "i-1", At: time.Now(), Limited: true})
 			time.Sleep(2 * time.Second)
-			for range 18 {
-				w.arriveOn("c1")
-				time.Sleep(120 * time.Millisecond)
-			}
+			w.arriveEvery(120*time.Millisecond, 18, "c1")
 		}},
 		{"a server whose limit is kept to, and VMs that don't know it yet", "", func(w *scenario) {
 			w.SetLimit("i-1", 2, time.Now())
 			w.NoticeSent(soak.Notice{Conn: "c1", Server: "i-1", At: time.Now(), Limited: true})
-			for range 20 {
-				w.arriveOn("c2")
-			}
+			w.arriveEvery(0, 20, "c2")
 			time.Sleep(2 * time.Second)
-			for range 17 {
-				w.arriveOn("c1")
-				time.Sleep(120 * time.Millisecond)
-			}
+			w.arriveEvery(120*time.Millisecond, 17, "c1")
 		}},
 		{"a server that names no limit any more", "", func(w *scenario) {
 			w.SetLimit("i-1", 2, time.Now())
 			w.NoticeSent(soak.Notice{Conn: "c1", Server: "i-1", At: time.Now(), Limited: true})
 			time.Sleep(5 * time.Second)
 			w.SetLimit("i-1", -1, time.Now())
-			for range 30 {
-				w.arriveOn("c1")
-			}
+			w.arriveEvery(0, 30, "c1")
 		}},
 		{"a zone that is out", soak.Evac, func(w *scenario) {
 			w.SetZoneOut("vantaa", time.Now())
--- a/internal/owner/notice/tracker.go
+++ b/internal/owner/notice/tracker.go
@@ -183,6 +183,16 @@
 	}
 }
 
+// Limit returns the state of a server's limit. ok is false if it has none.
+func (t *Tracker) Limit(p Process) (limit LimitState, ok bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if known := t.notices[p].limit; known != nil {
+		return *known, true
+	}
+	return LimitState{}, false
+}
+
 // Limits returns the state of the servers that have a limit.
 func (t *Tracker) Limits() map[ident.ServerID]LimitState {
 	t.mu.RLock()
--- a/internal/query/relay/backoff.go
+++ b/internal/query/relay/backoff.go
@@ -11,24 +11,26 @@
 // that would have to wait longer is refused, so that the caller can decide.
 const maxWaitShare = 0.25
 
-// backoffLeft returns the shortest time left of the backoffs that the servers of the
-// shard asked for, without those that are down or leaving. It is 0 if there is none.
+// backoffLeft returns the shortest time after which a server of the shard takes a request
+// that it doesn't take now, because it asked for a backoff or takes only a limited rate.
+// It is 0 if there is none, apart from servers that are down or leaving.
 func (q *Query) backoffLeft(now time.Time, s *shard) time.Duration {
 	shortest := time.Duration(0)
 	for _, r := range q.env.Replicas().Replicas(s.service) {
 		announced := q.env.Notices.Get(now, r.Process())
-		if q.env.Health.IsDown(r.ID) || announced.Leaving {
+		wait, ok := q.env.Pace.Wait(now, r)
+		if q.env.Health.IsDown(r.ID) || announced.Leaving || !ok {
 			continue
 		}
-		if announced.Backoff > 0 && (shortest == 0 || announced.Backoff < shortest) {
-			shortest = announced.Backoff
+		if wait = max(wait, announced.Backoff); wait > 0 && (shortest == 0 || wait < shortest) {
+			shortest = wait
 		}
 	}
 	return shortest
 }
 
-// postpone schedules the next attempt of a shard for the end of the first backoff of its
-// servers. It returns false if no server has asked for a backoff or all last too long.
+// postpone schedules the next attempt of a shard for the time at which the first of its
+// servers takes a request again. It returns false if there is none or it is too late.
 func (q *Query) postpone(now time.Time, s *shard, reason hedge.Reason) bool {
 	wait := q.backoffLeft(now, s)
 	if wait == 0 {
--- a/internal/query/relay/limit_test.go
+++ b/internal/query/relay/limit_test.go
@@ -41,6 +41,7 @@
 	fleet := make([]*cluster, l.vms)
 	for i := range fleet {
 		fleet[i] = newCluster(t, 1, 0)
+		fleet[i].serving = servingView(l.vms)
 	}
 	random := rand.New(rand.NewPCG(7, 7))
 	limited := fleet[0].replicas[shardName(0)][0].Process()
@@ -102,4 +103,3 @@
 		})
 	}
 }
-
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -73,6 +73,11 @@
 	}
 	q.decide(now)
 	if q.outcome != nil {
+		for _, replica := range replicas {
+			if replica != nil {
+				env.Pace.Return(now, replica)
+			}
+		}
 		return q, nil
 	}
 	sends := make([]Send, 0, len(q.shards))
@@ -278,8 +283,8 @@
 		}
 		a.hedgeAt = time.Time{}
 		if q.mayAddAttempt(s) {
-			if replica := q.choose(now, s); replica != nil && q.spend(index, hedge.Hedge) {
-				sends = append(sends, q.send(now, index, replica, "hedge"))
+			if replica := q.choose(now, s); replica != nil {
+				sends = q.sendExtra(now, index, replica, hedge.Hedge, "hedge", sends)
 			}
 		}
 	}
@@ -321,10 +326,23 @@
 		}
 		return q.failIfNonePending(s, sends)
 	}
-	if s.maybeReceived() && !q.spend(index, reason) {
+	if !s.maybeReceived() {
+		return append(sends, q.send(now, index, replica, "retry"))
+	}
+	count := len(sends)
+	if sends = q.sendExtra(now, index, replica, reason, "retry", sends); len(sends) == count {
 		return q.failIfNonePending(s, sends)
 	}
-	return append(sends, q.send(now, index, replica, "retry"))
+	return sends
+}
+
+// sendExtra appends one more attempt of a shard to sends, unless the budget denies it.
+func (q *Query) sendExtra(now time.Time, index int, replica *roster.Replica, reason hedge.Reason, name string, sends []Send) []Send {
+	if !q.spend(index, reason) {
+		q.env.Pace.Return(now, replica)
+		return sends
+	}
+	return append(sends, q.send(now, index, replica, name))
 }
 
 // failIfNonePending fails a shard unless one of its attempts may still be answered.
@@ -366,9 +384,6 @@
 		q.crossZone[s.crossZoneReason]++
 	}
 	q.env.Choose.Sent(now, replica.ID)
-	if now.Before(replica.ColdUntil) {
-		q.env.Cold.Sent(now, replica.ID)
-	}
 	return Send{
 		Shard: index, Attempt: len(s.attempts) - 1, Replica: replica, CrossZone: isOtherZone, Delegated: a.delegated, HedgeAfter: a.hedgeAt.Sub(now),
 		Timeout: q.request.Deadline.Sub(now), AwaitConnection: len(s.attempts) > 1, Reason: reason,
@@ -388,20 +403,29 @@
 }
 
 // accepts reports whether a server is expected to accept a request from this VM: it is
-// not down, leaving or backing off, and its rate limit in cold start allows one.
+// not down, leaving or backing off, and its rate limit allows one.
 func (q *Query) accepts(now time.Time, r *roster.Replica) bool {
-	switch {
-	case q.env.Health.IsDown(r.ID), q.env.Notices.Get(now, r.Process()).BlocksRequests():
+	if q.env.Health.IsDown(r.ID) || q.env.Notices.Get(now, r.Process()).BlocksRequests() {
 		return false
-	default:
-		return !now.Before(r.ColdUntil) || q.env.Cold.Allows(now, r)
 	}
+	wait, ok := q.env.Pace.Wait(now, r)
+	return ok && wait == 0
 }
 
 // choose returns the server for the next attempt of a shard: one that was not tried
 // yet, accepts requests and, if possible, is not in cold start. It returns nil if there
-// is none.
+// is none. The caller has to return the request to the pacer if it doesn't send it.
 func (q *Query) choose(now time.Time, s *shard) *roster.Replica {
+	for {
+		// Another request of this VM may have taken the server's rate meanwhile.
+		if r := q.preferred(now, s); r == nil || q.env.Pace.Take(now, r) {
+			return r
+		}
+	}
+}
+
+// preferred returns the server that choose would return if no other request was sent.
+func (q *Query) preferred(now time.Time, s *shard) *roster.Replica {
 	var candidateBuffer [4]choose.Candidate
 	candidates := candidateBuffer[:0]
 	var replicaBuffer [4]*roster.Replica
--- a/internal/query/relay/query_test.go
+++ b/internal/query/relay/query_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -24,6 +25,8 @@
 	env      *relay.Env
 	// coldRate limits the requests per second to a cold server.
 	coldRate float64
+	// serving is the view of the fleet, whose first VM this one is.
+	serving *roster.View
 	// localShare is returned by LocalRequestShare.
 	localShare float64
 }
@@ -38,7 +41,7 @@
 // each service.
 func newCluster(t *testing.T, services int, extraAttempts float64) *cluster {
 	t.Helper()
-	c := &cluster{coldRate: math.Inf(1), localShare: 1, replicas: map[ident.ServiceID][]*roster.Replica{}}
+	c := &cluster{coldRate: math.Inf(1), serving: servingView(1), localShare: 1, replicas: map[ident.ServiceID][]*roster.Replica{}}
 	for i := range services {
 		service := shardName(i)
 		for _, copyName := range []string{"a", "b"} {
@@ -61,12 +64,33 @@
 		Latency:  newBudget(hedge.Options{InitialDelay: 30 * time.Millisecond}),
 		Health:   relay.NewHealth(),
 		Notices:  notice.NewTracker(notice.Options{}),
-		Cold:     relay.NewColdLimiter(func(*roster.Replica) float64 { return c.coldRate }, start.Add(-time.Hour)),
+		Pace:     relay.NewPacer(c.pace, start.Add(-time.Hour)),
 		Options:  relay.Options{Partial: true}.WithDefaults(),
 	}
 	return c
 }
 
+// pace divides the limit that a server names among the VMs of the view.
+func (c *cluster) pace(now time.Time, r *roster.Replica) relay.Pace {
+	if limit, limited := c.env.Notices.Limit(r.Process()); limited {
+		rate, spread := roster.LimitedRate(c.serving, c.serving.Members[0].VM, float64(limit.Limit))
+		return relay.Pace{Rate: rate, Since: limit.Since, Spread: spread}
+	}
+	if now.Before(r.ColdUntil) {
+		return relay.Pace{Rate: c.coldRate}
+	}
+	return relay.Pace{Rate: math.Inf(1)}
+}
+
+// servingView returns a view with a number of VMs that serve callers.
+func servingView(vms int) *roster.View {
+	var members []roster.Member
+	for i := range vms {
+		members = append(members, roster.Member{VM: ident.VMID(fmt.Sprint("vm-", i)), Serving: true})
+	}
+	return roster.NewView(nil, nil, members, nil)
+}
+
 func shardName(i int) ident.ServiceID {
 	return ident.ServiceID("shard" + string(rune('0'+i)))
 }
@@ -365,15 +389,15 @@
 
 // Guards against a rate limit that starts anew with each process: the previous process
 // may have sent a request to the cold server right before.
-func TestColdLimiterDeniesRequestsRightAfterProcessStart(t *testing.T) {
-	rate := func(*roster.Replica) float64 { return 5 }
+func TestPacerDeniesRequestsRightAfterProcessStart(t *testing.T) {
+	pace := func(time.Time, *roster.Replica) relay.Pace { return relay.Pace{Rate: 5} }
 	cold := &roster.Replica{Server: roster.Server{ID: "i-1"}}
-	limiter := relay.NewColdLimiter(rate, start)
-	require.False(t, limiter.Allows(after(199), cold))
-	require.True(t, limiter.Allows(after(200), cold))
-	limiter.Sent(after(200), cold.ID)
-	limiter.Retain(func(ident.ServerID) bool { return false })
-	require.True(t, limiter.Allows(after(201), cold), "another server with the same id")
+	pacer := relay.NewPacer(pace, start)
+	require.False(t, pacer.Take(after(199), cold))
+	require.True(t, pacer.Take(after(200), cold))
+	require.False(t, pacer.Take(after(200), cold))
+	pacer.Retain(func(ident.ServerID) bool { return false })
+	require.True(t, pacer.Take(after(201), cold), "another server with the same id")
 }
 
 // Guards against a new process that hedges nearly every request, and so exhausts its retry
--- a/internal/query/relay/types.go
+++ b/internal/query/relay/types.go
@@ -45,8 +45,8 @@
 	// Notices holds what backend servers announced: that they are leaving, or want
 	// no requests for a while.
 	Notices *notice.Tracker
-	// Cold limits the rate of requests to servers in cold start.
-	Cold    *ColdLimiter
+	// Pace limits the rate of requests to servers that are in cold start or name a limit.
+	Pace    *Pacer
 	Options Options
 }
 
--- a/internal/query/runner/delegate_test.go
+++ b/internal/query/runner/delegate_test.go
@@ -131,7 +131,7 @@
 		Latency:     newBudget(hedge.Options{Quantile: 0.9, InitialDelay: 30 * time.Millisecond}),
 		Health:      relay.NewHealth(),
 		Notices:     notice.NewTracker(notice.Options{}),
-		Cold:        relay.NewColdLimiter(func(*roster.Replica) float64 { return math.Inf(1) }, time.Now()),
+		Pace:        relay.NewPacer(func(time.Time, *roster.Replica) relay.Pace { return relay.Pace{Rate: math.Inf(1)} }, time.Now()),
 		Options:     relay.Options{Partial: true, CrossZonePenalty: 0.2}.WithDefaults(),
 	}
 	time.Sleep(time.Minute) // Fills the retry budget.
--- a/internal/query/runner/overload_test.go
+++ b/internal/query/runner/overload_test.go
@@ -148,7 +148,7 @@
 			Latency:  newBudget(hedge.Options{Quantile: 0.9, InitialDelay: 30 * time.Millisecond}),
 			Health:   relay.NewHealth(),
 			Notices:  notice.NewTracker(notice.Options{}),
-			Cold:     relay.NewColdLimiter(func(*roster.Replica) float64 { return math.Inf(1) }, time.Now()),
+			Pace:     relay.NewPacer(func(time.Time, *roster.Replica) relay.Pace { return relay.Pace{Rate: math.Inf(1)} }, time.Now()),
 			Options:  relay.Options{Partial: true}.WithDefaults(),
 		}
 		c.runners = append(c.runners, runner.New(runner.Deps{Env: env, Sender: c, Views: c, Admit: admission, Metrics: metrics.NewSet()}))
