Report the limits of servers to VMs whose attempts a delegate sends

A VM that sends attempts through a delegate learned nothing from their answers: the report had no field for a limit. TestLimitsInReportsOfDelegates fails without the change.

The new fields are entries of a map, which an earlier build skips; reports of an earlier build neither name nor lift a limit.

--- a/internal/link/deleg/deleg_test.go
+++ b/internal/link/deleg/deleg_test.go
@@ -11,7 +11,9 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/link/deleg"
+	"github.com/samphirestair/samphirestair/internal/owner/notice"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 )
 
@@ -21,6 +23,7 @@
 // It never answers if the delay is negative.
 type backend struct {
 	delays map[string]time.Duration
+	limits map[string]notice.Limit
 	mu     sync.Mutex
 	sent   []pool.Target
 }
@@ -30,16 +33,20 @@
 	b.sent = append(b.sent, target)
 	b.mu.Unlock()
 	if delay := b.delays[string(target.ID)]; delay >= 0 {
-		time.AfterFunc(delay, func() { done(part(string(target.ID))) })
+		time.AfterFunc(delay, func() { done(b.part(string(target.ID))) })
 	}
 	return &pool.Call{}
 }
 
 // part returns the result of a server whose answer is one record with the server's name.
-func part(server string) pool.Result {
+func (b *backend) part(server string) pool.Result {
 	response := fasthttp.AcquireResponse()
 	response.SetBody(record(server))
-	return pool.Result{Status: 200, Signature: "of " + server, Response: response, Running: 1, Slots: 2}
+	limit := notice.Unlimited
+	if named, ok := b.limits[server]; ok {
+		limit = named
+	}
+	return pool.Result{Status: 200, Signature: "of " + server, Response: response, Running: 1, Slots: 2, Limit: coll.Some(limit)}
 }
 
 func record(text string) []byte {
@@ -123,6 +130,17 @@
 	}
 }
 
+func TestLimitsAreReported(t *testing.T) {
+	b := &backend{limits: map[string]notice.Limit{"c": 2.5}, delays: map[string]time.Duration{"e": 150 * time.Millisecond}}
+	c := send(t, deleg.NewClient(), serve(t, b), newOrder("a", "b", "c", "d", "e"))
+	require.Empty(t, c.ended)
+	for _, report := range c.reports {
+		require.True(t, report.HasLimits)
+	}
+	require.Equal(t, []deleg.Limit{{Seq: 2, PerSecond: 2.5}}, c.reports[0].Limits)
+	require.Empty(t, c.reports[len(c.reports)-1].Limits)
+}
+
 // A slow backend server does not delay the first report. Its answer follows in a later
 // report with its records kept separate.
 func TestLateAnswersAreReportedSeparately(t *testing.T) {
--- a/internal/link/deleg/server.go
+++ b/internal/link/deleg/server.go
@@ -12,6 +12,7 @@
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/base/socket"
 	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/owner/notice"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
 	"github.com/samphirestair/samphirestair/internal/query/merge"
@@ -186,7 +187,7 @@
 // collect for lateReportWindow after their first outcome, or are empty after
 // heartbeatInterval.
 func (e *execution) nextReport(first bool) *Report {
-	report := &Report{}
+	report := &Report{HasLimits: true}
 	records := merge.NewRecords(e.limit)
 	timer := time.NewTimer(heartbeatInterval)
 	defer timer.Stop()
@@ -197,6 +198,9 @@
 		select {
 		case r := <-e.results:
 			e.pending--
+			if limit, told := r.result.Limit.Get(); told && limit != notice.Unlimited {
+				report.Limits = append(report.Limits, Limit{Seq: r.seq, PerSecond: float64(limit)})
+			}
 			report.Outcomes = append(report.Outcomes, e.newOutcome(&r, records, !first))
 			switch {
 			case !first && len(report.Outcomes) == 1:
--- a/internal/link/deleg/wire.go
+++ b/internal/link/deleg/wire.go
@@ -46,6 +46,19 @@
 	// Records are the greatest records merged from all answers whose Outcome does not have
 	// Alone set, greatest first.
 	Records []byte `msg:"r"`
+	// Limits holds the limits that the answers of these attempts name. If HasLimits is set,
+	// the other answers name none.
+	Limits    []Limit `msg:"l,limit=65536"`
+	HasLimits bool    `msg:"t"`
+}
+
+//msgp:tuple Limit
+
+// Limit is the limit of a backend server, in requests per second from all VMs together.
+type Limit struct {
+	// Seq identifies the attempt.
+	Seq       uint32
+	PerSecond float64
 }
 
 //msgp:tuple Outcome
--- a/internal/link/deleg/wire_gen.go
+++ b/internal/link/deleg/wire_gen.go
@@ -6,6 +6,93 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// DecodeMsg implements msgp.Decodable
+func (z *Limit) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Seq, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Seq")
+		return
+	}
+	z.PerSecond, err = dc.ReadFloat64()
+	if err != nil {
+		err = msgp.WrapError(err, "PerSecond")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Limit) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Seq)
+	if err != nil {
+		err = msgp.WrapError(err, "Seq")
+		return
+	}
+	err = en.WriteFloat64(z.PerSecond)
+	if err != nil {
+		err = msgp.WrapError(err, "PerSecond")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Limit) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint32(o, z.Seq)
+	o = msgp.AppendFloat64(o, z.PerSecond)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Limit) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Seq, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Seq")
+		return
+	}
+	z.PerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PerSecond")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Limit) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Float64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Order) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -78,7 +165,7 @@
 				return
 			}
 			if cap(z.Sends) >= int(zb0002) {
-				z.Sends = z.Sends[:zb0002]
+				z.Sends = (z.Sends)[:zb0002]
 			} else {
 				z.Sends = make([]Send, zb0002)
 			}
@@ -303,7 +390,7 @@
 				return
 			}
 			if cap(z.Sends) >= int(zb0002) {
-				z.Sends = z.Sends[:zb0002]
+				z.Sends = (z.Sends)[:zb0002]
 			} else {
 				z.Sends = make([]Send, zb0002)
 			}
@@ -644,7 +731,7 @@
 				return
 			}
 			if cap(z.Outcomes) >= int(zb0002) {
-				z.Outcomes = z.Outcomes[:zb0002]
+				z.Outcomes = (z.Outcomes)[:zb0002]
 			} else {
 				z.Outcomes = make([]Outcome, zb0002)
 			}
@@ -661,6 +748,54 @@
 				err = msgp.WrapError(err, "Records")
 				return
 			}
+		case "l":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+			if zb0003 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Limits) >= int(zb0003) {
+				z.Limits = (z.Limits)[:zb0003]
+			} else {
+				z.Limits = make([]Limit, zb0003)
+			}
+			for za0002 := range z.Limits {
+				var zb0004 uint32
+				zb0004, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0002)
+					return
+				}
+				if zb0004 > 65536 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0004 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+					return
+				}
+				z.Limits[za0002].Seq, err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0002, "Seq")
+					return
+				}
+				z.Limits[za0002].PerSecond, err = dc.ReadFloat64()
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0002, "PerSecond")
+					return
+				}
+			}
+		case "t":
+			z.HasLimits, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "HasLimits")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -674,9 +809,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Report) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 4
 	// write "o"
-	err = en.Append(0x82, 0xa1, 0x6f)
+	err = en.Append(0x84, 0xa1, 0x6f)
 	if err != nil {
 		return
 	}
@@ -702,15 +837,52 @@
 		err = msgp.WrapError(err, "Records")
 		return
 	}
+	// write "l"
+	err = en.Append(0xa1, 0x6c)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Limits)))
+	if err != nil {
+		err = msgp.WrapError(err, "Limits")
+		return
+	}
+	for za0002 := range z.Limits {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint32(z.Limits[za0002].Seq)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0002, "Seq")
+			return
+		}
+		err = en.WriteFloat64(z.Limits[za0002].PerSecond)
+		if err != nil {
+			err = msgp.WrapError(err, "Limits", za0002, "PerSecond")
+			return
+		}
+	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.HasLimits)
+	if err != nil {
+		err = msgp.WrapError(err, "HasLimits")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 4
 	// string "o"
-	o = append(o, 0x82, 0xa1, 0x6f)
+	o = append(o, 0x84, 0xa1, 0x6f)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Outcomes)))
 	for za0001 := range z.Outcomes {
 		o, err = z.Outcomes[za0001].MarshalMsg(o)
@@ -722,6 +894,18 @@
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendBytes(o, z.Records)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
+	for za0002 := range z.Limits {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendUint32(o, z.Limits[za0002].Seq)
+		o = msgp.AppendFloat64(o, z.Limits[za0002].PerSecond)
+	}
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendBool(o, z.HasLimits)
 	return
 }
 
@@ -755,7 +939,7 @@
 				return
 			}
 			if cap(z.Outcomes) >= int(zb0002) {
-				z.Outcomes = z.Outcomes[:zb0002]
+				z.Outcomes = (z.Outcomes)[:zb0002]
 			} else {
 				z.Outcomes = make([]Outcome, zb0002)
 			}
@@ -772,6 +956,50 @@
 				err = msgp.WrapError(err, "Records")
 				return
 			}
+		case "l":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limits")
+				return
+			}
+			if zb0003 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Limits) >= int(zb0003) {
+				z.Limits = (z.Limits)[:zb0003]
+			} else {
+				z.Limits = make([]Limit, zb0003)
+			}
+			for za0002 := range z.Limits {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0002)
+					return
+				}
+				if zb0004 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0004}
+					return
+				}
+				z.Limits[za0002].Seq, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0002, "Seq")
+					return
+				}
+				z.Limits[za0002].PerSecond, bts, err = msgp.ReadFloat64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits", za0002, "PerSecond")
+					return
+				}
+			}
+		case "t":
+			z.HasLimits, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HasLimits")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -790,7 +1018,7 @@
 	for za0001 := range z.Outcomes {
 		s += z.Outcomes[za0001].Msgsize()
 	}
-	s += 2 + msgp.BytesPrefixSize + len(z.Records)
+	s += 2 + msgp.BytesPrefixSize + len(z.Records) + 2 + msgp.ArrayHeaderSize + (len(z.Limits) * (15 + msgp.Uint32Size + msgp.Float64Size)) + 2 + msgp.BoolSize
 	return
 }
 
--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -297,12 +297,12 @@
 	r.Running, r.Waiting, r.Slots = numbers[0], numbers[1], numbers[2]
 }
 
-// parseLimit parses a limit. It is absent if the text is invalid.
+// parseLimit parses a limit. Invalid text stands for the limit in force.
 func (c *conn) parseLimit(text string) coll.Option[notice.Limit] {
 	limit, err := strconv.ParseFloat(text, 64)
 	if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
 		c.pool.options.Tracker.ReportUnreadableLimit(c.server.target.process(), text)
-		return coll.None[notice.Limit]()
+		return c.pool.options.Tracker.Get(time.Now(), c.server.target.process()).Limit
 	}
 	return coll.Some(notice.Limit(limit))
 }
--- a/internal/owner/pool/types.go
+++ b/internal/owner/pool/types.go
@@ -84,7 +84,7 @@
 	// RetryAfter is the time after which the backend server may accept requests again.
 	RetryAfter time.Duration
 	// Limit is the limit that the backend server named, or notice.Unlimited if its answer
-	// names none. It is absent if there is no answer or its limit can't be read.
+	// names none. It is absent if there is no answer.
 	Limit coll.Option[notice.Limit]
 	// Running and Waiting count the requests of the backend server, and Slots those
 	// that it can run at a time. Slots is 0 if the answer did not report the load.
--- a/internal/query/runner/delegate.go
+++ b/internal/query/runner/delegate.go
@@ -182,8 +182,9 @@
 		}
 		d.reported[o.Seq] = true
 		d.unreported--
-		d.execution.runner.deps.Env.Notices.Observe(time.Now(), d.ordered[o.Seq].process, notice.Notice{Leaving: o.Leaving})
 		r := reply{shard: d.ordered[o.Seq].shard, attempt: d.ordered[o.Seq].attempt, result: resultOf(o), sentAt: d.sentAt}
+		r.result.Limit = limitOf(report, o)
+		d.execution.runner.deps.Env.Notices.Observe(time.Now(), d.ordered[o.Seq].process, notice.Notice{Leaving: o.Leaving, Limit: r.result.Limit})
 		r.remoteElapsed = time.Duration(o.Micros) * time.Microsecond
 		if o.Alone {
 			r.records = o.Records
@@ -222,6 +223,20 @@
 	e.addReplies(replies)
 }
 
+// limitOf returns the limit that a backend server named in its answer to an attempt. It
+// is absent if there was no answer of that server, or the delegate doesn't report limits.
+func limitOf(report *deleg.Report, o *deleg.Outcome) coll.Option[notice.Limit] {
+	if !report.HasLimits || o.Status == 0 || o.Misdirected {
+		return coll.None[notice.Limit]()
+	}
+	for _, limit := range report.Limits {
+		if limit.Seq == o.Seq {
+			return coll.Some(notice.Limit(max(limit.PerSecond, 0)))
+		}
+	}
+	return coll.Some(notice.Unlimited)
+}
+
 // resultOf converts the outcome of an attempt that a delegate sent.
 func resultOf(o *deleg.Outcome) pool.Result {
 	return pool.Result{
--- a/internal/query/runner/delegate_test.go
+++ b/internal/query/runner/delegate_test.go
@@ -42,6 +42,8 @@
 	// shards listed in slow.
 	directDelay, slowDelay time.Duration
 	slow                   []string
+	// notices holds what the VM in vantaa knows of the servers.
+	notices *notice.Tracker
 }
 
 func (z *zonedFleet) View() *roster.View     { return z.view }
@@ -122,6 +124,9 @@
 	admission, ok := newAdmit(admit.Options{}).(admit.QueuingPolicy)
 	require.True(t, ok)
 	delegates := runner.NewDelegates(z, z)
+	if z.notices == nil {
+		z.notices = notice.NewTracker(notice.Options{})
+	}
 	env := &relay.Env{
 		Replicas:    func() relay.Replicas { return z.view },
 		Choose:      newChoice(choose.Options{}),
@@ -130,7 +135,7 @@
 		Budget:      newBudget(hedge.Options{Share: 1, Slack: 100}),
 		Latency:     newBudget(hedge.Options{Quantile: 0.9, InitialDelay: 30 * time.Millisecond}),
 		Health:      relay.NewHealth(),
-		Notices:     notice.NewTracker(notice.Options{}),
+		Notices:     z.notices,
 		Pace:        relay.NewPacer(func(time.Time, *roster.Replica) relay.Pace { return relay.Pace{Rate: math.Inf(1)} }, time.Now()),
 		Options:     relay.Options{Partial: true, CrossZonePenalty: 0.2}.WithDefaults(),
 	}
@@ -180,6 +185,49 @@
 	})
 }
 
+// Guards against a VM that doesn't learn of a server's limit because a delegate sends its
+// attempts. Reports of an earlier build say nothing about limits.
+func TestLimitsInReportsOfDelegates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		z := &zonedFleet{notices: notice.NewTracker(notice.Options{})}
+		limited := map[string]notice.Limit{}
+		reported := true
+		z.handleOrder = func(order *deleg.Order, onReport func(*deleg.Report), onEnd func(pool.Outcome, error)) {
+			report := fullReport(order)
+			report.HasLimits = reported
+			for _, s := range order.Sends {
+				if limit, ok := limited[s.Server[:2]]; ok {
+					report.Limits = append(report.Limits, deleg.Limit{Seq: s.Seq, PerSecond: float64(limit)})
+				}
+			}
+			onReport(report)
+			onEnd(pool.Broken, nil)
+		}
+		limits := func() (list []notice.Limit) {
+			for _, state := range z.notices.Limits() {
+				list = append(list, state.Limit)
+			}
+			return list
+		}
+		limited["s4"] = 7.5
+		requireAllParts(t, z.search(t))
+		require.Equal(t, []notice.Limit{7.5}, limits())
+
+		clear(limited)
+		reported = false
+		for range 20 {
+			requireAllParts(t, z.search(t))
+		}
+		require.Equal(t, []notice.Limit{7.5}, limits())
+
+		reported = true
+		for range 20 {
+			requireAllParts(t, z.search(t))
+		}
+		require.Empty(t, limits())
+	})
+}
+
 // The report arrives after hedges were answered: the merged block counts, and no shard
 // counts twice.
 func TestMergedBlockAfterHedges(t *testing.T) {
