Let requests wait in order for the rate of a server

Requests that waited for the rate of a limited server all tried again at the same moment; one of them got it, and the others waited again or failed, a search after its other parts had been sent. A request now reserves the next free moment of the server, and one for which that is too late is refused at once. A search that can't get enough parts takes nothing from the rates of the servers that it would need.

--- a/internal/query/relay/limit_test.go
+++ b/internal/query/relay/limit_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
 	"github.com/samphirestair/samphirestair/internal/query/relay"
 )
@@ -54,9 +55,7 @@
 		if random.Float64() >= l.firstShare {
 			vm = random.IntN(l.vms)
 		}
-		request := requestTo(lookupRoute(true))
-		request.Arrived, request.Deadline = now, now.Add(time.Second)
-		q, sends := relay.New(fleet[vm].env, request, now)
+		q, sends := fleet[vm].arrive(lookupRoute(true), int(at.Milliseconds()))
 		for _, s := range sends {
 			if s.Replica.Process() == limited {
 				if since, known := told[vm]; known && now.Sub(since) >= limitDelay {
@@ -103,3 +102,60 @@
 		})
 	}
 }
+
+// limitServers makes the servers of a shard name a limit.
+func (c *cluster) limitServers(shard int, limit notice.Limit) {
+	for _, r := range c.replicas[shardName(shard)] {
+		c.env.Notices.Observe(start, r.Process(), notice.Notice{Limit: coll.Some(limit)})
+	}
+}
+
+// arrive starts a request that arrives ms after the start.
+func (c *cluster) arrive(route *routes.Route, ms int) (*relay.Query, []relay.Send) {
+	request := requestTo(route)
+	request.Arrived, request.Deadline = after(ms), after(ms).Add(route.Timeout)
+	return relay.New(c.env, request, after(ms))
+}
+
+// Guards against requests that all wait for the same free moment of a server: those that
+// lose would wait again and fail in the end.
+func TestLookupsWaitInOrderForALimitedServer(t *testing.T) {
+	c := newCluster(t, 1, 0)
+	c.replicas[shardName(0)] = c.replicas[shardName(0)][:1]
+	c.limitServers(0, 120) // 20 for each of six VMs
+	_, sends := c.arrive(lookupRoute(false), 60)
+	require.Len(t, sends, 1)
+	first, sends := c.arrive(lookupRoute(false), 60)
+	require.Empty(t, sends)
+	require.Equal(t, after(110), first.Next())
+	second, sends := c.arrive(lookupRoute(false), 61)
+	require.Empty(t, sends)
+	require.Equal(t, after(160), second.Next())
+
+	refused, sends := c.arrive(lookupRoute(false), 62)
+	require.Empty(t, sends)
+	require.Equal(t, relay.Refused, outcome(t, refused).Verdict)
+	require.GreaterOrEqual(t, outcome(t, refused).RetryAfter, 148*time.Millisecond, "the queue before it")
+
+	_, sends = c.arrive(lookupRoute(false), 110)
+	require.Empty(t, sends, "a later request must not take the reserved rate")
+	require.Len(t, first.Tick(after(110)), 1)
+	require.Len(t, second.Tick(after(160)), 1)
+}
+
+// A search that can't be served must not take from the rates of the servers that it would
+// need: other searches could use them.
+func TestRefusedSearchTakesNoRate(t *testing.T) {
+	c := newCluster(t, 4, 0)
+	for shard := range 3 {
+		c.limitServers(shard, 6)
+	}
+	c.limitServers(3, 0.6)
+	for range 3 {
+		q, sends := c.arrive(searchRoute(4, 1), 2000)
+		require.Empty(t, sends)
+		require.Equal(t, relay.Refused, outcome(t, q).Verdict)
+	}
+	_, sends := c.arrive(searchRoute(4, 0.75), 2000)
+	require.Len(t, sends, 3)
+}
--- a/internal/query/relay/pacer.go
+++ b/internal/query/relay/pacer.go
@@ -60,6 +60,11 @@
 	return &Pacer{paceOf: paceOf, start: start, phase: rand.Float64(), lastSent: map[ident.ServerID]time.Time{}}
 }
 
+// Limits reports whether the rate of requests to the server is limited.
+func (p *Pacer) Limits(now time.Time, replica *roster.Replica) bool {
+	return !p.paceOf(now, replica).isUnlimited()
+}
+
 // Wait returns the time until a request may be sent to the server, or 0 if it may be sent
 // now. ok is false if this VM may send it none.
 func (p *Pacer) Wait(now time.Time, replica *roster.Replica) (wait time.Duration, ok bool) {
@@ -77,23 +82,32 @@
 
 // Take counts a request to the server and returns true if it may be sent now.
 func (p *Pacer) Take(now time.Time, replica *roster.Replica) bool {
+	_, ok := p.Reserve(now, replica, 0)
+	return ok
+}
+
+// Reserve counts a request to the server that will be sent after the returned wait, which
+// is at most within. ok is false, and nothing is counted, if that is not possible.
+func (p *Pacer) Reserve(now time.Time, replica *roster.Replica, within time.Duration) (wait time.Duration, ok bool) {
 	pace := p.paceOf(now, replica)
 	if pace.isUnlimited() {
-		return true
+		return 0, true
 	}
 	if pace.Rate <= 0 {
-		return false
+		return 0, false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.next(now, replica.ID, pace).After(now) {
-		return false
+	at := p.next(now, replica.ID, pace)
+	if wait = max(at.Sub(now), 0); wait > within {
+		return wait, false
 	}
-	p.lastSent[replica.ID] = now
-	return true
+	p.lastSent[replica.ID] = now.Add(wait)
+	return wait, true
 }
 
-// Return takes back a request that Take counted and that was not sent.
+// Return takes back a request that was counted and not sent, unless a later one was
+// reserved since.
 func (p *Pacer) Return(now time.Time, replica *roster.Replica) {
 	pace := p.paceOf(now, replica)
 	if pace.isUnlimited() || pace.Rate <= 0 {
@@ -101,7 +115,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastSent[replica.ID] = now.Add(-pace.interval())
+	if !p.lastSent[replica.ID].After(now) {
+		p.lastSent[replica.ID] = now.Add(-pace.interval())
+	}
 }
 
 // Retain forgets the servers for which keep is false.
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -62,31 +62,43 @@
 		left := request.Route.Goal - request.Overhead - env.Options.GoalMargin
 		q.goal = request.Arrived.Add(max(left, request.Route.Goal/2))
 	}
+	return q, q.begin(now)
+}
+
+// begin returns the first attempts. It takes nothing from the servers' rates if too few
+// shards have a server that takes a request in time.
+func (q *Query) begin(now time.Time) []Send {
 	replicas := make([]*roster.Replica, len(q.shards))
 	for i := range q.shards {
 		s := &q.shards[i]
 		s.serverErrorAttempt = -1
-		env.Budget.Sent(s.service, 1)
-		if replicas[i] = q.choose(now, s); replicas[i] == nil && !q.postpone(now, s, hedge.NotRun) {
+		q.env.Budget.Sent(s.service, 1)
+		if replicas[i] = q.preferred(now, s); replicas[i] == nil && q.nextInTime(now, s) == nil {
 			q.failShard(s)
 		}
 	}
 	q.decide(now)
 	if q.outcome != nil {
-		for _, replica := range replicas {
-			if replica != nil {
-				env.Pace.Return(now, replica)
-			}
-		}
-		return q, nil
+		return nil
 	}
 	sends := make([]Send, 0, len(q.shards))
 	for i, replica := range replicas {
-		if replica != nil {
+		s := &q.shards[i]
+		if s.state != shardPending {
+			continue
+		}
+		if replica != nil && !q.env.Pace.Take(now, replica) {
+			replica = q.choose(now, s)
+		}
+		switch {
+		case replica != nil:
 			sends = append(sends, q.send(now, i, replica, "first"))
+		case !q.postpone(now, s, hedge.NotRun):
+			q.failShard(s)
 		}
 	}
-	return q, sends
+	q.decide(now)
+	return sends
 }
 
 // Outcome returns the final answer once there is one.
@@ -314,12 +326,15 @@
 	if !q.mayAddAttempt(s) || len(s.attempts) >= maxAttempts {
 		return q.failIfNonePending(s, sends)
 	}
-	replica := q.choose(now, s)
+	replica := q.takeReserved(now, s)
+	if replica == nil {
+		replica = q.choose(now, s)
+	}
 	if replica == nil {
 		if q.postpone(now, s, reason) {
 			return sends
 		}
-		if reason == hedge.NotRun && s.allRefused() && q.backoffLeft(now, s) == 0 {
+		if first, _ := q.firstAvailable(now, s); first == nil && reason == hedge.NotRun && s.allRefused() {
 			s.retryAt, s.retryReason = now.Add(resendDelay), reason
 			s.forgetRefusals()
 			return sends
--- a/internal/query/relay/shard.go
+++ b/internal/query/relay/shard.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
 )
 
@@ -21,6 +22,9 @@
 	retryAt time.Time
 	// retryReason is the reason for the scheduled retry.
 	retryReason hedge.Reason
+	// reserved is the server whose rate allows the scheduled retry at retryAt, or nil if
+	// the retry may go to any server.
+	reserved *roster.Replica
 	// serverErrorAttempt is the index of the last attempt that a server answered with
 	// an error of its own, or -1.
 	serverErrorAttempt int
