--- a/internal/query/relay/backoff.go
+++ b/internal/query/relay/backoff.go
@@ -30,6 +30,19 @@
 	return first, shortest
 }
 
+// mayResend reports whether a shard whose attempts did not run may be sent soon again to a
+// server that did not take them: one of its servers takes requests in general, or there is
+// no time to wait for.
+func (q *Query) mayResend(now time.Time, s *shard) bool {
+	for _, r := range q.env.Replicas().Replicas(s.service) {
+		if q.accepts(now, r) {
+			return true
+		}
+	}
+	first, _ := q.firstAvailable(now, s)
+	return first == nil
+}
+
 // maxWait returns how long an attempt may wait for a server.
 func (q *Query) maxWait(now time.Time) time.Duration {
 	limit := q.request.Deadline
--- a/internal/query/relay/limit_test.go
+++ b/internal/query/relay/limit_test.go
@@ -159,3 +159,19 @@
 	_, sends := c.arrive(searchRoute(4, 0.75), 2000)
 	require.Len(t, sends, 3)
 }
+
+// Guards against a shard that fails at once because its only server without a limit has no
+// free connection for a moment, and its other server is at its limit.
+func TestShardWaitsForAConnectionIfItsOtherServerIsAtItsLimit(t *testing.T) {
+	c := newCluster(t, 1, 10)
+	limited := c.replicas[shardName(0)][0]
+	c.env.Notices.Observe(start, limited.Process(), notice.Notice{Limit: coll.Some(notice.Limit(0.6))})
+	q, sends := c.arrive(lookupRoute(true), 2000)
+	require.Len(t, sends, 1)
+	require.NotEqual(t, limited.ID, sends[0].Replica.ID)
+	sends, _ = q.HandleReply(after(2001), 0, 0, relay.Reply{Kind: relay.Unsent})
+	require.Empty(t, sends)
+	_, decided := q.Outcome()
+	require.False(t, decided)
+	require.Len(t, q.Tick(q.Next()), 1)
+}
--- a/internal/query/relay/outcome.go
+++ b/internal/query/relay/outcome.go
@@ -29,7 +29,11 @@
 	if q.anyMayHaveRun() {
 		return &Outcome{Verdict: Failed, Reason: "no backend server gave a usable answer"}
 	}
-	return &Outcome{Verdict: Refused, Reason: "no backend server accepts the request", RetryAfter: q.retryAfter()}
+	reason := "no backend server accepts the request"
+	if q.backoff > 0 {
+		reason = "backend servers want no more requests for now"
+	}
+	return &Outcome{Verdict: Refused, Reason: reason, RetryAfter: q.retryAfter()}
 }
 
 // deadlineOutcome returns the outcome of a query whose deadline has passed.
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -334,7 +334,7 @@
 		if q.postpone(now, s, reason) {
 			return sends
 		}
-		if first, _ := q.firstAvailable(now, s); first == nil && reason == hedge.NotRun && s.allRefused() {
+		if reason == hedge.NotRun && s.allRefused() && q.mayResend(now, s) {
 			s.retryAt, s.retryReason = now.Add(resendDelay), reason
 			s.forgetRefusals()
 			return sends
