--- a/internal/owner/sender/query.go
+++ b/internal/owner/sender/query.go
@@ -87,7 +87,6 @@
 // add buffers an answer. The buffered answers are sent together once the query is
 // complete, or Options.FlushDelay after the first of them.
 func (q *query) add(a msgs.Answer) {
-	q.sender.unanswered.Add(-1)
 	q.mu.Lock()
 	q.buffered = append(q.buffered, a)
 	q.remaining--
@@ -104,8 +103,8 @@
 	}
 }
 
-// flush sends the buffered answers. They are dropped if the process that sent the
-// query is no longer a member.
+// flush sends the buffered answers, and only then counts them as answered. They are
+// dropped if the process that sent the query is no longer a member.
 func (q *query) flush() {
 	q.mu.Lock()
 	answers := q.buffered
@@ -115,6 +114,7 @@
 		return
 	}
 	s := q.sender
+	defer s.unanswered.Add(-int64(len(answers)))
 	to, ok := s.deps.Views.Load().Members[q.key.from.VM]
 	if !ok || to.Process != q.key.from {
 		s.deps.Events.Count("reply_without_receiver")
--- a/internal/owner/sender/sender.go
+++ b/internal/owner/sender/sender.go
@@ -78,7 +78,7 @@
 	opts      Options
 	idPrefix  string
 	idCounter atomic.Uint64
-	// unanswered is the number of sub-requests that have not been answered.
+	// unanswered is the number of sub-requests whose answers have not been sent.
 	unanswered atomic.Int64
 	queries    queryTable
 	goroutines conc.WaitGroup
@@ -129,7 +129,7 @@
 	}
 }
 
-// Drain waits until all sub-requests have been answered. It returns an error if
+// Drain waits until the answers to all sub-requests have been sent. It returns an error if
 // ctx ends first.
 func (s *Sender) Drain(ctx context.Context) error {
 	ticker := time.NewTicker(drainPollInterval)
--- a/internal/owner/sender/sender_test.go
+++ b/internal/owner/sender/sender_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,12 +32,17 @@
 // replies is a mesh that collects the answers.
 type replies struct {
 	answers chan msgs.Answer
+	// hold delays replies until it is closed, unless it is nil.
+	hold chan struct{}
 }
 
 func (r *replies) SendQuery(view.Member, msgs.Query)   {}
 func (r *replies) SendCancel(view.Member, msgs.Cancel) {}
 
 func (r *replies) SendReply(_ view.Member, reply msgs.Reply) {
+	if r.hold != nil {
+		<-r.hold
+	}
 	for _, a := range reply.Answers {
 		r.answers <- a
 	}
@@ -391,3 +397,20 @@
 		<-f.replies.answers
 	}
 }
+
+// Guards against a planned stop that ends the process between the end of a sub-request and
+// the sending of its answer.
+func TestDrainWaitsUntilAnswersAreSent(t *testing.T) {
+	b := startBackend(t)
+	f := newFixture(t, b.address, sender.Options{})
+	f.replies.hold = make(chan struct{})
+	release := sync.OnceFunc(func() { close(f.replies.hold) })
+	defer release()
+	f.query(msgs.KindSearch, testWait)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	require.Error(t, f.sender.Drain(ctx))
+	release()
+	require.Equal(t, msgs.StatusOK, f.answer().Status)
+	require.NoError(t, f.sender.Drain(t.Context()))
+}
