Follow a store that comes back from an older copy

The store may come back from a copy some seconds old; revisions and lease ids are then given out again. A VM went on watching from its old revision and missed changes without a word, renewed leases that could be another VM's, and took back what it had acted on: a server that had left came into use again, a zone or a server missing from the copy went and came back.

Positions of the store hold its era and its revision; later eras come after earlier ones, and the client of the store compares them.

Not built: a VM that starts before the configuration is written again asks no other VM.

--- a/cmd/samphirestair/main.go
+++ b/cmd/samphirestair/main.go
@@ -19,6 +19,7 @@
 	"github.com/samphirestair/samphirestair/internal/core/tier"
 	"github.com/samphirestair/samphirestair/internal/ops/cmdln"
 	"github.com/samphirestair/samphirestair/internal/ops/fetch"
+	"github.com/samphirestair/samphirestair/internal/plat/depot"
 	"github.com/samphirestair/samphirestair/internal/plat/httpc"
 	"github.com/samphirestair/samphirestair/internal/plat/store"
 	"github.com/samphirestair/samphirestair/internal/plat/vmlist"
@@ -90,8 +91,10 @@
 	if err != nil {
 		return err
 	}
+	eras := &depot.EraTracker{}
 	process, err := tier.New(settings, load, tier.Adapter{
-		Depot:     platform.NewDepot(client),
+		Depot:     platform.NewDepot(client, eras),
+		Eras:      eras,
 		Reader:    platform.Facts{},
 		Names:     platform.Headers(),
 		Ready:     platform.Ready,
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -62,7 +62,9 @@
 // values, the header names and the handlers whose answers follow the platform's
 // formats.
 type Adapter struct {
-	Depot  depot.Depot
+	Depot depot.Depot
+	// Eras tracks the era of the store for Depot.
+	Eras   *depot.EraTracker
 	Reader roster.Decoder
 	Names  header.Names
 	// Ready and Directory return the handlers of the readiness port and of the
@@ -110,6 +112,8 @@
 	t.current.Store(settings)
 	logger = logger.With(slog.String("vm", string(settings.VM.ID)))
 	t.events = events.New(logger, t.metrics)
+	adapter.Eras.LogTo(t.events)
+	t.metrics.NewGauge("samphirestair_store_era", func() float64 { return float64(adapter.Eras.Current()) })
 	self := roster.Member{
 		VM: settings.VM.ID, Zone: settings.VM.Zone, CallerAddress: settings.Listen.Callers, PeerAddress: settings.Listen.Peers,
 		Cores: settings.VM.Cores, BootID: rand.Uint64(),
--- /dev/null
+++ b/internal/fleet/roster/departed.go
@@ -0,0 +1,65 @@
+package roster
+
+import (
+	"maps"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/plat/depot"
+)
+
+// departureRetention is how long departures are remembered. An older copy of the store is
+// some seconds old, and registrations in it that nobody renews lapse within seconds.
+const departureRetention = time.Minute
+
+// departures holds the backend servers and VMs that left. It is not safe for concurrent
+// use.
+type departures struct {
+	servers map[ident.ServerID]serverDeparture
+	// vms holds the time of departure by the boot id of the process.
+	vms map[uint64]time.Time
+}
+
+// serverDeparture is the last registration of a process of a backend server.
+type serverDeparture struct {
+	born, sequence int64
+	era            depot.Era
+	at             time.Time
+}
+
+func newDepartures() departures {
+	return departures{servers: map[ident.ServerID]serverDeparture{}, vms: map[uint64]time.Time{}}
+}
+
+// addServer records that the registration of a backend server ended in an era of the
+// store.
+func (d departures) addServer(now time.Time, era depot.Era, s *Server) {
+	d.servers[s.ID] = serverDeparture{born: s.Born, sequence: s.Sequence, era: era, at: now}
+}
+
+// hasServer reports whether a registration that was read in an era is one from before the
+// server's departure in an earlier era.
+func (d departures) hasServer(era depot.Era, s *Server) bool {
+	gone, ok := d.servers[s.ID]
+	return ok && era > gone.era && s.Born == gone.born && s.Sequence <= gone.sequence
+}
+
+// addVM records that the registration of a VM that leaves ended. A boot id of 0 is not
+// known.
+func (d departures) addVM(now time.Time, bootID uint64) {
+	if bootID != 0 {
+		d.vms[bootID] = now
+	}
+}
+
+// hasVM reports whether a process of a VM has left.
+func (d departures) hasVM(bootID uint64) bool {
+	_, ok := d.vms[bootID]
+	return ok
+}
+
+// removeOld forgets what happened more than departureRetention ago.
+func (d departures) removeOld(now time.Time) {
+	maps.DeleteFunc(d.servers, func(_ ident.ServerID, s serverDeparture) bool { return now.Sub(s.at) > departureRetention })
+	maps.DeleteFunc(d.vms, func(_ uint64, at time.Time) bool { return now.Sub(at) > departureRetention })
+}
--- a/internal/fleet/roster/readloop.go
+++ b/internal/fleet/roster/readloop.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
-	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/base/sleep"
 	"github.com/samphirestair/samphirestair/internal/plat/depot"
 )
@@ -17,7 +16,7 @@
 // readProgress is the state of readLoop.
 type readProgress struct {
 	// revision is the one up to which the store was read.
-	revision ident.Revision
+	revision depot.Position
 	// loaded is set once all keys were read, after which changes are watched.
 	loaded bool
 	// stale is set until a watch has confirmed the first read of the process.
@@ -197,7 +196,7 @@
 }
 
 // watch waits for changes. reread is set if the wait was interrupted to read all keys.
-func (f *Follower) watch(ctx context.Context, revision ident.Revision, scope watchScope) (batch depot.Batch, reread bool, err error) {
+func (f *Follower) watch(ctx context.Context, revision depot.Position, scope watchScope) (batch depot.Batch, reread bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ended := make(chan struct{})
--- a/internal/fleet/roster/registrar.go
+++ b/internal/fleet/roster/registrar.go
@@ -141,19 +141,19 @@
 	updater.Go(func() { r.updateRoleLoop(ctx) })
 	defer updater.Wait()
 	r.awaitFirstRead(ctx)
-	var lease depot.LeaseID
+	var lease depot.Lease
 	var written Member
 	var wait time.Duration
 	for ctx.Err() == nil {
 		desired := r.currentDesired()
-		if lease == 0 || written != desired || !r.isRegistered(written) {
+		if lease == (depot.Lease{}) || written != desired || !r.isRegistered(written) {
 			if desired.Serving != written.Serving {
-				lease = 0
+				lease = depot.Lease{}
 			}
 			next, err := r.register(ctx, lease, desired)
 			if err != nil {
 				r.events.Sample("registration_failed", string(r.self), err.Error())
-				lease = 0
+				lease = depot.Lease{}
 				sleep.For(ctx, retryPause())
 				continue
 			}
@@ -164,7 +164,7 @@
 		wait = leaseRenewInterval(written)
 		err := r.renew(ctx, lease)
 		if errors.Is(err, depot.ErrNoLease) {
-			lease = 0
+			lease = depot.Lease{}
 		}
 		if err != nil {
 			wait = renewInterval
@@ -239,13 +239,13 @@
 	}
 }
 
-// register writes the registration under lease, or under a new one if lease is 0, and
+// register writes the registration under lease, or under a new one if lease is the zero value, and
 // returns the lease.
-func (r *Registrar) register(ctx context.Context, lease depot.LeaseID, member Member) (depot.LeaseID, error) {
+func (r *Registrar) register(ctx context.Context, lease depot.Lease, member Member) (depot.Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var err error
-	if lease == 0 {
+	if lease == (depot.Lease{}) {
 		lease, err = r.depot.Grant(ctx, leaseTTL(member))
 	}
 	if err == nil {
@@ -253,15 +253,15 @@
 	}
 	r.follower.ReportCall(ctx, err)
 	if err != nil {
-		return 0, err
+		return depot.Lease{}, err
 	}
-	r.events.Record("vm_registered", string(r.self), "registration written", slog.Uint64("lease", uint64(lease)),
+	r.events.Record("vm_registered", string(r.self), "registration written", slog.Uint64("lease", lease.ID),
 		slog.Bool("serving", member.Serving), slog.Bool("leaving", member.Leaving))
 	return lease, nil
 }
 
 // put writes the registration, and deletes the known one if its key differs.
-func (r *Registrar) put(ctx context.Context, lease depot.LeaseID, member Member) error {
+func (r *Registrar) put(ctx context.Context, lease depot.Lease, member Member) error {
 	value, err := json.Marshal(member)
 	if err != nil {
 		return errors.Wrap(err, "roster: encode member")
@@ -277,7 +277,7 @@
 	return err
 }
 
-func (r *Registrar) renew(ctx context.Context, lease depot.LeaseID) error {
+func (r *Registrar) renew(ctx context.Context, lease depot.Lease) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := r.depot.Renew(ctx, lease)
--- a/internal/fleet/roster/role_test.go
+++ b/internal/fleet/roster/role_test.go
@@ -64,16 +64,20 @@
 
 func withCluster(t *testing.T, test func(t *testing.T, c *cluster)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		c := &cluster{store: depsrv.New(), stops: map[ident.VMID]context.CancelFunc{}}
-		c.followers, c.registrars = map[ident.VMID]*roster.Follower{}, map[ident.VMID]*roster.Registrar{}
-		c.store.Set("config:", encode(1))
-		test(t, c)
-		for _, stop := range c.stops {
-			stop()
-		}
-		c.running.Wait()
-	})
+	synctest.Test(t, func(t *testing.T) { runCluster(t, test) })
+}
+
+// runCluster runs test on a cluster without VMs, in a bubble of synthetic time.
+func runCluster(t *testing.T, test func(t *testing.T, c *cluster)) {
+	t.Helper()
+	c := &cluster{store: depsrv.New(), stops: map[ident.VMID]context.CancelFunc{}}
+	c.followers, c.registrars = map[ident.VMID]*roster.Follower{}, map[ident.VMID]*roster.Registrar{}
+	c.store.Set("config:", encode(1))
+	test(t, c)
+	for _, stop := range c.stops {
+		stop()
+	}
+	c.running.Wait()
 }
 
 func TestFewOfManyVMsServe(t *testing.T) {
--- a/internal/fleet/roster/snapshot.go
+++ b/internal/fleet/roster/snapshot.go
@@ -51,7 +51,7 @@
 		s.members[m.VM] = &registration[Member]{value: m, key: m.key()}
 	}
 	for _, zone := range snapshot.ZonesOut {
-		s.zonesOut[zone] = ""
+		s.zonesOut[zone] = &zoneMark{}
 	}
 	s.events.Record("beliefs_adopted", string(s.self), "the store does not answer",
 		slog.Uint64("version", uint64(snapshot.Config.Version)), slog.Int("servers", len(snapshot.Servers)), slog.Int("vms", len(snapshot.Members)))
--- a/internal/fleet/roster/state.go
+++ b/internal/fleet/roster/state.go
@@ -64,8 +64,16 @@
 	table   *routes.Table
 	servers map[ident.ServerID]*registration[Replica]
 	members map[ident.VMID]*registration[Member]
-	// zonesOut maps each zone that is out of service to the key that marks it.
-	zonesOut map[ident.Zone]string
+	// zonesOut holds the zones that are out of service.
+	zonesOut map[ident.Zone]*zoneMark
+	// departures holds the backend servers and VMs that left, since an older copy of the
+	// store may still hold their registrations.
+	departures departures
+
+	// era is the latest era of the store, and eraGraceUntil the end of the period in which
+	// what is missing from its copy may be written again.
+	era           depot.Era
+	eraGraceUntil time.Time
 
 	// allKeysRead is set once all keys were read. What the first read returns is logged
 	// in one line, since a large fleet has thousands of registrations.
@@ -83,20 +91,28 @@
 type registration[T any] struct {
 	value    T
 	key      string
-	revision ident.Revision
+	revision depot.Position
+	removeAt time.Time
+}
+
+// zoneMark marks a zone that is out of service. If removeAt is not zero, its key is
+// missing, and the mark is removed at that time unless the key reappears.
+type zoneMark struct {
+	key      string
 	removeAt time.Time
 }
 
 // NewState returns an empty state for the VM self. recorder may be nil.
 func NewState(self ident.VMID, decoder Decoder, recorder *events.Recorder) *State {
 	s := &State{
-		self:     self,
-		decoder:  decoder,
-		events:   recorder,
-		servers:  map[ident.ServerID]*registration[Replica]{},
-		members:  map[ident.VMID]*registration[Member]{},
-		zonesOut: map[ident.Zone]string{},
-		changed:  true,
+		self:       self,
+		decoder:    decoder,
+		events:     recorder,
+		servers:    map[ident.ServerID]*registration[Replica]{},
+		members:    map[ident.VMID]*registration[Member]{},
+		zonesOut:   map[ident.Zone]*zoneMark{},
+		departures: newDepartures(),
+		changed:    true,
 	}
 	s.View()
 	return s
@@ -129,6 +145,9 @@
 // of all these keys.
 func (s *State) Load(now time.Time, prefix string, batch depot.Batch) {
 	s.StoreAnswered(now)
+	if !s.enterEra(now, batch.Revision.Era()) {
+		return
+	}
 	present := make(coll.Set[string], len(batch.Items))
 	missing := func(key string) bool { return strings.HasPrefix(key, prefix) && !present.Has(key) }
 	for _, item := range batch.Items {
@@ -146,9 +165,9 @@
 			s.handleMissingMember(now, vm, r)
 		}
 	}
-	for zone, key := range s.zonesOut {
-		if missing(key) {
-			s.markZoneIn(zone)
+	for zone, mark := range s.zonesOut {
+		if missing(mark.key) {
+			s.handleMissingZoneMark(now, zone, mark)
 		}
 	}
 	if !s.allKeysRead && prefix == allKeys {
@@ -162,6 +181,9 @@
 // Apply applies the changes that a watch returned.
 func (s *State) Apply(now time.Time, batch depot.Batch) {
 	s.StoreAnswered(now)
+	if !s.enterEra(now, batch.Revision.Era()) {
+		return
+	}
 	var configs []depot.Item
 	for _, item := range batch.Items {
 		switch {
@@ -187,10 +209,17 @@
 	return kind == KindConfig
 }
 
-// RemoveExpired removes the registrations whose grace period is over.
+// RemoveExpired removes the registrations and zone marks whose grace period is over.
 func (s *State) RemoveExpired(now time.Time) {
+	s.departures.removeOld(now)
+	for zone, mark := range s.zonesOut {
+		if !mark.removeAt.IsZero() && !now.Before(mark.removeAt) {
+			s.markZoneIn(zone)
+		}
+	}
 	for id, r := range s.servers {
 		if !r.removeAt.IsZero() && !now.Before(r.removeAt) {
+			s.departures.addServer(now, s.era, &r.value.Server)
 			delete(s.servers, id)
 			s.changed = true
 			s.events.Record("server_gone", string(id), "registration lapsed", slog.String("service", string(r.value.Service)))
@@ -281,13 +310,17 @@
 	if err != nil {
 		s.events.Record("registration_unusable", id, err.Error())
 		if known != nil && known.revision < item.Revision {
-			s.removeServer(ident.ServerID(id), "its registration can't be read")
+			s.removeServer(now, ident.ServerID(id), "its registration can't be read")
 		}
 		return
 	}
 	if known != nil && isOutdated(known, &server, item.Revision) {
 		return
 	}
+	if known == nil && s.departures.hasServer(item.Revision.Era(), &server) {
+		s.events.Sample("registration_outdated", id, "the store came back from a copy from before its removal")
+		return
+	}
 	if s.allKeysRead && (known == nil || known.value.Draining != server.Draining || !known.value.SameProcess(&server) || !known.removeAt.IsZero()) {
 		s.events.Record("server_known", id, "registration", slog.String("service", string(server.Service)),
 			slog.String("address", server.Address), slog.Bool("draining", server.Draining), slog.Duration("cold", server.ColdFor))
@@ -303,7 +336,7 @@
 // isOutdated reports whether a registration is older than the known one: it has a lower
 // revision, comes from an earlier process, or is an earlier registration of the same
 // process.
-func isOutdated(known *registration[Replica], server *Server, revision ident.Revision) bool {
+func isOutdated(known *registration[Replica], server *Server, revision depot.Position) bool {
 	switch {
 	case revision < known.revision:
 		return true
@@ -317,11 +350,11 @@
 }
 
 func (s *State) markZoneOut(zone ident.Zone, key string) {
-	if _, out := s.zonesOut[zone]; out {
-		s.zonesOut[zone] = key
+	_, out := s.zonesOut[zone]
+	s.zonesOut[zone] = &zoneMark{key: key}
+	if out {
 		return
 	}
-	s.zonesOut[zone] = key
 	s.changed = true
 	s.events.Record("zone_out", string(zone), "operator")
 }
@@ -345,6 +378,13 @@
 	if known != nil && item.Revision < known.revision {
 		return
 	}
+	if s.departures.hasVM(member.BootID) {
+		return
+	}
+	if known != nil && known.value.BootID == member.BootID && known.value.Leaving && !member.Leaving {
+		// A process that leaves doesn't stay: the registration is from an older copy.
+		member.Leaving = true
+	}
 	if known == nil || known.value != member || !known.removeAt.IsZero() {
 		s.changed = true
 		if s.allKeysRead {
@@ -384,11 +424,12 @@
 		}
 		return
 	}
-	s.removeServer(id, "its registration was removed")
+	s.removeServer(now, id, "its registration was removed")
 }
 
-func (s *State) removeServer(id ident.ServerID, reason string) {
+func (s *State) removeServer(now time.Time, id ident.ServerID, reason string) {
 	r := s.servers[id]
+	s.departures.addServer(now, s.era, &r.value.Server)
 	delete(s.servers, id)
 	s.changed = true
 	s.events.Record("server_gone", string(id), reason, slog.String("service", string(r.value.Service)))
@@ -398,6 +439,9 @@
 // that announced that it leaves is removed at once.
 func (s *State) handleMissingMember(now time.Time, vm ident.VMID, r *registration[Member]) {
 	if r.value.Leaving {
+		if vm != s.self {
+			s.departures.addVM(now, r.value.BootID)
+		}
 		delete(s.members, vm)
 		s.changed = true
 		return
@@ -409,3 +453,33 @@
 		}
 	}
 }
+
+// enterEra records the era of what the store returned. It returns false if a later era is
+// known already, so that it must not be used. At the beginning of a new era the store came
+// back from an older copy: what is missing there is kept for a grace period.
+func (s *State) enterEra(now time.Time, era depot.Era) bool {
+	if era < s.era {
+		s.events.Sample("store_answer_outdated", "store", "of an earlier era", slog.Uint64("era", uint64(era)), slog.Uint64("current", uint64(s.era)))
+		return false
+	}
+	if era > s.era && s.allKeysRead {
+		s.graceUntil = now.Add(storeReturnGrace)
+		s.eraGraceUntil = s.graceUntil
+		s.events.Record("store_era", "store", "it came back from an older copy", slog.Uint64("era", uint64(era)), slog.Uint64("before", uint64(s.era)),
+			slog.Int("servers", len(s.servers)), slog.Int("vms", len(s.members)), slog.Int("zones_out", len(s.zonesOut)), slog.Duration("grace", storeReturnGrace))
+	}
+	s.era = era
+	return true
+}
+
+// handleMissingZoneMark puts a zone back into service. In the grace period of an era it is
+// kept out of service until the period ends, since the copy may be from before the mark.
+func (s *State) handleMissingZoneMark(now time.Time, zone ident.Zone, mark *zoneMark) {
+	if !now.Before(s.eraGraceUntil) {
+		s.markZoneIn(zone)
+		return
+	}
+	if mark.removeAt.IsZero() {
+		mark.removeAt = s.eraGraceUntil
+	}
+}
--- a/internal/fleet/roster/state_test.go
+++ b/internal/fleet/roster/state_test.go
@@ -17,7 +17,7 @@
 // stateUnderTest is a State with the revision of the store that a test writes to.
 type stateUnderTest struct {
 	*roster.State
-	revision ident.Revision
+	revision depot.Position
 }
 
 func newStateUnderTest() *stateUnderTest {
@@ -77,7 +77,7 @@
 	book := roster.NewState("vm-1", countingDecoder{configs: &read}, nil)
 	storm := depot.Batch{Revision: 30}
 	for version := range 30 {
-		storm.Items = append(storm.Items, depot.Item{Key: "config:", Value: encode(version + 1), Revision: ident.Revision(version + 1)})
+		storm.Items = append(storm.Items, depot.Item{Key: "config:", Value: encode(version + 1), Revision: depot.Position(version + 1)})
 	}
 	book.Apply(time.Now(), storm)
 	require.Equal(t, 1, read)
--- a/internal/lab/depsrv/store.go
+++ b/internal/lab/depsrv/store.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/base/sleep"
 	"github.com/samphirestair/samphirestair/internal/plat/depot"
 )
@@ -35,12 +34,13 @@
 type Store struct {
 	mu      sync.Mutex
 	items   map[string]stored
-	leases  map[depot.LeaseID]*lease
+	leases  map[uint64]*lease
 	history []depot.Item
 	// compacted is the revision up to which the history is lost.
-	compacted ident.Revision
-	revision  ident.Revision
-	lastLease depot.LeaseID
+	compacted depot.Position
+	// revision holds the era of the store, too.
+	revision  depot.Position
+	lastLease uint64
 	faults    Faults
 	changed   chan struct{}
 	calls     int
@@ -55,7 +55,7 @@
 
 type stored struct {
 	item  depot.Item
-	lease depot.LeaseID
+	lease uint64
 }
 
 type lease struct {
@@ -67,7 +67,7 @@
 func New() *Store {
 	return &Store{
 		items:   map[string]stored{},
-		leases:  map[depot.LeaseID]*lease{},
+		leases:  map[uint64]*lease{},
 		changed: make(chan struct{}),
 	}
 }
@@ -101,7 +101,7 @@
 }
 
 // Set writes a key, as the platform's operators and backend servers do.
-func (s *Store) Set(key string, value []byte) ident.Revision {
+func (s *Store) Set(key string, value []byte) depot.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.write(depot.Write{Key: key, Value: value})
@@ -169,7 +169,7 @@
 }
 
 // Watch implements depot.Depot.
-func (s *Store) Watch(ctx context.Context, prefix string, after ident.Revision, wait time.Duration) (depot.Batch, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, after depot.Position, wait time.Duration) (depot.Batch, error) {
 	if err := s.beginCall(ctx); err != nil {
 		return depot.Batch{}, err
 	}
@@ -218,14 +218,14 @@
 
 // changesAfter returns the changes after a revision of the keys with a prefix, and a
 // channel that is closed at the next change.
-func (s *Store) changesAfter(prefix string, after ident.Revision) (depot.Batch, chan struct{}, error) {
+func (s *Store) changesAfter(prefix string, after depot.Position) (depot.Batch, chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
 	if s.faults.Down {
 		return depot.Batch{}, nil, depot.ErrUnavailable
 	}
-	if after < s.compacted {
+	if after < s.compacted || after.Era() != s.revision.Era() || after > s.revision {
 		return depot.Batch{}, nil, depot.ErrCompacted
 	}
 	batch := depot.Batch{Revision: s.revision}
@@ -243,14 +243,14 @@
 }
 
 // Put implements depot.Depot.
-func (s *Store) Put(ctx context.Context, write depot.Write) (ident.Revision, error) {
+func (s *Store) Put(ctx context.Context, write depot.Write) (depot.Position, error) {
 	if err := s.beginCall(ctx); err != nil {
 		return 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
-	if write.Lease != 0 && s.leases[write.Lease] == nil {
+	if write.Lease != (depot.Lease{}) && !s.hasLease(write.Lease) {
 		return 0, depot.ErrNoLease
 	}
 	if write.Delete != "" {
@@ -271,33 +271,37 @@
 }
 
 // Grant implements depot.Depot.
-func (s *Store) Grant(ctx context.Context, length time.Duration) (depot.LeaseID, error) {
+func (s *Store) Grant(ctx context.Context, length time.Duration) (depot.Lease, error) {
 	if err := s.beginCall(ctx); err != nil {
-		return 0, err
+		return depot.Lease{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastLease++
 	s.leases[s.lastLease] = &lease{length: length, until: time.Now().Add(length)}
-	return s.lastLease, s.writeError()
+	return depot.Lease{ID: s.lastLease, Era: s.revision.Era()}, s.writeError()
 }
 
 // Renew implements depot.Depot.
-func (s *Store) Renew(ctx context.Context, id depot.LeaseID) error {
+func (s *Store) Renew(ctx context.Context, id depot.Lease) error {
 	if err := s.beginCall(ctx); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
-	known := s.leases[id]
-	if known == nil {
+	if !s.hasLease(id) {
 		return depot.ErrNoLease
 	}
+	known := s.leases[id.ID]
 	known.until = time.Now().Add(known.length)
 	return nil
 }
 
+func (s *Store) hasLease(l depot.Lease) bool {
+	return l.Era == s.revision.Era() && s.leases[l.ID] != nil
+}
+
 // beginCall counts a call, delays it, and returns an error if the store is down or ctx
 // ends.
 func (s *Store) beginCall(ctx context.Context) error {
@@ -322,10 +326,10 @@
 	return nil
 }
 
-func (s *Store) write(w depot.Write) ident.Revision {
+func (s *Store) write(w depot.Write) depot.Position {
 	s.revision++
 	item := depot.Item{Key: w.Key, Value: slices.Clone(w.Value), Revision: s.revision}
-	s.items[w.Key] = stored{item: item, lease: w.Lease}
+	s.items[w.Key] = stored{item: item, lease: w.Lease.ID}
 	s.record(item)
 	return s.revision
 }
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -41,6 +41,7 @@
 	AllFail      Fault = "all-fail"
 	ServerQuiet  Fault = "server-quiet"
 	ServerLimits Fault = "server-limits"
+	StoreRestore Fault = "store-restores"
 )
 
 // Faults returns all kinds of faults. New kinds are appended: the order determines
@@ -50,7 +51,7 @@
 		KillVM, KillAll, StopVM, PauseVM, Settings, CallerLink, StoreLink, ServerLink,
 		StoreDown, StoreSlow, StoreLoses, StoreForget, StoreDeaf,
 		ServerCrash, ServerSlow, ServerFails, ServerLoses, ServerSpoils, ServerDrain, ServerReuse, ServerReborn,
-		ConfigMove, ConfigStorm, Reshard, Evacuate, AllFail, ServerQuiet, ServerLimits,
+		ConfigMove, ConfigStorm, Reshard, Evacuate, AllFail, ServerQuiet, ServerLimits, StoreRestore,
 	}
 }
 
--- a/internal/plat/depot/depot.go
+++ b/internal/plat/depot/depot.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/samphirestair/samphirestair/internal/base/ident"
 )
 
 var (
@@ -24,32 +22,29 @@
 	ErrUnknown = errors.New("depot: outcome unknown")
 )
 
-// LeaseID identifies a lease. 0 means none.
-type LeaseID uint64
-
 // Item is the state of one key. A deleted key has Deleted set and no value.
 type Item struct {
 	Key      string
 	Value    []byte
-	Revision ident.Revision
+	Revision Position
 	Deleted  bool
 }
 
 // Batch is the result of a range or a watch. For a range, Revision is the revision
 // of the store at which Items were read. For a watch, Items holds all changes up
-// to Revision.
+// to Revision. All items are of the era of Revision.
 type Batch struct {
 	Items    []Item
-	Revision ident.Revision
+	Revision Position
 }
 
-// Write sets a key. The key is deleted when Lease ends; with Lease 0 it stays until it
+// Write sets a key. The key is deleted when Lease ends; without a lease it stays until it
 // is deleted. Delete, if not empty, is another key that is deleted in the same
 // transaction.
 type Write struct {
 	Key    string
 	Value  []byte
-	Lease  LeaseID
+	Lease  Lease
 	Delete string
 }
 
@@ -62,17 +57,19 @@
 	Range(ctx context.Context, prefix string, stale bool) (Batch, error)
 	// Watch returns the changes after revision after to keys that begin with prefix.
 	// It waits for the first change, and returns an empty batch if there is none
-	// within wait. It fails with ErrCompacted or ErrUnavailable.
-	Watch(ctx context.Context, prefix string, after ident.Revision, wait time.Duration) (Batch, error)
+	// within wait. It fails with ErrCompacted, also if the store is in a later era than
+	// after, or ErrUnavailable.
+	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) (Batch, error)
 	// Put executes write unconditionally and returns its revision. It fails with
-	// ErrNoLease, ErrUnavailable or ErrUnknown.
-	Put(ctx context.Context, write Write) (ident.Revision, error)
+	// ErrNoLease, also if the store is in a later era than the lease, ErrUnavailable or
+	// ErrUnknown.
+	Put(ctx context.Context, write Write) (Position, error)
 	// Delete deletes a key. It fails with ErrUnavailable or ErrUnknown.
 	Delete(ctx context.Context, key string) error
 	// Grant returns a new lease that ends after length unless it is renewed. It fails with
 	// ErrUnavailable or ErrUnknown.
-	Grant(ctx context.Context, length time.Duration) (LeaseID, error)
-	// Renew extends a lease by its length. It fails with ErrNoLease or
-	// ErrUnavailable.
-	Renew(ctx context.Context, lease LeaseID) error
+	Grant(ctx context.Context, length time.Duration) (Lease, error)
+	// Renew extends a lease by its length. It fails with ErrNoLease, also if the store is
+	// in a later era than the lease, or ErrUnavailable.
+	Renew(ctx context.Context, lease Lease) error
 }
