Let a VM that starts ask others for a newer configuration than the store's

A VM that starts right after the store came back from an older copy used the copy's configuration until the operator wrote the newer one again. It now asks two VMs once for their version, and one with a higher version for the configuration.

--- a/internal/fleet/roster/era_test.go
+++ b/internal/fleet/roster/era_test.go
@@ -320,3 +320,73 @@
 		test(m)
 	})
 }
+
+// A VM starts when the store has come back from an older copy, and before the operator has
+// written the newer configuration again.
+func TestVMThatStartsAfterARollbackLearnsTheNewerConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, peers := depsrv.New(), &fixedPeer{}
+		store.Set("config:", encode(3))
+		followStore(t, store, roster.FollowerOptions{Peers: peers}, func(f *roster.Follower, _ *roster.Registrar) {
+			time.Sleep(300 * time.Millisecond)
+			require.EqualValues(t, 3, f.View().Table.Config().Version)
+			time.Sleep(2 * time.Second)
+			require.EqualValues(t, 6, f.View().Table.Config().Version)
+			store.Set("config:", encode(5))
+			time.Sleep(5 * time.Second)
+			require.EqualValues(t, 6, f.View().Table.Config().Version)
+			require.Equal(t, 2, peers.checks)
+		})
+	})
+}
+
+// registeredSince returns the number of VMs that wrote their registrations after a position.
+func (c *cluster) registeredSince(t *testing.T, position depot.Position) int {
+	t.Helper()
+	batch, err := c.store.Range(t.Context(), roster.PrefixMembers, false)
+	require.NoError(t, err)
+	count := 0
+	for _, item := range batch.Items {
+		if item.Revision > position {
+			count++
+		}
+	}
+	return count
+}
+
+// All VMs register again after a rollback without more calls than the store takes.
+func TestCallsAfterARollback(t *testing.T) {
+	for _, fleet := range []struct{ vms, callsPerSecond int }{{8, 400}, {83, 1200}, {295, 3200}} {
+		t.Run(fmt.Sprint(fleet.vms), func(t *testing.T) {
+			withCluster(t, func(t *testing.T, c *cluster) {
+				c.startVMs(t, fleet.vms)
+				time.Sleep(20 * time.Second)
+				older := c.store.Copy()
+				time.Sleep(5 * time.Second)
+				c.store.Set("config:", encode(2))
+				time.Sleep(2 * time.Second)
+				c.store.Restore(older)
+				restored, err := c.store.Range(t.Context(), roster.PrefixMembers, false)
+				require.NoError(t, err)
+				began := time.Now()
+				most, total, registered := 0, 0, time.Duration(0)
+				for range 20 {
+					before := c.store.Calls()
+					for range 10 {
+						time.Sleep(100 * time.Millisecond)
+						if c.registeredSince(t, restored.Revision) == fleet.vms && registered == 0 {
+							registered = time.Since(began).Round(100 * time.Millisecond)
+						}
+					}
+					const ownCalls = 10
+					calls := c.store.Calls() - before - ownCalls
+					most, total = max(most, calls), total+calls
+				}
+				t.Logf("%d VMs: %d calls in 20 s, %d in the busiest second, all registered after %v", fleet.vms, total, most, registered)
+				require.Less(t, most, fleet.callsPerSecond)
+				require.NotZero(t, registered)
+				require.LessOrEqual(t, registered, 6*time.Second)
+			})
+		})
+	}
+}
--- a/internal/fleet/roster/follower.go
+++ b/internal/fleet/roster/follower.go
@@ -11,6 +11,8 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/boot"
 	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/plat/depot"
 )
 
@@ -52,6 +54,11 @@
 	maxRetryPause = 600 * time.Millisecond
 	// tickInterval is the time between two removals of expired registrations.
 	tickInterval = 200 * time.Millisecond
+	// peerCheckDelay is the time after the first read, and between two tries, after which
+	// other VMs are asked whether they know a newer configuration. The first datagrams of
+	// others have arrived by then. peerCheckTries bounds the number of tries.
+	peerCheckDelay = 700 * time.Millisecond
+	peerCheckTries = 3
 	// stallLimit is the time without a tick, or in suspension, after which the view must
 	// be confirmed by the store before it is used. It is longer than the 0.1 s for which
 	// a busy VM pauses when it has used up its processor quota.
@@ -79,6 +86,9 @@
 type Peers interface {
 	// FetchSnapshot returns the snapshot of another VM, and its age.
 	FetchSnapshot(ctx context.Context) (*Snapshot, time.Duration, error)
+	// FetchNewerConfig returns another VM's configuration if its version is higher than
+	// version, nil if there is none, and an error if no VM answered.
+	FetchNewerConfig(ctx context.Context, version ident.Version) (*routes.Config, error)
 }
 
 // Follower keeps a State up to date by watching the store. Only the goroutine in Run
@@ -132,7 +142,9 @@
 	confirms bool
 	// snapshot comes from another VM while the store is down.
 	snapshot *Snapshot
-	err      error
+	// config comes from another VM that knows a newer one than the store.
+	config *routes.Config
+	err    error
 }
 
 // NewFollower returns a follower that takes ownership of state.
@@ -261,6 +273,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	var reader conc.WaitGroup
 	reader.Go(func() { f.readLoop(ctx) })
+	reader.Go(func() { f.checkPeersForNewerConfig(ctx) })
 	defer reader.Wait()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -285,6 +298,10 @@
 
 func (f *Follower) apply(u update) {
 	now := time.Now()
+	if u.config != nil {
+		f.state.AdoptConfig(u.config)
+		return
+	}
 	if u.snapshot != nil {
 		if f.state.AdoptSnapshot(now, u.snapshot) {
 			f.lastConfirmation.Store(&u.start)
--- a/internal/fleet/roster/readloop.go
+++ b/internal/fleet/roster/readloop.go
@@ -122,6 +122,38 @@
 	return true
 }
 
+// checkPeersForNewerConfig asks other VMs once, after the first read, whether they know a
+// newer configuration than the store, which may have come back from an older copy. A VM
+// that stands by doesn't ask.
+func (f *Follower) checkPeersForNewerConfig(ctx context.Context) {
+	if f.options.Peers == nil {
+		return
+	}
+	select {
+	case <-f.loaded:
+	case <-ctx.Done():
+		return
+	}
+	for range peerCheckTries {
+		if !sleep.For(ctx, peerCheckDelay) {
+			return
+		}
+		table := f.View().Table
+		if table == nil || !f.followAll.Load() {
+			return
+		}
+		config, err := f.options.Peers.FetchNewerConfig(ctx, table.Config().Version)
+		if err != nil {
+			f.state.events.Sample("peers_unknowing", "config", err.Error())
+			continue
+		}
+		if config != nil {
+			f.send(ctx, update{config: config})
+		}
+		return
+	}
+}
+
 // readChanges waits for changes. After some, it pauses so that more accumulate.
 func (f *Follower) readChanges(ctx context.Context, r *readProgress) {
 	start, scope := f.newCallStart(), f.nextScope(r.stale)
--- a/internal/fleet/roster/role_test.go
+++ b/internal/fleet/roster/role_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -307,7 +308,19 @@
 }
 
 // fixedPeer is another VM that knows configuration 6 and one server.
-type fixedPeer struct{ fetches int }
+type fixedPeer struct{ fetches, checks int }
+
+func (p *fixedPeer) FetchNewerConfig(_ context.Context, version ident.Version) (*routes.Config, error) {
+	p.checks++
+	if p.checks == 1 {
+		return nil, errors.New("no VM is known yet")
+	}
+	if version >= 6 {
+		return nil, nil
+	}
+	config, err := jsonDecoder{}.Config(encode(6))
+	return config, err
+}
 
 func (p *fixedPeer) FetchSnapshot(context.Context) (*roster.Snapshot, time.Duration, error) {
 	p.fetches++
--- a/internal/fleet/roster/snapshot.go
+++ b/internal/fleet/roster/snapshot.go
@@ -31,6 +31,20 @@
 	return snapshot
 }
 
+// AdoptConfig makes another VM's configuration the current one if its version is newer.
+func (s *State) AdoptConfig(config *routes.Config) {
+	if s.table != nil && config.Version <= s.table.Config().Version {
+		return
+	}
+	table, err := routes.NewTable(config)
+	if err != nil {
+		s.events.Record("config_unusable", "another VM", err.Error())
+		return
+	}
+	s.table, s.changed = table, true
+	s.events.Record("config_in_force", "another VM", "newer than in the store", slog.Uint64("version", uint64(config.Version)))
+}
+
 // AdoptSnapshot fills the state from another VM's snapshot until the store has been read.
 // It reports whether the snapshot could be used. It never goes back to an older
 // configuration.
--- a/internal/fleet/seeds/seeds.go
+++ b/internal/fleet/seeds/seeds.go
@@ -15,12 +15,16 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/plat/httpc"
 )
 
 const (
 	snapshotPath = "/v1/beliefs"
+	// versionPath returns the version of the configuration as text.
+	versionPath = "/v1/beliefs/version"
 	// ageHeader holds the age of the view in milliseconds.
 	ageHeader = "X-Age-Ms"
 	// fetchTimeout bounds the request to one VM.
@@ -28,6 +32,8 @@
 	connectionsPerPeer = 1
 	// maxPeers bounds the number of VMs that get a request at the same time.
 	maxPeers = 6
+	// versionPeers is the number of VMs that are asked for their version.
+	versionPeers = 2
 )
 
 // ErrNoSnapshot means that no VM returned a snapshot.
@@ -58,7 +64,12 @@
 }
 
 func (h *snapshotHandler) serve(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != snapshotPath {
+	switch string(ctx.Path()) {
+	case snapshotPath:
+	case versionPath:
+		h.serveVersion(ctx)
+		return
+	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
@@ -73,6 +84,16 @@
 	ctx.SetBody(body)
 }
 
+// serveVersion responds with the version of the configuration in force.
+func (h *snapshotHandler) serveVersion(ctx *fasthttp.RequestCtx) {
+	table := h.source.View().Table
+	if table == nil {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString(strconv.FormatUint(uint64(table.Config().Version), 10))
+}
+
 // encode returns the encoded snapshot, or nil while there is no configuration.
 func (h *snapshotHandler) encode(now time.Time) ([]byte, error) {
 	h.mu.Lock()
@@ -130,6 +151,32 @@
 	return newest.snapshot, newest.age, newest.err
 }
 
+// FetchNewerConfig asks random VMs for the version of their configuration, and returns the
+// configuration of the first one whose version is higher than version. It returns nil if
+// there is none, and ErrNoSnapshot if no VM answered.
+func (c *Client) FetchNewerConfig(ctx context.Context, version ident.Version) (*routes.Config, error) {
+	addresses := slices.Clone(c.addresses())
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	answered := false
+	for _, address := range addresses[:min(len(addresses), versionPeers)] {
+		other, err := fetchVersion(ctx, address)
+		if err != nil {
+			continue
+		}
+		answered = true
+		if other <= version {
+			continue
+		}
+		if answer := fetch(ctx, address); answer.err == nil {
+			return answer.snapshot.Config, nil
+		}
+	}
+	if !answered {
+		return nil, errors.WithStack(ErrNoSnapshot)
+	}
+	return nil, nil
+}
+
 // peerAnswer is the answer of one VM.
 type peerAnswer struct {
 	snapshot *roster.Snapshot
@@ -137,18 +184,36 @@
 	err      error
 }
 
-func fetch(ctx context.Context, address string) peerAnswer {
+// call makes one call to another VM. An answer with an error status is an error.
+func call(ctx context.Context, address, path string) (*httpc.Answer, error) {
 	client, err := httpc.New("http://"+address, httpc.Options{Timeout: fetchTimeout, DialTimeout: fetchTimeout, Connections: connectionsPerPeer})
 	if err != nil {
-		return peerAnswer{err: errors.Wrapf(err, "seeds: %s", address)}
+		return nil, errors.Wrapf(err, "seeds: %s", address)
 	}
 	defer client.Close()
-	answer, err := client.Do(ctx, httpc.Call{Path: snapshotPath})
+	answer, err := client.Do(ctx, httpc.Call{Path: path})
 	if err != nil {
-		return peerAnswer{err: err}
+		return nil, err
 	}
 	if answer.Status != fasthttp.StatusOK {
-		return peerAnswer{err: errors.Newf("seeds: status %d", answer.Status)}
+		return nil, errors.Newf("seeds: status %d", answer.Status)
+	}
+	return answer, nil
+}
+
+func fetchVersion(ctx context.Context, address string) (ident.Version, error) {
+	answer, err := call(ctx, address, versionPath)
+	if err != nil {
+		return 0, err
+	}
+	version, err := strconv.ParseUint(string(answer.Body), 10, 64)
+	return ident.Version(version), errors.Wrap(err, "seeds: version")
+}
+
+func fetch(ctx context.Context, address string) peerAnswer {
+	answer, err := call(ctx, address, snapshotPath)
+	if err != nil {
+		return peerAnswer{err: err}
 	}
 	age, err := strconv.ParseInt(answer.Header(ageHeader), 10, 64)
 	if err != nil || age < 0 {
--- a/internal/fleet/seeds/seeds_test.go
+++ b/internal/fleet/seeds/seeds_test.go
@@ -117,3 +117,16 @@
 		})
 	}
 }
+
+func TestNewerConfigurationOfAnotherVM(t *testing.T) {
+	newer := serve(t, &testSource{view: viewOf(t, 9), age: time.Second, known: true})
+	without := serve(t, &testSource{view: roster.NewView(nil, nil, nil, nil)})
+	config, err := clientOf(newer, without).FetchNewerConfig(t.Context(), 8)
+	require.NoError(t, err)
+	require.EqualValues(t, 9, config.Version)
+	config, err = clientOf(newer, "127.0.0.1:1").FetchNewerConfig(t.Context(), 9)
+	require.NoError(t, err)
+	require.Nil(t, config)
+	_, err = clientOf(without).FetchNewerConfig(t.Context(), 1)
+	require.ErrorIs(t, err, seeds.ErrNoSnapshot)
+}
