--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -218,15 +218,13 @@
 // pace returns this VM's part of the rate of a backend server that is in cold start or
 // names a limit.
 func (t *Tier) pace(now time.Time, replica *roster.Replica) relay.Pace {
-	pace := relay.Pace{Rate: math.Inf(1)}
+	pace, view, self := relay.Pace{Rate: math.Inf(1)}, t.follower.View(), t.settings.VM.ID
 	if limit, limited := t.notices.Limit(replica.Process()); limited {
-		pace.Rate, pace.Spread = roster.LimitedRate(t.follower.View(), t.settings.VM.ID, float64(limit.Limit))
+		pace.Rate, pace.Spread = roster.LimitedRate(view, self, float64(limit.Limit))
 		pace.Since = limit.Since
 	}
 	if now.Before(replica.ColdUntil) {
-		if cold := roster.ColdStartRate(t.follower.View(), t.settings.VM.ID, replica); cold < pace.Rate {
-			pace.Rate = cold
-		}
+		pace.Rate = min(pace.Rate, roster.ColdStartRate(view, self, replica))
 	}
 	return pace
 }
--- a/internal/fleet/roster/departed.go
+++ b/internal/fleet/roster/departed.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/plat/depot"
 )
@@ -17,7 +18,7 @@
 type departures struct {
 	servers map[ident.ServerID]serverDeparture
 	// vms holds the time of departure by the boot id of the process.
-	vms map[uint64]time.Time
+	vms coll.LastSeen[uint64]
 }
 
 // serverDeparture is the last registration of a process of a backend server.
@@ -28,7 +29,7 @@
 }
 
 func newDepartures() departures {
-	return departures{servers: map[ident.ServerID]serverDeparture{}, vms: map[uint64]time.Time{}}
+	return departures{servers: map[ident.ServerID]serverDeparture{}, vms: coll.LastSeen[uint64]{}}
 }
 
 // addServer records that the registration of a backend server ended in an era of the
@@ -54,12 +55,11 @@
 
 // hasVM reports whether a process of a VM has left.
 func (d departures) hasVM(bootID uint64) bool {
-	_, ok := d.vms[bootID]
-	return ok
+	return d.vms.Has(bootID)
 }
 
 // removeOld forgets what happened more than departureRetention ago.
 func (d departures) removeOld(now time.Time) {
 	maps.DeleteFunc(d.servers, func(_ ident.ServerID, s serverDeparture) bool { return now.Sub(s.at) > departureRetention })
-	maps.DeleteFunc(d.vms, func(_ uint64, at time.Time) bool { return now.Sub(at) > departureRetention })
+	d.vms.RemoveOlder(now, departureRetention)
 }
--- a/internal/fleet/roster/limit.go
+++ b/internal/fleet/roster/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 )
@@ -27,11 +28,7 @@
 // part, or 0 if the VM doesn't serve callers. spread is set if the VMs are too many to
 // send a request each at the same time.
 func LimitedRate(view *View, self ident.VMID, limit float64) (rate float64, spread bool) {
-	serving := false
-	for _, m := range view.Members {
-		serving = serving || m.VM == self && m.Serving
-	}
-	if !serving {
+	if !slices.ContainsFunc(view.Members, func(m Member) bool { return m.VM == self && m.Serving }) {
 		return 0, false
 	}
 	limit = max(limit, minLimitedRate)
--- a/internal/fleet/roster/snapshot.go
+++ b/internal/fleet/roster/snapshot.go
@@ -36,12 +36,9 @@
 	if s.table != nil && config.Version <= s.table.Config().Version {
 		return
 	}
-	table, err := routes.NewTable(config)
-	if err != nil {
-		s.events.Record("config_unusable", "another VM", err.Error())
+	if !s.setConfig(config, "another VM") {
 		return
 	}
-	s.table, s.changed = table, true
 	s.events.Record("config_in_force", "another VM", "newer than in the store", slog.Uint64("version", uint64(config.Version)))
 }
 
@@ -52,12 +49,9 @@
 	if s.allKeysRead || snapshot.Config == nil || s.table != nil && snapshot.Config.Version < s.table.Config().Version {
 		return false
 	}
-	table, err := routes.NewTable(snapshot.Config)
-	if err != nil {
-		s.events.Record("config_unusable", "another VM", err.Error())
+	if !s.setConfig(snapshot.Config, "another VM") {
 		return false
 	}
-	s.table, s.changed = table, true
 	for _, server := range snapshot.Servers {
 		s.servers[server.ID] = &registration[Replica]{value: Replica{Server: server, ColdUntil: now.Add(server.ColdFor)}}
 	}
--- a/internal/fleet/roster/state.go
+++ b/internal/fleet/roster/state.go
@@ -292,18 +292,26 @@
 	if s.table != nil && config.Version <= s.table.Config().Version {
 		return true
 	}
-	table, err := routes.NewTable(config)
-	if err != nil {
-		s.events.Record("config_unusable", item.Key, err.Error(), slog.Uint64("version", uint64(config.Version)))
+	if !s.setConfig(config, item.Key) {
 		return false
 	}
-	s.table = table
-	s.changed = true
 	s.events.Record("config_in_force", item.Key, "newer version",
 		slog.Uint64("version", uint64(config.Version)), slog.Int("routes", len(config.Routes)), slog.Uint64("revision", uint64(item.Revision)))
 	return true
 }
 
+// setConfig makes a configuration the current one. It logs why, and returns false, if it
+// can't be used. source is where it comes from.
+func (s *State) setConfig(config *routes.Config, source string) bool {
+	table, err := routes.NewTable(config)
+	if err != nil {
+		s.events.Record("config_unusable", source, err.Error(), slog.Uint64("version", uint64(config.Version)))
+		return false
+	}
+	s.table, s.changed = table, true
+	return true
+}
+
 func (s *State) applyServer(now time.Time, id string, item depot.Item) {
 	server, err := s.decoder.Server(id, item.Value)
 	known := s.servers[ident.ServerID(id)]
--- a/internal/fleet/seeds/seeds.go
+++ b/internal/fleet/seeds/seeds.go
@@ -125,12 +125,17 @@
 	return &Client{addresses: addresses}
 }
 
+// randomAddresses returns up to count addresses in random order.
+func (c *Client) randomAddresses(count int) []string {
+	addresses := slices.Clone(c.addresses())
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), count)]
+}
+
 // FetchSnapshot asks up to maxPeers random VMs at the same time, and returns the most
 // recent snapshot and its age. If no VM returns one, the error is ErrNoSnapshot.
 func (c *Client) FetchSnapshot(ctx context.Context) (*roster.Snapshot, time.Duration, error) {
-	addresses := slices.Clone(c.addresses())
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	addresses = addresses[:min(len(addresses), maxPeers)]
+	addresses := c.randomAddresses(maxPeers)
 	answers := make([]peerAnswer, len(addresses))
 	var fetches conc.WaitGroup
 	for i, address := range addresses {
@@ -155,10 +160,8 @@
 // configuration of the first one whose version is higher than version. It returns nil if
 // there is none, and ErrNoSnapshot if no VM answered.
 func (c *Client) FetchNewerConfig(ctx context.Context, version ident.Version) (*routes.Config, error) {
-	addresses := slices.Clone(c.addresses())
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	answered := false
-	for _, address := range addresses[:min(len(addresses), versionPeers)] {
+	for _, address := range c.randomAddresses(versionPeers) {
 		other, err := fetchVersion(ctx, address)
 		if err != nil {
 			continue
--- a/internal/plat/depot/position.go
+++ b/internal/plat/depot/position.go
@@ -14,6 +14,11 @@
 // an era are given out again in later ones. 0 means that the store doesn't tell.
 type Era uint32
 
+// Start returns the position before all revisions of the era.
+func (e Era) Start() Position {
+	return Position(uint64(e) << revisionBits)
+}
+
 // Position is a revision of the store together with its era. Positions are ordered: those
 // of a later era come after all of earlier ones. 0 is before all positions.
 type Position uint64
@@ -27,7 +32,7 @@
 	if era >= 1<<(64-revisionBits) || revision >= 1<<revisionBits {
 		return 0, errors.Newf("depot: revision %d of era %d is too large", revision, era)
 	}
-	return Position(uint64(era)<<revisionBits | revision), nil
+	return era.Start() | Position(revision), nil
 }
 
 // Era returns the era of the position.
@@ -46,7 +51,8 @@
 	Era Era
 }
 
-// EraTracker tracks the era of the store from its answers. It is safe for concurrent use.
+// EraTracker tracks the era of the store from its answers. The zero value knows none yet.
+// It is safe for concurrent use.
 type EraTracker struct {
 	mu     sync.Mutex
 	known  Era
@@ -67,6 +73,11 @@
 	return t.known
 }
 
+// HasEnded reports whether a lease ended because the store came back from an older copy.
+func (t *EraTracker) HasEnded(lease Lease) bool {
+	return lease != Lease{} && lease.Era != t.Current()
+}
+
 // Observe returns the era of an answer, given the era that it states as text. An answer
 // without one, or with one that can't be read, counts as one of the latest era. outdated is
 // set if an answer of a later era was seen before.
--- a/internal/query/relay/backoff.go
+++ b/internal/query/relay/backoff.go
@@ -30,9 +30,8 @@
 	return first, shortest
 }
 
-// mayResend reports whether a shard whose attempts did not run may be sent soon again to a
-// server that did not take them: one of its servers takes requests in general, or there is
-// no time to wait for.
+// mayResend reports whether a shard whose attempts did not run may soon be sent again. It
+// may not if all its servers want no requests for a time that is known.
 func (q *Query) mayResend(now time.Time, s *shard) bool {
 	for _, r := range q.env.Replicas().Replicas(s.service) {
 		if q.accepts(now, r) {
--- a/internal/query/relay/pacer.go
+++ b/internal/query/relay/pacer.go
@@ -45,7 +45,12 @@
 	Spread bool
 }
 
-// interval returns the time between two requests. The rate must be positive and finite.
+// spaces reports whether requests are spaced, rather than unlimited or not allowed.
+func (p Pace) spaces() bool {
+	return p.Rate > 0 && !p.isUnlimited()
+}
+
+// interval returns the time between two requests, if they are spaced.
 func (p Pace) interval() time.Duration {
 	return time.Duration(min(1/p.Rate, maxInterval.Seconds()) * float64(time.Second))
 }
@@ -69,11 +74,8 @@
 // now. ok is false if this VM may send it none.
 func (p *Pacer) Wait(now time.Time, replica *roster.Replica) (wait time.Duration, ok bool) {
 	pace := p.paceOf(now, replica)
-	if pace.isUnlimited() {
-		return 0, true
-	}
-	if pace.Rate <= 0 {
-		return 0, false
+	if !pace.spaces() {
+		return 0, pace.isUnlimited()
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -90,11 +92,8 @@
 // is at most within. ok is false, and nothing is counted, if that is not possible.
 func (p *Pacer) Reserve(now time.Time, replica *roster.Replica, within time.Duration) (wait time.Duration, ok bool) {
 	pace := p.paceOf(now, replica)
-	if pace.isUnlimited() {
-		return 0, true
-	}
-	if pace.Rate <= 0 {
-		return 0, false
+	if !pace.spaces() {
+		return 0, pace.isUnlimited()
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -110,7 +109,7 @@
 // reserved since.
 func (p *Pacer) Return(now time.Time, replica *roster.Replica) {
 	pace := p.paceOf(now, replica)
-	if pace.isUnlimited() || pace.Rate <= 0 {
+	if !pace.spaces() {
 		return
 	}
 	p.mu.Lock()
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -218,13 +218,15 @@
 	return denied
 }
 
-// spend charges one more attempt of a shard to the budget. It returns false, and
-// records the denial, if the budget is exhausted.
-func (q *Query) spend(index int, reason hedge.Reason) bool {
+// spend charges one more attempt of a shard, at a server that choose returned, to the
+// budget. If the budget is exhausted, it records the denial, returns the request to the
+// pacer and returns false.
+func (q *Query) spend(now time.Time, index int, replica *roster.Replica, reason hedge.Reason) bool {
 	service := q.shards[index].service
 	if q.env.Budget.Allow(service, reason) {
 		return true
 	}
+	q.env.Pace.Return(now, replica)
 	q.denied = append(q.denied, Denial{Shard: index, Service: service, Reason: reason, BudgetState: q.env.Budget.BudgetState(service)})
 	return false
 }
@@ -295,8 +297,8 @@
 		}
 		a.hedgeAt = time.Time{}
 		if q.mayAddAttempt(s) {
-			if replica := q.choose(now, s); replica != nil {
-				sends = q.sendExtra(now, index, replica, hedge.Hedge, "hedge", sends)
+			if replica := q.choose(now, s); replica != nil && q.spend(now, index, replica, hedge.Hedge) {
+				sends = append(sends, q.send(now, index, replica, "hedge"))
 			}
 		}
 	}
@@ -341,23 +343,10 @@
 		}
 		return q.failIfNonePending(s, sends)
 	}
-	if !s.maybeReceived() {
-		return append(sends, q.send(now, index, replica, "retry"))
-	}
-	count := len(sends)
-	if sends = q.sendExtra(now, index, replica, reason, "retry", sends); len(sends) == count {
+	if s.maybeReceived() && !q.spend(now, index, replica, reason) {
 		return q.failIfNonePending(s, sends)
 	}
-	return sends
-}
-
-// sendExtra appends one more attempt of a shard to sends, unless the budget denies it.
-func (q *Query) sendExtra(now time.Time, index int, replica *roster.Replica, reason hedge.Reason, name string, sends []Send) []Send {
-	if !q.spend(index, reason) {
-		q.env.Pace.Return(now, replica)
-		return sends
-	}
-	return append(sends, q.send(now, index, replica, name))
+	return append(sends, q.send(now, index, replica, "retry"))
 }
 
 // failIfNonePending fails a shard unless one of its attempts may still be answered.
