Log revisions as the store counts them

Since positions hold the era, the lines store_read, config_in_force and config_unusable logged era and revision as one number: from the first era on, one that is nowhere in the store. They log the revision alone.

--- a/internal/fleet/roster/state.go
+++ b/internal/fleet/roster/state.go
@@ -173,7 +173,7 @@
 	if !s.allKeysRead && prefix == allKeys {
 		s.allKeysRead = true
 		s.events.Record("store_read", string(s.self), "first reading",
-			slog.Int("servers", len(s.servers)), slog.Int("vms", len(s.members)), slog.Uint64("revision", uint64(batch.Revision)))
+			slog.Int("servers", len(s.servers)), slog.Int("vms", len(s.members)), slog.Uint64("revision", batch.Revision.Revision()))
 	}
 	s.RemoveExpired(now)
 }
@@ -286,7 +286,7 @@
 func (s *State) applyConfig(item depot.Item) (usable bool) {
 	config, err := s.decoder.Config(item.Value)
 	if err != nil {
-		s.events.Record("config_unusable", item.Key, err.Error(), slog.Uint64("revision", uint64(item.Revision)))
+		s.events.Record("config_unusable", item.Key, err.Error(), slog.Uint64("revision", item.Revision.Revision()))
 		return false
 	}
 	if s.table != nil && config.Version <= s.table.Config().Version {
@@ -296,7 +296,7 @@
 		return false
 	}
 	s.events.Record("config_in_force", item.Key, "newer version",
-		slog.Uint64("version", uint64(config.Version)), slog.Int("routes", len(config.Routes)), slog.Uint64("revision", uint64(item.Revision)))
+		slog.Uint64("version", uint64(config.Version)), slog.Int("routes", len(config.Routes)), slog.Uint64("revision", item.Revision.Revision()))
 	return true
 }
 
