--- a/internal/fleet/roster/state.go
+++ b/internal/fleet/roster/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"log/slog"
 	"maps"
 	"slices"
@@ -38,11 +37,6 @@
 	return prefixStandby + string(m.VM)
 }
 
-// vmOfKey returns the VM that registers under a key.
-func vmOfKey(key string) ident.VMID {
-	return ident.VMID(key[strings.LastIndexByte(key, '/')+1:])
-}
-
 const (
 	// storeReturnGrace is how long after the store's return a missing registration may
 	// reappear. The platform says that registrations which lapsed during the outage are
@@ -95,13 +89,6 @@
 	removeAt time.Time
 }
 
-// zoneMark marks a zone that is out of service. If removeAt is not zero, its key is
-// missing, and the mark is removed at that time unless the key reappears.
-type zoneMark struct {
-	key      string
-	removeAt time.Time
-}
-
 // NewState returns an empty state for the VM self. recorder may be nil.
 func NewState(self ident.VMID, decoder Decoder, recorder *events.Recorder) *State {
 	s := &State{
@@ -234,15 +221,6 @@
 	}
 }
 
-// OwnRegistration returns this VM's registration in the store, or nil if there is none.
-func (s *State) OwnRegistration() *Member {
-	r, ok := s.members[s.self]
-	if !ok || !r.removeAt.IsZero() {
-		return nil
-	}
-	return &r.value
-}
-
 // View returns the current view. It returns the same one until something changes.
 func (s *State) View() *View {
 	if !s.changed {
@@ -357,51 +335,6 @@
 	}
 }
 
-func (s *State) markZoneOut(zone ident.Zone, key string) {
-	_, out := s.zonesOut[zone]
-	s.zonesOut[zone] = &zoneMark{key: key}
-	if out {
-		return
-	}
-	s.changed = true
-	s.events.Record("zone_out", string(zone), "operator")
-}
-
-func (s *State) markZoneIn(zone ident.Zone) {
-	if _, out := s.zonesOut[zone]; !out {
-		return
-	}
-	delete(s.zonesOut, zone)
-	s.changed = true
-	s.events.Record("zone_in", string(zone), "operator")
-}
-
-func (s *State) applyMember(item depot.Item) {
-	var member Member
-	if err := json.Unmarshal(item.Value, &member); err != nil {
-		s.events.Record("member_unusable", item.Key, err.Error())
-		return
-	}
-	known := s.members[member.VM]
-	if known != nil && item.Revision < known.revision {
-		return
-	}
-	if s.departures.hasVM(member.BootID) {
-		return
-	}
-	if known != nil && known.value.BootID == member.BootID && known.value.Leaving && !member.Leaving {
-		// A process that leaves doesn't stay: the registration is from an older copy.
-		member.Leaving = true
-	}
-	if known == nil || known.value != member || !known.removeAt.IsZero() {
-		s.changed = true
-		if s.allKeysRead {
-			s.events.Record("vm_known", string(member.VM), "registration", slog.String("address", member.CallerAddress), slog.Bool("leaving", member.Leaving))
-		}
-	}
-	s.members[member.VM] = &registration[Member]{value: member, key: item.Key, revision: item.Revision}
-}
-
 func (s *State) applyDelete(now time.Time, item depot.Item) {
 	if strings.HasPrefix(item.Key, PrefixMembers) {
 		// A VM that changes between serving and standing by registers under the other key
@@ -443,25 +376,6 @@
 	s.events.Record("server_gone", string(id), reason, slog.String("service", string(r.value.Service)))
 }
 
-// handleMissingMember starts the grace period of a VM whose registration is missing. A VM
-// that announced that it leaves is removed at once.
-func (s *State) handleMissingMember(now time.Time, vm ident.VMID, r *registration[Member]) {
-	if r.value.Leaving {
-		if vm != s.self {
-			s.departures.addVM(now, r.value.BootID)
-		}
-		delete(s.members, vm)
-		s.changed = true
-		return
-	}
-	if r.removeAt.IsZero() {
-		r.removeAt = now.Add(memberLapseGrace)
-		if s.graceUntil.After(r.removeAt) {
-			r.removeAt = s.graceUntil
-		}
-	}
-}
-
 // enterEra records the era of what the store returned. It returns false if a later era is
 // known already, so that it must not be used. At the beginning of a new era the store came
 // back from an older copy: what is missing there is kept for a grace period.
@@ -479,15 +393,3 @@
 	s.era = era
 	return true
 }
-
-// handleMissingZoneMark puts a zone back into service. In the grace period of an era it is
-// kept out of service until the period ends, since the copy may be from before the mark.
-func (s *State) handleMissingZoneMark(now time.Time, zone ident.Zone, mark *zoneMark) {
-	if !now.Before(s.eraGraceUntil) {
-		s.markZoneIn(zone)
-		return
-	}
-	if mark.removeAt.IsZero() {
-		mark.removeAt = s.eraGraceUntil
-	}
-}
