Pass on why a newer configuration could not be fetched

A VM that starts asks others for a configuration that is newer than the store's. Errors of the calls were dropped, and a VM that stated a newer version and then failed counted as one that knows none, so that it was not asked again. Errors are returned together; the caller logs them and tries again. The test fails without the change.

--- a/internal/fleet/seeds/seeds.go
+++ b/internal/fleet/seeds/seeds.go
@@ -160,24 +160,36 @@
 // configuration of the first one whose version is higher than version. It returns nil if
 // there is none, and ErrNoSnapshot if no VM answered.
 func (c *Client) FetchNewerConfig(ctx context.Context, version ident.Version) (*routes.Config, error) {
-	answered := false
+	answered, failure := false, errors.WithStack(ErrNoSnapshot)
 	for _, address := range c.randomAddresses(versionPeers) {
-		other, err := fetchVersion(ctx, address)
-		if err != nil {
-			continue
-		}
-		answered = true
-		if other <= version {
-			continue
-		}
-		if answer := fetch(ctx, address); answer.err == nil {
-			return answer.snapshot.Config, nil
+		config, err := fetchNewerConfig(ctx, address, version)
+		switch {
+		case err != nil:
+			failure = errors.CombineErrors(failure, err)
+		case config != nil:
+			return config, nil
+		default:
+			answered = true
 		}
 	}
-	if !answered {
-		return nil, errors.WithStack(ErrNoSnapshot)
+	if answered {
+		return nil, nil
+	}
+	return nil, failure
+}
+
+// fetchNewerConfig returns the configuration of one VM if its version is higher than
+// version, and nil if it is not.
+func fetchNewerConfig(ctx context.Context, address string, version ident.Version) (*routes.Config, error) {
+	other, err := fetchVersion(ctx, address)
+	if err != nil || other <= version {
+		return nil, err
+	}
+	answer := fetch(ctx, address)
+	if answer.err != nil {
+		return nil, answer.err
 	}
-	return nil, nil
+	return answer.snapshot.Config, nil
 }
 
 // peerAnswer is the answer of one VM.
--- a/internal/fleet/seeds/seeds_test.go
+++ b/internal/fleet/seeds/seeds_test.go
@@ -118,6 +118,15 @@
 	}
 }
 
+// A VM that knows a newer configuration may fail before it has sent it. The caller must
+// learn that, so that it asks again.
+func TestNewerConfigurationThatCannotBeFetched(t *testing.T) {
+	newer := serve(t, &testSource{view: viewOf(t, 9)})
+	config, err := clientOf(newer).FetchNewerConfig(t.Context(), 8)
+	require.ErrorIs(t, err, seeds.ErrNoSnapshot)
+	require.Nil(t, config)
+}
+
 func TestNewerConfigurationOfAnotherVM(t *testing.T) {
 	newer := serve(t, &testSource{view: viewOf(t, 9), age: time.Second, known: true})
 	without := serve(t, &testSource{view: roster.NewView(nil, nil, nil, nil)})
