Log which backend servers a VM reaches, and which VM an unanswered attempt was ordered from

Logs could not tell a VM that is partitioned from all backend servers from a crash of the servers, nor whether missing parts had been ordered from such a VM.

The pool now tells a tracker each new connection, each answer and each failure to connect; reach_changed, /state/reach and samphirestair_servers_unreached show the counts. Attempts without a reply name their delegate. No decision uses any of it.

--- a/internal/core/tier/maintain.go
+++ b/internal/core/tier/maintain.go
@@ -65,6 +65,7 @@
 			t.pool.Retain(known)
 			t.env.Health.Retain(known)
 			t.env.Pace.Retain(known)
+			t.reach.Retain(known)
 			t.retainPeers(view)
 			for _, times := range []map[ident.ServerID]time.Time{lastProbe, lastWarmUp} {
 				coll.Retain(times, known)
@@ -73,6 +74,7 @@
 		now := time.Now()
 		t.forget(now, view, recent)
 		t.pool.Sweep(now)
+		t.updateReach(now)
 		t.notices.Sweep(now, func(p notice.Process) bool {
 			replica := view.Replica(p.ID)
 			return replica != nil && replica.Process() == p
@@ -91,6 +93,18 @@
 	}
 }
 
+// updateReach logs how many backend servers this VM reaches when it changes whether this VM
+// is partitioned from them, or by how much it may be.
+func (t *Tier) updateReach(now time.Time) {
+	before := t.reach.State()
+	state := t.reach.Update(now)
+	if state.Unreached == before.Unreached && state.Partitioned == before.Partitioned {
+		return
+	}
+	t.events.Record("reach_changed", string(t.settings.VM.ID), "connections to backend servers",
+		slog.Int("reached", state.Reached), slog.Int("unreached", state.Unreached), slog.Bool("partitioned", state.Partitioned))
+}
+
 // recentNames holds the backend servers and services that were known within
 // forgetAfter, whose statistics are kept.
 type recentNames struct {
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -29,6 +29,7 @@
 	"github.com/samphirestair/samphirestair/internal/ops/admin"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
+	"github.com/samphirestair/samphirestair/internal/owner/reach"
 	"github.com/samphirestair/samphirestair/internal/plat/depot"
 	"github.com/samphirestair/samphirestair/internal/plat/header"
 	"github.com/samphirestair/samphirestair/internal/query/admit"
@@ -88,6 +89,7 @@
 	registrar  *roster.Registrar
 	heartbeats *beats.Heartbeater
 	notices    *notice.Tracker
+	reach      *reach.Tracker
 	pool       *pool.Pool
 	peerClient *deleg.Client
 	delegates  *runner.Delegates
@@ -113,6 +115,7 @@
 	logger = logger.With(slog.String("vm", string(settings.VM.ID)))
 	t.events = events.New(logger, t.metrics)
 	adapter.Eras.LogTo(t.events)
+	t.metrics.NewGauge("samphirestair_servers_unreached", func() float64 { return float64(t.reach.State().Unreached) })
 	t.metrics.NewGauge("samphirestair_store_era", func() float64 { return float64(adapter.Eras.Current()) })
 	self := roster.Member{
 		VM: settings.VM.ID, Zone: settings.VM.Zone, CallerAddress: settings.Listen.Callers, PeerAddress: settings.Listen.Peers,
@@ -130,7 +133,8 @@
 		return nil, err
 	}
 	t.notices = notice.NewTracker(notice.Options{MaxBackoff: settings.Servers.Quiet, Events: t.events})
-	t.pool = pool.New(t.metrics, pool.Options{Names: adapter.Names, Tracker: t.notices})
+	t.reach = reach.NewTracker()
+	t.pool = pool.New(t.metrics, pool.Options{Names: adapter.Names, Tracker: t.notices, Reach: t.reach})
 	if err = t.buildEnv(); err != nil {
 		return nil, err
 	}
@@ -237,6 +241,7 @@
 		"connections": func() any { return t.pool.Stats() },
 		"silent":      func() any { return t.heartbeats.Detector().SilentPeers() },
 		"down":        func() any { return t.env.Health.Down() },
+		"reach":       func() any { return t.reach.State() },
 		"admission":   func() any { return t.admission.State() },
 		"limits":      func() any { return t.notices.Limits() },
 		"budget":      func() any { return t.budget() },
--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -81,6 +81,7 @@
 		return true
 	}
 	c.pool.options.Tracker.CountSent(c.server.target.process())
+	c.pool.options.Reach.Sent(time.Now(), c.server.target.ID)
 	head := c.encode(call)
 	if !isShort {
 		go c.write(call, head, call.message.Body, time.Until(call.deadline))
@@ -150,6 +151,9 @@
 	defer c.close()
 	for {
 		_, err := c.br.Peek(1)
+		if err == nil {
+			c.pool.options.Reach.Reached(time.Now(), c.server.target.ID)
+		}
 		call := c.currentOrClose()
 		if call == nil {
 			c.server.removeIdle(c)
--- a/internal/owner/pool/pool.go
+++ b/internal/owner/pool/pool.go
@@ -13,6 +13,7 @@
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
+	"github.com/samphirestair/samphirestair/internal/owner/reach"
 	"github.com/samphirestair/samphirestair/internal/plat/header"
 )
 
@@ -32,6 +33,9 @@
 	// userTimeout is the TCP user timeout: the kernel closes a connection whose peer has
 	// not acknowledged sent data for this long.
 	userTimeout = 3 * time.Second
+	// minDialWait is the time after which opening a connection in vain says that the server
+	// can't be reached. An attempt with little time left gives up sooner.
+	minDialWait = 300 * time.Millisecond
 )
 
 // Options tunes a Pool. The zero value gives the defaults.
@@ -47,6 +51,8 @@
 	// Tracker stores the notices that backend servers send in their answers. If it is nil,
 	// the pool creates one.
 	Tracker *notice.Tracker
+	// Reach is told which servers can be reached. If it is nil, the pool creates one.
+	Reach *reach.Tracker
 }
 
 // Pool holds the connections to all backend servers. It is safe for concurrent
@@ -69,6 +75,9 @@
 	if options.Tracker == nil {
 		options.Tracker = notice.NewTracker(notice.Options{})
 	}
+	if options.Reach == nil {
+		options.Reach = reach.NewTracker()
+	}
 	return &Pool{
 		options: options,
 		dialer:  net.Dialer{Timeout: options.DialTimeout, KeepAlive: -1, Control: setUserTimeout},
@@ -151,7 +160,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	nc, err := p.dialer.DialContext(ctx, "tcp", target.Address)
+	nc, err := p.connect(ctx, srv)
 	if err != nil {
 		p.releaseSlot(srv)
 		return false
@@ -248,7 +257,7 @@
 		call.finish(Result{Outcome: Unsent, Reason: "given up before it was sent"})
 		return
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", srv.target.Address)
+	nc, err := p.connect(ctx, srv)
 	if err != nil {
 		p.releaseSlot(srv)
 		outcome := Unreachable
@@ -267,6 +276,20 @@
 	c.readAnswers()
 }
 
+// connect opens a connection to a server and records whether the server can be reached.
+func (p *Pool) connect(ctx context.Context, srv *server) (net.Conn, error) {
+	began := time.Now()
+	nc, err := p.dialer.DialContext(ctx, "tcp", srv.target.Address)
+	now := time.Now()
+	switch {
+	case err == nil:
+		p.options.Reach.Reached(now, srv.target.ID)
+	case ctx.Err() == nil || now.Sub(began) >= minDialWait:
+		p.options.Reach.Unreached(began, now, srv.target.ID)
+	}
+	return nc, err
+}
+
 // releaseSlot frees the slot of a closed connection, so that a waiting call can open
 // another one.
 func (p *Pool) releaseSlot(s *server) {
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
@@ -193,17 +192,22 @@
 	return sends, counts
 }
 
-// PendingAttempts lists the attempts of unanswered shards that have no reply yet,
-// each as "shard:server".
-func (q *Query) PendingAttempts() []string {
-	var pendingAttempts []string
+// PendingAttempt is an attempt without a reply.
+type PendingAttempt struct {
+	Shard, Attempt int
+	Server         ident.ServerID
+}
+
+// PendingAttempts lists the attempts of unanswered shards that have no reply yet.
+func (q *Query) PendingAttempts() []PendingAttempt {
+	var pendingAttempts []PendingAttempt
 	for i := range q.shards {
 		if q.shards[i].state == shardAnswered {
 			continue
 		}
 		for j := range q.shards[i].attempts {
 			if a := &q.shards[i].attempts[j]; a.pending {
-				pendingAttempts = append(pendingAttempts, strconv.Itoa(i)+":"+string(a.server))
+				pendingAttempts = append(pendingAttempts, PendingAttempt{Shard: i, Attempt: j, Server: a.server})
 			}
 		}
 	}
--- a/internal/query/runner/delegate.go
+++ b/internal/query/runner/delegate.go
@@ -143,7 +143,19 @@
 	e.runner.requestMetrics.otherZones.attempts.Add(len(group))
 	delegated := &delegatedAttempts{execution: e, vm: member.VM, ordered: ordered, unreported: len(group), sentAt: now}
 	call := e.runner.deps.OrderSender.Send(member.PeerAddress, order, delegated.addReport, delegated.finish)
-	e.orders = append(e.orders, call)
+	e.orders = append(e.orders, sentOrder{pending: call, vm: member.VM, attempts: ordered})
+}
+
+// delegateOf returns the VM that sends an attempt on behalf of this one.
+func (e *execution) delegateOf(shard, attempt int) (vm ident.VMID, ordered bool) {
+	for _, order := range e.orders {
+		for _, a := range order.attempts {
+			if a.shard == shard && a.attempt == attempt {
+				return order.vm, true
+			}
+		}
+	}
+	return "", false
 }
 
 // orderedAttempt identifies an attempt of a query, and the server process that it goes
--- a/internal/query/runner/runner.go
+++ b/internal/query/runner/runner.go
@@ -4,6 +4,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -141,7 +142,7 @@
 	query        *relay.Query
 	calls        []sentAttempt
 	// orders holds the groups of attempts that other VMs send.
-	orders []*deleg.PendingOrder
+	orders []sentOrder
 	wake   chan struct{}
 
 	mu      sync.Mutex
@@ -158,7 +159,7 @@
 	retryDenied bool
 
 	// unanswered lists the attempts without a reply at the time of the answer.
-	unanswered []string
+	unanswered []relay.PendingAttempt
 
 	admittedAt time.Time
 	// admitOutcome is set from the answer until it is reported to the admission policy,
@@ -179,6 +180,13 @@
 	shard, attempt int
 }
 
+// sentOrder is a group of attempts that another VM sends.
+type sentOrder struct {
+	pending  *deleg.PendingOrder
+	vm       ident.VMID
+	attempts []orderedAttempt
+}
+
 // reply is the result of an attempt.
 type reply struct {
 	shard, attempt int
@@ -382,8 +390,8 @@
 	for _, s := range e.calls {
 		s.call.CancelAfter(abandonedGracePeriod)
 	}
-	for _, ordered := range e.orders {
-		ordered.Cancel()
+	for _, order := range e.orders {
+		order.pending.Cancel()
 	}
 }
 
@@ -448,7 +456,20 @@
 		parts, crossed = e.query.AnsweredShards(), e.query.CrossZoneReasons()
 	}
 	e.trace(kind, answer.Reason, slog.Duration("took", took), slog.Int("parts", parts), slog.Int("missing", answer.Missing),
-		slog.Int("attempts", e.attempts), slog.String("crossed", crossed), slog.String("waiting", strings.Join(e.unanswered, ",")), slog.Uint64("version", uint64(r.version())), slog.Duration("retry_after", answer.RetryAfter))
+		slog.Int("attempts", e.attempts), slog.String("crossed", crossed), slog.String("waiting", e.describeUnanswered()), slog.Uint64("version", uint64(r.version())), slog.Duration("retry_after", answer.RetryAfter))
+}
+
+// describeUnanswered lists the attempts without a reply for logs, each as "shard:server",
+// with "@vm" if that VM sent it on behalf of this one.
+func (e *execution) describeUnanswered() string {
+	texts := make([]string, len(e.unanswered))
+	for i, a := range e.unanswered {
+		texts[i] = strconv.Itoa(a.Shard) + ":" + string(a.Server)
+		if vm, ordered := e.delegateOf(a.Shard, a.Attempt); ordered {
+			texts[i] += "@" + string(vm)
+		}
+	}
+	return strings.Join(texts, ",")
 }
 
 func (r *Runner) version() ident.Version {
