Reproduce the refusals of partitioned VMs with real processes

A proxy can leave new connections without an answer, as a lost path does: its listener's queue is kept full. The checker compares callers of partitioned VMs with the others, as the users' rule RECOVER says.

--- a/internal/lab/soak/checker_test.go
+++ b/internal/lab/soak/checker_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/lab/soak"
 )
@@ -364,3 +365,47 @@
 	require.Greater(t, overlaps, len(plan)/2)
 	require.Empty(t, soak.Plan(7, time.Minute, nil, 9))
 }
+
+func TestPartitionedVMsHaveToServeTheirCallers(t *testing.T) {
+	for _, c := range []struct {
+		name                   string
+		served, sent           int
+		othersServed, othersIn int
+		found                  bool
+	}{
+		{"none served", 0, 50, 50, 50, true},
+		{"as many served", 45, 50, 45, 50, false},
+		{"just below two thirds", 33, 50, 50, 50, true},
+		{"two thirds", 34, 50, 50, 50, false},
+		{"all suffer", 10, 50, 14, 50, false},
+		{"few fail", 0, 11, 50, 50, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newScenario()
+				end := w.faults.Begin(soak.Partition("vm-2"), false)
+				defer end()
+				began := time.Now()
+				time.Sleep(bounds.Contact)
+				play := func(vm ident.VMID, served, sent int) {
+					for i := range sent {
+						w.next++
+						id := fmt.Sprint("r", w.next)
+						w.Sent(soak.Attempt{ID: id, Route: one, VM: vm, SentAt: time.Now(), Deadline: time.Second})
+						answer := soak.Answer{Status: 503, Refused: true, At: time.Now()}
+						if i < served {
+							w.Replied(soak.Reply{Signature: id, ID: id, Service: "desk", Status: 200, Complete: true})
+							answer = soak.Answer{Status: 200, Signatures: []string{id}, At: time.Now()}
+						}
+						w.Answered(id, answer)
+					}
+				}
+				play("vm-2", c.served, c.sent)
+				play("vm-1", c.othersServed, c.othersIn)
+				w.CheckPartition(coll.NewSet[ident.VMID]("vm-2"), began, time.Now())
+				found := w.Findings()
+				require.Equal(t, c.found, len(found) == 1, found)
+			})
+		})
+	}
+}
--- a/internal/lab/soak/faultlog.go
+++ b/internal/lab/soak/faultlog.go
@@ -3,11 +3,19 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
 )
 
 // Store is the subject of faults of the store.
 const Store = "store"
 
+// Partition returns the subject of partitions of a VM from all backend servers. The VM
+// itself counts as undisturbed meanwhile.
+func Partition(vm ident.VMID) string {
+	return "servers of " + string(vm)
+}
+
 // FaultLog records when VMs, backend servers and the store were affected by faults.
 // It is safe for concurrent use.
 type FaultLog struct {
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/sys/unix"
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 )
@@ -19,6 +20,10 @@
 	bufferSize = 16 << 10
 	// heldPoll is the interval at which a held direction checks whether to continue.
 	heldPoll = 20 * time.Millisecond
+	// fullQueueTime is the time after which opening a connection in vain shows that the
+	// listener's queue is full, and maxQueueFillers bounds the connections that fill it.
+	fullQueueTime   = 30 * time.Millisecond
+	maxQueueFillers = 8
 )
 
 // Impairment is a fault of a link. The zero value is a healthy link.
@@ -30,12 +35,17 @@
 	CutUp, CutDown bool
 	// Refuse closes the listener, so that connections are refused.
 	Refuse bool
+	// Hang holds back the data on all connections, and leaves new ones without an answer.
+	// At its end the connections that were open are reset.
+	Hang bool
 }
 
 // Proxy forwards TCP connections on loopback and impairs them on request. It is
 // safe for concurrent use.
 type Proxy struct {
 	address string
+	// dialer opens the connections to the target.
+	dialer net.Dialer
 
 	mu     sync.Mutex
 	target string
@@ -44,8 +54,10 @@
 	combined    Impairment
 	listener    net.Listener
 	links       coll.Set[*link]
-	closed      bool
-	running     conc.WaitGroup
+	// fillers are the connections that fill the listener's queue while the proxy hangs.
+	fillers map[string]net.Conn
+	closed  bool
+	running conc.WaitGroup
 }
 
 // link is one connection through a proxy.
@@ -57,7 +69,18 @@
 
 // NewProxy returns a proxy that listens on address and forwards to target.
 func NewProxy(address, target string) (*Proxy, error) {
-	p := &Proxy{address: address, target: target, links: coll.NewSet[*link](), impairments: coll.NewSet[*Impairment]()}
+	return NewProxyFrom(nil, address, target)
+}
+
+// NewProxyFrom is like NewProxy. The target sees connections from the IP address source.
+func NewProxyFrom(source net.IP, address, target string) (*Proxy, error) {
+	p := &Proxy{
+		address: address, target: target, links: coll.NewSet[*link](), impairments: coll.NewSet[*Impairment](),
+		dialer: net.Dialer{Timeout: dialTimeout}, fillers: map[string]net.Conn{},
+	}
+	if source != nil {
+		p.dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
 	if err := p.listen(); err != nil {
 		return nil, err
 	}
@@ -94,11 +117,17 @@
 
 // applyLocked combines the impairments and opens or closes the listener.
 func (p *Proxy) applyLocked() error {
+	before := p.combined
 	p.combined = Impairment{}
 	for one := range p.impairments {
 		p.combined = p.combined.merge(one)
 	}
+	if before.Hang && !p.combined.Hang {
+		p.endHangLocked()
+	}
 	switch {
+	case p.combined.Hang && !before.Hang && p.listener != nil:
+		return p.fillQueueLocked()
 	case p.combined.Refuse && p.listener != nil:
 		err := p.listener.Close()
 		p.listener = nil
@@ -116,9 +145,63 @@
 		CutUp:   t.CutUp || other.CutUp,
 		CutDown: t.CutDown || other.CutDown,
 		Refuse:  t.Refuse || other.Refuse,
+		Hang:    t.Hang || other.Hang,
 	}
 }
 
+// fillQueueLocked fills the listener's queue of new connections, so that the kernel drops
+// further ones without an answer.
+func (p *Proxy) fillQueueLocked() error {
+	if err := p.setBacklogLocked(0); err != nil {
+		return err
+	}
+	wasFull := false
+	for range maxQueueFillers {
+		c, err := net.DialTimeout("tcp", p.address, fullQueueTime)
+		if err != nil && wasFull {
+			return nil
+		}
+		// The accept loop may have taken one connection out of a full queue.
+		wasFull = err != nil
+		if err == nil {
+			p.fillers[c.LocalAddr().String()] = c
+		}
+	}
+	return errors.New("soak: the queue of new connections does not fill")
+}
+
+// endHangLocked resets the connections that were open, and lets the listener accept others
+// again.
+func (p *Proxy) endHangLocked() {
+	for l := range p.links {
+		l.reset()
+	}
+	for _, c := range p.fillers {
+		_ = c.Close()
+	}
+	if p.listener != nil {
+		// A closed listener needs no longer queue.
+		_ = p.setBacklogLocked(unix.SOMAXCONN)
+	}
+}
+
+// setBacklogLocked sets the length of the listener's queue of new connections.
+func (p *Proxy) setBacklogLocked(length int) error {
+	listener, ok := p.listener.(*net.TCPListener)
+	if !ok {
+		return errors.New("soak: not a TCP listener")
+	}
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "soak: backlog")
+	}
+	var failed error
+	if err := raw.Control(func(fd uintptr) { failed = unix.Listen(int(fd), length) }); err != nil {
+		return errors.Wrap(err, "soak: backlog")
+	}
+	return errors.Wrap(failed, "soak: backlog")
+}
+
 // Reset resets all open connections.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
@@ -179,15 +262,38 @@
 		if err != nil {
 			return
 		}
+		for p.hangs() {
+			time.Sleep(heldPoll)
+		}
+		if p.isFiller(near) {
+			_ = near.Close()
+			continue
+		}
 		p.running.Go(func() { p.forward(near) })
 	}
 }
 
+// hangs reports whether new connections are to remain without an answer.
+func (p *Proxy) hangs() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.combined.Hang && !p.closed
+}
+
+// isFiller reports whether a new connection is one that filled the queue, and forgets it.
+func (p *Proxy) isFiller(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.fillers[c.RemoteAddr().String()]
+	delete(p.fillers, c.RemoteAddr().String())
+	return ok
+}
+
 func (p *Proxy) forward(near net.Conn) {
 	p.mu.Lock()
 	target := p.target
 	p.mu.Unlock()
-	far, err := net.DialTimeout("tcp", target, dialTimeout)
+	far, err := p.dialer.Dial("tcp", target)
 	l := &link{near: near, far: far}
 	if err != nil {
 		l.reset()
@@ -247,7 +353,7 @@
 func (p *Proxy) state(l *link, isCut func(Impairment) bool) (delay time.Duration, held bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.combined.Delay, l.silent || isCut(p.combined)
+	return p.combined.Delay, l.silent || p.combined.Hang || isCut(p.combined)
 }
 
 func (p *Proxy) isClosed() bool {
--- a/internal/lab/soak/proxy_test.go
+++ b/internal/lab/soak/proxy_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -103,3 +104,26 @@
 	require.NoError(t, end())
 	require.NoError(t, connect(t, p).echo(t, long))
 }
+
+func TestHangingProxyAnswersNoNewConnection(t *testing.T) {
+	p, err := soak.NewProxyFrom(net.IPv4(127, 0, 0, 9), "127.0.0.1:0", startEchoServer(t))
+	require.NoError(t, err)
+	defer func() { require.NoError(t, p.Close()) }()
+	c := connect(t, p)
+	require.NoError(t, c.echo(t, long))
+
+	end, err := p.Impair(soak.Impairment{Hang: true})
+	require.NoError(t, err)
+	require.Error(t, c.echo(t, soon))
+	for range 3 {
+		_, err = net.DialTimeout("tcp", p.Address(), soon)
+		var failure net.Error
+		require.ErrorAs(t, err, &failure)
+		require.True(t, failure.Timeout())
+	}
+	require.NoError(t, end())
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(long)))
+	_, err = c.r.ReadString('\n')
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	require.NoError(t, connect(t, p).echo(t, long))
+}
--- a/internal/lab/soak/types.go
+++ b/internal/lab/soak/types.go
@@ -117,6 +117,9 @@
 	Body        string
 	// Conn identifies the connection on which it arrived.
 	Conn string
+	// Sender is the VM from which it arrived, which may have sent it on behalf of the VM
+	// that got it from the caller. It is empty if unknown.
+	Sender ident.VMID
 }
 
 // Notice is what a backend server states about itself in an answer on a connection.
