Run requests on another VM while this one can't reach the backend servers

What callers saw: a VM that was partitioned from all backend servers refused every request, for as long as the partition lasted.

Cause: a VM had no way to a backend server but its own links, although VMs that it hears every 200 ms could reach it. Evidence: with reach_changed logged, partitioned VMs reach 0 of 49 servers while VMs in touch reach all, and no VM is silent. Class: what a VM sees of its own links is taken for the state of the servers.

Now a request that this VM can't run is sent whole to a VM that reaches more servers, at once while this VM is partitioned, when no server of a needed service can be connected to, or when its own attempts reached none. The other VM picks servers, budgets and hedges as for its own callers, and declines if it reaches no more. Nothing is sent twice: without an answer of that VM the request fails, since it may have run. Versions go with order and answer, so that no VM goes back to an older configuration. Heartbeats carry the number of servers that a VM can't reach; if servers are down, all VMs reach as few, and nothing takes a detour.

Ruled out: sending single attempts through delegates instead. They carry no bodies, and a VM that has lost its links has no measure of the servers to choose by.

--- a/internal/core/tier/maintain.go
+++ b/internal/core/tier/maintain.go
@@ -34,8 +34,10 @@
 	// retry budget. forgetInterval is the time between two checks.
 	forgetAfter    = 10 * time.Minute
 	forgetInterval = time.Minute
-	// probeInterval is the shortest time between two probes of one backend server.
-	probeInterval = 600 * time.Millisecond
+	// probeInterval is the shortest time between two probes of one backend server, and
+	// maxProbesPerRound the largest number of probes that one maintenance round starts.
+	probeInterval     = 600 * time.Millisecond
+	maxProbesPerRound = 24
 	// warmUpInterval is the shortest time between two warm-up connections to one
 	// backend server. A server without a free slot closes them at once, and each
 	// costs it time.
@@ -74,6 +76,7 @@
 		now := time.Now()
 		t.forget(now, view, recent)
 		t.pool.Sweep(now)
+		t.detours.Sweep(now)
 		t.updateReach(now)
 		t.notices.Sweep(now, func(p notice.Process) bool {
 			replica := view.Replica(p.ID)
@@ -82,14 +85,32 @@
 		if t.isServing() {
 			t.warmUp(&probes, warmUpSlots, view, lastWarmUp)
 		}
-		for _, id := range t.env.Health.Down() {
-			replica := view.Replica(id)
-			if replica == nil || now.Sub(lastProbe[id]) < probeInterval {
-				continue
-			}
-			lastProbe[id] = now
-			probes.Go(func() { t.probe(view, replica) })
+		t.probeServers(now, &probes, view, lastProbe)
+	}
+}
+
+// probeServers opens connections to backend servers that are marked as down, and to some
+// that show whether this VM is partitioned from them. last holds the time of the last probe
+// of each server.
+func (t *Tier) probeServers(now time.Time, running *conc.WaitGroup, view *roster.View, last map[ident.ServerID]time.Time) {
+	due := t.reach.Suspects(now)
+	if t.reach.State().Partitioned {
+		for id := range view.ServerIDs() {
+			due = append(due, id)
+		}
+	}
+	due = append(t.env.Health.Down(), due...)
+	probed := 0
+	for _, id := range due {
+		replica := view.Replica(id)
+		if replica == nil || now.Sub(last[id]) < probeInterval {
+			continue
+		}
+		if probed++; probed > maxProbesPerRound {
+			return
 		}
+		last[id] = now
+		running.Go(func() { t.probe(view, replica) })
 	}
 }
 
@@ -147,6 +168,7 @@
 		addresses.Add(m.PeerAddress)
 	}
 	t.delegates.Retain(vms.Has)
+	t.detours.Retain(vms.Has)
 	t.peerClient.Retain(addresses.Has)
 }
 
@@ -189,7 +211,8 @@
 
 // probe marks a backend server as up if it accepts a connection.
 func (t *Tier) probe(view *roster.View, replica *roster.Replica) {
-	if t.pool.Probe(runner.Target(view, replica), probeTimeout) {
+	wasDown := t.env.Health.IsDown(replica.ID)
+	if t.pool.Probe(runner.Target(view, replica), probeTimeout) && wasDown {
 		t.env.Health.Responded(replica.ID)
 		t.events.Record("server_up", string(replica.ID), "accepted a connection")
 	}
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -26,6 +26,7 @@
 	"github.com/samphirestair/samphirestair/internal/fleet/seeds"
 	"github.com/samphirestair/samphirestair/internal/front/gate"
 	"github.com/samphirestair/samphirestair/internal/link/deleg"
+	"github.com/samphirestair/samphirestair/internal/link/detour"
 	"github.com/samphirestair/samphirestair/internal/ops/admin"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
@@ -93,6 +94,7 @@
 	pool       *pool.Pool
 	peerClient *deleg.Client
 	delegates  *runner.Delegates
+	detours    *detour.Runner
 	peerServer *deleg.Server
 	env        *relay.Env
 	admission  admit.QueuingPolicy
@@ -125,15 +127,16 @@
 	peers := seeds.NewClient(func() []string { return t.heartbeats.RecentSenders() })
 	t.follower = roster.NewFollower(adapter.Depot, fleetState, roster.FollowerOptions{CatchUpTime: settings.Depot.Touch, Peers: peers})
 	t.registrar = roster.NewRegistrar(adapter.Depot, t.follower, self, t.events)
+	t.reach = reach.NewTracker()
 	var err error
 	t.heartbeats, err = beats.New(beats.Deps{
-		Self: self.VM, View: t.follower.View, Serving: t.isServing, Wake: t.registrar.Wake, Depot: adapter.Depot, Events: t.events,
+		Self: self.VM, View: t.follower.View, Serving: t.isServing, Wake: t.registrar.Wake,
+		Unreached: func() int { return t.reach.State().Unreached }, Depot: adapter.Depot, Events: t.events,
 	}, settings.Listen.Peers)
 	if err != nil {
 		return nil, err
 	}
 	t.notices = notice.NewTracker(notice.Options{MaxBackoff: settings.Servers.Quiet, Events: t.events})
-	t.reach = reach.NewTracker()
 	t.pool = pool.New(t.metrics, pool.Options{Names: adapter.Names, Tracker: t.notices, Reach: t.reach})
 	if err = t.buildEnv(); err != nil {
 		return nil, err
@@ -147,15 +150,20 @@
 		return nil, errors.New("tier: the admission policy has no queue")
 	}
 	t.peerClient = deleg.NewClient()
-	t.peerServer = deleg.NewServer(t.pool, seeds.Handler(t.follower), t.events)
+	t.peerServer = deleg.NewServer(t.pool, t.peerHandler(), t.events)
 	t.delegates = runner.NewDelegates(t.follower, t.heartbeats.Detector())
 	t.env.CanDelegate = t.delegates.Has
-	run := runner.New(runner.Deps{
+	local := runner.New(runner.Deps{
 		Env: t.env, Admit: t.admission, Sender: t.pool, OrderSender: t.peerClient, Delegates: t.delegates,
 		Views: t.follower, Events: t.events, Metrics: t.metrics,
 	})
+	coverage := detour.NewCoverage(t.follower, t.reach, t.env.Health)
+	t.detours = detour.New(detour.Deps{
+		Self: self.VM, Inner: local, Coverage: coverage, Views: t.follower, Peers: t.heartbeats.Detector(),
+		RequestID: adapter.Names.RequestID, Events: t.events, Metrics: t.metrics,
+	})
 	t.gate = gate.New(gate.Deps{
-		Runner: run, Views: t.follower, Self: self,
+		Runner: t.detours, Local: local, Coverage: coverage, Views: t.follower, Self: self,
 		Serving: t.registrar.Serving, Usable: t.registrar.ViewUsable, Peers: t.heartbeats.Detector(),
 		Names: adapter.Names, Events: t.events,
 	})
@@ -171,6 +179,18 @@
 	return t, nil
 }
 
+// peerHandler returns the handler of the requests of other VMs that are not orders.
+func (t *Tier) peerHandler() fasthttp.RequestHandler {
+	snapshots := seeds.Handler(t.follower)
+	return func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == detour.Path {
+			t.gate.RunDetour(ctx)
+			return
+		}
+		snapshots(ctx)
+	}
+}
+
 // isServing reports whether other VMs may rely on this one: it serves callers and
 // does not drain. A VM that leaves gets no more heartbeats.
 func (t *Tier) isServing() bool {
--- a/internal/fleet/beats/detector.go
+++ b/internal/fleet/beats/detector.go
@@ -30,11 +30,19 @@
 	lastUpdate time.Time
 	silent     coll.Set[ident.VMID]
 	cutOff     bool
+	// reports holds what peers reported of their links to backend servers.
+	reports map[ident.VMID]reachReport
+}
+
+// reachReport is the number of backend servers that a VM can't reach, and when it arrived.
+type reachReport struct {
+	unreached int
+	at        time.Time
 }
 
 // NewDetector returns a detector without peers.
 func NewDetector() *Detector {
-	return &Detector{lastHeard: map[ident.VMID]time.Time{}, silent: coll.NewSet[ident.VMID]()}
+	return &Detector{lastHeard: map[ident.VMID]time.Time{}, silent: coll.NewSet[ident.VMID](), reports: map[ident.VMID]reachReport{}}
 }
 
 // RecordHeartbeat records that a heartbeat from a peer arrived.
@@ -44,6 +52,24 @@
 	d.lastHeard[vm] = now
 }
 
+// RecordReach records how many backend servers a peer can't reach.
+func (d *Detector) RecordReach(now time.Time, vm ident.VMID, unreached int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reports[vm] = reachReport{unreached: unreached, at: now}
+}
+
+// Unreached returns how many backend servers a VM can't reach, as far as it reported within
+// silenceTimeout.
+func (d *Detector) Unreached(now time.Time, vm ident.VMID) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r := d.reports[vm]; now.Sub(r.at) <= silenceTimeout {
+		return r.unreached
+	}
+	return 0
+}
+
 // Update checks the peers at now, and returns those that became silent and those that
 // send heartbeats again. New peers get the whole silenceTimeout.
 func (d *Detector) Update(now time.Time, peers []ident.VMID) (lost, regained []ident.VMID) {
@@ -69,6 +95,7 @@
 		}
 	}
 	d.lastHeard, d.silent = lastHeard, silent
+	coll.Retain(d.reports, func(vm ident.VMID) bool { return now.Sub(d.reports[vm].at) <= silenceTimeout })
 	// This VM counts among both the reachable VMs and the serving ones.
 	d.cutOff = len(peers) > 1 && 2*(len(peers)-len(silent)+1) < len(peers)+1
 	return lost, regained
--- a/internal/fleet/beats/heartbeat.go
+++ b/internal/fleet/beats/heartbeat.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,9 +24,11 @@
 	// id of a VM after a short prefix.
 	maxDatagramBytes = 256
 	// heartbeatPrefix and helloPrefix begin the datagrams of this protocol. The id of the
-	// sender follows.
+	// sender follows. After reachPrefix come the number of backend servers that the sender
+	// can't reach, a space, and its id.
 	heartbeatPrefix = "pulse1 "
 	helloPrefix     = "hello1 "
+	reachPrefix     = "reach1 "
 	// helloInterval is the time between two hellos to a departed VM.
 	helloInterval = time.Second
 	// evictionInterval is the time between two deletions of the same VM's registration.
@@ -43,9 +46,11 @@
 	Serving func() bool
 	// Wake is called for each heartbeat that arrives while this VM doesn't serve: the
 	// sender regards it as serving or selected to serve.
-	Wake   func()
-	Depot  depot.Depot
-	Events *events.Recorder
+	Wake func()
+	// Unreached returns how many backend servers this VM can't reach.
+	Unreached func() int
+	Depot     depot.Depot
+	Events    *events.Recorder
 }
 
 // Heartbeater exchanges heartbeats with the other serving VMs. Among the VMs that are not
@@ -112,11 +117,18 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		vm, isHeartbeat, ok := decode(buffer[:n])
-		if !ok || err != nil {
+		if err != nil {
 			continue
 		}
 		now := time.Now()
+		if vm, unreached, ok := decodeReach(buffer[:n]); ok {
+			h.detector.RecordReach(now, vm, unreached)
+			continue
+		}
+		vm, isHeartbeat, ok := decode(buffer[:n])
+		if !ok {
+			continue
+		}
 		h.senders.record(now, from.String())
 		if !isHeartbeat {
 			continue
@@ -138,6 +150,15 @@
 	return ident.VMID(id), false, found && len(id) > 0
 }
 
+// decodeReach returns the sender of a datagram with the number of backend servers that it
+// can't reach, and this number. ok is false for other datagrams.
+func decodeReach(datagram []byte) (vm ident.VMID, unreached int, ok bool) {
+	rest, found := bytes.CutPrefix(datagram, []byte(reachPrefix))
+	count, id, separated := bytes.Cut(rest, []byte(" "))
+	unreached, err := strconv.Atoi(string(count))
+	return ident.VMID(id), unreached, found && separated && err == nil && unreached >= 0 && len(id) > 0
+}
+
 // tick sends heartbeats and hellos if this VM serves, logs which peers became silent or
 // were heard again, and starts evictions.
 func (h *Heartbeater) tick(ctx context.Context, parts *conc.WaitGroup) {
@@ -158,10 +179,14 @@
 	}
 }
 
-// sendHeartbeats sends a heartbeat to each serving peer, and returns these. VMs that are
+// sendHeartbeats sends a heartbeat to each serving peer, with the number of backend servers
+// that this VM can't reach if there are any, and returns these peers. VMs that are
 // selected to serve get one too, since a VM that stands by follows few changes by itself.
 func (h *Heartbeater) sendHeartbeats() []ident.VMID {
-	datagram := []byte(heartbeatPrefix + string(h.deps.Self))
+	datagrams := [][]byte{[]byte(heartbeatPrefix + string(h.deps.Self))}
+	if unreached := h.deps.Unreached(); unreached > 0 {
+		datagrams = append(datagrams, []byte(reachPrefix+strconv.Itoa(unreached)+" "+string(h.deps.Self)))
+	}
 	view := h.deps.View()
 	var peers []ident.VMID
 	present := map[ident.VMID]netip.AddrPort{}
@@ -177,7 +202,9 @@
 			peers = append(peers, m.VM)
 		}
 		present[m.VM] = address
-		h.write(datagram, m.VM, address)
+		for _, datagram := range datagrams {
+			h.write(datagram, m.VM, address)
+		}
 	}
 	h.sendHellos(present)
 	return peers
--- a/internal/fleet/beats/heartbeat_test.go
+++ b/internal/fleet/beats/heartbeat_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +24,8 @@
 
 	mu   sync.Mutex
 	view *roster.View
+
+	unreached atomic.Int32
 }
 
 func newTestVM(t *testing.T, id ident.VMID, serving bool) *testVM {
@@ -35,7 +38,8 @@
 	s.setMembers()
 	s.Heartbeater, err = beats.New(beats.Deps{
 		Self: id, View: s.currentView, Serving: func() bool { return serving },
-		Wake: func() { s.woken <- struct{}{} },
+		Wake:      func() { s.woken <- struct{}{} },
+		Unreached: func() int { return int(s.unreached.Load()) },
 	}, address)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -87,3 +91,13 @@
 	require.Len(t, stopped.RecentSenders(), 1)
 	require.Empty(t, stopped.woken)
 }
+
+func TestServingVMsReportHowManyServersTheyDoNotReach(t *testing.T) {
+	sender, receiver := newTestVM(t, "vm-1", true), newTestVM(t, "vm-2", true)
+	sender.setMembers(sender.member, receiver.member)
+	unreached := func() int { return receiver.Detector().Unreached(time.Now(), "vm-1") }
+	sender.unreached.Store(7)
+	require.Eventually(t, func() bool { return unreached() == 7 }, 2*time.Second, 20*time.Millisecond)
+	sender.unreached.Store(0)
+	require.Eventually(t, func() bool { return unreached() == 0 }, 2*time.Second, 20*time.Millisecond)
+}
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -15,6 +15,7 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/plat/header"
@@ -67,9 +68,11 @@
 
 // Deps holds what a Gate depends on.
 type Deps struct {
-	Runner Runner
-	Views  ViewSource
-	Self   roster.Member
+	// Runner runs the requests of callers, and Local those that another VM can't run.
+	Runner, Local Runner
+	Coverage      Coverage
+	Views         ViewSource
+	Self          roster.Member
 	// Serving reports whether this VM is registered as serving callers.
 	Serving func() bool
 	// Usable reports whether the view is recent enough to run requests.
@@ -204,13 +207,28 @@
 		Arrived:  arrived,
 		Overhead: networkOverhead(ctx.Conn(), ctx.ConnRequestNum() == 1),
 		Wait:     parseWait(findHeader(&ctx.Request.Header, g.deps.Names.Deadline)),
+		Host:     target.host,
+		Path:     target.path,
 	}
-	if !route.IsSearch() {
-		request.Service = route.PickService(rand.Float64())
+	request.Service = pickService(route)
+	g.run(ctx, g.deps.Runner, request)
+}
+
+// pickService returns the service to which the next request on a route goes, or "" if it is
+// a search.
+func pickService(route *routes.Route) ident.ServiceID {
+	if route.IsSearch() {
+		return ""
 	}
-	callerGone, stopWatch := g.watcher.watch(ctx.Conn(), arrived)
-	request.Gone = callerGone
-	answer := g.deps.Runner.Run(request)
+	return route.PickService(rand.Float64())
+}
+
+// run runs a request and writes the answer. The request is cancelled when the sender closes
+// the connection.
+func (g *Gate) run(ctx *fasthttp.RequestCtx, r Runner, request runner.Request) {
+	gone, stopWatch := g.watcher.watch(ctx.Conn(), time.Now())
+	request.Gone = gone
+	answer := r.Run(request)
 	stopWatch()
 	g.write(ctx, answer)
 }
--- a/internal/link/deleg/server.go
+++ b/internal/link/deleg/server.go
@@ -22,7 +22,7 @@
 	orderPath = "/v1/order"
 	// maxOrderBytes is the maximum size of an encoded order, and maxOrderAttempts the
 	// maximum number of its attempts.
-	maxOrderBytes    = 16 << 20
+	maxOrderBytes    = 17 << 20
 	maxOrderAttempts = 4096
 	// maxLimit is the maximum Order.Limit.
 	maxLimit = 1 << 16
@@ -58,13 +58,14 @@
 func NewServer(sender Sender, fallback fasthttp.RequestHandler, recorder *events.Recorder) *Server {
 	s := &Server{sender: sender, fallback: fallback, events: recorder}
 	s.http = &fasthttp.Server{
-		Handler:               s.serve,
-		MaxRequestBodySize:    maxOrderBytes,
-		NoDefaultServerHeader: true,
-		NoDefaultDate:         true,
-		NoDefaultContentType:  true,
-		CloseOnShutdown:       true,
-		Logger:                events.DiscardLogger{},
+		Handler:                       s.serve,
+		MaxRequestBodySize:            maxOrderBytes,
+		NoDefaultServerHeader:         true,
+		NoDefaultDate:                 true,
+		NoDefaultContentType:          true,
+		DisableHeaderNamesNormalizing: true,
+		CloseOnShutdown:               true,
+		Logger:                        events.DiscardLogger{},
 	}
 	return s
 }
--- /dev/null
+++ b/internal/link/detour/runner_test.go
@@ -0,0 +1,251 @@
+package detour_test
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/routes"
+	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/fleet/roster"
+	"github.com/samphirestair/samphirestair/internal/link/detour"
+	"github.com/samphirestair/samphirestair/internal/owner/pool"
+	"github.com/samphirestair/samphirestair/internal/owner/reach"
+	"github.com/samphirestair/samphirestair/internal/query/relay"
+	"github.com/samphirestair/samphirestair/internal/query/runner"
+)
+
+var (
+	lookup = &routes.Route{Name: "look", Timeout: 500 * time.Millisecond, Idempotent: true}
+	action = &routes.Route{Name: "act", Timeout: 500 * time.Millisecond}
+)
+
+// peer is another VM, which answers orders as handle says.
+type peer struct {
+	member roster.Member
+	orders atomic.Int32
+	last   atomic.Pointer[detour.Order]
+}
+
+func newPeer(t *testing.T, vm ident.VMID, handle func(ctx *fasthttp.RequestCtx, order *detour.Order)) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &peer{member: roster.Member{VM: vm, PeerAddress: l.Addr().String(), Serving: true}}
+	server := &fasthttp.Server{Logger: events.DiscardLogger{}, Handler: func(ctx *fasthttp.RequestCtx) {
+		order, err := detour.ReadOrder(ctx)
+		if err != nil {
+			detour.Decline(ctx, err.Error())
+			return
+		}
+		p.orders.Add(1)
+		p.last.Store(order)
+		handle(ctx, order)
+	}}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Shutdown() })
+	return p
+}
+
+// answers writes an answer that was made with a version of the configuration.
+func answers(version ident.Version) func(ctx *fasthttp.RequestCtx, order *detour.Order) {
+	return func(ctx *fasthttp.RequestCtx, order *detour.Order) {
+		ctx.SetStatusCode(fasthttp.StatusCreated)
+		ctx.SetBodyString("for " + order.Request)
+		detour.Wrap(ctx, version)
+	}
+}
+
+func declines(ctx *fasthttp.RequestCtx, _ *detour.Order) {
+	detour.Decline(ctx, detour.NotReady)
+}
+
+// breaks closes the connection without an answer.
+func breaks(ctx *fasthttp.RequestCtx, _ *detour.Order) {
+	_ = ctx.Conn().Close()
+}
+
+// site is a VM with peers.
+type site struct {
+	*detour.Runner
+	view      *roster.View
+	reach     *reach.Tracker
+	silent    coll.Set[ident.VMID]
+	unreached map[ident.VMID]int
+	// refusal is the outcome of requests that run on the VM itself.
+	refusal relay.Outcome
+	// findsPartition is set if these requests show that the VM reaches no server.
+	findsPartition bool
+	// local counts them.
+	local int
+}
+
+func (s *site) View() *roster.View                       { return s.view }
+func (s *site) Silent(vm ident.VMID) bool                { return s.silent.Has(vm) }
+func (s *site) Unreached(_ time.Time, vm ident.VMID) int { return s.unreached[vm] }
+func (s *site) IsDown(ident.ServerID) bool               { return true }
+
+// local runs requests on the VM itself. They find no backend server.
+type local struct{ site *site }
+
+func (l local) Run(runner.Request) runner.Answer {
+	l.site.local++
+	if l.site.findsPartition {
+		l.site.partition()
+	}
+	return runner.Answer{Outcome: l.site.refusal}
+}
+
+func newSite(t *testing.T, version ident.Version, peers ...*peer) *site {
+	t.Helper()
+	s := &site{
+		reach: reach.NewTracker(), silent: coll.NewSet[ident.VMID](), unreached: map[ident.VMID]int{},
+		refusal: relay.Outcome{Verdict: relay.Refused, Reason: "refused", NothingSent: true},
+	}
+	table, err := routes.NewTable(&routes.Config{Version: version})
+	require.NoError(t, err)
+	members := []roster.Member{{VM: "self", Serving: true}}
+	for _, p := range peers {
+		members = append(members, p.member)
+	}
+	replicas := []*roster.Replica{{Server: roster.Server{ID: "i-1", Service: "desk"}}}
+	s.view = roster.NewView(table, replicas, members, nil)
+	s.Runner = detour.New(detour.Deps{
+		Self: "self", Inner: local{s}, Coverage: detour.NewCoverage(s, s.reach, s), Views: s, Peers: s, Metrics: metrics.NewSet(),
+	})
+	return s
+}
+
+// partition makes the VM unable to reach any backend server.
+func (s *site) partition() {
+	now := time.Now()
+	for _, id := range []ident.ServerID{"i-1", "i-2", "i-3", "i-4"} {
+		s.reach.Unreached(now, now, id)
+	}
+	s.reach.Update(now)
+}
+
+func request(route *routes.Route, id string) runner.Request {
+	return runner.Request{
+		Message: &pool.Message{ID: id, Head: []byte("GET /look/x HTTP/1.1\r\n")}, Route: route, Service: "desk", Arrived: time.Now(), Host: "desk.example", Path: "/look/x",
+	}
+}
+
+func TestRequestsOfAPartitionedVMRunElsewhere(t *testing.T) {
+	other := newPeer(t, "vm-1", answers(1))
+	s := newSite(t, 1, other)
+	require.Equal(t, relay.Refused, s.Run(request(lookup, "r1")).Verdict)
+	require.Zero(t, other.orders.Load(), "nothing says that the VM can't reach the servers")
+
+	s.partition()
+	answer := s.Run(request(lookup, "r2"))
+	require.Equal(t, relay.Success, answer.Verdict)
+	require.Equal(t, fasthttp.StatusCreated, answer.Result.Response.StatusCode())
+	require.Equal(t, "for r2", string(answer.Result.Response.Body()))
+	order := other.last.Load()
+	require.Equal(t, "desk.example", order.Host)
+	require.EqualValues(t, 1, order.Missing)
+	require.False(t, order.Counted)
+	require.Equal(t, 1, s.local)
+}
+
+func TestDeclinedRequestIsSentToAnotherVM(t *testing.T) {
+	bad, good := newPeer(t, "vm-1", declines), newPeer(t, "vm-2", answers(1))
+	s := newSite(t, 1, bad, good)
+	s.partition()
+	for range 20 {
+		require.Equal(t, relay.Success, s.Run(request(lookup, "r")).Verdict)
+	}
+	require.LessOrEqual(t, bad.orders.Load(), int32(1), "it is avoided for a while")
+}
+
+func TestNoDetourWithoutAVMThatReachesMore(t *testing.T) {
+	for name, change := range map[string]func(s *site){
+		"all reach as few":    func(s *site) { s.unreached["vm-1"] = 4 },
+		"the other is silent": func(s *site) { s.silent.Add("vm-1") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			other := newPeer(t, "vm-1", answers(1))
+			s := newSite(t, 1, other)
+			s.partition()
+			change(s)
+			require.Equal(t, relay.Refused, s.Run(request(lookup, "r")).Verdict)
+			require.Zero(t, other.orders.Load())
+			require.Equal(t, 1, s.local)
+		})
+	}
+}
+
+// A request that another VM may have run must neither run again nor be refused, which
+// would promise that it has not run.
+func TestRequestWithoutAnswerOfAnotherVMFails(t *testing.T) {
+	for _, route := range []*routes.Route{lookup, action} {
+		first, second := newPeer(t, "vm-1", breaks), newPeer(t, "vm-2", breaks)
+		s := newSite(t, 1, first, second)
+		s.partition()
+		require.Equal(t, relay.Failed, s.Run(request(route, "r")).Verdict)
+		require.EqualValues(t, 1, first.orders.Load()+second.orders.Load())
+		require.Zero(t, s.local)
+	}
+}
+
+func TestDetourEndsAtTheDeadlineOrWhenTheVMFallsSilent(t *testing.T) {
+	hangs := func(*fasthttp.RequestCtx, *detour.Order) { time.Sleep(2 * time.Second) }
+	s := newSite(t, 1, newPeer(t, "vm-1", hangs))
+	s.partition()
+	began := time.Now()
+	require.Equal(t, relay.TimedOut, s.Run(request(lookup, "r")).Verdict)
+	require.Less(t, time.Since(began), time.Second)
+
+	gone := make(chan struct{})
+	s = newSite(t, 1, newPeer(t, "vm-2", hangs))
+	s.partition()
+	left := request(lookup, "r")
+	left.Gone = gone
+	time.AfterFunc(50*time.Millisecond, func() { close(gone) })
+	require.True(t, s.Run(left).Gone)
+}
+
+// Guards against a VM that goes back to an older configuration: after a detour it must not
+// use one that is older than the one the request ran with.
+func TestVMDoesNotGoBackToAnOlderConfiguration(t *testing.T) {
+	other := newPeer(t, "vm-1", answers(7))
+	s := newSite(t, 3, other)
+	s.partition()
+	require.Equal(t, relay.Success, s.Run(request(lookup, "r1")).Verdict)
+	require.EqualValues(t, 3, other.last.Load().Version)
+	s.reach.Reached(time.Now(), "i-1")
+	s.reach.Reached(time.Now(), "i-2")
+	s.reach.Reached(time.Now(), "i-3")
+	require.False(t, s.reach.Update(time.Now()).Partitioned)
+	require.Equal(t, relay.Success, s.Run(request(lookup, "r2")).Verdict, "the VM itself has an older configuration")
+	require.EqualValues(t, 7, other.last.Load().Version)
+	s.silent.Add("vm-1")
+	require.Equal(t, relay.Refused, s.Run(request(lookup, "r3")).Verdict)
+	require.Zero(t, s.local)
+}
+
+// The attempts of a request may be the first to show that no backend server can be reached.
+func TestRequestThatReachedNoServerRunsElsewhere(t *testing.T) {
+	for name, nothingSent := range map[string]bool{"nothing was sent": true, "a server received an attempt": false} {
+		t.Run(name, func(t *testing.T) {
+			other := newPeer(t, "vm-1", answers(1))
+			s := newSite(t, 1, other)
+			s.findsPartition, s.refusal.NothingSent = true, nothingSent
+			answer := s.Run(request(lookup, "r1"))
+			if !nothingSent {
+				require.Equal(t, relay.Refused, answer.Verdict)
+				return
+			}
+			require.Equal(t, relay.Success, answer.Verdict)
+			require.True(t, other.last.Load().Counted)
+		})
+	}
+}
--- a/internal/query/relay/outcome.go
+++ b/internal/query/relay/outcome.go
@@ -33,7 +33,7 @@
 	if q.backoff > 0 {
 		reason = "backend servers want no more requests for now"
 	}
-	return &Outcome{Verdict: Refused, Reason: reason, RetryAfter: q.retryAfter()}
+	return q.refusal(reason)
 }
 
 // deadlineOutcome returns the outcome of a query whose deadline has passed.
@@ -44,7 +44,7 @@
 	case q.anyMayHaveRun():
 		return &Outcome{Verdict: TimedOut, Reason: "deadline reached"}
 	default:
-		return &Outcome{Verdict: Refused, Reason: "deadline reached before it was sent", RetryAfter: q.retryAfter()}
+		return q.refusal("deadline reached before it was sent")
 	}
 }
 
@@ -57,12 +57,12 @@
 		for j := range q.shards[i].attempts {
 			a := &q.shards[i].attempts[j]
 			if a.pending && cancel(i, j) {
-				a.mayHaveRun = false
+				a.mayHaveRun, a.maybeReceived = false, false
 			}
 		}
 	}
 	if !q.anyMayHaveRun() {
-		q.outcome = &Outcome{Verdict: Refused, Reason: q.outcome.Reason + "; nothing was sent", RetryAfter: q.retryAfter()}
+		q.outcome = q.refusal(q.outcome.Reason + "; nothing was sent")
 	}
 	return *q.outcome
 }
@@ -80,6 +80,15 @@
 	return false
 }
 
+// refusal returns the outcome of a query that no backend server has run or will run.
+func (q *Query) refusal(reason string) *Outcome {
+	received := false
+	for i := range q.shards {
+		received = received || q.shards[i].maybeReceived()
+	}
+	return &Outcome{Verdict: Refused, Reason: reason, RetryAfter: q.retryAfter(), NothingSent: !received}
+}
+
 // retryAfter returns the RetryAfter of a refusal. Its random share keeps refused callers
 // from returning at the same time.
 func (q *Query) retryAfter() time.Duration {
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -70,7 +70,9 @@
 	for i := range q.shards {
 		s := &q.shards[i]
 		s.serverErrorAttempt = -1
-		q.env.Budget.Sent(s.service, 1)
+		if !q.request.Counted {
+			q.env.Budget.Sent(s.service, 1)
+		}
 		if replicas[i] = q.preferred(now, s); replicas[i] == nil && q.nextInTime(now, s) == nil {
 			q.failShard(s)
 		}
--- a/internal/query/relay/types.go
+++ b/internal/query/relay/types.go
@@ -104,6 +104,8 @@
 	Overhead time.Duration
 	// Deadline is the time by which the caller needs the final answer.
 	Deadline time.Time
+	// Counted is set if another VM has counted the request towards the retry budgets.
+	Counted bool
 }
 
 // Send instructs the driver to send one attempt.
@@ -180,6 +182,8 @@
 	// Attempt is the index of the attempt whose answer is passed on. It is set
 	// for a request that is not a search and has the verdict Success.
 	Attempt int
+	// NothingSent is set for a refusal if no backend server received any attempt.
+	NothingSent bool
 }
 
 // Verdict classifies a final answer.
--- a/internal/query/runner/runner.go
+++ b/internal/query/runner/runner.go
@@ -57,6 +57,19 @@
 	Wait time.Duration
 	// Gone is closed when the caller has left.
 	Gone <-chan struct{}
+	// Host and Path are what the request was routed by.
+	Host, Path string
+	// Counted is set if another VM has counted the request towards the retry budgets.
+	Counted bool
+}
+
+// Deadline returns the time by which the answer has to leave this VM.
+func (r *Request) Deadline() time.Time {
+	wait := r.Route.Timeout
+	if r.Wait > 0 && r.Wait < wait {
+		wait = r.Wait
+	}
+	return r.Arrived.Add(wait - min(r.Overhead+responseMargin, wait/4))
 }
 
 // Answer is the answer to a request.
@@ -114,7 +127,7 @@
 		return refusal
 	}
 	e.admittedAt = time.Now()
-	plan := relay.RequestInfo{Route: request.Route, Service: request.Service, Arrived: request.Arrived, Overhead: request.Overhead, Deadline: deadline(request)}
+	plan := relay.RequestInfo{Route: request.Route, Service: request.Service, Arrived: request.Arrived, Overhead: request.Overhead, Deadline: request.Deadline(), Counted: request.Counted}
 	query, sends := relay.New(r.deps.Env, plan, time.Now())
 	e.query = query
 	e.send(sends)
@@ -124,15 +137,6 @@
 	return answer
 }
 
-// deadline returns the time by which the answer has to leave this VM.
-func deadline(request Request) time.Time {
-	wait := request.Route.Timeout
-	if request.Wait > 0 && request.Wait < wait {
-		wait = request.Wait
-	}
-	return request.Arrived.Add(wait - min(request.Overhead+responseMargin, wait/4))
-}
-
 // execution is the state of one request in flight.
 type execution struct {
 	runner  *Runner
