Order no attempts from a VM that is partitioned from the backend servers

Cause: a delegate is chosen by its heartbeats alone. One that is partitioned from the servers of its zone is alive, takes the order and reports nothing in time. Evidence: of 1,190 attempts without a reply at the two VMs in touch, 1,118 had been ordered from partitioned VMs.

Heartbeats now say whether a VM is partitioned; such a VM gets no orders, and refuses those of VMs that have not heard it yet, which then send the attempts themselves.

TestPartitionedVMGetsNoOrders and TestPartitionedDelegateRefusesOrders guard it.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -131,7 +131,7 @@
 	var err error
 	t.heartbeats, err = beats.New(beats.Deps{
 		Self: self.VM, View: t.follower.View, Serving: t.isServing, Wake: t.registrar.Wake,
-		Unreached: func() int { return t.reach.State().Unreached }, Depot: adapter.Depot, Events: t.events,
+		Reach: t.reachReport, Depot: adapter.Depot, Events: t.events,
 	}, settings.Listen.Peers)
 	if err != nil {
 		return nil, err
@@ -150,7 +150,7 @@
 		return nil, errors.New("tier: the admission policy has no queue")
 	}
 	t.peerClient = deleg.NewClient()
-	t.peerServer = deleg.NewServer(t.pool, t.peerHandler(), t.events)
+	t.peerServer = deleg.NewServer(t.pool, func() bool { return t.reach.State().Partitioned }, t.peerHandler(), t.events)
 	t.delegates = runner.NewDelegates(t.follower, t.heartbeats.Detector())
 	t.env.CanDelegate = t.delegates.Has
 	local := runner.New(runner.Deps{
@@ -179,6 +179,12 @@
 	return t, nil
 }
 
+// reachReport returns what other VMs get to know of the links to backend servers.
+func (t *Tier) reachReport() beats.Reach {
+	state := t.reach.State()
+	return beats.Reach{Unreached: state.Unreached, Partitioned: state.Partitioned}
+}
+
 // peerHandler returns the handler of the requests of other VMs that are not orders.
 func (t *Tier) peerHandler() fasthttp.RequestHandler {
 	snapshots := seeds.Handler(t.follower)
--- a/internal/fleet/beats/detector.go
+++ b/internal/fleet/beats/detector.go
@@ -34,10 +34,18 @@
 	reports map[ident.VMID]reachReport
 }
 
-// reachReport is the number of backend servers that a VM can't reach, and when it arrived.
+// Reach is what a VM reports of its links to backend servers.
+type Reach struct {
+	// Unreached is the number of backend servers that the VM can't reach.
+	Unreached int
+	// Partitioned is set if the VM seems to be partitioned from the backend servers.
+	Partitioned bool
+}
+
+// reachReport is a report and the time at which it arrived.
 type reachReport struct {
-	unreached int
-	at        time.Time
+	reach Reach
+	at    time.Time
 }
 
 // NewDetector returns a detector without peers.
@@ -52,22 +60,22 @@
 	d.lastHeard[vm] = now
 }
 
-// RecordReach records how many backend servers a peer can't reach.
-func (d *Detector) RecordReach(now time.Time, vm ident.VMID, unreached int) {
+// RecordReach records what a peer reports of its links to backend servers.
+func (d *Detector) RecordReach(now time.Time, vm ident.VMID, reach Reach) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.reports[vm] = reachReport{unreached: unreached, at: now}
+	d.reports[vm] = reachReport{reach: reach, at: now}
 }
 
-// Unreached returns how many backend servers a VM can't reach, as far as it reported within
-// silenceTimeout.
-func (d *Detector) Unreached(now time.Time, vm ident.VMID) int {
+// Reach returns what a VM reported of its links to backend servers within silenceTimeout. It
+// is the zero value if there is no report.
+func (d *Detector) Reach(now time.Time, vm ident.VMID) Reach {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if r := d.reports[vm]; now.Sub(r.at) <= silenceTimeout {
-		return r.unreached
+		return r.reach
 	}
-	return 0
+	return Reach{}
 }
 
 // Update checks the peers at now, and returns those that became silent and those that
--- a/internal/fleet/beats/heartbeat.go
+++ b/internal/fleet/beats/heartbeat.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,7 +27,7 @@
 	maxDatagramBytes = 256
 	// heartbeatPrefix and helloPrefix begin the datagrams of this protocol. The id of the
 	// sender follows. After reachPrefix come the number of backend servers that the sender
-	// can't reach, a space, and its id.
+	// can't reach, whether it is partitioned from them, and its id, separated by spaces.
 	heartbeatPrefix = "pulse1 "
 	helloPrefix     = "hello1 "
 	reachPrefix     = "reach1 "
@@ -47,8 +49,8 @@
 	// Wake is called for each heartbeat that arrives while this VM doesn't serve: the
 	// sender regards it as serving or selected to serve.
 	Wake func()
-	// Unreached returns how many backend servers this VM can't reach.
-	Unreached func() int
+	// Reach returns what this VM reports of its links to backend servers.
+	Reach func() Reach
 	Depot     depot.Depot
 	Events    *events.Recorder
 }
@@ -121,8 +123,8 @@
 			continue
 		}
 		now := time.Now()
-		if vm, unreached, ok := decodeReach(buffer[:n]); ok {
-			h.detector.RecordReach(now, vm, unreached)
+		if vm, reach, ok := decodeReach(buffer[:n]); ok {
+			h.detector.RecordReach(now, vm, reach)
 			continue
 		}
 		vm, isHeartbeat, ok := decode(buffer[:n])
@@ -150,13 +152,24 @@
 	return ident.VMID(id), false, found && len(id) > 0
 }
 
-// decodeReach returns the sender of a datagram with the number of backend servers that it
-// can't reach, and this number. ok is false for other datagrams.
-func decodeReach(datagram []byte) (vm ident.VMID, unreached int, ok bool) {
-	rest, found := bytes.CutPrefix(datagram, []byte(reachPrefix))
-	count, id, separated := bytes.Cut(rest, []byte(" "))
-	unreached, err := strconv.Atoi(string(count))
-	return ident.VMID(id), unreached, found && separated && err == nil && unreached >= 0 && len(id) > 0
+// encodeReach returns the datagram with what a VM reports of its links to backend servers.
+func encodeReach(vm ident.VMID, reach Reach) []byte {
+	return fmt.Appendf(nil, "%s%d %t %s", reachPrefix, reach.Unreached, reach.Partitioned, vm)
+}
+
+// decodeReach is the inverse of encodeReach. ok is false for other datagrams.
+func decodeReach(datagram []byte) (vm ident.VMID, reach Reach, ok bool) {
+	rest, found := strings.CutPrefix(string(datagram), reachPrefix)
+	fields := strings.SplitN(rest, " ", 3)
+	if !found || len(fields) != 3 || fields[2] == "" {
+		return "", Reach{}, false
+	}
+	unreached, err := strconv.Atoi(fields[0])
+	isPartitioned, boolErr := strconv.ParseBool(fields[1])
+	if err != nil || boolErr != nil || unreached < 0 {
+		return "", Reach{}, false
+	}
+	return ident.VMID(fields[2]), Reach{Unreached: unreached, Partitioned: isPartitioned}, true
 }
 
 // tick sends heartbeats and hellos if this VM serves, logs which peers became silent or
@@ -179,13 +192,13 @@
 	}
 }
 
-// sendHeartbeats sends a heartbeat to each serving peer, with the number of backend servers
-// that this VM can't reach if there are any, and returns these peers. VMs that are
+// sendHeartbeats sends a heartbeat to each serving peer, with a report of this VM's links to
+// backend servers unless it reaches all, and returns these peers. VMs that are
 // selected to serve get one too, since a VM that stands by follows few changes by itself.
 func (h *Heartbeater) sendHeartbeats() []ident.VMID {
 	datagrams := [][]byte{[]byte(heartbeatPrefix + string(h.deps.Self))}
-	if unreached := h.deps.Unreached(); unreached > 0 {
-		datagrams = append(datagrams, []byte(reachPrefix+strconv.Itoa(unreached)+" "+string(h.deps.Self)))
+	if reach := h.deps.Reach(); reach != (Reach{}) {
+		datagrams = append(datagrams, encodeReach(h.deps.Self, reach))
 	}
 	view := h.deps.View()
 	var peers []ident.VMID
--- a/internal/fleet/beats/heartbeat_test.go
+++ b/internal/fleet/beats/heartbeat_test.go
@@ -25,7 +25,7 @@
 	mu   sync.Mutex
 	view *roster.View
 
-	unreached atomic.Int32
+	reach atomic.Pointer[beats.Reach]
 }
 
 func newTestVM(t *testing.T, id ident.VMID, serving bool) *testVM {
@@ -36,10 +36,11 @@
 	require.NoError(t, probe.Close())
 	s := &testVM{member: roster.Member{VM: id, PeerAddress: address, Serving: true}, woken: make(chan struct{}, 1000)}
 	s.setMembers()
+	s.reach.Store(&beats.Reach{})
 	s.Heartbeater, err = beats.New(beats.Deps{
 		Self: id, View: s.currentView, Serving: func() bool { return serving },
-		Wake:      func() { s.woken <- struct{}{} },
-		Unreached: func() int { return int(s.unreached.Load()) },
+		Wake:  func() { s.woken <- struct{}{} },
+		Reach: func() beats.Reach { return *s.reach.Load() },
 	}, address)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -92,12 +93,14 @@
 	require.Empty(t, stopped.woken)
 }
 
-func TestServingVMsReportHowManyServersTheyDoNotReach(t *testing.T) {
+func TestServingVMsReportWhichServersTheyDoNotReach(t *testing.T) {
 	sender, receiver := newTestVM(t, "vm-1", true), newTestVM(t, "vm-2", true)
-	sender.setMembers(sender.member, receiver.member)
-	unreached := func() int { return receiver.Detector().Unreached(time.Now(), "vm-1") }
-	sender.unreached.Store(7)
-	require.Eventually(t, func() bool { return unreached() == 7 }, 2*time.Second, 20*time.Millisecond)
-	sender.unreached.Store(0)
-	require.Eventually(t, func() bool { return unreached() == 0 }, 2*time.Second, 20*time.Millisecond)
+	for _, vm := range []*testVM{sender, receiver} {
+		vm.setMembers(sender.member, receiver.member)
+	}
+	got := func() beats.Reach { return receiver.Detector().Reach(time.Now(), "vm-1") }
+	for _, want := range []beats.Reach{{Unreached: 7}, {Unreached: 50, Partitioned: true}, {}} {
+		sender.reach.Store(&want)
+		require.Eventually(t, func() bool { return got() == want }, 2*time.Second, 20*time.Millisecond)
+	}
 }
--- a/internal/link/deleg/deleg_test.go
+++ b/internal/link/deleg/deleg_test.go
@@ -22,6 +22,9 @@
 // backend is a Sender that answers each attempt after the delay of its backend server.
 // It never answers if the delay is negative.
 type backend struct {
+	// partitioned is set if the delegate reaches no backend server.
+	partitioned bool
+
 	delays map[string]time.Duration
 	limits map[string]notice.Limit
 	mu     sync.Mutex
@@ -78,7 +81,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := deleg.NewServer(b, notFound, nil)
+	server := deleg.NewServer(b, func() bool { return b.partitioned }, notFound, nil)
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve(listener) })
 	t.Cleanup(func() {
@@ -199,6 +202,14 @@
 	require.Less(t, time.Since(began), time.Second)
 }
 
+func TestPartitionedDelegateRefusesOrders(t *testing.T) {
+	b := &backend{partitioned: true}
+	c := send(t, deleg.NewClient(), serve(t, b), newOrder("a", "b"))
+	require.Error(t, <-c.ended)
+	require.Equal(t, pool.Unsent, c.fate)
+	require.Empty(t, b.sent)
+}
+
 // A delegate that was paused while an order arrived and was cancelled must not send its
 // attempts.
 func TestCancelledOrderIsNotSentAfterAPause(t *testing.T) {
@@ -212,7 +223,7 @@
 	require.NoError(t, err)
 	require.NoError(t, conn.Close())
 	b := &backend{}
-	server := deleg.NewServer(b, notFound, nil)
+	server := deleg.NewServer(b, func() bool { return false }, notFound, nil)
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve(listener) })
 	time.Sleep(200 * time.Millisecond)
--- a/internal/link/deleg/server.go
+++ b/internal/link/deleg/server.go
@@ -48,15 +48,16 @@
 // Server executes the orders of other VMs. It is safe for concurrent use.
 type Server struct {
 	sender   Sender
+	refuse   func() bool
 	fallback fasthttp.RequestHandler
 	events   *events.Recorder
 	http     *fasthttp.Server
 }
 
-// NewServer returns a server that sends attempts through sender. fallback handles requests
-// to paths other than that of orders.
-func NewServer(sender Sender, fallback fasthttp.RequestHandler, recorder *events.Recorder) *Server {
-	s := &Server{sender: sender, fallback: fallback, events: recorder}
+// NewServer returns a server that sends attempts through sender, and refuses orders while
+// refuse returns true. fallback handles requests to paths other than that of orders.
+func NewServer(sender Sender, refuse func() bool, fallback fasthttp.RequestHandler, recorder *events.Recorder) *Server {
+	s := &Server{sender: sender, refuse: refuse, fallback: fallback, events: recorder}
 	s.http = &fasthttp.Server{
 		Handler:                       s.serve,
 		MaxRequestBodySize:            maxOrderBytes,
@@ -97,6 +98,10 @@
 		ctx.SetConnectionClose()
 		return
 	}
+	if s.refuse() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
 	running := newExecution(&order, time.Now())
 	running.start(s.sender, &order)
 	conn := ctx.Conn()
--- a/internal/link/detour/runner.go
+++ b/internal/link/detour/runner.go
@@ -12,6 +12,7 @@
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/fleet/beats"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/plat/header"
@@ -52,8 +53,8 @@
 type Peers interface {
 	// Silent reports whether a VM seems to be dead or cut off.
 	Silent(vm ident.VMID) bool
-	// Unreached returns how many backend servers a VM can't reach.
-	Unreached(now time.Time, vm ident.VMID) int
+	// Reach returns what a VM reports of its links to backend servers.
+	Reach(now time.Time, vm ident.VMID) beats.Reach
 }
 
 // Deps holds the dependencies of a Runner.
@@ -195,7 +196,7 @@
 		if !m.Serving || m.VM == r.deps.Self || tried.Has(m.VM) || now.Before(r.avoidUntil[m.VM]) || r.deps.Peers.Silent(m.VM) {
 			continue
 		}
-		if !mandatory && minAdvantage*r.deps.Peers.Unreached(now, m.VM) > unreached {
+		if reach := r.deps.Peers.Reach(now, m.VM); !mandatory && (reach.Partitioned || minAdvantage*reach.Unreached > unreached) {
 			continue
 		}
 		count++
--- a/internal/link/detour/runner_test.go
+++ b/internal/link/detour/runner_test.go
@@ -14,6 +14,7 @@
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/fleet/beats"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/link/detour"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
@@ -75,10 +76,10 @@
 // site is a VM with peers.
 type site struct {
 	*detour.Runner
-	view      *roster.View
-	reach     *reach.Tracker
-	silent    coll.Set[ident.VMID]
-	unreached map[ident.VMID]int
+	view    *roster.View
+	reach   *reach.Tracker
+	silent  coll.Set[ident.VMID]
+	reports map[ident.VMID]beats.Reach
 	// refusal is the outcome of requests that run on the VM itself.
 	refusal relay.Outcome
 	// findsPartition is set if these requests show that the VM reaches no server.
@@ -87,10 +88,10 @@
 	local int
 }
 
-func (s *site) View() *roster.View                       { return s.view }
-func (s *site) Silent(vm ident.VMID) bool                { return s.silent.Has(vm) }
-func (s *site) Unreached(_ time.Time, vm ident.VMID) int { return s.unreached[vm] }
-func (s *site) IsDown(ident.ServerID) bool               { return true }
+func (s *site) View() *roster.View                           { return s.view }
+func (s *site) Silent(vm ident.VMID) bool                    { return s.silent.Has(vm) }
+func (s *site) Reach(_ time.Time, vm ident.VMID) beats.Reach { return s.reports[vm] }
+func (s *site) IsDown(ident.ServerID) bool                   { return true }
 
 // local runs requests on the VM itself. They find no backend server.
 type local struct{ site *site }
@@ -106,7 +107,7 @@
 func newSite(t *testing.T, version ident.Version, peers ...*peer) *site {
 	t.Helper()
 	s := &site{
-		reach: reach.NewTracker(), silent: coll.NewSet[ident.VMID](), unreached: map[ident.VMID]int{},
+		reach: reach.NewTracker(), silent: coll.NewSet[ident.VMID](), reports: map[ident.VMID]beats.Reach{},
 		refusal: relay.Outcome{Verdict: relay.Refused, Reason: "refused", NothingSent: true},
 	}
 	table, err := routes.NewTable(&routes.Config{Version: version})
@@ -168,8 +169,9 @@
 
 func TestNoDetourWithoutAVMThatReachesMore(t *testing.T) {
 	for name, change := range map[string]func(s *site){
-		"all reach as few":    func(s *site) { s.unreached["vm-1"] = 4 },
-		"the other is silent": func(s *site) { s.silent.Add("vm-1") },
+		"all reach as few":         func(s *site) { s.reports["vm-1"] = beats.Reach{Unreached: 4} },
+		"the other is partitioned": func(s *site) { s.reports["vm-1"] = beats.Reach{Unreached: 1, Partitioned: true} },
+		"the other is silent":      func(s *site) { s.silent.Add("vm-1") },
 	} {
 		t.Run(name, func(t *testing.T) {
 			other := newPeer(t, "vm-1", answers(1))
--- a/internal/query/runner/delegate.go
+++ b/internal/query/runner/delegate.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/fleet/beats"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/link/deleg"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
@@ -37,6 +38,8 @@
 type Peers interface {
 	// Silent reports whether a VM seems to be dead or cut off.
 	Silent(vm ident.VMID) bool
+	// Reach returns what a VM reports of its links to backend servers.
+	Reach(now time.Time, vm ident.VMID) beats.Reach
 }
 
 // Delegates chooses delegates: VMs of other availability zones that send attempts to
@@ -61,14 +64,14 @@
 	return ok
 }
 
-// choose returns a random VM that serves in the zone, except for VMs that are silent or
-// avoided.
+// choose returns a random VM that serves in the zone, except for VMs that are silent,
+// avoided or partitioned from the backend servers.
 func (d *Delegates) choose(now time.Time, zone ident.Zone) (chosen roster.Member, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	found := 0
 	for _, m := range d.views.View().ServingIn(zone) {
-		if now.Before(d.avoidUntil[m.VM]) || d.peers.Silent(m.VM) {
+		if now.Before(d.avoidUntil[m.VM]) || d.peers.Silent(m.VM) || d.peers.Reach(now, m.VM).Partitioned {
 			continue
 		}
 		found++
--- a/internal/query/runner/delegate_test.go
+++ b/internal/query/runner/delegate_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/routes"
+	"github.com/samphirestair/samphirestair/internal/fleet/beats"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/link/deleg"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
@@ -44,10 +45,13 @@
 	slow                   []string
 	// notices holds what the VM in vantaa knows of the servers.
 	notices *notice.Tracker
+	// reach is what the VM in espoo reports of its links to backend servers.
+	reach beats.Reach
 }
 
-func (z *zonedFleet) View() *roster.View     { return z.view }
-func (z *zonedFleet) Silent(ident.VMID) bool { return false }
+func (z *zonedFleet) View() *roster.View                      { return z.view }
+func (z *zonedFleet) Silent(ident.VMID) bool                  { return false }
+func (z *zonedFleet) Reach(time.Time, ident.VMID) beats.Reach { return z.reach }
 
 // signatureOf returns the signature of a server's part, and recordOf the only record of
 // the part.
@@ -310,3 +314,15 @@
 		})
 	}
 }
+
+// Guards against searches that rely on a VM that is partitioned from the backend servers of
+// its zone: it is alive, takes the order and reports nothing in time.
+func TestPartitionedVMGetsNoOrders(t *testing.T) {
+	ordered := false
+	z := &zonedFleet{reach: beats.Reach{Unreached: 6, Partitioned: true}, handleOrder: func(*deleg.Order, func(*deleg.Report), func(pool.Outcome, error)) { ordered = true }}
+	answer := z.search(t)
+	require.Equal(t, relay.Success, answer.Verdict)
+	require.Zero(t, answer.Missing)
+	require.False(t, ordered)
+	require.Len(t, z.direct, 6)
+}
