Let a partitioned VM use any VM that isn't

Cause: the numbers of servers that two VMs can't reach were compared, but a partitioned VM has probed only some servers within the time that counts: it counted 12 out of reach, and the other one still 9 of 33. While this VM is partitioned, every VM that isn't will do. The case of TestDetoursGoToVMsThatReachMore fails without the change.

--- a/internal/link/detour/runner.go
+++ b/internal/link/detour/runner.go
@@ -188,7 +188,7 @@
 // choose returns a random VM that serves and reaches more backend servers than this VM,
 // unless mandatory is set, except for VMs that were tried, are silent or are avoided.
 func (r *Runner) choose(now time.Time, tried coll.Set[ident.VMID], mandatory bool) (chosen roster.Member, found bool) {
-	unreached := r.deps.Coverage.Unreached()
+	unreached, partitioned := r.deps.Coverage.Unreached(), r.deps.Coverage.Partitioned()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	count := 0
@@ -196,7 +196,8 @@
 		if !m.Serving || m.VM == r.deps.Self || tried.Has(m.VM) || now.Before(r.avoidUntil[m.VM]) || r.deps.Peers.Silent(m.VM) {
 			continue
 		}
-		if reach := r.deps.Peers.Reach(now, m.VM); !mandatory && (m.Partitioned || reach.Partitioned || minAdvantage*reach.Unreached > unreached) {
+		reach := r.deps.Peers.Reach(now, m.VM)
+		if !mandatory && (m.Partitioned || reach.Partitioned || !partitioned && minAdvantage*reach.Unreached > unreached) {
 			continue
 		}
 		count++
--- a/internal/link/detour/runner_test.go
+++ b/internal/link/detour/runner_test.go
@@ -1,6 +1,7 @@
 package detour_test
 
 import (
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -99,7 +100,7 @@
 func (l local) Run(runner.Request) runner.Answer {
 	l.site.local++
 	if l.site.findsPartition {
-		l.site.partition()
+		l.site.partition(0)
 	}
 	return runner.Answer{Outcome: l.site.refusal}
 }
@@ -116,7 +117,7 @@
 	for _, p := range peers {
 		members = append(members, p.member)
 	}
-	replicas := []*roster.Replica{{Server: roster.Server{ID: "i-1", Service: "desk"}}}
+	replicas := []*roster.Replica{{Server: roster.Server{ID: serverID(0), Service: "desk"}}}
 	s.view = roster.NewView(table, replicas, members, nil)
 	s.Runner = detour.New(detour.Deps{
 		Self: "self", Inner: local{s}, Coverage: detour.NewCoverage(s, s.reach, s), Views: s, Peers: s, Metrics: metrics.NewSet(),
@@ -124,15 +125,23 @@
 	return s
 }
 
-// partition makes the VM unable to reach any backend server.
-func (s *site) partition() {
+// partition makes the VM unable to reach three backend servers, among them that of the
+// route, while it reaches some others.
+func (s *site) partition(reached int) {
 	now := time.Now()
-	for _, id := range []ident.ServerID{"i-1", "i-2", "i-3", "i-4"} {
-		s.reach.Unreached(now, now, id)
+	for i := range 3 {
+		s.reach.Unreached(now, now, serverID(i))
+	}
+	for i := range reached {
+		s.reach.Reached(now, serverID(3+i))
 	}
 	s.reach.Update(now)
 }
 
+func serverID(i int) ident.ServerID {
+	return ident.ServerID(fmt.Sprint("i-", i))
+}
+
 func request(route *routes.Route, id string) runner.Request {
 	return runner.Request{
 		Message: &pool.Message{ID: id, Head: []byte("GET /look/x HTTP/1.1\r\n")}, Route: route, Service: "desk", Arrived: time.Now(), Host: "desk.example", Path: "/look/x",
@@ -145,7 +154,7 @@
 	require.Equal(t, relay.Refused, s.Run(request(lookup, "r1")).Verdict)
 	require.Zero(t, other.orders.Load(), "nothing says that the VM can't reach the servers")
 
-	s.partition()
+	s.partition(0)
 	answer := s.Run(request(lookup, "r2"))
 	require.Equal(t, relay.Success, answer.Verdict)
 	require.Equal(t, fasthttp.StatusCreated, answer.Result.Response.StatusCode())
@@ -160,27 +169,41 @@
 func TestDeclinedRequestIsSentToAnotherVM(t *testing.T) {
 	bad, good := newPeer(t, "vm-1", declines), newPeer(t, "vm-2", answers(1))
 	s := newSite(t, 1, bad, good)
-	s.partition()
+	s.partition(0)
 	for range 20 {
 		require.Equal(t, relay.Success, s.Run(request(lookup, "r")).Verdict)
 	}
 	require.LessOrEqual(t, bad.orders.Load(), int32(1), "it is avoided for a while")
 }
 
-func TestNoDetourWithoutAVMThatReachesMore(t *testing.T) {
-	for name, change := range map[string]func(s *site){
-		"all reach as few":         func(s *site) { s.reports["vm-1"] = beats.Reach{Unreached: 4} },
-		"the other is partitioned": func(s *site) { s.reports["vm-1"] = beats.Reach{Unreached: 1, Partitioned: true} },
-		"the other is silent":      func(s *site) { s.silent.Add("vm-1") },
+func TestDetoursGoToVMsThatReachMore(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// reached is the number of servers that the VM reaches besides the three that it does
+		// not reach.
+		reached int
+		report  beats.Reach
+		silent  bool
+		detours bool
+	}{
+		{name: "nothing reported", reached: 9, detours: true},
+		{name: "half as few", reached: 9, report: beats.Reach{Unreached: 1}, detours: true},
+		{name: "as few", reached: 9, report: beats.Reach{Unreached: 3}},
+		{name: "partitioned, the other reaches some", report: beats.Reach{Unreached: 9}, detours: true},
+		{name: "both partitioned", report: beats.Reach{Unreached: 3, Partitioned: true}},
+		{name: "the other is silent", silent: true},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(test.name, func(t *testing.T) {
 			other := newPeer(t, "vm-1", answers(1))
 			s := newSite(t, 1, other)
-			s.partition()
-			change(s)
-			require.Equal(t, relay.Refused, s.Run(request(lookup, "r")).Verdict)
-			require.Zero(t, other.orders.Load())
-			require.Equal(t, 1, s.local)
+			s.partition(test.reached)
+			s.reports["vm-1"] = test.report
+			if test.silent {
+				s.silent.Add("vm-1")
+			}
+			s.Run(request(lookup, "r"))
+			require.Equal(t, test.detours, other.orders.Load() == 1)
+			require.Equal(t, test.detours, s.local == 0)
 		})
 	}
 }
@@ -191,7 +214,7 @@
 	for _, route := range []*routes.Route{lookup, action} {
 		first, second := newPeer(t, "vm-1", breaks), newPeer(t, "vm-2", breaks)
 		s := newSite(t, 1, first, second)
-		s.partition()
+		s.partition(0)
 		require.Equal(t, relay.Failed, s.Run(request(route, "r")).Verdict)
 		require.EqualValues(t, 1, first.orders.Load()+second.orders.Load())
 		require.Zero(t, s.local)
@@ -201,14 +224,14 @@
 func TestDetourEndsAtTheDeadlineOrWhenTheVMFallsSilent(t *testing.T) {
 	hangs := func(*fasthttp.RequestCtx, *detour.Order) { time.Sleep(2 * time.Second) }
 	s := newSite(t, 1, newPeer(t, "vm-1", hangs))
-	s.partition()
+	s.partition(0)
 	began := time.Now()
 	require.Equal(t, relay.TimedOut, s.Run(request(lookup, "r")).Verdict)
 	require.Less(t, time.Since(began), time.Second)
 
 	gone := make(chan struct{})
 	s = newSite(t, 1, newPeer(t, "vm-2", hangs))
-	s.partition()
+	s.partition(0)
 	left := request(lookup, "r")
 	left.Gone = gone
 	time.AfterFunc(50*time.Millisecond, func() { close(gone) })
@@ -220,12 +243,12 @@
 func TestVMDoesNotGoBackToAnOlderConfiguration(t *testing.T) {
 	other := newPeer(t, "vm-1", answers(7))
 	s := newSite(t, 3, other)
-	s.partition()
+	s.partition(0)
 	require.Equal(t, relay.Success, s.Run(request(lookup, "r1")).Verdict)
 	require.EqualValues(t, 3, other.last.Load().Version)
-	s.reach.Reached(time.Now(), "i-1")
-	s.reach.Reached(time.Now(), "i-2")
-	s.reach.Reached(time.Now(), "i-3")
+	for i := range 3 {
+		s.reach.Reached(time.Now(), serverID(i))
+	}
 	require.False(t, s.reach.Update(time.Now()).Partitioned)
 	require.Equal(t, relay.Success, s.Run(request(lookup, "r2")).Verdict, "the VM itself has an older configuration")
 	require.EqualValues(t, 7, other.last.Load().Version)
