--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -42,6 +42,7 @@
 	ServerQuiet  Fault = "server-quiet"
 	ServerLimits Fault = "server-limits"
 	StoreRestore Fault = "store-restores"
+	Partitioned  Fault = "partition"
 )
 
 // Faults returns all kinds of faults. New kinds are appended: the order determines
@@ -51,7 +52,7 @@
 		KillVM, KillAll, StopVM, PauseVM, Settings, CallerLink, StoreLink, ServerLink,
 		StoreDown, StoreSlow, StoreLoses, StoreForget, StoreDeaf,
 		ServerCrash, ServerSlow, ServerFails, ServerLoses, ServerSpoils, ServerDrain, ServerReuse, ServerReborn,
-		ConfigMove, ConfigStorm, Reshard, Evacuate, AllFail, ServerQuiet, ServerLimits, StoreRestore,
+		ConfigMove, ConfigStorm, Reshard, Evacuate, AllFail, ServerQuiet, ServerLimits, StoreRestore, Partitioned,
 	}
 }
 
