Carry the headers of a detoured answer in its body

Class: a size that follows the number of shards meets a fixed limit.

The answer for the caller, headers included, is now the body of the answer to the order. TestAnswerOfManyShardsPasses, with 80 kB of headers, failed before.

--- a/internal/link/detour/runner.go
+++ b/internal/link/detour/runner.go
@@ -259,21 +259,16 @@
 
 // accept converts the answer of another VM.
 func (r *Runner) accept(request runner.Request, peer roster.Member, result pool.Result) runner.Answer {
-	header := &result.Response.Header
-	status, err := strconv.Atoi(string(header.Peek(statusHeader)))
-	version, versionErr := strconv.ParseUint(string(header.Peek(versionHeader)), 10, 64)
-	if err != nil || versionErr != nil {
+	version, err := unwrap(result.Response)
+	if err != nil {
 		result.Release()
-		return runner.Answer{Outcome: relay.Outcome{Verdict: relay.Failed, Reason: "unreadable answer of another VM"}}
+		return runner.Answer{Outcome: relay.Outcome{Verdict: relay.Failed, Reason: err.Error()}}
 	}
-	header.Del(statusHeader)
-	header.Del(versionHeader)
-	result.Response.SetStatusCode(status)
 	r.mu.Lock()
-	r.newest = max(r.newest, ident.Version(version))
+	r.newest = max(r.newest, version)
 	r.mu.Unlock()
 	r.deps.Events.Trace("request_detoured", request.Message.ID, "backend servers out of reach", slog.String("vm", string(peer.VM)),
-		slog.Int("status", status), slog.Duration("took", time.Since(request.Arrived)), slog.String("route", request.Route.Name))
+		slog.Int("status", result.Response.StatusCode()), slog.Duration("took", time.Since(request.Arrived)), slog.String("route", request.Route.Name))
 	return runner.Answer{Outcome: relay.Outcome{Verdict: relay.Success, Reason: "answered by " + string(peer.VM)}, Result: result}
 }
 
--- a/internal/link/detour/runner_test.go
+++ b/internal/link/detour/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -41,7 +42,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	p := &peer{member: roster.Member{VM: vm, PeerAddress: l.Addr().String(), Serving: true}}
-	server := &fasthttp.Server{Logger: events.DiscardLogger{}, Handler: func(ctx *fasthttp.RequestCtx) {
+	server := &fasthttp.Server{DisableHeaderNamesNormalizing: true, Logger: events.DiscardLogger{}, Handler: func(ctx *fasthttp.RequestCtx) {
 		order, err := detour.ReadOrder(ctx)
 		if err != nil {
 			detour.Decline(ctx, err.Error())
@@ -166,6 +167,24 @@
 	require.Equal(t, 1, s.local)
 }
 
+// Guards against answers that are lost because their headers exceed a buffer: a search
+// names the parts of all its shards there.
+func TestAnswerOfManyShardsPasses(t *testing.T) {
+	const lines, length = 20, 4000
+	other := newPeer(t, "vm-1", func(ctx *fasthttp.RequestCtx, order *detour.Order) {
+		for i := range lines {
+			ctx.Response.Header.Add("x-parts", fmt.Sprint(i, strings.Repeat("s", length)))
+		}
+		answers(1)(ctx, order)
+	})
+	s := newSite(t, 1, other)
+	s.partition(0)
+	answer := s.Run(request(lookup, "r"))
+	require.Equal(t, relay.Success, answer.Verdict)
+	require.Len(t, answer.Result.Response.Header.PeekAll("x-parts"), lines)
+	require.Equal(t, "for r", string(answer.Result.Response.Body()))
+}
+
 func TestDeclinedRequestIsSentToAnotherVM(t *testing.T) {
 	bad, good := newPeer(t, "vm-1", declines), newPeer(t, "vm-2", answers(1))
 	s := newSite(t, 1, bad, good)
--- a/internal/link/detour/server.go
+++ b/internal/link/detour/server.go
@@ -1,7 +1,7 @@
 package detour
 
 import (
-	"strconv"
+	"bytes"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -33,7 +33,31 @@
 // Wrap turns the answer for the caller, which is in ctx, into the answer for the VM that
 // sent the order. version is that of the configuration with which the request ran.
 func Wrap(ctx *fasthttp.RequestCtx, version ident.Version) {
-	ctx.Response.Header.Set(statusHeader, strconv.Itoa(ctx.Response.StatusCode()))
-	ctx.Response.Header.Set(versionHeader, strconv.FormatUint(uint64(version), 10))
-	ctx.SetStatusCode(fasthttp.StatusOK)
+	answer := Answer{Status: uint16(ctx.Response.StatusCode()), Version: uint64(version), Body: ctx.Response.Body()}
+	for name, value := range ctx.Response.Header.All() {
+		answer.Headers = append(answer.Headers, Header{Name: bytes.Clone(name), Value: bytes.Clone(value)})
+	}
+	encoded, err := answer.MarshalMsg(nil)
+	ctx.Response.Reset()
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetBody(encoded)
+}
+
+// unwrap replaces the answer of another VM by that for the caller.
+func unwrap(response *fasthttp.Response) (ident.Version, error) {
+	var answer Answer
+	if _, err := answer.UnmarshalMsg(response.Body()); err != nil {
+		return 0, errors.Wrap(err, "detour: decode answer")
+	}
+	response.Reset()
+	response.Header.DisableNormalizing()
+	response.SetStatusCode(int(answer.Status))
+	for _, h := range answer.Headers {
+		response.Header.AddBytesKV(h.Name, h.Value)
+	}
+	response.SetBodyRaw(answer.Body)
+	return ident.Version(answer.Version), nil
 }
--- a/internal/link/detour/wire.go
+++ b/internal/link/detour/wire.go
@@ -10,10 +10,6 @@
 	Path = "/v1/detour"
 	// declinedHeader holds why a VM declines to run a request.
 	declinedHeader = "X-Declined"
-	// statusHeader holds the status of the answer for the caller, and versionHeader the
-	// version of the configuration that the request ran with.
-	statusHeader  = "X-Status"
-	versionHeader = "X-Version"
 )
 
 // Reasons to decline a request.
@@ -49,3 +45,20 @@
 	// retries.
 	Counted bool `msg:"c"`
 }
+
+// Answer is the answer for the caller. It is the body of the answer to an order, since its
+// headers have no limit: those of a search grow with the number of shards.
+type Answer struct {
+	Status uint16 `msg:"s"`
+	// Version is the version of the configuration that the request ran with.
+	Version uint64   `msg:"v"`
+	Headers []Header `msg:"h,limit=65536"`
+	Body    []byte   `msg:"b"`
+}
+
+//msgp:tuple Header
+
+// Header is one header line.
+type Header struct {
+	Name, Value []byte
+}
--- a/internal/link/detour/wire_gen.go
+++ b/internal/link/detour/wire_gen.go
@@ -6,6 +6,366 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// DecodeMsg implements msgp.Decodable
+func (z *Answer) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Status, err = dc.ReadUint16()
+			if err != nil {
+				err = msgp.WrapError(err, "Status")
+				return
+			}
+		case "v":
+			z.Version, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "h":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Headers")
+				return
+			}
+			if zb0002 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Headers) >= int(zb0002) {
+				z.Headers = (z.Headers)[:zb0002]
+			} else {
+				z.Headers = make([]Header, zb0002)
+			}
+			for za0001 := range z.Headers {
+				var zb0003 uint32
+				zb0003, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Headers", za0001)
+					return
+				}
+				if zb0003 > 65536 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Headers[za0001].Name, err = dc.ReadBytes(z.Headers[za0001].Name)
+				if err != nil {
+					err = msgp.WrapError(err, "Headers", za0001, "Name")
+					return
+				}
+				z.Headers[za0001].Value, err = dc.ReadBytes(z.Headers[za0001].Value)
+				if err != nil {
+					err = msgp.WrapError(err, "Headers", za0001, "Value")
+					return
+				}
+			}
+		case "b":
+			z.Body, err = dc.ReadBytes(z.Body)
+			if err != nil {
+				err = msgp.WrapError(err, "Body")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Answer) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "s"
+	err = en.Append(0x84, 0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint16(z.Status)
+	if err != nil {
+		err = msgp.WrapError(err, "Status")
+		return
+	}
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	// write "h"
+	err = en.Append(0xa1, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Headers)))
+	if err != nil {
+		err = msgp.WrapError(err, "Headers")
+		return
+	}
+	for za0001 := range z.Headers {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteBytes(z.Headers[za0001].Name)
+		if err != nil {
+			err = msgp.WrapError(err, "Headers", za0001, "Name")
+			return
+		}
+		err = en.WriteBytes(z.Headers[za0001].Value)
+		if err != nil {
+			err = msgp.WrapError(err, "Headers", za0001, "Value")
+			return
+		}
+	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Body)
+	if err != nil {
+		err = msgp.WrapError(err, "Body")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Answer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "s"
+	o = append(o, 0x84, 0xa1, 0x73)
+	o = msgp.AppendUint16(o, z.Status)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.Version)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Headers)))
+	for za0001 := range z.Headers {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendBytes(o, z.Headers[za0001].Name)
+		o = msgp.AppendBytes(o, z.Headers[za0001].Value)
+	}
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendBytes(o, z.Body)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Answer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Status, bts, err = msgp.ReadUint16Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Status")
+				return
+			}
+		case "v":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "h":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Headers")
+				return
+			}
+			if zb0002 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Headers) >= int(zb0002) {
+				z.Headers = (z.Headers)[:zb0002]
+			} else {
+				z.Headers = make([]Header, zb0002)
+			}
+			for za0001 := range z.Headers {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Headers", za0001)
+					return
+				}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Headers[za0001].Name, bts, err = msgp.ReadBytesBytes(bts, z.Headers[za0001].Name)
+				if err != nil {
+					err = msgp.WrapError(err, "Headers", za0001, "Name")
+					return
+				}
+				z.Headers[za0001].Value, bts, err = msgp.ReadBytesBytes(bts, z.Headers[za0001].Value)
+				if err != nil {
+					err = msgp.WrapError(err, "Headers", za0001, "Value")
+					return
+				}
+			}
+		case "b":
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			if err != nil {
+				err = msgp.WrapError(err, "Body")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Answer) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint16Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Headers {
+		s += 1 + msgp.BytesPrefixSize + len(z.Headers[za0001].Name) + msgp.BytesPrefixSize + len(z.Headers[za0001].Value)
+	}
+	s += 2 + msgp.BytesPrefixSize + len(z.Body)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Header) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Name, err = dc.ReadBytes(z.Name)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	z.Value, err = dc.ReadBytes(z.Value)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Header) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Name)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	err = en.WriteBytes(z.Value)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Header) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendBytes(o, z.Name)
+	o = msgp.AppendBytes(o, z.Value)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Header) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Name, bts, err = msgp.ReadBytesBytes(bts, z.Name)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	z.Value, bts, err = msgp.ReadBytesBytes(bts, z.Value)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Header) Msgsize() (s int) {
+	s = 1 + msgp.BytesPrefixSize + len(z.Name) + msgp.BytesPrefixSize + len(z.Value)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Order) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
