Detour as soon as nothing arrives from any backend server

What callers saw: 504 for the requests of the first 1.3 s of a partition, until failed connections had shown it.

Servers that were silent before are down and don't count, so that few dead ones make no VM with little traffic suspect itself.

--- a/internal/core/tier/maintain.go
+++ b/internal/core/tier/maintain.go
@@ -118,8 +118,7 @@
 	}
 }
 
-// updateReach logs each change of the number of backend servers that this VM can't reach,
-// and announces whether this VM is partitioned from them.
+// updateReach logs each change of how this VM reaches the backend servers, and announces whether this VM is partitioned from them.
 func (t *Tier) updateReach(now time.Time) {
 	before := t.reach.State()
 	state := t.reach.Update(now)
@@ -133,11 +132,11 @@
 	if now.Sub(t.partitionChangedAt) >= hold {
 		t.registrar.SetPartitioned(state.Partitioned)
 	}
-	if state.Unreached == before.Unreached && state.Partitioned == before.Partitioned {
+	if state.Unreached == before.Unreached && state.Partitioned == before.Partitioned && state.Suspected == before.Suspected {
 		return
 	}
 	t.events.Record("reach_changed", string(t.settings.VM.ID), "connections to backend servers",
-		slog.Int("reached", state.Reached), slog.Int("unreached", state.Unreached), slog.Bool("partitioned", state.Partitioned))
+		slog.Int("reached", state.Reached), slog.Int("unreached", state.Unreached), slog.Bool("partitioned", state.Partitioned), slog.Bool("suspected", state.Suspected))
 }
 
 // recentNames holds the backend servers and services that were known within
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -153,7 +153,7 @@
 		return nil, errors.New("tier: the admission policy has no queue")
 	}
 	t.peerClient = deleg.NewClient()
-	t.peerServer = deleg.NewServer(t.pool, func() bool { return t.reach.State().Partitioned }, t.peerHandler(), t.events)
+	t.peerServer = deleg.NewServer(t.pool, func() bool { return t.reach.State().MayBePartitioned() }, t.peerHandler(), t.events)
 	t.delegates = runner.NewDelegates(t.follower, t.heartbeats.Detector())
 	t.env.CanDelegate = t.delegates.Has
 	local := runner.New(runner.Deps{
@@ -185,7 +185,7 @@
 // reachReport returns what other VMs get to know of the links to backend servers.
 func (t *Tier) reachReport() beats.Reach {
 	state := t.reach.State()
-	return beats.Reach{Unreached: state.Unreached, Partitioned: state.Partitioned}
+	return beats.Reach{Unreached: state.Unreached, Partitioned: state.MayBePartitioned()}
 }
 
 // peerHandler returns the handler of the requests of other VMs that are not orders.
--- a/internal/fleet/beats/detector.go
+++ b/internal/fleet/beats/detector.go
@@ -38,7 +38,7 @@
 type Reach struct {
 	// Unreached is the number of backend servers that the VM can't reach.
 	Unreached int
-	// Partitioned is set if the VM seems to be partitioned from the backend servers.
+	// Partitioned is set if the VM may be partitioned from the backend servers.
 	Partitioned bool
 }
 
--- a/internal/front/gate/detour.go
+++ b/internal/front/gate/detour.go
@@ -20,7 +20,7 @@
 type Coverage interface {
 	// Missing returns how many of the services that a request needs this VM can't reach.
 	Missing(route *routes.Route, service ident.ServiceID) int
-	// Partitioned reports whether this VM is partitioned from the backend servers.
+	// Partitioned reports whether this VM may be partitioned from the backend servers.
 	Partitioned() bool
 }
 
--- a/internal/link/detour/coverage.go
+++ b/internal/link/detour/coverage.go
@@ -36,7 +36,7 @@
 }
 
 // Missing returns how many of the services that a request needs this VM can't reach: those
-// of which it can connect to no backend server, or all while this VM is partitioned.
+// of which it can connect to no backend server, or all while this VM may be partitioned.
 // service is the one that was picked if the route is not a search.
 func (c *Coverage) Missing(route *routes.Route, service ident.ServiceID) int {
 	services := []ident.ServiceID{service}
@@ -44,7 +44,7 @@
 		services = route.Shards
 	}
 	state := c.links.State()
-	if state.Partitioned {
+	if state.MayBePartitioned() {
 		return len(services)
 	}
 	if state.Unreached == 0 {
@@ -59,9 +59,9 @@
 	return missing
 }
 
-// Partitioned reports whether this VM is partitioned from the backend servers.
+// Partitioned reports whether this VM may be partitioned from the backend servers.
 func (c *Coverage) Partitioned() bool {
-	return c.links.State().Partitioned
+	return c.links.State().MayBePartitioned()
 }
 
 // Unreached returns how many backend servers this VM can't reach.
--- a/internal/owner/reach/tracker.go
+++ b/internal/owner/reach/tracker.go
@@ -98,6 +98,14 @@
 	// Partitioned is set if so few servers can be reached that this VM itself seems to be
 	// partitioned from them.
 	Partitioned bool `json:"partitioned"`
+	// Suspected is set if nothing arrives from any server although several have requests, so
+	// that new connections are about to show whether this VM is partitioned.
+	Suspected bool `json:"suspected"`
+}
+
+// MayBePartitioned reports whether requests had better be sent by another VM.
+func (s State) MayBePartitioned() bool {
+	return s.Partitioned || s.Suspected
 }
 
 // Update returns the state at now.
@@ -121,6 +129,7 @@
 	default:
 		s.Partitioned = s.Unreached >= minServers && share >= partitionedShare
 	}
+	s.Suspected = len(t.suspects(now)) > 0
 	t.state = s
 	return s
 }
@@ -138,12 +147,18 @@
 func (t *Tracker) Suspects(now time.Time) []ident.ServerID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.suspects(now)
+}
+
+func (t *Tracker) suspects(now time.Time) []ident.ServerID {
 	if now.Sub(t.lastReached) < silentAfter {
 		return nil
 	}
+	// A server that is silent for longer than all others is down.
+	oldest := t.lastReached.Add(-silentAfter)
 	var silent []ident.ServerID
 	for id, l := range t.links {
-		if !l.waitingSince.IsZero() && now.Sub(l.waitingSince) >= silentAfter {
+		if !l.waitingSince.IsZero() && l.waitingSince.After(oldest) && now.Sub(l.waitingSince) >= silentAfter {
 			silent = append(silent, id)
 		}
 	}
