Ask other VMs before a silent one is evicted

Same class: what a VM sees of its own links is taken for the state of others.

It now asks three peers at a time for half a second whether they hear the silent VM, and leaves it alone while one does. Older builds don't answer, so that beside them evictions are as before.

--- a/internal/fleet/beats/detector.go
+++ b/internal/fleet/beats/detector.go
@@ -32,6 +32,8 @@
 	cutOff     bool
 	// reports holds what peers reported of their links to backend servers.
 	reports map[ident.VMID]reachReport
+	// heardByOther is when a peer last said that it hears each VM.
+	heardByOther map[ident.VMID]time.Time
 }
 
 // Reach is what a VM reports of its links to backend servers.
@@ -50,7 +52,7 @@
 
 // NewDetector returns a detector without peers.
 func NewDetector() *Detector {
-	return &Detector{lastHeard: map[ident.VMID]time.Time{}, silent: coll.NewSet[ident.VMID](), reports: map[ident.VMID]reachReport{}}
+	return &Detector{lastHeard: map[ident.VMID]time.Time{}, silent: coll.NewSet[ident.VMID](), reports: map[ident.VMID]reachReport{}, heardByOther: map[ident.VMID]time.Time{}}
 }
 
 // RecordHeartbeat records that a heartbeat from a peer arrived.
@@ -60,6 +62,29 @@
 	d.lastHeard[vm] = now
 }
 
+// Hears reports whether a heartbeat from a peer arrived within silenceTimeout.
+func (d *Detector) Hears(now time.Time, vm ident.VMID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, known := d.lastHeard[vm]
+	return known && now.Sub(at) <= silenceTimeout
+}
+
+// RecordHeardByOther records that a peer hears a VM.
+func (d *Detector) RecordHeardByOther(now time.Time, vm ident.VMID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.heardByOther[vm] = now
+}
+
+// HeardByOther reports whether a peer said within silenceTimeout that it hears a VM.
+func (d *Detector) HeardByOther(now time.Time, vm ident.VMID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, known := d.heardByOther[vm]
+	return known && now.Sub(at) <= silenceTimeout
+}
+
 // RecordReach records what a peer reports of its links to backend servers.
 func (d *Detector) RecordReach(now time.Time, vm ident.VMID, reach Reach) {
 	d.mu.Lock()
@@ -103,6 +128,7 @@
 		}
 	}
 	d.lastHeard, d.silent = lastHeard, silent
+	coll.Retain(d.heardByOther, func(vm ident.VMID) bool { return now.Sub(d.heardByOther[vm]) <= silenceTimeout })
 	coll.Retain(d.reports, func(vm ident.VMID) bool { return now.Sub(d.reports[vm].at) <= silenceTimeout })
 	// This VM counts among both the reachable VMs and the serving ones.
 	d.cutOff = len(peers) > 1 && 2*(len(peers)-len(silent)+1) < len(peers)+1
--- a/internal/fleet/beats/heartbeat.go
+++ b/internal/fleet/beats/heartbeat.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -15,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
@@ -31,12 +33,20 @@
 	heartbeatPrefix = "pulse1 "
 	helloPrefix     = "hello1 "
 	reachPrefix     = "reach1 "
+	// After askPrefix comes the id of a VM. The receiver answers with the same id after
+	// heardPrefix if it hears that VM.
+	askPrefix   = "ask1 "
+	heardPrefix = "heard1 "
 	// helloInterval is the time between two hellos to a departed VM.
 	helloInterval = time.Second
 	// evictionInterval is the time between two deletions of the same VM's registration.
 	evictionInterval = 2 * time.Second
 	// evictionTimeout bounds one deletion.
 	evictionTimeout = time.Second
+	// askedPeers is the number of peers that are asked each time whether they hear a silent
+	// VM, and askTime how long they are asked before it is evicted.
+	askedPeers = 3
+	askTime    = 500 * time.Millisecond
 )
 
 // Deps are what a Heartbeater needs.
@@ -57,7 +67,8 @@
 
 // Heartbeater exchanges heartbeats with the other serving VMs. Among the VMs that are not
 // silent, the one with the lowest id deletes the registrations of silent ones, so that
-// all VMs learn of it. A VM that was evicted while alive registers again. VMs that are no
+// all VMs learn of it. Before, it asks others whether they hear them: only its own link to
+// them may be broken. A VM that was evicted while alive registers again. VMs that are no
 // longer known get hellos for a while: one that starts again while the store is down
 // learns from them which VMs it can ask for a snapshot.
 type Heartbeater struct {
@@ -66,9 +77,11 @@
 	conn     net.PacketConn
 	// lastEviction is when this VM last tried to delete the registration of each VM.
 	lastEviction map[ident.VMID]time.Time
-	senders      *recentSenders
-	departed     *departedVMs
-	lastHello    time.Time
+	// askedSince is when the peers were first asked whether they hear each silent VM.
+	askedSince map[ident.VMID]time.Time
+	senders    *recentSenders
+	departed   *departedVMs
+	lastHello  time.Time
 }
 
 // New returns a heartbeater that receives on address, "ip:port". Run closes the socket.
@@ -77,7 +90,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "beats: listen")
 	}
-	return &Heartbeater{deps: deps, detector: NewDetector(), conn: conn, lastEviction: map[ident.VMID]time.Time{}, senders: newRecentSenders(), departed: newDepartedVMs()}, nil
+	return &Heartbeater{deps: deps, detector: NewDetector(), conn: conn, lastEviction: map[ident.VMID]time.Time{}, askedSince: map[ident.VMID]time.Time{}, senders: newRecentSenders(), departed: newDepartedVMs()}, nil
 }
 
 // Detector returns the failure detector for the serving peers.
@@ -127,6 +140,9 @@
 			h.detector.RecordReach(now, vm, reach)
 			continue
 		}
+		if h.handleQuestion(now, buffer[:n], from) {
+			continue
+		}
 		vm, isHeartbeat, ok := decode(buffer[:n])
 		if !ok {
 			continue
@@ -142,6 +158,24 @@
 	}
 }
 
+// handleQuestion handles a question whether this VM hears another one, and the answer to
+// one of its own. It returns false for other datagrams.
+func (h *Heartbeater) handleQuestion(now time.Time, datagram []byte, from net.Addr) bool {
+	if vm, found := bytes.CutPrefix(datagram, []byte(askPrefix)); found {
+		if h.detector.Hears(now, ident.VMID(vm)) {
+			if _, err := h.conn.WriteTo(append([]byte(heardPrefix), vm...), from); err != nil {
+				h.deps.Events.Sample("pulse_unsent", from.String(), err.Error())
+			}
+		}
+		return true
+	}
+	vm, found := bytes.CutPrefix(datagram, []byte(heardPrefix))
+	if found {
+		h.detector.RecordHeardByOther(now, ident.VMID(vm))
+	}
+	return found
+}
+
 // decode returns the sender of a datagram, and whether it is a heartbeat rather than a
 // hello. ok is false for other datagrams.
 func decode(datagram []byte) (vm ident.VMID, isHeartbeat, ok bool) {
@@ -176,8 +210,9 @@
 // were heard again, and starts evictions.
 func (h *Heartbeater) tick(ctx context.Context, parts *conc.WaitGroup) {
 	var peers []ident.VMID
+	var addresses map[ident.VMID]netip.AddrPort
 	if h.deps.Serving() {
-		peers = h.sendHeartbeats()
+		peers, addresses = h.sendHeartbeats()
 	}
 	now := time.Now()
 	lost, regained := h.detector.Update(now, peers)
@@ -187,22 +222,22 @@
 	for _, vm := range regained {
 		h.deps.Events.Record("vm_heard", string(vm), "heartbeats arrive again")
 	}
+	h.askPeers(now, peers, addresses)
 	for _, vm := range h.evictionsDue(now, peers) {
 		parts.Go(func() { h.evict(ctx, vm) })
 	}
 }
 
 // sendHeartbeats sends a heartbeat to each serving peer, with a report of this VM's links to
-// backend servers unless it reaches all, and returns these peers. VMs that are
+// backend servers unless it reaches all, and returns the ids of these peers and all addresses. VMs that are
 // selected to serve get one too, since a VM that stands by follows few changes by itself.
-func (h *Heartbeater) sendHeartbeats() []ident.VMID {
+func (h *Heartbeater) sendHeartbeats() (peers []ident.VMID, present map[ident.VMID]netip.AddrPort) {
 	datagrams := [][]byte{[]byte(heartbeatPrefix + string(h.deps.Self))}
 	if reach := h.deps.Reach(); reach != (Reach{}) {
 		datagrams = append(datagrams, encodeReach(h.deps.Self, reach))
 	}
 	view := h.deps.View()
-	var peers []ident.VMID
-	present := map[ident.VMID]netip.AddrPort{}
+	present = map[ident.VMID]netip.AddrPort{}
 	for _, m := range view.Members {
 		if m.VM == h.deps.Self || !m.Serving && !view.TargetServing().Has(m.VM) {
 			continue
@@ -220,7 +255,29 @@
 		}
 	}
 	h.sendHellos(present)
-	return peers
+	return peers, present
+}
+
+// askPeers asks some peers whether they hear the silent ones.
+func (h *Heartbeater) askPeers(now time.Time, peers []ident.VMID, addresses map[ident.VMID]netip.AddrPort) {
+	var silent, heard []ident.VMID
+	for _, vm := range peers {
+		if h.detector.Silent(vm) {
+			silent = append(silent, vm)
+		} else {
+			heard = append(heard, vm)
+		}
+	}
+	coll.Retain(h.askedSince, func(vm ident.VMID) bool { return slices.Contains(silent, vm) })
+	for _, vm := range silent {
+		if h.askedSince[vm].IsZero() {
+			h.askedSince[vm] = now
+		}
+		rand.Shuffle(len(heard), func(i, j int) { heard[i], heard[j] = heard[j], heard[i] })
+		for _, peer := range heard[:min(askedPeers, len(heard))] {
+			h.write([]byte(askPrefix+string(vm)), peer, addresses[peer])
+		}
+	}
 }
 
 // sendHellos sends hellos to VMs that were present recently and are not any more. One
@@ -243,8 +300,8 @@
 	}
 }
 
-// evictionsDue returns the silent peers whose registration this VM has to delete now. It
-// is empty if a peer with a lower id is not silent.
+// evictionsDue returns the silent peers whose registration this VM has to delete now: those
+// that no other VM hears either. It is empty if a peer with a lower id is not silent.
 func (h *Heartbeater) evictionsDue(now time.Time, peers []ident.VMID) []ident.VMID {
 	if h.detector.CutOff() {
 		return nil
@@ -258,7 +315,7 @@
 		}
 	}
 	return slices.DeleteFunc(silent, func(vm ident.VMID) bool {
-		if now.Sub(h.lastEviction[vm]) < evictionInterval {
+		if now.Sub(h.lastEviction[vm]) < evictionInterval || now.Sub(h.askedSince[vm]) < askTime || h.detector.HeardByOther(now, vm) {
 			return true
 		}
 		h.lastEviction[vm] = now
--- a/internal/fleet/beats/heartbeat_test.go
+++ b/internal/fleet/beats/heartbeat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/fleet/beats"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
+	"github.com/samphirestair/samphirestair/internal/plat/depot"
 )
 
 // testVM is a Heartbeater on an address of its own.
@@ -26,6 +28,18 @@
 	view *roster.View
 
 	reach atomic.Pointer[beats.Reach]
+	depot *countingDepot
+}
+
+// countingDepot counts the registrations that are deleted.
+type countingDepot struct {
+	depot.Depot
+	deleted atomic.Int32
+}
+
+func (d *countingDepot) Delete(context.Context, string) error {
+	d.deleted.Add(1)
+	return nil
 }
 
 func newTestVM(t *testing.T, id ident.VMID, serving bool) *testVM {
@@ -34,13 +48,13 @@
 	require.NoError(t, err)
 	address := probe.LocalAddr().String()
 	require.NoError(t, probe.Close())
-	s := &testVM{member: roster.Member{VM: id, PeerAddress: address, Serving: true}, woken: make(chan struct{}, 1000)}
+	s := &testVM{member: roster.Member{VM: id, PeerAddress: address, Serving: true}, woken: make(chan struct{}, 1000), depot: &countingDepot{}}
 	s.setMembers()
 	s.reach.Store(&beats.Reach{})
 	s.Heartbeater, err = beats.New(beats.Deps{
 		Self: id, View: s.currentView, Serving: func() bool { return serving },
 		Wake:  func() { s.woken <- struct{}{} },
-		Reach: func() beats.Reach { return *s.reach.Load() },
+		Reach: func() beats.Reach { return *s.reach.Load() }, Depot: s.depot,
 	}, address)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -104,3 +118,20 @@
 		require.Eventually(t, func() bool { return got() == want }, 2*time.Second, 20*time.Millisecond)
 	}
 }
+
+// Guards against a VM that takes a broken link of its own for the death of another VM: it
+// would take one that the others hear out of all address lists.
+func TestVMThatOthersHearIsNotEvicted(t *testing.T) {
+	for _, alive := range []bool{true, false} {
+		t.Run(fmt.Sprint("alive ", alive), func(t *testing.T) {
+			vms := []*testVM{newTestVM(t, "vm-1", true), newTestVM(t, "vm-2", true), newTestVM(t, "vm-3", alive)}
+			all := []roster.Member{vms[0].member, vms[1].member, vms[2].member}
+			vms[0].setMembers(all...)
+			vms[1].setMembers(all...)
+			vms[2].setMembers(all[1], all[2])
+			time.Sleep(3 * time.Second)
+			require.True(t, vms[0].Detector().Silent("vm-3"))
+			require.Equal(t, alive, vms[0].depot.deleted.Load() == 0)
+		})
+	}
+}
