Take no detour while a VM is cut off from the others too

A VM that is cut off from backend servers and all other VMs tried up to three of them, 150 ms each, before it refused. It now refuses at once. Cases of TestDetoursGoToVMsThatReachMore, which failed before it for 'cut off from all others', and a test of what a VM answers to orders, TestRequestOfAnotherVMRunsOnlyIfThisOneIsBetter.

--- a/internal/core/tier/maintain.go
+++ b/internal/core/tier/maintain.go
@@ -118,7 +118,8 @@
 	}
 }
 
-// updateReach logs each change of how this VM reaches the backend servers, and announces whether this VM is partitioned from them.
+// updateReach logs each change of how this VM reaches the backend servers, and announces
+// whether it is partitioned from them.
 func (t *Tier) updateReach(now time.Time) {
 	before := t.reach.State()
 	state := t.reach.Update(now)
--- a/internal/front/gate/gate_test.go
+++ b/internal/front/gate/gate_test.go
@@ -19,6 +19,7 @@
 	"github.com/samphirestair/samphirestair/internal/fleet/beats"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/front/gate"
+	"github.com/samphirestair/samphirestair/internal/link/detour"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/plat/header"
 	"github.com/samphirestair/samphirestair/internal/query/relay"
@@ -285,6 +286,60 @@
 	}
 }
 
+func TestRequestOfAnotherVMRunsOnlyIfThisOneIsBetter(t *testing.T) {
+	valid := detour.Order{Request: "r1", Host: "desk.example", Path: "/one/x", Head: []byte("GET /one/x HTTP/1.1\r\n"), Version: 3, Missing: 1}
+	for _, test := range []struct {
+		name   string
+		change func(fake *fakeTier, order *detour.Order)
+		runs   bool
+	}{
+		{"all reached", func(*fakeTier, *detour.Order) {}, true},
+		{"as many missing", func(fake *fakeTier, _ *detour.Order) { fake.missing = 1 }, false},
+		{"more missing at the other VM", func(fake *fakeTier, order *detour.Order) { fake.missing, order.Missing = 1, 2 }, true},
+		{"older configuration", func(_ *fakeTier, order *detour.Order) { order.Version = 4 }, false},
+		{"stale view", func(fake *fakeTier, _ *detour.Order) { fake.stale = true }, false},
+		{"unknown route", func(_ *fakeTier, order *detour.Order) { order.Path = "/two/x" }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			fake, order := newFakeTier(t), valid
+			test.change(fake, &order)
+			body, err := order.MarshalMsg(nil)
+			require.NoError(t, err)
+			var response fasthttp.Response
+			ask(t, newGate(fake).RunDetour, body, &response)
+			if !test.runs {
+				require.Equal(t, fasthttp.StatusConflict, response.StatusCode())
+				require.Empty(t, fake.requests)
+				return
+			}
+			require.Equal(t, fasthttp.StatusOK, response.StatusCode())
+			require.Equal(t, "r1", (<-fake.requests).Message.ID)
+			var answer detour.Answer
+			_, err = answer.UnmarshalMsg(response.Body())
+			require.NoError(t, err)
+			require.EqualValues(t, fasthttp.StatusCreated, answer.Status)
+			require.EqualValues(t, 3, answer.Version)
+			require.Equal(t, "the server's bytes", string(answer.Body))
+		})
+	}
+}
+
+// ask sends body to a handler over a connection.
+func ask(t *testing.T, handler fasthttp.RequestHandler, body []byte, response *fasthttp.Response) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &fasthttp.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	defer func() { require.NoError(t, server.Shutdown()) }()
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.SetRequestURI("http://" + listener.Addr().String())
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetBody(body)
+	require.NoError(t, fasthttp.Do(request, response))
+}
+
 func TestDisconnectedCallerIsDetected(t *testing.T) {
 	fake := newFakeTier(t)
 	noticed := make(chan struct{})
--- a/internal/link/detour/runner.go
+++ b/internal/link/detour/runner.go
@@ -53,6 +53,8 @@
 type Peers interface {
 	// Silent reports whether a VM seems to be dead or cut off.
 	Silent(vm ident.VMID) bool
+	// CutOff reports whether this VM seems to be cut off from the others.
+	CutOff() bool
 	// Reach returns what a VM reports of its links to backend servers.
 	Reach(now time.Time, vm ident.VMID) beats.Reach
 }
@@ -186,8 +188,12 @@
 }
 
 // choose returns a random VM that serves and reaches more backend servers than this VM,
-// unless mandatory is set, except for VMs that were tried, are silent or are avoided.
+// unless mandatory is set, except for VMs that were tried, are silent or are avoided. There
+// is none while this VM is cut off from the others.
 func (r *Runner) choose(now time.Time, tried coll.Set[ident.VMID], mandatory bool) (chosen roster.Member, found bool) {
+	if r.deps.Peers.CutOff() {
+		return roster.Member{}, false
+	}
 	unreached, partitioned := r.deps.Coverage.Unreached(), r.deps.Coverage.Partitioned()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/link/detour/runner_test.go
+++ b/internal/link/detour/runner_test.go
@@ -81,6 +81,7 @@
 	view    *roster.View
 	reach   *reach.Tracker
 	silent  coll.Set[ident.VMID]
+	cutOff  bool
 	reports map[ident.VMID]beats.Reach
 	// refusal is the outcome of requests that run on the VM itself.
 	refusal relay.Outcome
@@ -91,6 +92,7 @@
 }
 
 func (s *site) View() *roster.View                           { return s.view }
+func (s *site) CutOff() bool                                 { return s.cutOff }
 func (s *site) Silent(vm ident.VMID) bool                    { return s.silent.Has(vm) }
 func (s *site) Reach(_ time.Time, vm ident.VMID) beats.Reach { return s.reports[vm] }
 func (s *site) IsDown(ident.ServerID) bool                   { return true }
@@ -203,6 +205,7 @@
 		reached int
 		report  beats.Reach
 		silent  bool
+		cutOff  bool
 		detours bool
 	}{
 		{name: "nothing reported", reached: 9, detours: true},
@@ -211,12 +214,14 @@
 		{name: "partitioned, the other reaches some", report: beats.Reach{Unreached: 9}, detours: true},
 		{name: "both partitioned", report: beats.Reach{Unreached: 3, Partitioned: true}},
 		{name: "the other is silent", silent: true},
+		{name: "cut off from all others", cutOff: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			other := newPeer(t, "vm-1", answers(1))
 			s := newSite(t, 1, other)
 			s.partition(test.reached)
 			s.reports["vm-1"] = test.report
+			s.cutOff = test.cutOff
 			if test.silent {
 				s.silent.Add("vm-1")
 			}
