--- a/internal/fleet/beats/heartbeat.go
+++ b/internal/fleet/beats/heartbeat.go
@@ -90,7 +90,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "beats: listen")
 	}
-	return &Heartbeater{deps: deps, detector: NewDetector(), conn: conn, lastEviction: map[ident.VMID]time.Time{}, askedSince: map[ident.VMID]time.Time{}, senders: newRecentSenders(), departed: newDepartedVMs()}, nil
+	return &Heartbeater{
+		deps: deps, detector: NewDetector(), conn: conn, lastEviction: map[ident.VMID]time.Time{}, askedSince: map[ident.VMID]time.Time{},
+		senders: newRecentSenders(), departed: newDepartedVMs(),
+	}, nil
 }
 
 // Detector returns the failure detector for the serving peers.
@@ -228,9 +231,10 @@
 	}
 }
 
-// sendHeartbeats sends a heartbeat to each serving peer, with a report of this VM's links to
-// backend servers unless it reaches all, and returns the ids of these peers and all addresses. VMs that are
-// selected to serve get one too, since a VM that stands by follows few changes by itself.
+// sendHeartbeats sends a heartbeat to each serving peer, and a report of this VM's links to
+// backend servers unless it reaches all. VMs that are selected to serve get both too, since
+// a VM that stands by follows few changes by itself. It returns the ids of the serving peers
+// and the addresses of all that got a heartbeat.
 func (h *Heartbeater) sendHeartbeats() (peers []ident.VMID, present map[ident.VMID]netip.AddrPort) {
 	datagrams := [][]byte{[]byte(heartbeatPrefix + string(h.deps.Self))}
 	if reach := h.deps.Reach(); reach != (Reach{}) {
