Close the socket of the heartbeats before a planned stop is over

Cause: Run of a process returned while the goroutine that closes the socket had yet to run, so that a next process in its place could fail to start; in deployments the end of the process closes it, and no caller saw it. Run now waits for it. Ruled out: another process on the port (each test has a loopback address of its own).

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -374,10 +374,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var running conc.WaitGroup
+	var running, heartbeats conc.WaitGroup
 	running.Go(func() { t.follower.Run(ctx) })
 	running.Go(func() { t.registrar.Run(ctx) })
-	running.Go(func() { t.heartbeats.Run(ctx) })
+	heartbeats.Go(func() { t.heartbeats.Run(ctx) })
 	running.Go(func() { t.maintain(ctx) })
 	running.Go(func() { t.watchSettings(ctx, reload) })
 	t.serve(&running, "callers", t.gate.Serve, ports.callers)
@@ -389,6 +389,8 @@
 	<-stop
 	t.stop(ctx)
 	cancel()
+	// The next process may start in this one's place at once, and needs the port.
+	heartbeats.Wait()
 	return nil
 }
 
