--- a/internal/fleet/beats/detector.go
+++ b/internal/fleet/beats/detector.go
@@ -66,7 +66,12 @@
 func (d *Detector) Hears(now time.Time, vm ident.VMID) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	at, known := d.lastHeard[vm]
+	return isRecent(now, d.lastHeard, vm)
+}
+
+// isRecent reports whether the time of a VM is known and within silenceTimeout.
+func isRecent(now time.Time, times map[ident.VMID]time.Time, vm ident.VMID) bool {
+	at, known := times[vm]
 	return known && now.Sub(at) <= silenceTimeout
 }
 
@@ -81,8 +86,7 @@
 func (d *Detector) HeardByOther(now time.Time, vm ident.VMID) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	at, known := d.heardByOther[vm]
-	return known && now.Sub(at) <= silenceTimeout
+	return isRecent(now, d.heardByOther, vm)
 }
 
 // RecordReach records what a peer reports of its links to backend servers.
--- a/internal/fleet/beats/heartbeat.go
+++ b/internal/fleet/beats/heartbeat.go
@@ -196,9 +196,12 @@
 
 // decodeReach is the inverse of encodeReach. ok is false for other datagrams.
 func decodeReach(datagram []byte) (vm ident.VMID, reach Reach, ok bool) {
-	rest, found := strings.CutPrefix(string(datagram), reachPrefix)
-	fields := strings.SplitN(rest, " ", 3)
-	if !found || len(fields) != 3 || fields[2] == "" {
+	rest, found := bytes.CutPrefix(datagram, []byte(reachPrefix))
+	if !found {
+		return "", Reach{}, false
+	}
+	fields := strings.SplitN(string(rest), " ", 3)
+	if len(fields) != 3 || fields[2] == "" {
 		return "", Reach{}, false
 	}
 	unreached, err := strconv.Atoi(fields[0])
--- a/internal/front/gate/detour.go
+++ b/internal/front/gate/detour.go
@@ -20,8 +20,8 @@
 type Coverage interface {
 	// Missing returns how many of the services that a request needs this VM can't reach.
 	Missing(route *routes.Route, service ident.ServiceID) int
-	// Partitioned reports whether this VM may be partitioned from the backend servers.
-	Partitioned() bool
+	// MayBePartitioned reports whether this VM may be partitioned from the backend servers.
+	MayBePartitioned() bool
 }
 
 // RunDetour runs the request of a caller of another VM, which can't reach the backend
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -174,7 +174,7 @@
 		}
 	}
 	if g.Ready() || len(addresses)+len(partitioned) == 0 {
-		add(g.deps.Self.CallerAddress, g.deps.Coverage.Partitioned())
+		add(g.deps.Self.CallerAddress, g.deps.Coverage.MayBePartitioned())
 	}
 	if len(addresses) == 0 {
 		return partitioned
--- a/internal/front/gate/gate_test.go
+++ b/internal/front/gate/gate_test.go
@@ -47,7 +47,7 @@
 	return beats.Reach{Partitioned: t.partitioned.Has(vm)}
 }
 
-func (t *fakeTier) Partitioned() bool { return t.partitioned.Has("vm-1") }
+func (t *fakeTier) MayBePartitioned() bool { return t.partitioned.Has("vm-1") }
 
 func (t *fakeTier) Missing(*routes.Route, ident.ServiceID) int { return t.missing }
 
--- a/internal/link/deleg/server.go
+++ b/internal/link/deleg/server.go
@@ -20,8 +20,8 @@
 
 const (
 	orderPath = "/v1/order"
-	// maxOrderBytes is the maximum size of an encoded order, and maxOrderAttempts the
-	// maximum number of its attempts.
+	// maxOrderBytes is the maximum size of an encoded order, which holds the body of a
+	// caller's request, and maxOrderAttempts the maximum number of its attempts.
 	maxOrderBytes    = 17 << 20
 	maxOrderAttempts = 4096
 	// maxLimit is the maximum Order.Limit.
@@ -47,7 +47,8 @@
 
 // Server executes the orders of other VMs. It is safe for concurrent use.
 type Server struct {
-	sender   Sender
+	sender Sender
+	// refuse reports whether this VM had better not send attempts for others.
 	refuse   func() bool
 	fallback fasthttp.RequestHandler
 	events   *events.Recorder
--- a/internal/link/detour/coverage.go
+++ b/internal/link/detour/coverage.go
@@ -59,8 +59,8 @@
 	return missing
 }
 
-// Partitioned reports whether this VM may be partitioned from the backend servers.
-func (c *Coverage) Partitioned() bool {
+// MayBePartitioned reports whether this VM may be partitioned from the backend servers.
+func (c *Coverage) MayBePartitioned() bool {
 	return c.links.State().MayBePartitioned()
 }
 
--- a/internal/link/detour/runner.go
+++ b/internal/link/detour/runner.go
@@ -194,7 +194,7 @@
 	if r.deps.Peers.CutOff() {
 		return roster.Member{}, false
 	}
-	unreached, partitioned := r.deps.Coverage.Unreached(), r.deps.Coverage.Partitioned()
+	unreached, partitioned := r.deps.Coverage.Unreached(), r.deps.Coverage.MayBePartitioned()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	count := 0
