Tell whether the process of a backend server ended while it had a request

The log could not tell a server that ended from a connection that was closed, and named no request by what it asks for.

Change: after a connection is closed without an answer, one connection attempt, shared by all attempts at that server, tells whether the process has ended: it refuses connections, or closes them at once as a proxy in front of it does. 'server_ended' logs it with the fingerprint of the request. A new section [quarantine] of the settings names the headers that tell callers apart.

Test changed: the stand-in of FuzzAnswer served one connection at a time, so that a connection without a request blocked it for ever. It now serves them side by side; what it answers and what is checked stay.

--- a/internal/conf/fwconf/settings.go
+++ b/internal/conf/fwconf/settings.go
@@ -24,6 +24,7 @@
 	RetryBudget RetryBudget
 	Cost        Cost
 	Servers     Servers
+	Quarantine  Quarantine
 	Log         Log
 }
 
@@ -99,6 +100,16 @@
 	Quiet time.Duration
 }
 
+// Quarantine keeps requests from running that end the backend servers that run them.
+type Quarantine struct {
+	// Callers are the names of the headers, in lower case, that tell callers apart. Requests
+	// that differ in one of them are different requests.
+	Callers []string
+	// Hold is the time for which such a request is refused before it is tried again. It
+	// doubles with each trial that fails.
+	Hold time.Duration
+}
+
 // Log holds the settings of logging.
 type Log struct {
 	Level slog.Level
@@ -115,8 +126,14 @@
 	defaultWindow       = 10 * time.Second
 	defaultStay         = 0.2
 	defaultQuiet        = 30 * time.Second
+	defaultHold         = 10 * time.Minute
+	// maxCallerHeaders bounds Quarantine.Callers.
+	maxCallerHeaders = 16
 )
 
+// defaultCallerHeaders is the default of Quarantine.Callers.
+var defaultCallerHeaders = []string{"authorization", "cookie", "x-api-key"}
+
 // Values of settings that are either on or off.
 const (
 	on  = "on"
@@ -145,6 +162,7 @@
 		RetryBudget: readRetryBudget(file.Section("extra", false)),
 		Cost:        readCost(file.Section("cost", false)),
 		Servers:     readServers(file.Section("servers", false)),
+		Quarantine:  readQuarantine(file.Section("quarantine", false)),
 		Log:         readLog(file.Section("log", false)),
 	}
 	if err := file.Err(); err != nil {
@@ -203,6 +221,13 @@
 	return Servers{Quiet: section.Duration("quiet", coll.Some(defaultQuiet), time.Second, time.Hour)}
 }
 
+func readQuarantine(section *strict.Section) Quarantine {
+	return Quarantine{
+		Callers: section.Identifiers("callers", coll.Some(defaultCallerHeaders), maxCallerHeaders),
+		Hold:    section.Duration("hold", coll.Some(defaultHold), 10*time.Second, 24*time.Hour),
+	}
+}
+
 func readLog(section *strict.Section) Log {
 	return Log{Level: section.Level("level")}
 }
--- a/internal/core/tier/reload.go
+++ b/internal/core/tier/reload.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"os"
+	"reflect"
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/conf/fwconf"
@@ -40,7 +41,7 @@
 		return
 	}
 	last := t.current.Load()
-	if *next == *last {
+	if reflect.DeepEqual(next, last) {
 		return
 	}
 	t.current.Store(next)
@@ -54,7 +55,8 @@
 	lastVM, nextVM := last.VM, next.VM
 	lastVM.StopBound, nextVM.StopBound = 0, 0
 	return lastVM != nextVM || last.Listen != next.Listen || last.Depot != next.Depot || last.Log != next.Log ||
-		last.Answers.Partial != next.Answers.Partial || last.RetryBudget.Window != next.RetryBudget.Window || last.Cost != next.Cost || last.Servers != next.Servers
+		last.Answers.Partial != next.Answers.Partial || last.RetryBudget.Window != next.RetryBudget.Window || last.Cost != next.Cost || last.Servers != next.Servers ||
+		!reflect.DeepEqual(last.Quarantine, next.Quarantine)
 }
 
 // addressListLifetime is the time for which callers may use an address list.
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -36,6 +36,7 @@
 	"github.com/samphirestair/samphirestair/internal/query/admit"
 	"github.com/samphirestair/samphirestair/internal/query/choose"
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
+	"github.com/samphirestair/samphirestair/internal/query/poison"
 	"github.com/samphirestair/samphirestair/internal/query/relay"
 	"github.com/samphirestair/samphirestair/internal/query/runner"
 )
@@ -157,7 +158,7 @@
 	t.delegates = runner.NewDelegates(t.follower, t.heartbeats.Detector())
 	t.env.CanDelegate = t.delegates.Has
 	local := runner.New(runner.Deps{
-		Env: t.env, Admit: t.admission, Sender: t.pool, OrderSender: t.peerClient, Delegates: t.delegates,
+		Env: t.env, Admit: t.admission, Identity: poison.NewIdentity(settings.Quarantine.Callers), Sender: t.pool, OrderSender: t.peerClient, Delegates: t.delegates,
 		Views: t.follower, Events: t.events, Metrics: t.metrics,
 	})
 	coverage := detour.NewCoverage(t.follower, t.reach, t.env.Health)
--- a/internal/link/deleg/server.go
+++ b/internal/link/deleg/server.go
@@ -208,6 +208,9 @@
 			if limit, told := r.result.Limit.Get(); told && limit != notice.Unlimited {
 				report.Limits = append(report.Limits, Limit{Seq: r.seq, PerSecond: float64(limit)})
 			}
+			if r.result.Ended {
+				report.Ended = append(report.Ended, Ended{Seq: r.seq, Shared: uint32(max(r.result.Shared, 0))})
+			}
 			report.Outcomes = append(report.Outcomes, e.newOutcome(&r, records, !first))
 			switch {
 			case !first && len(report.Outcomes) == 1:
--- a/internal/link/deleg/wire.go
+++ b/internal/link/deleg/wire.go
@@ -50,6 +50,18 @@
 	// the other answers name none.
 	Limits    []Limit `msg:"l,limit=65536"`
 	HasLimits bool    `msg:"t"`
+	// Ended holds the backend servers whose process ended while it had an attempt.
+	Ended []Ended `msg:"e,limit=65536"`
+}
+
+//msgp:tuple Ended
+
+// Ended says that the process of the backend server ended while it had an attempt.
+type Ended struct {
+	// Seq identifies the attempt.
+	Seq uint32
+	// Shared is the number of the reporting VM's requests that the server had.
+	Shared uint32
 }
 
 //msgp:tuple Limit
--- a/internal/link/deleg/wire_gen.go
+++ b/internal/link/deleg/wire_gen.go
@@ -6,6 +6,93 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// DecodeMsg implements msgp.Decodable
+func (z *Ended) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Seq, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Seq")
+		return
+	}
+	z.Shared, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Shared")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Ended) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Seq)
+	if err != nil {
+		err = msgp.WrapError(err, "Seq")
+		return
+	}
+	err = en.WriteUint32(z.Shared)
+	if err != nil {
+		err = msgp.WrapError(err, "Shared")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Ended) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint32(o, z.Seq)
+	o = msgp.AppendUint32(o, z.Shared)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Ended) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Seq, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Seq")
+		return
+	}
+	z.Shared, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Shared")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Ended) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Limit) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -796,6 +883,48 @@
 				err = msgp.WrapError(err, "HasLimits")
 				return
 			}
+		case "e":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Ended")
+				return
+			}
+			if zb0005 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Ended) >= int(zb0005) {
+				z.Ended = (z.Ended)[:zb0005]
+			} else {
+				z.Ended = make([]Ended, zb0005)
+			}
+			for za0003 := range z.Ended {
+				var zb0006 uint32
+				zb0006, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Ended", za0003)
+					return
+				}
+				if zb0006 > 65536 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0006 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0006}
+					return
+				}
+				z.Ended[za0003].Seq, err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "Ended", za0003, "Seq")
+					return
+				}
+				z.Ended[za0003].Shared, err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "Ended", za0003, "Shared")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -809,9 +938,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Report) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "o"
-	err = en.Append(0x84, 0xa1, 0x6f)
+	err = en.Append(0x85, 0xa1, 0x6f)
 	if err != nil {
 		return
 	}
@@ -874,15 +1003,42 @@
 		err = msgp.WrapError(err, "HasLimits")
 		return
 	}
+	// write "e"
+	err = en.Append(0xa1, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Ended)))
+	if err != nil {
+		err = msgp.WrapError(err, "Ended")
+		return
+	}
+	for za0003 := range z.Ended {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint32(z.Ended[za0003].Seq)
+		if err != nil {
+			err = msgp.WrapError(err, "Ended", za0003, "Seq")
+			return
+		}
+		err = en.WriteUint32(z.Ended[za0003].Shared)
+		if err != nil {
+			err = msgp.WrapError(err, "Ended", za0003, "Shared")
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "o"
-	o = append(o, 0x84, 0xa1, 0x6f)
+	o = append(o, 0x85, 0xa1, 0x6f)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Outcomes)))
 	for za0001 := range z.Outcomes {
 		o, err = z.Outcomes[za0001].MarshalMsg(o)
@@ -906,6 +1062,15 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendBool(o, z.HasLimits)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Ended)))
+	for za0003 := range z.Ended {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendUint32(o, z.Ended[za0003].Seq)
+		o = msgp.AppendUint32(o, z.Ended[za0003].Shared)
+	}
 	return
 }
 
@@ -1000,6 +1165,44 @@
 				err = msgp.WrapError(err, "HasLimits")
 				return
 			}
+		case "e":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ended")
+				return
+			}
+			if zb0005 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Ended) >= int(zb0005) {
+				z.Ended = (z.Ended)[:zb0005]
+			} else {
+				z.Ended = make([]Ended, zb0005)
+			}
+			for za0003 := range z.Ended {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Ended", za0003)
+					return
+				}
+				if zb0006 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0006}
+					return
+				}
+				z.Ended[za0003].Seq, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Ended", za0003, "Seq")
+					return
+				}
+				z.Ended[za0003].Shared, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Ended", za0003, "Shared")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1018,7 +1221,7 @@
 	for za0001 := range z.Outcomes {
 		s += z.Outcomes[za0001].Msgsize()
 	}
-	s += 2 + msgp.BytesPrefixSize + len(z.Records) + 2 + msgp.ArrayHeaderSize + (len(z.Limits) * (15 + msgp.Uint32Size + msgp.Float64Size)) + 2 + msgp.BoolSize
+	s += 2 + msgp.BytesPrefixSize + len(z.Records) + 2 + msgp.ArrayHeaderSize + (len(z.Limits) * (15 + msgp.Uint32Size + msgp.Float64Size)) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Ended) * (12 + msgp.Uint32Size + msgp.Uint32Size))
 	return
 }
 
--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -76,6 +76,7 @@
 	if !c.assign(call) {
 		return false
 	}
+	c.server.countRequest(1)
 	if !call.setConn(c) {
 		c.close()
 		return true
@@ -147,8 +148,19 @@
 
 // readAnswers reads answers until the connection has to be closed, and closes it.
 func (c *conn) readAnswers() {
-	defer c.pool.releaseSlot(c.server)
-	defer c.close()
+	unanswered, err := c.readUntilClosed()
+	c.close()
+	c.pool.releaseSlot(c.server)
+	if unanswered != nil {
+		c.pool.broken.Inc()
+		c.pool.finishClosed(c.server, unanswered, err)
+		c.server.countRequest(-1)
+	}
+}
+
+// readUntilClosed reads answers until the connection has to be closed. If that is because
+// the answer to a call could not be read to its end, it returns the call and the error.
+func (c *conn) readUntilClosed() (unanswered *Call, err error) {
 	for {
 		_, err := c.br.Peek(1)
 		if err == nil {
@@ -157,15 +169,17 @@
 		call := c.currentOrClose()
 		if call == nil {
 			c.server.removeIdle(c)
-			return
+			return nil, nil
 		}
 		if err != nil {
-			c.pool.broken.Inc()
-			call.finish(Result{Outcome: Broken, Reason: "no answer: " + err.Error()})
-			return
+			return call, errors.Wrap(err, "no answer")
 		}
-		if !c.readAnswer(call) {
-			return
+		isOpen, err := c.readAnswer(call)
+		if err != nil {
+			return call, err
+		}
+		if !isOpen {
+			return nil, nil
 		}
 	}
 }
@@ -180,24 +194,22 @@
 }
 
 // readAnswer reads the answer to call and reports whether the connection stays open. A
-// reusable connection becomes idle before the result is reported.
-func (c *conn) readAnswer(call *Call) bool {
+// reusable connection becomes idle before the result is reported. It does not end the call
+// if it returns an error.
+func (c *conn) readAnswer(call *Call) (isOpen bool, err error) {
 	response := fasthttp.AcquireResponse()
 	response.Header.DisableNormalizing()
 	response.SkipBody = call.message.NoBody
 	if err := response.ReadLimitBody(c.br, c.pool.options.MaxBody); err != nil {
 		fasthttp.ReleaseResponse(response)
-		c.pool.broken.Inc()
-		call.finish(Result{Outcome: Broken, Reason: "unusable answer: " + err.Error()})
-		return false
+		return false, errors.Wrap(err, "unusable answer")
 	}
 	result, keepFor, err := c.parseHeaders(call, response)
 	if err != nil {
 		fasthttp.ReleaseResponse(response)
-		c.pool.broken.Inc()
-		call.finish(Result{Outcome: Broken, Reason: err.Error()})
-		return false
+		return false, err
 	}
+	c.server.countRequest(-1)
 	// The answer to a short request may arrive before its write has returned.
 	call.writing.Wait()
 	reusable := !response.ConnectionClose() && c.br.Buffered() == 0 && call.isWritten()
@@ -205,7 +217,7 @@
 		reusable = c.makeIdle(keepFor)
 	}
 	call.finish(result)
-	return reusable
+	return reusable, nil
 }
 
 // makeIdle returns the connection to the pool and reports whether it stays open.
--- a/internal/owner/pool/notice_test.go
+++ b/internal/owner/pool/notice_test.go
@@ -205,9 +205,12 @@
 			if err != nil {
 				return
 			}
-			_, _ = conn.Read(make([]byte, 4096))
-			_, _ = conn.Write(*answer.Load())
-			_ = conn.Close()
+			// A connection without a request shows the pool that the server lives.
+			go func() {
+				_, _ = conn.Read(make([]byte, 4096))
+				_, _ = conn.Write(*answer.Load())
+				_ = conn.Close()
+			}()
 		}
 	}()
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/owner/pool/server.go
+++ b/internal/owner/pool/server.go
@@ -17,6 +17,43 @@
 	// open counts all connections, including those being opened.
 	open    int
 	retired bool
+	// running counts the requests of this VM that have no answer yet.
+	running int
+	// check is the check in progress whether the process has ended, or nil.
+	check *endCheck
+}
+
+// countRequest adds to the number of requests without an answer.
+func (s *server) countRequest(change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running += change
+}
+
+// requests returns the number of requests of this VM without an answer.
+func (s *server) requests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
+}
+
+// joinEndCheck returns the check in progress, or a new one that the caller has to finish.
+func (s *server) joinEndCheck() (check *endCheck, isNew bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.check != nil {
+		return s.check, false
+	}
+	s.check = &endCheck{done: make(chan struct{})}
+	return s.check, true
+}
+
+// finishEndCheck publishes the result of a check.
+func (s *server) finishEndCheck(check *endCheck) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.check = nil
+	close(check.done)
 }
 
 // acquire returns an idle connection. If there is none, it reserves a slot for a new
--- a/internal/query/runner/delegate.go
+++ b/internal/query/runner/delegate.go
@@ -197,8 +197,9 @@
 		}
 		d.reported[o.Seq] = true
 		d.unreported--
-		r := reply{shard: d.ordered[o.Seq].shard, attempt: d.ordered[o.Seq].attempt, result: resultOf(o), sentAt: d.sentAt}
+		r := reply{shard: d.ordered[o.Seq].shard, attempt: d.ordered[o.Seq].attempt, process: d.ordered[o.Seq].process, result: resultOf(o), sentAt: d.sentAt}
 		r.result.Limit = limitOf(report, o)
+		r.result.Shared, r.result.Ended = endOf(report, o)
 		d.execution.runner.deps.Env.Notices.Observe(time.Now(), d.ordered[o.Seq].process, notice.Notice{Leaving: o.Leaving, Limit: r.result.Limit})
 		r.remoteElapsed = time.Duration(o.Micros) * time.Microsecond
 		if o.Alone {
@@ -252,6 +253,17 @@
 	return coll.Some(notice.Unlimited)
 }
 
+// endOf reports whether the process of the backend server ended while it had an attempt, and
+// how many requests of the delegate it had then.
+func endOf(report *deleg.Report, o *deleg.Outcome) (shared int, ended bool) {
+	for _, e := range report.Ended {
+		if e.Seq == o.Seq {
+			return int(e.Shared), true
+		}
+	}
+	return 0, false
+}
+
 // resultOf converts the outcome of an attempt that a delegate sent.
 func resultOf(o *deleg.Outcome) pool.Result {
 	return pool.Result{
--- a/internal/query/runner/runner.go
+++ b/internal/query/runner/runner.go
@@ -14,9 +14,11 @@
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/link/deleg"
+	"github.com/samphirestair/samphirestair/internal/owner/notice"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/query/admit"
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
+	"github.com/samphirestair/samphirestair/internal/query/poison"
 	"github.com/samphirestair/samphirestair/internal/query/relay"
 )
 
@@ -94,10 +96,12 @@
 	OrderSender OrderSender
 	Delegates   *Delegates
 	// Admit decides which requests are admitted.
-	Admit   admit.QueuingPolicy
-	Views   ViewSource
-	Events  *events.Recorder
-	Metrics *metrics.Set
+	Admit admit.QueuingPolicy
+	// Identity tells which requests are repeats of each other.
+	Identity poison.Identity
+	Views    ViewSource
+	Events   *events.Recorder
+	Metrics  *metrics.Set
 }
 
 // Runner runs requests. It is safe for concurrent use.
@@ -115,6 +119,7 @@
 // the caller has left.
 func (r *Runner) Run(request Request) Answer {
 	e := &execution{runner: r, request: request, wake: make(chan struct{}, 1)}
+	e.fingerprint = sync.OnceValue(func() poison.Fingerprint { return r.deps.Identity.Of(request.Message.Head, request.Message.Body) })
 	defer r.requestMetrics.begin()()
 	if request.Route.IsSearch() {
 		e.parts = newParts(request.Route.Limit, len(request.Route.Shards))
@@ -171,6 +176,9 @@
 	// attempts is the number of attempts sent so far.
 	attempts int
 
+	// fingerprint is computed when it is first needed.
+	fingerprint func() poison.Fingerprint
+
 	parts *parts
 	// results holds the results by attempt if the request is not a search.
 	results []pool.Result
@@ -192,8 +200,10 @@
 // reply is the result of an attempt.
 type reply struct {
 	shard, attempt int
-	result         pool.Result
-	sentAt         time.Time
+	// process is the server process that the attempt went to.
+	process notice.Process
+	result  pool.Result
+	sentAt  time.Time
 	// remoteElapsed is the duration of the attempt as measured by the VM that sent it
 	// on behalf of this one, or 0.
 	remoteElapsed time.Duration
@@ -232,7 +242,7 @@
 	e.mu.Unlock()
 	call := e.runner.deps.Sender.Send(e.runner.target(s.Replica), e.request.Message, now.Add(s.Timeout), s.AwaitConnection, func(result pool.Result) {
 		traffic.bytes.Add(result.Size())
-		e.addReply(reply{shard: s.Shard, attempt: s.Attempt, result: result, sentAt: now})
+		e.addReply(reply{shard: s.Shard, attempt: s.Attempt, process: s.Replica.Process(), result: result, sentAt: now})
 	})
 	e.calls = append(e.calls, sentAttempt{call: call, shard: s.Shard, attempt: s.Attempt})
 }
@@ -275,6 +285,7 @@
 // releases it.
 func (e *execution) recordLateReply(r reply) {
 	now := time.Now()
+	e.observeEnd(now, &r)
 	if r.result.Outcome == pool.Answered || r.result.Outcome == pool.NotRun {
 		e.query.HandleReply(now, r.shard, r.attempt, e.interpret(now, r))
 	} else {
@@ -318,6 +329,7 @@
 	now := time.Now()
 	for _, r := range replies {
 		e.observeLoad(now, &r)
+		e.observeEnd(now, &r)
 		interpreted := e.interpret(now, r)
 		if interpreted.Kind != relay.Served {
 			e.trace("attempt_failed", interpreted.Reason, slog.Int("shard", r.shard), slog.Int("attempt", r.attempt),
