--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -28,6 +28,7 @@
 	Recover = "recover" // the fleet did not recover after the faults
 	Quiet   = "quiet"   // requests reached a server that had asked for none
 	Limit   = "limit"   // a server got more requests than the limit that it had named
+	Deadly  = "deadly"  // a request that ends servers was sent to servers again and again
 )
 
 // Tolerances of promises that the users' rules let be missed a few times.
@@ -78,6 +79,8 @@
 	limits  map[ident.ServerID]*limitState
 	// newestSeen is the newest version that a process is known to have used, and when.
 	newestSeen map[process]observation
+	// deadly holds the requests that end backend servers, by name.
+	deadly     map[string]*deadlyState
 	findings   []Finding
 	exceptions map[string]int
 	// overdue counts the requests that outlasted their timeout, unanswered those of
@@ -159,6 +162,7 @@
 		newestSeen:   map[process]observation{},
 		notices:      map[string]*noticeState{},
 		limits:       map[ident.ServerID]*limitState{},
+		deadly:       map[string]*deadlyState{},
 		exceptions:   map[string]int{},
 	}
 }
@@ -290,6 +294,7 @@
 	r.checkFallback(q, a)
 	r.checkNotices(q, a)
 	r.checkLimit(q, a)
+	r.checkDeadly(q, a)
 	if r.boundsApply(string(q.VM), a.At) && (a.Sender == "" || r.boundsApply(string(a.Sender), a.At)) && r.faults.NoUnplannedBetween(string(a.Server), a.At.Add(-r.bounds.Contact), a.At) {
 		r.checkTimeLeft(q, a)
 		r.checkAvailability(q, a)
@@ -342,12 +347,12 @@
 }
 
 // Served returns how many requests were sent in [from, to], and how many of them
-// succeeded. Requests whose callers left don't count.
+// succeeded. Requests whose callers left and deadly ones don't count.
 func (r *Checker) Served(from, to time.Time) (sent, served int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, q := range r.requests {
-		if q.SentAt.Before(from) || q.SentAt.After(to) || !q.leftAt.IsZero() {
+		if q.SentAt.Before(from) || q.SentAt.After(to) || !q.leftAt.IsZero() || q.Deadly != "" {
 			continue
 		}
 		sent++
--- a/internal/lab/soak/checker_test.go
+++ b/internal/lab/soak/checker_test.go
@@ -409,3 +409,29 @@
 		})
 	}
 }
+
+func TestDeadlyRequestMustNotReachServersAgainAndAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newScenario()
+		repeat := func(server ident.ServerID, name string) {
+			w.next++
+			id := fmt.Sprint("r", w.next)
+			w.Sent(soak.Attempt{ID: id, Route: all, VM: "vm-1", SentAt: time.Now(), Deadline: time.Second, Deadly: name})
+			w.Arrived(soak.Arrival{ID: id, Server: server, Service: "s1", At: time.Now(), Ran: true, HasTimeLeft: true, TimeLeft: time.Second})
+			w.EndedBy(id, server, time.Now())
+		}
+		for i := range 20 {
+			repeat(ident.ServerID(fmt.Sprint("i-", i)), "deadly-1")
+		}
+		require.Equal(t, 20, w.EndedByDeadly())
+		time.Sleep(bounds.Contact + time.Millisecond)
+		for i := range 3 {
+			repeat(ident.ServerID(fmt.Sprint("j-", i)), "deadly-1")
+			repeat(ident.ServerID(fmt.Sprint("k-", i)), fmt.Sprint("deadly-other-", i))
+		}
+		require.Empty(t, w.Findings())
+		repeat("j-4", "deadly-1")
+		require.Len(t, w.Findings(), 1)
+		require.Equal(t, soak.Deadly, w.Findings()[0].Promise)
+	})
+}
--- a/internal/lab/soak/partition.go
+++ b/internal/lab/soak/partition.go
@@ -24,7 +24,7 @@
 	defer r.mu.Unlock()
 	var inside, outside outcomes
 	for _, q := range r.requests {
-		if q.SentAt.Before(from.Add(r.bounds.Contact)) || q.SentAt.After(to) || !q.leftAt.IsZero() || q.answer == nil || !r.boundsApply(string(q.VM), q.SentAt) {
+		if q.SentAt.Before(from.Add(r.bounds.Contact)) || q.SentAt.After(to) || !q.leftAt.IsZero() || q.Deadly != "" || q.answer == nil || !r.boundsApply(string(q.VM), q.SentAt) {
 			continue
 		}
 		switch {
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -43,6 +43,7 @@
 	ServerLimits Fault = "server-limits"
 	StoreRestore Fault = "store-restores"
 	Partitioned  Fault = "partition"
+	Poison       Fault = "poison"
 )
 
 // Faults returns all kinds of faults. New kinds are appended: the order determines
@@ -52,7 +53,7 @@
 		KillVM, KillAll, StopVM, PauseVM, Settings, CallerLink, StoreLink, ServerLink,
 		StoreDown, StoreSlow, StoreLoses, StoreForget, StoreDeaf,
 		ServerCrash, ServerSlow, ServerFails, ServerLoses, ServerSpoils, ServerDrain, ServerReuse, ServerReborn,
-		ConfigMove, ConfigStorm, Reshard, Evacuate, AllFail, ServerQuiet, ServerLimits, StoreRestore, Partitioned,
+		ConfigMove, ConfigStorm, Reshard, Evacuate, AllFail, ServerQuiet, ServerLimits, StoreRestore, Partitioned, Poison,
 	}
 }
 
--- a/internal/lab/soak/types.go
+++ b/internal/lab/soak/types.go
@@ -82,6 +82,9 @@
 	Body     string
 	// ConnectionReused is set if the connection has carried an answer before.
 	ConnectionReused bool
+	// Deadly names what is requested if it ends each backend server that runs it. Repeats
+	// of a request have the same name. It is empty for other requests.
+	Deadly string
 }
 
 // Answer is what the caller got.
