Tell VMs that stand by or leave of requests that end servers, and hedge no search that nobody answers

One VM that stood by, or left, still had callers with old address lists and got no broadcasts; and a search of which no shard had answered was hedged on all shards after twice its usual delay, while a deadly request works for 30 to 80 ms before its server ends.

Change: VMs that don't serve and have callers ask those that serve for their broadcasts, once a second; they also fetch what is known when that begins. A search without any answer is hedged once its servers count as silent (200 ms at least).

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -58,6 +58,9 @@
 	// rest is a margin for retries and hedges that arrive at backend servers in a
 	// later window than they were sent in.
 	budgetFraction = 0.9
+	// callersTime is the time without a request after which a VM that doesn't serve has no
+	// callers any more. Most callers send several requests a second.
+	callersTime = 5 * time.Second
 	// initialHedgeDelay is the hedge delay of a route without a latency goal until
 	// enough answers were measured.
 	initialHedgeDelay = 30 * time.Millisecond
@@ -142,7 +145,7 @@
 	t.reach = reach.NewTracker()
 	var err error
 	t.heartbeats, err = beats.New(beats.Deps{
-		Self: self.VM, View: t.follower.View, Serving: t.isServing, Wake: t.registrar.Wake,
+		Self: self.VM, View: t.follower.View, Serving: t.isServing, HasCallers: t.hasCallers, Wake: t.registrar.Wake,
 		Reach: t.reachReport, Receive: func(message []byte) { t.gossip.Receive(message) }, Depot: adapter.Depot, Events: t.events,
 	}, settings.Listen.Peers)
 	if err != nil {
@@ -151,7 +154,7 @@
 	t.ledger = poison.NewLedger(poison.Options{Hold: settings.Quarantine.Hold, Events: t.events})
 	t.identity = poison.NewIdentity(settings.Quarantine.Callers)
 	t.gossip = gossip.New(gossip.Deps{
-		Ledger: t.ledger, Broadcaster: t.heartbeats, MaxBytes: beats.MaxMessageBytes, Serving: t.registrar.Serving, Peers: t.servingPeers, Events: t.events,
+		Ledger: t.ledger, Broadcaster: t.heartbeats, MaxBytes: beats.MaxMessageBytes, Serving: func() bool { return t.registrar.Serving() || t.hasCallers() }, Peers: t.servingPeers, Events: t.events,
 	})
 	t.notices = notice.NewTracker(notice.Options{MaxBackoff: settings.Servers.Quiet, Events: t.events})
 	t.pool = pool.New(t.metrics, pool.Options{Names: adapter.Names, Tracker: t.notices, Reach: t.reach})
@@ -221,6 +224,12 @@
 		!t.ledger.Empty() && t.ledger.State(time.Now(), t.identity.Of(order.Head, order.Body)) == poison.Quarantined
 }
 
+// hasCallers reports whether requests of callers arrived lately, whether or not this VM serves:
+// callers keep old address lists for a while.
+func (t *Tier) hasCallers() bool {
+	return t.gate.SinceLastRequest(time.Now()) < callersTime
+}
+
 // servingPeers returns the addresses of the other VMs that serve callers.
 func (t *Tier) servingPeers() []string {
 	var addresses []string
--- a/internal/fleet/beats/addresses.go
+++ b/internal/fleet/beats/addresses.go
@@ -26,20 +26,25 @@
 // recentSenders keeps the addresses from which datagrams came recently. It is safe for
 // concurrent use.
 type recentSenders struct {
+	lifetime time.Duration
+	limit    int
+
 	mu        sync.Mutex
 	lastHeard coll.LastSeen[string]
 }
 
-func newRecentSenders() *recentSenders {
-	return &recentSenders{lastHeard: coll.LastSeen[string]{}}
+// newRecentSenders returns a recentSenders that keeps each address for lifetime, and at most
+// limit of them.
+func newRecentSenders(lifetime time.Duration, limit int) *recentSenders {
+	return &recentSenders{lifetime: lifetime, limit: limit, lastHeard: coll.LastSeen[string]{}}
 }
 
 func (s *recentSenders) record(now time.Time, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.lastHeard.Has(address) && len(s.lastHeard) >= maxSenders {
-		s.lastHeard.RemoveOlder(now, senderLifetime)
-		if len(s.lastHeard) >= maxSenders {
+	if !s.lastHeard.Has(address) && len(s.lastHeard) >= s.limit {
+		s.lastHeard.RemoveOlder(now, s.lifetime)
+		if len(s.lastHeard) >= s.limit {
 			return
 		}
 	}
@@ -50,7 +55,7 @@
 func (s *recentSenders) list(now time.Time) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastHeard.RemoveOlder(now, senderLifetime)
+	s.lastHeard.RemoveOlder(now, s.lifetime)
 	return slices.Sorted(maps.Keys(s.lastHeard))
 }
 
--- a/internal/fleet/beats/addresses_test.go
+++ b/internal/fleet/beats/addresses_test.go
@@ -11,7 +11,7 @@
 // Guards against unbounded memory when datagrams come from any number of addresses, over
 // time or at once.
 func TestRecentSendersAreBounded(t *testing.T) {
-	c, now := newRecentSenders(), time.Unix(0, 0)
+	c, now := newRecentSenders(senderLifetime, maxSenders), time.Unix(0, 0)
 	for i := range 10 * maxSenders {
 		c.record(now, fmt.Sprint("10.0.0.1:", i))
 		require.LessOrEqual(t, len(c.lastHeard), maxSenders)
--- a/internal/fleet/beats/broadcast_test.go
+++ b/internal/fleet/beats/broadcast_test.go
@@ -23,3 +23,17 @@
 	}
 	require.Empty(t, a.messages)
 }
+
+// Guards against VMs that stand by or leave, still have callers, and learn nothing.
+func TestMessagesReachVMsThatStillHaveCallers(t *testing.T) {
+	a, b := newTestVM(t, "a", true), newTestVM(t, "b", false)
+	a.setMembers(a.member)
+	b.setMembers(a.member)
+	send := func() bool {
+		a.Broadcast([]byte("news"))
+		return len(b.messages) > 0
+	}
+	require.Never(t, send, 300*time.Millisecond, 50*time.Millisecond)
+	b.hasCallers.Store(true)
+	require.Eventually(t, send, 5*time.Second, 50*time.Millisecond)
+}
--- a/internal/fleet/beats/heartbeat.go
+++ b/internal/fleet/beats/heartbeat.go
@@ -42,6 +42,13 @@
 	// heardPrefix if it hears that VM.
 	askPrefix   = "ask1 "
 	heardPrefix = "heard1 "
+	// subscribePrefix begins the datagrams of VMs that don't serve and still have callers: they
+	// want to get broadcasts for subscriptionTime. subscribeInterval is the time between two.
+	subscribePrefix   = "subscribe1"
+	subscribeInterval = time.Second
+	subscriptionTime  = 3 * time.Second
+	// maxSubscribers bounds the VMs that get broadcasts without serving.
+	maxSubscribers = 512
 	// helloInterval is the time between two hellos to a departed VM.
 	helloInterval = time.Second
 	// evictionInterval is the time between two deletions of the same VM's registration.
@@ -61,6 +68,9 @@
 	View func() *roster.View
 	// Serving reports whether this VM serves callers.
 	Serving func() bool
+	// HasCallers reports whether callers use this VM though it doesn't serve. If it is nil,
+	// they don't.
+	HasCallers func() bool
 	// Wake is called for each heartbeat that arrives while this VM doesn't serve: the
 	// sender regards it as serving or selected to serve.
 	Wake func()
@@ -90,6 +100,9 @@
 	senders    *recentSenders
 	departed   *departedVMs
 	lastHello  time.Time
+	// subscribers holds the addresses of the VMs that want broadcasts.
+	subscribers   *recentSenders
+	lastSubscribe time.Time
 }
 
 // New returns a heartbeater that receives on address, "ip:port". Run closes the socket.
@@ -100,7 +113,7 @@
 	}
 	return &Heartbeater{
 		deps: deps, detector: NewDetector(), conn: conn, lastEviction: map[ident.VMID]time.Time{}, askedSince: map[ident.VMID]time.Time{},
-		senders: newRecentSenders(), departed: newDepartedVMs(),
+		senders: newRecentSenders(senderLifetime, maxSenders), subscribers: newRecentSenders(subscriptionTime, maxSubscribers), departed: newDepartedVMs(),
 	}, nil
 }
 
@@ -151,7 +164,7 @@
 			h.detector.RecordReach(now, vm, reach)
 			continue
 		}
-		if h.handleQuestion(now, buffer[:n], from) || h.handleMessage(buffer[:n]) {
+		if h.handleQuestion(now, buffer[:n], from) || h.handleMessage(now, buffer[:n], from) {
 			continue
 		}
 		vm, isHeartbeat, ok := decode(buffer[:n])
@@ -187,9 +200,13 @@
 	return found
 }
 
-// handleMessage passes on a message that another VM broadcasts. It returns false for other
-// datagrams.
-func (h *Heartbeater) handleMessage(datagram []byte) bool {
+// handleMessage passes on a message that another VM broadcasts, and records who wants to get
+// broadcasts. It returns false for other datagrams.
+func (h *Heartbeater) handleMessage(now time.Time, datagram []byte, from net.Addr) bool {
+	if string(datagram) == subscribePrefix {
+		h.subscribers.record(now, from.String())
+		return true
+	}
 	message, found := bytes.CutPrefix(datagram, []byte(messagePrefix))
 	if found && h.deps.Receive != nil {
 		h.deps.Receive(message)
@@ -197,13 +214,34 @@
 	return found
 }
 
-// Broadcast sends a message of at most MaxMessageBytes to all VMs that get heartbeats. Some of
-// them may not receive it. It is safe for concurrent use.
+// Broadcast sends a message of at most MaxMessageBytes to all VMs that get heartbeats, and to
+// those that don't serve and have callers. Some of them may not receive it. It is safe for
+// concurrent use.
 func (h *Heartbeater) Broadcast(message []byte) {
 	datagram := append([]byte(messagePrefix), message...)
+	sent := coll.NewSet[string]()
 	for m, address := range h.peers() {
+		sent.Add(address.String())
 		h.write(datagram, m.VM, address)
 	}
+	for _, subscriber := range h.subscribers.list(time.Now()) {
+		if address, err := netip.ParseAddrPort(subscriber); err == nil && !sent.Has(subscriber) {
+			h.write(datagram, ident.VMID(subscriber), address)
+		}
+	}
+}
+
+// subscribe asks the VMs that serve for their broadcasts, if this VM doesn't serve and still
+// has callers.
+func (h *Heartbeater) subscribe() {
+	now := time.Now()
+	if h.deps.HasCallers == nil || !h.deps.HasCallers() || now.Sub(h.lastSubscribe) < subscribeInterval {
+		return
+	}
+	h.lastSubscribe = now
+	for m, address := range h.peers() {
+		h.write([]byte(subscribePrefix), m.VM, address)
+	}
 }
 
 // peers returns the VMs that get heartbeats, and their addresses: those that serve or are
@@ -262,6 +300,8 @@
 	var addresses map[ident.VMID]netip.AddrPort
 	if h.deps.Serving() {
 		peers, addresses = h.sendHeartbeats()
+	} else {
+		h.subscribe()
 	}
 	now := time.Now()
 	lost, regained := h.detector.Update(now, peers)
--- a/internal/fleet/beats/heartbeat_test.go
+++ b/internal/fleet/beats/heartbeat_test.go
@@ -29,6 +29,8 @@
 
 	reach atomic.Pointer[beats.Reach]
 	depot *countingDepot
+	// hasCallers is set if callers use the VM though it doesn't serve.
+	hasCallers atomic.Bool
 	// messages gets what other VMs broadcast.
 	messages chan string
 }
@@ -57,7 +59,8 @@
 		Self: id, View: s.currentView, Serving: func() bool { return serving },
 		Wake:  func() { s.woken <- struct{}{} },
 		Reach: func() beats.Reach { return *s.reach.Load() }, Depot: s.depot,
-		Receive: func(message []byte) { s.messages <- string(message) },
+		HasCallers: s.hasCallers.Load,
+		Receive:    func(message []byte) { s.messages <- string(message) },
 	}, address)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -92,6 +92,8 @@
 	watcher  *callerWatcher
 	server   *fasthttp.Server
 	draining atomic.Bool
+	// lastRequest is when the last request arrived, in Unix nanoseconds.
+	lastRequest atomic.Int64
 }
 
 // New returns a gate that does not listen yet.
@@ -136,6 +138,11 @@
 	return g.draining.Load()
 }
 
+// SinceLastRequest returns the time since the last request of a caller arrived.
+func (g *Gate) SinceLastRequest(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, g.lastRequest.Load()))
+}
+
 // OpenConnections returns the number of open connections from callers.
 func (g *Gate) OpenConnections() int {
 	return int(g.server.GetOpenConnectionsCount())
@@ -185,6 +192,7 @@
 // forward handles one request of a caller.
 func (g *Gate) forward(ctx *fasthttp.RequestCtx) {
 	arrived := time.Now()
+	g.lastRequest.Store(arrived.UnixNano())
 	if g.draining.Load() {
 		ctx.SetConnectionClose()
 	}
--- a/internal/query/relay/probation.go
+++ b/internal/query/relay/probation.go
@@ -17,9 +17,6 @@
 	// checkInterval is the time between two checks whether repeats of the request have ended
 	// servers elsewhere.
 	checkInterval = 20 * time.Millisecond
-	// unansweredHedgeFactor is the multiple of the usual delay after which a search is hedged
-	// that no shard has answered.
-	unansweredHedgeFactor = 2
 )
 
 // probation is what a query knows about the harm that its request does to backend servers.
@@ -33,7 +30,8 @@
 	// probationEnd is when most requests would have an answer, and checkedAt when harm was
 	// last checked after that.
 	probationEnd, checkedAt time.Time
-	// hedgesFrom is the time from which a search is hedged that no shard has answered.
+	// hedgesFrom is the time from which a search is hedged that no shard has answered: its
+	// servers count as silent then.
 	hedgesFrom time.Time
 }
 
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -49,7 +49,7 @@
 func New(env *Env, request RequestInfo, now time.Time) (*Query, []Send) {
 	q := &Query{env: env, request: request, required: 1, start: now}
 	q.probationEnd = now.Add(q.usualDelay())
-	q.hedgesFrom = now.Add(unansweredHedgeFactor * q.usualDelay())
+	q.hedgesFrom = now.Add(q.silentAfter())
 	if request.Route.IsSearch() {
 		q.required = request.Route.MinShards()
 		q.shards = make([]shard, len(request.Route.Shards))
