--- a/internal/link/gossip/gossip.go
+++ b/internal/link/gossip/gossip.go
@@ -33,6 +33,10 @@
 	// syncPeers the number of VMs that are asked each time.
 	syncInterval = 250 * time.Millisecond
 	syncPeers    = 2
+	// A process that has just started asks as soon as it knows whom: its callers are back at
+	// once. It tries every startInterval for startTime.
+	startInterval = 15 * time.Millisecond
+	startTime     = 5 * time.Second
 	// syncTimeout bounds one attempt.
 	syncTimeout = 500 * time.Millisecond
 	// maxAnswerBytes bounds the answer to a request for all evidence.
@@ -122,9 +126,24 @@
 	x.deps.Ledger.Merge(time.Now(), records)
 }
 
-// keepSynced asks other VMs for all they know each time this VM begins to serve.
+// syncAtStart asks other VMs for all they know as soon as one of them is known. It gives up
+// after startTime.
+func (x *Exchange) syncAtStart(ctx context.Context) (synced bool) {
+	for start := time.Now(); time.Since(start) < startTime; {
+		if len(x.deps.Peers()) > 0 && x.sync(ctx) {
+			return true
+		}
+		if !sleep.For(ctx, startInterval) {
+			break
+		}
+	}
+	return false
+}
+
+// keepSynced asks other VMs for all they know at the start of this process, and each time this
+// VM begins to serve.
 func (x *Exchange) keepSynced(ctx context.Context) {
-	synced := false
+	synced := x.syncAtStart(ctx)
 	for {
 		switch {
 		case !x.deps.Serving():
