Learn of evidence from VMs that stand by or started lately, too

Cause: where most serving VMs restart together, those that a new process asked knew nothing either, and one such answer counted as all there is to know.

Change: repetitions also go to three random VMs that stand by, which remember them; a new process asks both, adds what it gets, and goes on asking, ever less often, until a VM that serves and has learned what others know has answered, for 5 s. Answers say so in a header.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -154,7 +154,7 @@
 	t.ledger = poison.NewLedger(poison.Options{Hold: settings.Quarantine.Hold, Events: t.events})
 	t.identity = poison.NewIdentity(settings.Quarantine.Callers)
 	t.gossip = gossip.New(gossip.Deps{
-		Ledger: t.ledger, Broadcaster: t.heartbeats, MaxBytes: beats.MaxMessageBytes, Serving: func() bool { return t.registrar.Serving() || t.hasCallers() }, Peers: t.servingPeers, Events: t.events,
+		Ledger: t.ledger, Broadcaster: t.heartbeats, MaxBytes: beats.MaxMessageBytes, Serving: func() bool { return t.registrar.Serving() || t.hasCallers() }, Peers: t.otherVMs, Events: t.events,
 	})
 	t.notices = notice.NewTracker(notice.Options{MaxBackoff: settings.Servers.Quiet, Events: t.events})
 	t.pool = pool.New(t.metrics, pool.Options{Names: adapter.Names, Tracker: t.notices, Reach: t.reach})
@@ -230,15 +230,18 @@
 	return t.gate.SinceLastRequest(time.Now()) < callersTime
 }
 
-// servingPeers returns the addresses of the other VMs that serve callers.
-func (t *Tier) servingPeers() []string {
-	var addresses []string
+// otherVMs returns the addresses of the other VMs that serve callers, and of those that stand by.
+func (t *Tier) otherVMs() (serving, standby []string) {
 	for _, m := range t.follower.View().Members {
-		if m.Serving && m.VM != t.settings.VM.ID {
-			addresses = append(addresses, m.PeerAddress)
+		switch {
+		case m.VM == t.settings.VM.ID:
+		case m.Serving:
+			serving = append(serving, m.PeerAddress)
+		default:
+			standby = append(standby, m.PeerAddress)
 		}
 	}
-	return addresses
+	return serving, standby
 }
 
 // isServing reports whether other VMs may rely on this one: it serves callers and
--- a/internal/fleet/beats/heartbeat.go
+++ b/internal/fleet/beats/heartbeat.go
@@ -214,10 +214,10 @@
 	return found
 }
 
-// Broadcast sends a message of at most MaxMessageBytes to all VMs that get heartbeats, and to
-// those that don't serve and have callers. Some of them may not receive it. It is safe for
-// concurrent use.
-func (h *Heartbeater) Broadcast(message []byte) {
+// Broadcast sends a message of at most MaxMessageBytes to all VMs that get heartbeats, to those
+// that don't serve and have callers, and to a number of random ones that stand by. Some of
+// them may not receive it. It is safe for concurrent use.
+func (h *Heartbeater) Broadcast(message []byte, standby int) {
 	datagram := append([]byte(messagePrefix), message...)
 	sent := coll.NewSet[string]()
 	for m, address := range h.peers() {
@@ -229,6 +229,24 @@
 			h.write(datagram, ident.VMID(subscriber), address)
 		}
 	}
+	for _, m := range h.randomStandby(standby) {
+		if address, err := netip.ParseAddrPort(m.PeerAddress); err == nil {
+			h.write(datagram, m.VM, address)
+		}
+	}
+}
+
+// randomStandby returns up to count random VMs that get no heartbeats.
+func (h *Heartbeater) randomStandby(count int) []roster.Member {
+	if count == 0 {
+		return nil
+	}
+	view := h.deps.View()
+	members := slices.DeleteFunc(slices.Clone(view.Members), func(m roster.Member) bool {
+		return m.VM == h.deps.Self || m.Serving || view.TargetServing().Has(m.VM)
+	})
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members[:min(len(members), count)]
 }
 
 // subscribe asks the VMs that serve for their broadcasts, if this VM doesn't serve and still
--- a/internal/fleet/beats/heartbeat_test.go
+++ b/internal/fleet/beats/heartbeat_test.go
@@ -52,7 +52,7 @@
 	require.NoError(t, err)
 	address := probe.LocalAddr().String()
 	require.NoError(t, probe.Close())
-	s := &testVM{member: roster.Member{VM: id, PeerAddress: address, Serving: true}, woken: make(chan struct{}, 1000), depot: &countingDepot{}, messages: make(chan string, 10)}
+	s := &testVM{member: roster.Member{VM: id, PeerAddress: address, Serving: true}, woken: make(chan struct{}, 1000), depot: &countingDepot{}, messages: make(chan string, 20)}
 	s.setMembers()
 	s.reach.Store(&beats.Reach{})
 	s.Heartbeater, err = beats.New(beats.Deps{
--- a/internal/link/gossip/gossip.go
+++ b/internal/link/gossip/gossip.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,23 +30,31 @@
 	// repeatRecords the number of records of each.
 	repeatInterval = time.Second
 	repeatRecords  = 8
-	// syncInterval is the time between two attempts to learn what others know, and
-	// syncPeers the number of VMs that are asked each time.
+	// syncInterval is the time between two attempts to learn what others know. syncServing and
+	// syncStandby are the numbers of VMs that are asked each time, of those that serve and of
+	// the others.
 	syncInterval = 250 * time.Millisecond
-	syncPeers    = 2
-	// A process that has just started asks as soon as it knows whom: its callers are back at
-	// once. It tries every startInterval for startTime.
+	syncServing  = 3
+	syncStandby  = 2
+	// A process that has just started asks as soon as it knows whom, since its callers are back
+	// at once: first after startInterval, which then doubles up to syncInterval, for startTime.
 	startInterval = 15 * time.Millisecond
 	startTime     = 5 * time.Second
-	// syncTimeout bounds one attempt.
-	syncTimeout = 500 * time.Millisecond
+	// syncTimeout bounds one attempt. The round trip to another VM is a few milliseconds.
+	syncTimeout = 150 * time.Millisecond
+	// completeHeader is in answers of VMs that have themselves learned what others know.
+	completeHeader = "X-Complete"
+	// standbyCopies is the number of VMs that stand by which get each repetition: they remember
+	// it in case that all VMs that serve restart.
+	standbyCopies = 3
 	// maxAnswerBytes bounds the answer to a request for all evidence.
 	maxAnswerBytes = 4 << 20
 )
 
-// Broadcaster sends a message to the other VMs that serve callers.
+// Broadcaster sends a message to the other VMs that serve callers, and to a number of random
+// ones that stand by.
 type Broadcaster interface {
-	Broadcast(message []byte)
+	Broadcast(message []byte, standby int)
 }
 
 // Deps holds the dependencies of an Exchange.
@@ -54,16 +63,18 @@
 	Broadcaster Broadcaster
 	// MaxBytes is the maximum size of a broadcast message.
 	MaxBytes int
-	// Serving reports whether this VM serves callers, and Peers returns the addresses of the
-	// others that do, as "ip:port".
+	// Serving reports whether this VM serves callers, and Peers returns the addresses, as
+	// "ip:port", of the others that do and of those that stand by.
 	Serving func() bool
-	Peers   func() []string
+	Peers   func() (serving, standby []string)
 	Events  *events.Recorder
 }
 
 // Exchange exchanges evidence with other VMs.
 type Exchange struct {
 	deps Deps
+	// started is set once this VM has learned what others know, or given up.
+	started atomic.Bool
 }
 
 // New returns an exchange.
@@ -89,7 +100,7 @@
 			x.broadcastChanges()
 		case <-ticker.C:
 			x.deps.Ledger.Sweep(time.Now())
-			x.broadcast(x.deps.Ledger.Page(time.Now(), repeatRecords))
+			x.broadcast(x.deps.Ledger.Page(time.Now(), repeatRecords), standbyCopies)
 		}
 	}
 }
@@ -101,18 +112,18 @@
 		if len(changes) == 0 {
 			return
 		}
-		x.broadcast(changes)
+		x.broadcast(changes, 0)
 	}
 }
 
-func (x *Exchange) broadcast(records []poison.Record) {
+func (x *Exchange) broadcast(records []poison.Record, standby int) {
 	messages, err := poison.Encode(records, x.deps.MaxBytes)
 	if err != nil {
 		x.deps.Events.Sample("evidence_unsent", "broadcast", err.Error())
 		return
 	}
 	for _, message := range messages {
-		x.deps.Broadcaster.Broadcast(message)
+		x.deps.Broadcaster.Broadcast(message, standby)
 	}
 }
 
@@ -126,30 +137,17 @@
 	x.deps.Ledger.Merge(time.Now(), records)
 }
 
-// syncAtStart asks other VMs for all they know as soon as one of them is known. It gives up
-// after startTime.
-func (x *Exchange) syncAtStart(ctx context.Context) (synced bool) {
-	for start := time.Now(); time.Since(start) < startTime; {
-		if len(x.deps.Peers()) > 0 && x.sync(ctx) {
-			return true
-		}
-		if !sleep.For(ctx, startInterval) {
-			break
-		}
-	}
-	return false
-}
-
 // keepSynced asks other VMs for all they know at the start of this process, and each time this
 // VM begins to serve.
 func (x *Exchange) keepSynced(ctx context.Context) {
 	synced := x.syncAtStart(ctx)
+	x.started.Store(true)
 	for {
 		switch {
 		case !x.deps.Serving():
 			synced = false
 		case !synced:
-			synced = x.sync(ctx)
+			synced = x.sync(ctx) != nothing
 		default:
 		}
 		if !sleep.For(ctx, syncInterval) {
@@ -158,43 +156,97 @@
 	}
 }
 
-// sync asks a few other VMs. It reports whether one has answered, or there is none to ask.
-func (x *Exchange) sync(ctx context.Context) bool {
-	addresses := x.deps.Peers()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	answered := len(addresses) == 0
-	for _, address := range addresses[:min(len(addresses), syncPeers)] {
-		records, err := fetch(ctx, address)
-		if err != nil {
-			x.deps.Events.Sample("evidence_unknown", address, err.Error())
-			continue
+// syncAtStart asks other VMs for all they know as soon as one of them is known, until one has
+// answered that knows what the others know. It gives up after startTime.
+func (x *Exchange) syncAtStart(ctx context.Context) (synced bool) {
+	pause := startInterval
+	for start := time.Now(); time.Since(start) < startTime; {
+		if x.sync(ctx) == complete {
+			return true
+		}
+		if !sleep.For(ctx, pause) {
+			break
+		}
+		pause = min(2*pause, syncInterval)
+	}
+	return false
+}
+
+// knowledge is what this VM has learned from others.
+type knowledge int32
+
+const (
+	// nothing: no VM has answered.
+	nothing knowledge = iota
+	// partial: those that have answered started lately themselves, or stand by.
+	partial
+	// complete: a VM that serves told all that the fleet knows.
+	complete
+)
+
+// sync asks a few other VMs, and adds what they know.
+func (x *Exchange) sync(ctx context.Context) knowledge {
+	serving, standby := x.deps.Peers()
+	var learned atomic.Int32
+	var asking conc.WaitGroup
+	ask := func(addresses []string, count int, most knowledge) {
+		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		for _, address := range addresses[:min(len(addresses), count)] {
+			asking.Go(func() {
+				records, isComplete, err := fetch(ctx, address)
+				if err != nil {
+					x.deps.Events.Sample("evidence_unknown", address, err.Error())
+					return
+				}
+				x.deps.Ledger.Merge(time.Now(), records)
+				if !isComplete {
+					most = partial
+				}
+				raise(&learned, most)
+			})
 		}
-		answered = true
-		x.deps.Ledger.Merge(time.Now(), records)
 	}
-	return answered
+	ask(serving, syncServing, complete)
+	ask(standby, syncStandby, partial)
+	asking.Wait()
+	return knowledge(learned.Load())
 }
 
-// fetch returns what another VM knows. VMs that don't know of evidence know nothing.
-func fetch(ctx context.Context, address string) ([]poison.Record, error) {
+// raise sets a value to at least k.
+func raise(value *atomic.Int32, k knowledge) {
+	for {
+		old := value.Load()
+		if old >= int32(k) || value.CompareAndSwap(old, int32(k)) {
+			return
+		}
+	}
+}
+
+// fetch returns what another VM knows. isComplete is set if that VM has learned what others
+// know. VMs of builds without evidence know nothing.
+func fetch(ctx context.Context, address string) (records []poison.Record, isComplete bool, err error) {
 	client, err := httpc.New("http://"+address, httpc.Options{Timeout: syncTimeout, DialTimeout: syncTimeout, Connections: 1})
 	if err != nil {
-		return nil, errors.Wrap(err, "gossip: ask")
+		return nil, false, errors.Wrap(err, "gossip: ask")
 	}
 	defer client.Close()
 	answer, err := client.Do(ctx, httpc.Call{Path: path})
 	switch {
 	case err != nil:
-		return nil, errors.Wrap(err, "gossip: ask")
-	case answer.Status == fasthttp.StatusNotFound, answer.Status == fasthttp.StatusOK && len(answer.Body) == 0:
-		return nil, nil
+		return nil, false, errors.Wrap(err, "gossip: ask")
+	case answer.Status == fasthttp.StatusNotFound:
+		return nil, false, nil
 	case answer.Status != fasthttp.StatusOK:
-		return nil, errors.Newf("gossip: status %d", answer.Status)
+		return nil, false, errors.Newf("gossip: status %d", answer.Status)
 	case len(answer.Body) > maxAnswerBytes:
-		return nil, errors.Newf("gossip: an answer of %d bytes", len(answer.Body))
+		return nil, false, errors.Newf("gossip: an answer of %d bytes", len(answer.Body))
 	}
-	records, err := poison.Decode(answer.Body)
-	return records, errors.Wrap(err, "gossip: read answer")
+	isComplete = answer.Header(completeHeader) != ""
+	if len(answer.Body) == 0 {
+		return nil, isComplete, nil
+	}
+	records, err = poison.Decode(answer.Body)
+	return records, isComplete, errors.Wrap(err, "gossip: read answer")
 }
 
 // Handler answers requests for all evidence, and passes others to next.
@@ -204,6 +256,9 @@
 			next(ctx)
 			return
 		}
+		if x.started.Load() {
+			ctx.Response.Header.Set(completeHeader, "1")
+		}
 		messages, err := poison.Encode(x.deps.Ledger.All(time.Now()), maxAnswerBytes)
 		if err != nil {
 			ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
--- a/internal/link/gossip/gossip_test.go
+++ b/internal/link/gossip/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -41,7 +42,7 @@
 	drop      int
 }
 
-func (h *hub) Broadcast(message []byte) {
+func (h *hub) Broadcast(message []byte, _ int) {
 	if h.drop > 0 {
 		h.drop--
 		return
@@ -64,7 +65,7 @@
 }
 
 func newExchange(l *poison.Ledger, b gossip.Broadcaster, peers ...string) *gossip.Exchange {
-	return gossip.New(gossip.Deps{Ledger: l, Broadcaster: b, MaxBytes: maxBytes, Serving: func() bool { return true }, Peers: func() []string { return peers }})
+	return gossip.New(gossip.Deps{Ledger: l, Broadcaster: b, MaxBytes: maxBytes, Serving: func() bool { return true }, Peers: func() (serving, standby []string) { return slices.Clone(peers), nil }})
 }
 
 // Guards against VMs that never learn what they missed in a lost message.
@@ -102,7 +103,8 @@
 func TestVMsWithoutEvidenceAreAsked(t *testing.T) {
 	for name, handler := range map[string]fasthttp.RequestHandler{
 		"older_build": func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusNotFound) },
-		"empty":       newExchange(poison.NewLedger(poison.Options{}), &hub{}).Handler(nil),
+		"empty":       func(*fasthttp.RequestCtx) {},
+		"started_too": newExchange(poison.NewLedger(poison.Options{}), &hub{}).Handler(nil),
 		"garbage":     func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("garbage") },
 	} {
 		t.Run(name, func(t *testing.T) {
