Let operators list, lift and pin quarantined requests, and explain why one was refused

Cause: an operator with the id of a refused request could not get to the servers that its repeats had ended, which other VMs logged under other ids, nor change the decision.

'timeline' counts such refusals.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -195,6 +195,8 @@
 		Sections: t.sections(),
 		Status:   func() any { return t.status() },
 		Fleet:    func(context.Context) any { return t.follower.View().Members },
+
+		Quarantine: operatorOrders{t.ledger},
 	})
 	return t, nil
 }
--- a/internal/ops/admin/server.go
+++ b/internal/ops/admin/server.go
@@ -34,10 +34,21 @@
 	// Fleet returns the status of the fleet, for which it may call other VMs until ctx
 	// ends. It is called concurrently.
 	Fleet func(ctx context.Context) any
+	// Quarantine changes which requests are quarantined. It is nil if the process has none.
+	Quarantine Quarantine
 	// LinkCuts is set if tests may inject link failures, and nil otherwise.
 	LinkCuts *block.Blocklist
 }
 
+// Quarantine lets operators decide about requests that end backend servers. Requests are given
+// by their fingerprints.
+type Quarantine interface {
+	// Lift ends the quarantine of a request. It fails if nothing is known of the request.
+	Lift(request string) error
+	// Pin quarantines a request until it is lifted.
+	Pin(request string) error
+}
+
 // Server answers requests at the admin listener of one process.
 type Server struct {
 	deps Deps
@@ -53,6 +64,10 @@
 	s.app.Get("/fleet", s.fleet)
 	s.app.Get("/metrics", s.metrics)
 	s.app.Get("/debug/pprof/*", s.profile)
+	if deps.Quarantine != nil {
+		s.app.Post("/quarantine/lift/:request", changeQuarantine(deps.Quarantine.Lift))
+		s.app.Post("/quarantine/pin/:request", changeQuarantine(deps.Quarantine.Pin))
+	}
 	if deps.LinkCuts != nil {
 		s.app.Post("/test/cut", s.setLinkCuts)
 	}
@@ -109,6 +124,16 @@
 	return nil
 }
 
+// changeQuarantine returns a handler that applies a change to the request in the path.
+func changeQuarantine(change func(request string) error) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		if err := change(c.Params("request")); err != nil {
+			return fiber.NewError(fiber.StatusBadRequest, err.Error())
+		}
+		return c.JSON(map[string]string{"request": c.Params("request")})
+	}
+}
+
 // profile serves the profiles of the Go runtime.
 func (s *Server) profile(c fiber.Ctx) error {
 	pprofhandler.PprofHandler(c.RequestCtx())
--- a/internal/ops/cmdln/cmdln.go
+++ b/internal/ops/cmdln/cmdln.go
@@ -44,11 +44,13 @@
 	envVMs   = "SAMPHIRESTAIR_VMS"
 )
 
-// Fetcher reads from the admin listeners of VMs. It is called concurrently.
+// Fetcher calls the admin listeners of VMs. It is called concurrently.
 type Fetcher interface {
 	// Get returns the response body for a path such as fetch.PathStatus. It fails with
 	// fetch.ErrUnavailable.
 	Get(ctx context.Context, address, path string) ([]byte, error)
+	// Post is like Get for a path that changes something, such as fetch.PathLift.
+	Post(ctx context.Context, address, path string) ([]byte, error)
 }
 
 // Deps are the dependencies of the commands.
--- a/internal/ops/cmdln/cmdln_test.go
+++ b/internal/ops/cmdln/cmdln_test.go
@@ -224,6 +224,38 @@
 	return []byte(body), nil
 }
 
+func (f fakeAdminListeners) Post(ctx context.Context, address, path string) ([]byte, error) {
+	return f.Get(ctx, address, "POST "+path)
+}
+
+func TestQuarantineCommands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSession(t)
+		const request = "9f7f2f54f911b468c54133fea6861f4a"
+		s.deps.Fetch = fakeAdminListeners{
+			"127.0.0.1:9140/state/quarantine": `[{"request":"` + request + `","state":"quarantined","label":"GET /find?q=sofa","servers":["i-1","i-2","i-3"],"since":"10s","left":"50s","refused":3},
+				{"request":"7d5239b94f87366638edc17b4ce18b91","state":"suspect","label":"GET /other","servers":["i-7","i-8"],"since":"","left":"","refused":0}]`,
+			"127.0.0.2:9140/state/quarantine":                "[]",
+			"127.0.0.3:9140/state/quarantine":                "{}",
+			"127.0.0.1:9140POST /quarantine/lift/" + request: "{}",
+			"127.0.0.1:9140POST /quarantine/pin/" + request:  "{}",
+		}
+		s.runAll(
+			"quarantine list 127.0.0.1:9140",
+			"quarantine list 127.0.0.1:9140 --json",
+			"quarantine list 127.0.0.2:9140",
+			"quarantine list 127.0.0.3:9140",
+			"quarantine list 127.0.0.4:9140",
+			"quarantine lift 127.0.0.1:9140 "+request,
+			"quarantine pin 127.0.0.1:9140 "+request,
+			"quarantine pin 127.0.0.2:9140 "+request,
+			"quarantine lift 127.0.0.1:9140 9f7f",
+			"quarantine lift",
+		)
+		s.assertGolden("quarantine")
+	})
+}
+
 func TestStatusCommands(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSession(t)
--- a/internal/ops/cmdln/root.go
+++ b/internal/ops/cmdln/root.go
@@ -37,6 +37,6 @@
 	flags.BoolVar(&c.json, "json", false, "print JSON")
 	root.AddCommand(c.checkCommand(), c.applyCommand(), c.diffCommand(), c.showCommand(), c.historyCommand(), c.changeCommand())
 	root.AddCommand(c.outInCommands()...)
-	root.AddCommand(c.statusCommand(), c.fleetCommand(), c.stateCommand(), c.serveCommand(), c.forwardCommand(), c.explainCommand(), c.timelineCommand())
+	root.AddCommand(c.statusCommand(), c.fleetCommand(), c.stateCommand(), c.serveCommand(), c.forwardCommand(), c.explainCommand(), c.timelineCommand(), c.quarantineCommand())
 	return root
 }
--- a/internal/ops/fetch/client.go
+++ b/internal/ops/fetch/client.go
@@ -18,6 +18,11 @@
 	// PathFleet returns the status of the fleet, which the VM collects from all members;
 	// VMs that forward requests return only the list of members.
 	PathFleet = "/fleet"
+	// PathQuarantine returns the requests that are suspect or quarantined, and PathLift and
+	// PathPin, followed by the fingerprint of a request, change one of them by POST.
+	PathQuarantine = "/state/quarantine"
+	PathLift       = "/quarantine/lift/"
+	PathPin        = "/quarantine/pin/"
 )
 
 // ErrUnavailable means that the process did not answer, or not with status 200.
@@ -39,9 +44,19 @@
 // Get returns the response body of the admin listener at address (IP:PORT) for path. It
 // fails with ErrUnavailable.
 func (c *Client) Get(ctx context.Context, address, path string) ([]byte, error) {
+	return c.call(ctx, fasthttp.MethodGet, address, path)
+}
+
+// Post is like Get for a call that changes something.
+func (c *Client) Post(ctx context.Context, address, path string) ([]byte, error) {
+	return c.call(ctx, fasthttp.MethodPost, address, path)
+}
+
+func (c *Client) call(ctx context.Context, method, address, path string) ([]byte, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + address + path)
 	deadline, ok := ctx.Deadline()
 	if !ok {
@@ -51,7 +66,7 @@
 		return nil, errors.Wrapf(ErrUnavailable, "%s: %v", address, err)
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
-		return nil, errors.Wrapf(ErrUnavailable, "%s answers with status %d", address, response.StatusCode())
+		return nil, errors.Wrapf(ErrUnavailable, "%s answers with status %d: %s", address, response.StatusCode(), response.Body())
 	}
 	return append([]byte(nil), response.Body()...), nil
 }
--- a/internal/ops/logs/logs.go
+++ b/internal/ops/logs/logs.go
@@ -37,13 +37,14 @@
 
 // outcomeTexts describes the events that end a request.
 var outcomeTexts = map[string]string{
-	"request_refused":   "refused: it has not run",
-	"request_rejected":  "rejected",
-	"request_failed":    "failed: it may have run",
-	"request_timed_out": "timed out: it may have run",
-	"request_partial":   "answered without some shards",
-	"request_late":      "answered after the goal of its route",
-	"request_cancelled": "given up by the caller",
+	"request_refused":     "refused: it has not run",
+	"request_quarantined": "refused: it has not run",
+	"request_rejected":    "rejected",
+	"request_failed":      "failed: it may have run",
+	"request_timed_out":   "timed out: it may have run",
+	"request_partial":     "answered without some shards",
+	"request_late":        "answered after the goal of its route",
+	"request_cancelled":   "given up by the caller",
 }
 
 // eraEvent is the event of a store that came back from an older copy. It may explain what
--- a/internal/ops/logs/timeline.go
+++ b/internal/ops/logs/timeline.go
@@ -23,7 +23,7 @@
 
 // columns are the per-second counts of events about single requests.
 var columns = []column{
-	{"refused", []string{"request_refused", "request_rejected"}},
+	{"refused", []string{"request_refused", "request_rejected", "request_quarantined"}},
 	{"failed", []string{"request_failed", "request_timed_out"}},
 	{"late", []string{"request_late"}},
 	{"partial", []string{"request_partial"}},
--- a/internal/query/poison/entry.go
+++ b/internal/query/poison/entry.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
 )
@@ -78,9 +80,22 @@
 	Quarantined
 )
 
+// stateNames are the names that logs and operators use.
+var stateNames = []string{Clear: "clear", Suspect: "suspect", Quarantined: "quarantined"}
+
 // String returns the name that logs and operators use.
 func (s State) String() string {
-	return [...]string{"clear", "suspect", "quarantined"}[s]
+	return stateNames[s]
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *State) UnmarshalText(text []byte) error {
+	index := slices.Index(stateNames, string(text))
+	if index < 0 {
+		return errors.Newf("poison: %q is no state of a request", text)
+	}
+	*s = State(index)
+	return nil
 }
 
 // MarshalText implements encoding.TextMarshaler.
--- a/internal/query/poison/fingerprint.go
+++ b/internal/query/poison/fingerprint.go
@@ -32,6 +32,12 @@
 	return []byte(f.String()), nil
 }
 
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (f *Fingerprint) UnmarshalText(text []byte) (err error) {
+	*f, err = ParseFingerprint(string(text))
+	return err
+}
+
 // ParseFingerprint is the inverse of Fingerprint.String.
 func ParseFingerprint(text string) (Fingerprint, error) {
 	var f Fingerprint
