Count no end of a process that had ended before, and contest quarantines of popular requests

Behind proxies a connection to a process that has ended is accepted and closed; three trials sent there counted as three servers that it had ended. A VM that had just restarted could also condemn it alone, since it had not seen it answered yet.

Change: an attempt ends a server only if its connection had carried an answer or was open for 10 ms. A VM that has seen a request answered within five minutes does not adopt a quarantine from one that has not, and says so; that one revokes it. An index finds the requests that ran at a process. Repetitions go to three random VMs that serve and two that stand by; the processes that a request ended are told for 5 s.

--- a/internal/fleet/beats/broadcast_test.go
+++ b/internal/fleet/beats/broadcast_test.go
@@ -15,7 +15,7 @@
 	a, b := newTestVM(t, "a", true), newTestVM(t, "b", true)
 	a.setMembers(a.member, b.member)
 	longest := strings.Repeat("x", beats.MaxMessageBytes)
-	a.Broadcast([]byte(longest), 0)
+	a.Broadcast([]byte(longest))
 	select {
 	case message := <-b.messages:
 		require.Equal(t, longest, message)
@@ -31,7 +31,7 @@
 	a.setMembers(a.member)
 	b.setMembers(a.member)
 	send := func() bool {
-		a.Broadcast([]byte("news"), 0)
+		a.Broadcast([]byte("news"))
 		return len(b.messages) > 0
 	}
 	require.Never(t, send, 300*time.Millisecond, 50*time.Millisecond)
@@ -51,7 +51,7 @@
 	a.setMembers(members...)
 	selected := a.currentView().TargetServing()
 	for range 20 {
-		a.Broadcast([]byte("news"), 1)
+		a.SendToSome([]byte("news"), 5, 1)
 	}
 	require.Eventually(t, func() bool { return len(b.messages) == cap(b.messages) }, 5*time.Second, 10*time.Millisecond)
 	for _, vm := range standby {
--- a/internal/fleet/beats/heartbeat.go
+++ b/internal/fleet/beats/heartbeat.go
@@ -214,37 +214,47 @@
 	return found
 }
 
-// Broadcast sends a message of at most MaxMessageBytes to all VMs that get heartbeats, to those
-// that don't serve and have callers, and to a number of random ones that stand by. Some of
-// them may not receive it. It is safe for concurrent use.
-func (h *Heartbeater) Broadcast(message []byte, standby int) {
+// Broadcast sends a message of at most MaxMessageBytes to all VMs that get heartbeats, and to
+// those that don't serve and have callers. Some of them may not receive it. It is safe for
+// concurrent use.
+func (h *Heartbeater) Broadcast(message []byte) {
 	datagram := append([]byte(messagePrefix), message...)
-	sent := coll.NewSet[string]()
+	sent := coll.NewSet[netip.AddrPort]()
 	for m, address := range h.peers() {
-		sent.Add(address.String())
+		sent.Add(address)
 		h.write(datagram, m.VM, address)
 	}
 	for _, subscriber := range h.subscribers.list(time.Now()) {
-		if address, err := netip.ParseAddrPort(subscriber); err == nil && !sent.Has(subscriber) {
+		if address, err := netip.ParseAddrPort(subscriber); err == nil && !sent.Has(address) {
 			h.write(datagram, ident.VMID(subscriber), address)
 		}
 	}
-	for _, m := range h.randomStandby(standby) {
+}
+
+// SendToSome sends a message like Broadcast, to random VMs: serving of those that get heartbeats,
+// and standby of the others.
+func (h *Heartbeater) SendToSome(message []byte, serving, standby int) {
+	view := h.deps.View()
+	var active, others []roster.Member
+	for _, m := range view.Members {
+		switch {
+		case m.VM == h.deps.Self:
+		case m.Serving || view.TargetServing().Has(m.VM):
+			active = append(active, m)
+		default:
+			others = append(others, m)
+		}
+	}
+	datagram := append([]byte(messagePrefix), message...)
+	for _, m := range append(pick(active, serving), pick(others, standby)...) {
 		if address, err := netip.ParseAddrPort(m.PeerAddress); err == nil {
 			h.write(datagram, m.VM, address)
 		}
 	}
 }
 
-// randomStandby returns up to count random VMs that get no heartbeats.
-func (h *Heartbeater) randomStandby(count int) []roster.Member {
-	if count == 0 {
-		return nil
-	}
-	view := h.deps.View()
-	members := slices.DeleteFunc(slices.Clone(view.Members), func(m roster.Member) bool {
-		return m.VM == h.deps.Self || m.Serving || view.TargetServing().Has(m.VM)
-	})
+// pick returns up to count random members. It reorders members.
+func pick(members []roster.Member, count int) []roster.Member {
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	return members[:min(len(members), count)]
 }
--- a/internal/link/gossip/gossip.go
+++ b/internal/link/gossip/gossip.go
@@ -44,17 +44,21 @@
 	syncTimeout = 150 * time.Millisecond
 	// completeHeader is in answers of VMs that have themselves learned what others know.
 	completeHeader = "X-Complete"
-	// standbyCopies is the number of VMs that stand by which get each repetition: they remember
-	// it in case that all VMs that serve restart.
-	standbyCopies = 3
+	// repeatPeers is the number of random VMs that serve which get each repetition, and
+	// standbyPeers that of VMs that stand by: they remember it in case that all VMs that serve
+	// restart.
+	repeatPeers  = 3
+	standbyPeers = 2
 	// maxAnswerBytes bounds the answer to a request for all evidence.
 	maxAnswerBytes = 4 << 20
 )
 
-// Broadcaster sends a message to the other VMs that serve callers, and to a number of random
-// ones that stand by.
+// Broadcaster sends messages to other VMs. Some of them may be lost.
 type Broadcaster interface {
-	Broadcast(message []byte, standby int)
+	// Broadcast sends a message to all VMs that serve callers.
+	Broadcast(message []byte)
+	// SendToSome sends a message to numbers of random VMs that serve, and that stand by.
+	SendToSome(message []byte, serving, standby int)
 }
 
 // Deps holds the dependencies of an Exchange.
@@ -100,7 +104,9 @@
 			x.broadcastChanges()
 		case <-ticker.C:
 			x.deps.Ledger.Sweep(time.Now())
-			x.broadcast(x.deps.Ledger.Page(time.Now(), repeatRecords), standbyCopies)
+			x.send(x.deps.Ledger.Page(time.Now(), repeatRecords), func(message []byte) {
+				x.deps.Broadcaster.SendToSome(message, repeatPeers, standbyPeers)
+			})
 		}
 	}
 }
@@ -112,18 +118,19 @@
 		if len(changes) == 0 {
 			return
 		}
-		x.broadcast(changes, 0)
+		x.send(changes, x.deps.Broadcaster.Broadcast)
 	}
 }
 
-func (x *Exchange) broadcast(records []poison.Record, standby int) {
+// send encodes records and calls send for each message.
+func (x *Exchange) send(records []poison.Record, send func(message []byte)) {
 	messages, err := poison.Encode(records, x.deps.MaxBytes)
 	if err != nil {
 		x.deps.Events.Sample("evidence_unsent", "broadcast", err.Error())
 		return
 	}
 	for _, message := range messages {
-		x.deps.Broadcaster.Broadcast(message, standby)
+		send(message)
 	}
 }
 
--- a/internal/link/gossip/gossip_test.go
+++ b/internal/link/gossip/gossip_test.go
@@ -42,7 +42,9 @@
 	drop      int
 }
 
-func (h *hub) Broadcast(message []byte, _ int) {
+func (h *hub) SendToSome(message []byte, _, _ int) { h.Broadcast(message) }
+
+func (h *hub) Broadcast(message []byte) {
 	if h.drop > 0 {
 		h.drop--
 		return
--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -53,10 +53,14 @@
 	lastID string
 	// closed is set once the connection was closed while idle.
 	closed bool
+	// openedAt is when the connection was opened, and answered is set once it has carried an
+	// answer. Only the reader uses it.
+	openedAt time.Time
+	answered bool
 }
 
 func newConn(p *Pool, srv *server, nc net.Conn) *conn {
-	return &conn{pool: p, server: srv, nc: nc, br: bufio.NewReaderSize(nc, readBufferSize), idleTimeout: p.options.IdleTimeout}
+	return &conn{pool: p, server: srv, nc: nc, br: bufio.NewReaderSize(nc, readBufferSize), idleTimeout: p.options.IdleTimeout, openedAt: time.Now()}
 }
 
 // close closes the connection. An error can be ignored: the reader goroutine ends in any
@@ -153,7 +157,8 @@
 	c.pool.releaseSlot(c.server)
 	if unanswered != nil {
 		c.pool.broken.Inc()
-		c.pool.finishClosed(c.server, unanswered, err)
+		lived := c.answered || time.Since(c.openedAt) > endCheckGrace
+		c.pool.finishClosed(c.server, unanswered, lived, err)
 		c.server.countRequest(-1)
 	}
 }
@@ -210,6 +215,7 @@
 		return false, err
 	}
 	c.server.countRequest(-1)
+	c.answered = true
 	// The answer to a short request may arrive before its write has returned.
 	call.writing.Wait()
 	reusable := !response.ConnectionClose() && c.br.Buffered() == 0 && call.isWritten()
--- a/internal/owner/pool/ended.go
+++ b/internal/owner/pool/ended.go
@@ -15,8 +15,8 @@
 	// endCheckTimeout bounds the connection that tells whether a process has ended. It
 	// exceeds the round trip between availability zones many times.
 	endCheckTimeout = 100 * time.Millisecond
-	// endCheckGrace is how long that connection has to stay open. A proxy accepts
-	// connections to a process that has ended, and closes them.
+	// endCheckGrace is how long a new connection has to stay open before it shows that the
+	// process lives. A proxy accepts connections to a process that has ended, and closes them.
 	endCheckGrace = 10 * time.Millisecond
 )
 
@@ -35,12 +35,14 @@
 
 // finishClosed ends an attempt whose answer could not be read. If the server closed the
 // connection, the result says whether its process has ended, which takes a round trip.
-func (p *Pool) finishClosed(s *server, call *Call, err error) {
+// lived is set if the process was seen to live while it had the request.
+func (p *Pool) finishClosed(s *server, call *Call, lived bool, err error) {
 	result := Result{Outcome: Broken, Reason: err.Error(), Shared: s.requests()}
 	if isClosedByPeer(err) && !call.isCancelled() && time.Now().Before(call.deadline) {
-		result.Ended = p.hasEnded(s)
+		result.Gone = p.hasEnded(s)
+		result.Ended = result.Gone && lived
 	}
-	if result.Ended {
+	if result.Gone {
 		result.Reason = "the server's process ended"
 	}
 	call.finish(result)
--- a/internal/owner/pool/ended_test.go
+++ b/internal/owner/pool/ended_test.go
@@ -10,29 +10,32 @@
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 )
 
+// livesAfter is the time after which a connection shows that the process lives.
+const livesAfter = 20 * time.Millisecond
+
 // Guards against a closed connection that passes for the end of a server's process, and the
 // other way round.
 func TestEndOfAServerIsToldFromAClosedConnection(t *testing.T) {
 	for name, c := range map[string]struct {
 		// first handles the first request, and then each later connection.
 		first, then func(b *backend, conn net.Conn)
-		ended       bool
+		gone        bool
 	}{
 		"process_ends": {
 			first: func(b *backend, conn net.Conn) { _, _ = b.listener.Close(), conn.Close() },
-			ended: true,
+			gone:  true,
 		},
 		"process_ends_amid_its_answer": {
 			first: func(b *backend, conn net.Conn) {
 				say(conn, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc")
 				_, _ = b.listener.Close(), conn.Close()
 			},
-			ended: true,
+			gone: true,
 		},
 		"process_ends_behind_a_proxy": {
 			first: func(_ *backend, conn net.Conn) { _ = conn.Close() },
 			then:  func(_ *backend, conn net.Conn) { _ = conn.Close() },
-			ended: true,
+			gone:  true,
 		},
 		"connection_is_closed": {
 			first: func(_ *backend, conn net.Conn) { _ = conn.Close() },
@@ -52,6 +55,7 @@
 				p.Send(b.target(), messageOf("r1", nil), time.Now().Add(time.Second), false, func(r pool.Result) { results <- r })
 			}
 			conns := []net.Conn{b.accept(t), b.accept(t)}
+			time.Sleep(livesAfter)
 			for _, conn := range conns {
 				c.first(b.backend, conn)
 			}
@@ -61,13 +65,27 @@
 			for range 2 {
 				r := await(t, results)
 				require.Equal(t, pool.Broken, r.Outcome)
-				require.Equal(t, c.ended, r.Ended, r.Reason)
+				require.Equal(t, c.gone, r.Gone, r.Reason)
+				require.Equal(t, c.gone, r.Ended, r.Reason)
 				require.Positive(t, r.Shared)
 			}
 		})
 	}
 }
 
+// Guards against a request that is blamed for the end of a process that had ended before: a
+// proxy in front of it accepted the connection.
+func TestProcessThatHadEndedBeforeIsNotEndedByTheRequest(t *testing.T) {
+	b := newScripted(t)
+	results := make(chan pool.Result, 1)
+	newPool(t).Send(b.target(), messageOf("r1", nil), time.Now().Add(time.Second), false, func(r pool.Result) { results <- r })
+	require.NoError(t, b.accept(t).Close())
+	require.NoError(t, b.accept(t).Close())
+	r := await(t, results)
+	require.True(t, r.Gone)
+	require.False(t, r.Ended)
+}
+
 // An attempt that this VM cancels says nothing about the server.
 func TestCancelledAttemptIsNoEndOfAServer(t *testing.T) {
 	b := newScripted(t)
@@ -76,7 +94,7 @@
 	conn := b.accept(t)
 	require.NoError(t, b.listener.Close())
 	call.Cancel()
-	require.False(t, await(t, results).Ended)
+	require.False(t, await(t, results).Gone)
 	require.NoError(t, conn.Close())
 }
 
--- a/internal/owner/pool/types.go
+++ b/internal/owner/pool/types.go
@@ -77,10 +77,11 @@
 	Signature string
 	// Cancelled is set if the attempt was cancelled before it ended.
 	Cancelled bool
-	// Ended is set if the process of the backend server ended while it had the request.
-	// Shared is then the number of this VM's requests that it had, including this one.
-	Ended  bool
-	Shared int
+	// Gone is set if the process of the backend server has ended, and Ended if it did so while
+	// it had the request, rather than before. Shared is then the number of this VM's requests
+	// that it had, including this one.
+	Gone, Ended bool
+	Shared      int
 	// Leaving is set if the backend server announced that it takes no new requests.
 	Leaving bool
 	// Misdirected is set if a different backend server answered at the address.
--- a/internal/query/poison/entry.go
+++ b/internal/query/poison/entry.go
@@ -216,7 +216,7 @@
 		Fingerprint: f[:], Label: e.label, ClearedAgo: age(now, e.clearedAt), LiftedAgo: age(now, e.liftedAt),
 		TrialLeft: max(e.trialUntil.Sub(now).Milliseconds(), 0), QuarantinedAgo: age(now, e.quarantinedAt), Hold: e.hold.Milliseconds(), Pinned: e.pinned,
 	}
-	if e.state(now) == Quarantined {
+	if now.Sub(e.quarantinedAt) < tellProcesses {
 		r.Processes = encodeHashes(e.processes)
 	}
 	for _, known := range e.ends {
@@ -244,8 +244,16 @@
 		e.acquit(lifted)
 	}
 	if cleared := before(now, r.ClearedAgo); isLater(cleared, e.clearedAt) {
+		wasTrusted := e.isTrusted(now)
 		e.clearedAt = cleared
 		e.acquit(cleared)
+		if !wasTrusted && e.isTrusted(now) && !e.pinned && r.QuarantinedAgo < 0 {
+			// It was quarantined by a VM that didn't know that servers had answered it.
+			e.quarantinedAt, e.hold = time.Time{}, 0
+		}
+	}
+	if r.ClearedAgo < 0 && !r.Pinned && e.isTrusted(now) {
+		return
 	}
 	quarantined := before(now, r.QuarantinedAgo)
 	if isLater(quarantined, e.quarantinedAt) && quarantined.After(e.liftedAt) && (r.Pinned || quarantined.After(e.clearedAt)) {
--- a/internal/query/poison/explain.go
+++ b/internal/query/poison/explain.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
 )
 
@@ -13,6 +14,9 @@
 	// maxProcesses is the number of ended processes that are remembered of each request. Their
 	// hashes fit into one message.
 	maxProcesses = 200
+	// tellProcesses is how long the processes that a quarantined request ended are told to other
+	// VMs: evidence against requests that ran there is as old.
+	tellProcesses = 5 * time.Second
 	// explainedFor is how long the end of a process is put down to a quarantined request.
 	explainedFor = time.Minute
 )
@@ -44,15 +48,28 @@
 	return hashes
 }
 
+// processIndex maps server processes to the requests that they ran when they ended. It may
+// hold requests whose evidence was dropped since.
+type processIndex map[processHash][]Fingerprint
+
+func (x processIndex) add(p notice.Process, f Fingerprint) {
+	h := hashOf(p)
+	x[h] = append(x[h], f)
+}
+
 // explain puts the ends of the processes that a quarantined request ended down to it. They no
 // longer speak against requests that servers have answered before.
 func (l *Ledger) explain(now time.Time, guilty *entry) {
-	l.explained.RemoveOlder(now, explainedFor)
+	concerned := coll.NewSet[Fingerprint]()
 	for h := range guilty.processes {
 		l.explained[h] = now
+		for _, f := range l.byProcess[h] {
+			concerned.Add(f)
+		}
 	}
-	for f, e := range l.entries {
-		if e == guilty || !e.isTrusted(now) {
+	for f := range concerned {
+		e := l.entries[f]
+		if e == nil || e == guilty || !e.isTrusted(now) {
 			continue
 		}
 		before := e.state(now)
--- a/internal/query/poison/ledger.go
+++ b/internal/query/poison/ledger.go
@@ -63,6 +63,7 @@
 	// whose ends are put down to quarantined requests.
 	answers   recentAnswers
 	explained coll.LastSeen[processHash]
+	byProcess processIndex
 	// rotation holds the entries that Page has yet to return.
 	rotation []Fingerprint
 }
@@ -71,7 +72,7 @@
 func NewLedger(options Options) *Ledger {
 	options.Hold = coll.Positive(options.Hold, defaultHold)
 	options.MaxEntries = coll.Positive(options.MaxEntries, defaultMaxEntries)
-	return &Ledger{options: options, wake: make(chan struct{}, 1), entries: map[Fingerprint]*entry{}, dirty: coll.NewSet[Fingerprint](), explained: coll.LastSeen[processHash]{}}
+	return &Ledger{options: options, wake: make(chan struct{}, 1), entries: map[Fingerprint]*entry{}, dirty: coll.NewSet[Fingerprint](), explained: coll.LastSeen[processHash]{}, byProcess: processIndex{}}
 }
 
 // Verdict says whether a request may run.
@@ -179,7 +180,7 @@
 	e := l.entry(now, f)
 	e.label = labelOf(head)
 	before := e.state(now)
-	if !l.addEnd(now, e, end{process: ended.Process, at: now}) {
+	if !l.addEnd(now, f, e, end{process: ended.Process, at: now}) {
 		return
 	}
 	if ended.Trial {
@@ -194,11 +195,12 @@
 }
 
 // addEnd adds an end to an entry, unless it is known or put down to another request.
-func (l *Ledger) addEnd(now time.Time, e *entry, added end) (isNew bool) {
-	if e.isTrusted(now) && l.explained.Has(hashOf(added.process)) {
+func (l *Ledger) addEnd(now time.Time, f Fingerprint, e *entry, added end) (isNew bool) {
+	if e.isTrusted(now) && l.explained.Has(hashOf(added.process)) || !e.addEnd(added) {
 		return false
 	}
-	return e.addEnd(added)
+	l.byProcess.add(added.process, f)
+	return true
 }
 
 // Completed records that a server answered a request.
@@ -321,6 +323,7 @@
 		e.wakeWaiting()
 	}
 	delete(l.entries, f)
+
 	l.dirty.Remove(f)
 	l.count.Store(int64(len(l.entries)))
 }
@@ -378,11 +381,17 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.byProcess = processIndex{}
 	for f, e := range l.entries {
 		if e.isOutdated(now) {
 			l.remove(f)
+			continue
+		}
+		for _, known := range e.ends {
+			l.byProcess.add(known.process, f)
 		}
 	}
+	l.explained.RemoveOlder(now, explainedFor)
 }
 
 // Counts returns the number of entries in each state.
--- a/internal/query/poison/share.go
+++ b/internal/query/poison/share.go
@@ -104,9 +104,13 @@
 		state, trial := e.state(now), e.trialUntil
 		e.merge(now, r)
 		for _, other := range r.Ends {
-			l.addEnd(now, e, end{process: notice.Process{ID: ident.ServerID(other.Server), Born: other.Born}, at: before(now, max(other.Ago, 0))})
+			l.addEnd(now, f, e, end{process: notice.Process{ID: ident.ServerID(other.Server), Born: other.Born}, at: before(now, max(other.Ago, 0))})
 		}
 		e.published = true
+		if r.QuarantinedAgo >= 0 && r.ClearedAgo < 0 && e.isTrusted(now) {
+			// The other VM doesn't know that servers have answered it.
+			l.publish(f, e)
+		}
 		if state != Quarantined && e.state(now) == Quarantined {
 			l.explain(now, e)
 		}
--- a/internal/query/poison/share_test.go
+++ b/internal/query/poison/share_test.go
@@ -147,3 +147,21 @@
 		l.Sweep(after(time.Hour))
 	})
 }
+
+// Guards against a process that has just started, and has not seen a popular request answered
+// yet, and condemns it for the whole fleet.
+func TestVMsThatKnowARequestContestItsQuarantine(t *testing.T) {
+	vms := newLedgers(3)
+	complete(vms[0], start, "popular")
+	now := after(time.Second)
+	condemn(t, vms[2], now, "popular")
+	tell(t, now, vms[2], vms[0], vms[1])
+	require.Equal(t, poison.Refuse, decide(vms[1], now, "popular").Verdict)
+	require.NotEqual(t, poison.Quarantined, state(vms[0], now, "popular"))
+	tell(t, now, vms[0], vms[1], vms[2])
+	for _, vm := range vms {
+		require.NotEqual(t, poison.Quarantined, state(vm, now, "popular"))
+	}
+	vms[0].Merge(now, vms[2].All(now))
+	require.NotEqual(t, poison.Quarantined, state(vms[0], now, "popular"))
+}
--- a/internal/query/relay/probation_test.go
+++ b/internal/query/relay/probation_test.go
@@ -11,7 +11,7 @@
 	"github.com/samphirestair/samphirestair/internal/query/relay"
 )
 
-var ended = relay.Reply{Kind: relay.Ambiguous, Ended: true, Sample: choose.Sample{Refused: true}}
+var ended = relay.Reply{Kind: relay.Ambiguous, Gone: true, Ended: true, Sample: choose.Sample{Refused: true}}
 
 // reply passes the reply to an attempt on and returns what is to be sent then.
 func reply(q *relay.Query, now time.Time, s relay.Send, r relay.Reply) []relay.Send {
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -301,7 +301,7 @@
 	case Unreachable:
 		q.env.Health.Failed(a.server)
 	default:
-		if reply.Ended {
+		if reply.Gone {
 			q.env.Health.Gone(a.server)
 		}
 	}
--- a/internal/query/relay/types.go
+++ b/internal/query/relay/types.go
@@ -156,8 +156,9 @@
 	Reason string
 	// Misdirected is set if another server answered at the address.
 	Misdirected bool
-	// Ended is set if the process of the server ended while it had the sub-request.
-	Ended bool
+	// Gone is set if the process of the server has ended, and Ended if it did so while it had
+	// the sub-request.
+	Gone, Ended bool
 }
 
 // ReplyKind classifies the result of an attempt.
--- a/internal/query/runner/delegate.go
+++ b/internal/query/runner/delegate.go
@@ -200,6 +200,7 @@
 		r := reply{shard: d.ordered[o.Seq].shard, attempt: d.ordered[o.Seq].attempt, process: d.ordered[o.Seq].process, result: resultOf(o), sentAt: d.sentAt}
 		r.result.Limit = limitOf(report, o)
 		r.result.Shared, r.result.Ended = endOf(report, o)
+		r.result.Gone = r.result.Ended
 		d.execution.runner.deps.Env.Notices.Observe(time.Now(), d.ordered[o.Seq].process, notice.Notice{Leaving: o.Leaving, Limit: r.result.Limit})
 		r.remoteElapsed = time.Duration(o.Micros) * time.Microsecond
 		if o.Alone {
--- a/internal/query/runner/evidence_test.go
+++ b/internal/query/runner/evidence_test.go
@@ -67,7 +67,7 @@
 			d.mu.Lock()
 			d.ended++
 			d.mu.Unlock()
-			done(pool.Result{Outcome: pool.Broken, Ended: true, Shared: 1})
+			done(pool.Result{Outcome: pool.Broken, Gone: true, Ended: true, Shared: 1})
 			return
 		}
 		response := fasthttp.AcquireResponse()
--- a/internal/query/runner/reply.go
+++ b/internal/query/runner/reply.go
@@ -29,7 +29,7 @@
 		return interpreted
 	}
 	sample := choose.Sample{Queued: result.Running + result.Waiting, Slots: result.Slots, RetryAfter: result.RetryAfter}
-	interpreted := relay.Reply{Reason: result.Reason, Misdirected: result.Misdirected, Ended: result.Ended}
+	interpreted := relay.Reply{Reason: result.Reason, Misdirected: result.Misdirected, Gone: result.Gone, Ended: result.Ended}
 	switch result.Outcome {
 	case pool.Answered:
 		interpreted.Kind, interpreted.Reason = e.classifyAnswer(r)
