--- a/internal/query/poison/entry.go
+++ b/internal/query/poison/entry.go
@@ -231,40 +231,63 @@
 	return told.Sub(known) > messageDelay || known.IsZero() && !told.IsZero()
 }
 
-// merge adds what another VM knows.
+// merge adds what another VM knows, apart from the ends.
 func (e *entry) merge(now time.Time, r *Record) {
 	if e.label == "" {
 		e.label = trimLabel(r.Label)
 	}
-	if lifted := before(now, r.LiftedAgo); isLater(lifted, e.liftedAt) {
-		e.liftedAt = lifted
-		if !e.quarantinedAt.After(lifted) {
-			e.pinned = false
-		}
-		e.acquit(lifted)
+	e.mergeLift(now, r)
+	e.mergeAnswer(now, r)
+	e.mergeQuarantine(now, r)
+	if trial := now.Add(min(milliseconds(r.TrialLeft), trialTime)); r.TrialLeft > 0 && trial.After(e.trialUntil) {
+		e.trialUntil = trial
 	}
-	if cleared := before(now, r.ClearedAgo); isLater(cleared, e.clearedAt) {
-		wasTrusted := e.isTrusted(now)
-		e.clearedAt = cleared
-		e.acquit(cleared)
-		if !wasTrusted && e.isTrusted(now) && !e.pinned && r.QuarantinedAgo < 0 {
-			// It was quarantined by a VM that didn't know that servers had answered it.
-			e.quarantinedAt, e.hold = time.Time{}, 0
-		}
+}
+
+// mergeLift adds that an operator lifted the quarantine.
+func (e *entry) mergeLift(now time.Time, r *Record) {
+	lifted := before(now, r.LiftedAgo)
+	if !isLater(lifted, e.liftedAt) {
+		return
+	}
+	e.liftedAt = lifted
+	if !e.quarantinedAt.After(lifted) {
+		e.pinned = false
 	}
-	if r.ClearedAgo < 0 && !r.Pinned && e.isTrusted(now) {
+	e.acquit(lifted)
+}
+
+// mergeAnswer adds that a server answered the request. A quarantine is revoked that was decided
+// without knowing of any answer, unless the other VM knows of it, too.
+func (e *entry) mergeAnswer(now time.Time, r *Record) {
+	cleared := before(now, r.ClearedAgo)
+	if !isLater(cleared, e.clearedAt) {
 		return
 	}
+	wasTrusted := e.isTrusted(now)
+	e.clearedAt = cleared
+	e.acquit(cleared)
+	if !wasTrusted && e.isTrusted(now) && !e.pinned && r.QuarantinedAgo < 0 {
+		e.quarantinedAt, e.hold = time.Time{}, 0
+	}
+}
+
+// mergeQuarantine adds a quarantine, unless this VM knows better.
+func (e *entry) mergeQuarantine(now time.Time, r *Record) {
 	quarantined := before(now, r.QuarantinedAgo)
-	if isLater(quarantined, e.quarantinedAt) && quarantined.After(e.liftedAt) && (r.Pinned || quarantined.After(e.clearedAt)) {
-		e.quarantinedAt, e.hold = quarantined, milliseconds(r.Hold)
-		e.pinned = e.pinned || r.Pinned
-		for _, h := range decodeHashes(r.Processes[:min(len(r.Processes), 4*maxProcesses)]) {
-			e.processes.Add(h)
-		}
-		e.blame, e.trialUntil = 0, time.Time{}
+	if e.contests(now, r) || !isLater(quarantined, e.quarantinedAt) || !quarantined.After(e.liftedAt) || !r.Pinned && !quarantined.After(e.clearedAt) {
+		return
 	}
-	if trial := now.Add(min(milliseconds(r.TrialLeft), trialTime)); r.TrialLeft > 0 && trial.After(e.trialUntil) {
-		e.trialUntil = trial
+	e.quarantinedAt, e.hold = quarantined, milliseconds(r.Hold)
+	e.pinned = e.pinned || r.Pinned
+	for _, h := range decodeHashes(r.Processes[:min(len(r.Processes), 4*maxProcesses)]) {
+		e.processes.Add(h)
 	}
+	e.blame, e.trialUntil = 0, time.Time{}
+}
+
+// contests reports whether another VM quarantined the request without knowing that servers had
+// answered it lately.
+func (e *entry) contests(now time.Time, r *Record) bool {
+	return r.QuarantinedAgo >= 0 && !r.Pinned && r.ClearedAgo < 0 && e.isTrusted(now)
 }
--- a/internal/query/poison/share.go
+++ b/internal/query/poison/share.go
@@ -97,30 +97,34 @@
 			continue
 		}
 		f := Fingerprint(r.Fingerprint)
-		if _, known := l.entries[f]; !known && len(r.Ends) == 0 && r.QuarantinedAgo < 0 {
-			continue
-		}
-		e := l.entry(now, f)
-		state, trial := e.state(now), e.trialUntil
-		e.merge(now, r)
-		for _, other := range r.Ends {
-			l.addEnd(now, f, e, end{process: notice.Process{ID: ident.ServerID(other.Server), Born: other.Born}, at: before(now, max(other.Ago, 0))})
-		}
-		e.published = true
-		if r.QuarantinedAgo >= 0 && r.ClearedAgo < 0 && e.isTrusted(now) {
-			// The other VM doesn't know that servers have answered it.
-			l.publish(f, e)
-		}
-		if state != Quarantined && e.state(now) == Quarantined {
-			l.explain(now, e)
-		}
-		l.report(now, f, e, state, "told by another VM")
-		if e.state(now) != state || e.trialUntil.Before(trial) {
-			e.wakeWaiting()
+		if _, known := l.entries[f]; known || len(r.Ends) > 0 || r.QuarantinedAgo >= 0 {
+			l.mergeRecord(now, f, r)
 		}
 	}
 }
 
+// mergeRecord adds what another VM knows of one request.
+func (l *Ledger) mergeRecord(now time.Time, f Fingerprint, r *Record) {
+	e := l.entry(now, f)
+	state, trial := e.state(now), e.trialUntil
+	contested := e.contests(now, r)
+	e.merge(now, r)
+	for _, other := range r.Ends {
+		l.addEnd(now, f, e, end{process: notice.Process{ID: ident.ServerID(other.Server), Born: other.Born}, at: before(now, max(other.Ago, 0))})
+	}
+	e.published = true
+	if contested {
+		l.publish(f, e)
+	}
+	if state != Quarantined && e.state(now) == Quarantined {
+		l.explain(now, e)
+	}
+	l.report(now, f, e, state, "told by another VM")
+	if e.state(now) != state || e.trialUntil.Before(trial) {
+		e.wakeWaiting()
+	}
+}
+
 // Encode encodes records into messages of at most maxBytes each, as far as single records
 // allow.
 func Encode(records []Record, maxBytes int) ([][]byte, error) {
