--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -16,8 +16,10 @@
 // Process runs a program and restarts it when it exits. It signals only the process
 // that it started. It is safe for concurrent use.
 type Process struct {
-	program string
-	args    []string
+	// programs are run in turn, one at each start.
+	programs []string
+	starts   int
+	args     []string
 	// logs is the file to which the program's output is appended.
 	logs string
 	// restartDelay is the time between an exit and the next start.
@@ -33,10 +35,11 @@
 	done      chan struct{}
 }
 
-// StartProcess starts a program whose output is appended to the file logs, and restarts
-// it restartDelay after each exit until Close. It calls onExit after each exit.
-func StartProcess(program string, args []string, logs string, restartDelay time.Duration, onExit func(*os.ProcessState, bool)) (*Process, error) {
-	p := &Process{program: program, args: args, logs: logs, restartDelay: restartDelay, onExit: onExit, done: make(chan struct{})}
+// StartProcess starts a program whose output is appended to the file logs, and starts the next
+// of programs, in turn, restartDelay after each exit until Close. It calls onExit after each
+// exit.
+func StartProcess(programs, args []string, logs string, restartDelay time.Duration, onExit func(*os.ProcessState, bool)) (*Process, error) {
+	p := &Process{programs: programs, args: args, logs: logs, restartDelay: restartDelay, onExit: onExit, done: make(chan struct{})}
 	cmd, err := p.start()
 	if err != nil {
 		return nil, err
@@ -51,16 +54,17 @@
 		return nil, errors.Wrap(err, "soak: logs of a process")
 	}
 	defer func() { _ = logs.Close() }()
-	cmd := exec.Command(p.program, p.args...)
-	cmd.Stdout, cmd.Stderr = logs, logs
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	cmd := exec.Command(p.programs[p.starts%len(p.programs)], p.args...)
+	cmd.Stdout, cmd.Stderr = logs, logs
 	if p.closed {
 		return nil, errors.New("soak: process is closed")
 	}
 	if err := cmd.Start(); err != nil {
 		return nil, errors.Wrap(err, "soak: start a process")
 	}
+	p.starts++
 	p.cmd, p.signalled = cmd, false
 	return cmd, nil
 }
--- a/internal/lab/soak/process_test.go
+++ b/internal/lab/soak/process_test.go
@@ -14,7 +14,7 @@
 
 func TestProcessReportsWhichSignalsItHandles(t *testing.T) {
 	for script, want := range map[string]bool{"trap '' USR1; sleep 9": true, "sleep 9; true": false} {
-		p, err := soak.StartProcess("/bin/sh", []string{"-c", script}, filepath.Join(t.TempDir(), "log"), time.Second, func(*os.ProcessState, bool) {})
+		p, err := soak.StartProcess([]string{"/bin/sh"}, []string{"-c", script}, filepath.Join(t.TempDir(), "log"), time.Second, func(*os.ProcessState, bool) {})
 		require.NoError(t, err)
 		handles := func() bool { return p.Handles(syscall.SIGUSR1) }
 		if want {
