--- a/internal/link/gossip/gossip.go
+++ b/internal/link/gossip/gossip.go
@@ -37,7 +37,7 @@
 	syncServing  = 3
 	syncStandby  = 2
 	// A process that has just started asks as soon as it knows whom, since its callers are back
-	// at once: first after startInterval, which then doubles up to syncInterval, for startTime.
+	// at once: first after startInterval, which then doubles, for startTime.
 	startInterval = 15 * time.Millisecond
 	startTime     = 5 * time.Second
 	// syncTimeout bounds one attempt. The round trip to another VM is a few milliseconds.
@@ -174,7 +174,7 @@
 		if !sleep.For(ctx, pause) {
 			break
 		}
-		pause = min(2*pause, syncInterval)
+		pause *= 2
 	}
 	return false
 }
--- a/internal/query/poison/ledger_test.go
+++ b/internal/query/poison/ledger_test.go
@@ -265,3 +265,32 @@
 	require.True(t, l.Empty())
 	require.Equal(t, poison.Run, decide(l, start, "a").Verdict)
 }
+
+// A request that crashes only some servers, such as cold ones or those of one version, is
+// answered by the others. Refusing it would harm its caller more than it harms the servers.
+func TestRequestThatEndsOnlySomeServersIsNotQuarantined(t *testing.T) {
+	l := poison.NewLedger(poison.Options{})
+	for i := range 200 {
+		now := after(time.Duration(i) * 200 * time.Millisecond)
+		verdict := decide(l, now, "a").Verdict
+		require.Contains(t, []poison.Verdict{poison.Run, poison.Try}, verdict, "repeat %d", i)
+		end(l, now, "a", i, verdict == poison.Try, 1)
+		complete(l, now.Add(time.Millisecond), "a")
+	}
+}
+
+// Servers that are replaced one after the other end under whatever runs there at the moment.
+func TestRollOfServersQuarantinesNothing(t *testing.T) {
+	l := poison.NewLedger(poison.Options{})
+	for server := range 500 {
+		now := after(time.Duration(server) * 50 * time.Millisecond)
+		for slot := range 4 {
+			end(l, now, fmt.Sprint("r", 4*server+slot), server, false, 4)
+			if slot%2 == 0 {
+				complete(l, now.Add(10*time.Millisecond), fmt.Sprint("r", 4*server+slot))
+			}
+		}
+	}
+	require.Zero(t, l.Counts(after(time.Minute))[poison.Suspect])
+	require.Zero(t, l.Counts(after(time.Minute))[poison.Quarantined])
+}
