Split four files by job

Change: moved, unchanged, what operators do with the ledger, what a VM tells others about itself, the pending attempts of a query, and the request and answer of a runner.

--- a/internal/core/tier/quarantine.go
+++ b/internal/core/tier/quarantine.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/samphirestair/samphirestair/internal/link/deleg"
 	"github.com/samphirestair/samphirestair/internal/query/poison"
 )
 
@@ -35,3 +36,35 @@
 	o.ledger.Pin(time.Now(), f)
 	return nil
 }
+
+// refusesOrder reports whether another VM had better not order attempts from this one: it may
+// be partitioned from the backend servers, or the request ends them.
+func (t *Tier) refusesOrder(order *deleg.Order) bool {
+	return t.reach.State().MayBePartitioned() ||
+		!t.ledger.Empty() && t.ledger.State(time.Now(), t.identity.Of(order.Head, order.Body)) == poison.Quarantined
+}
+
+// hasCallers reports whether requests of callers arrived lately, whether or not this VM serves:
+// callers keep old address lists for a while.
+func (t *Tier) hasCallers() bool {
+	return t.gate.SinceLastRequest(time.Now()) < callersTime
+}
+
+// otherVMs returns the addresses of the other VMs that serve callers or did so until they began
+// to leave, and of those that stand by.
+func (t *Tier) otherVMs() (serving, standby []string) {
+	view := t.follower.View()
+	for _, m := range view.Leaving {
+		serving = append(serving, m.PeerAddress)
+	}
+	for _, m := range view.Members {
+		switch {
+		case m.VM == t.settings.VM.ID:
+		case m.Serving:
+			serving = append(serving, m.PeerAddress)
+		default:
+			standby = append(standby, m.PeerAddress)
+		}
+	}
+	return serving, standby
+}
--- a/internal/query/relay/probation.go
+++ b/internal/query/relay/probation.go
@@ -245,3 +245,11 @@
 	}
 	return true
 }
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -152,14 +152,6 @@
 	return next
 }
 
-// latest returns the later of two times.
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // Tick decides the outcome if the goal or the deadline has passed, and returns the
 // hedges and retries to send at now.
 func (q *Query) Tick(now time.Time) []Send {
@@ -221,28 +213,6 @@
 	return sends, counts
 }
 
-// PendingAttempt is an attempt without a reply.
-type PendingAttempt struct {
-	Shard, Attempt int
-	Server         ident.ServerID
-}
-
-// PendingAttempts lists the attempts of unanswered shards that have no reply yet.
-func (q *Query) PendingAttempts() []PendingAttempt {
-	var pendingAttempts []PendingAttempt
-	for i := range q.shards {
-		if q.shards[i].state == shardAnswered {
-			continue
-		}
-		for j := range q.shards[i].attempts {
-			if a := &q.shards[i].attempts[j]; a.pending {
-				pendingAttempts = append(pendingAttempts, PendingAttempt{Shard: i, Attempt: j, Server: a.server})
-			}
-		}
-	}
-	return pendingAttempts
-}
-
 // Denied returns the hedges and retries that the budget denied since the last call.
 func (q *Query) Denied() []Denial {
 	denied := q.denied
--- a/internal/query/runner/runner.go
+++ b/internal/query/runner/runner.go
@@ -10,7 +10,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
-	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/link/deleg"
@@ -43,50 +42,6 @@
 	View() *roster.View
 }
 
-// Request is one request of a caller.
-type Request struct {
-	Message *pool.Message
-	Route   *routes.Route
-	// Service is the service that was picked if the request is not a search.
-	Service ident.ServiceID
-	Arrived time.Time
-	// Overhead is the part of the caller's waiting time that is spent outside this VM:
-	// before the request arrives, and until the caller has the answer.
-	Overhead time.Duration
-	// Wait is how long the caller waits for the answer, or 0 if it didn't say.
-	Wait time.Duration
-	// Gone is closed when the caller has left.
-	Gone <-chan struct{}
-	// Host and Path are what the request was routed by.
-	Host, Path string
-	// Counted is set if another VM has counted the request towards the retry budgets.
-	Counted bool
-}
-
-// Deadline returns the time by which the answer has to leave this VM.
-func (r *Request) Deadline() time.Time {
-	wait := r.Route.Timeout
-	if r.Wait > 0 && r.Wait < wait {
-		wait = r.Wait
-	}
-	return r.Arrived.Add(wait - min(r.Overhead+responseMargin, wait/4))
-}
-
-// Answer is the answer to a request.
-type Answer struct {
-	relay.Outcome
-	// Gone is set if the caller left before there was an answer. Nothing else is set
-	// then.
-	Gone bool
-	// Result is the backend server's answer if the request is not a search. The
-	// receiver has to release it.
-	Result pool.Result
-	// Records holds the merged records of a search.
-	Records []byte
-	// Signatures holds the signatures of the parts of a search.
-	Signatures []string
-}
-
 // Deps holds the dependencies of a Runner.
 type Deps struct {
 	Env    *relay.Env
