--- a/internal/query/runner/delegate_test.go
+++ b/internal/query/runner/delegate_test.go
@@ -99,6 +99,29 @@
 	Goal: 100 * time.Millisecond, Limit: 10, Coverage: 0.5, Shards: []ident.ServiceID{"s0", "s1", "s2", "s3", "s4", "s5"},
 }
 
+// newEnv returns the policies of a VM with a large retry budget, and its admission.
+func newEnv(t *testing.T, replicas func() relay.Replicas) (*relay.Env, admit.QueuingPolicy) {
+	t.Helper()
+	newChoice, err := choose.Policies.Lookup("expect")
+	require.NoError(t, err)
+	newBudget, err := hedge.Policies.Lookup("fleet")
+	require.NoError(t, err)
+	newAdmit, err := admit.Policies.Lookup("room")
+	require.NoError(t, err)
+	admission, ok := newAdmit(admit.Options{}).(admit.QueuingPolicy)
+	require.True(t, ok)
+	return &relay.Env{
+		Replicas: replicas,
+		Choose:   newChoice(choose.Options{}),
+		Budget:   newBudget(hedge.Options{Share: 1, Slack: 100}),
+		Latency:  newBudget(hedge.Options{Quantile: 0.9, InitialDelay: 30 * time.Millisecond}),
+		Health:   relay.NewHealth(),
+		Notices:  notice.NewTracker(notice.Options{}),
+		Pace:     relay.NewPacer(func(time.Time, *roster.Replica) relay.Pace { return relay.Pace{Rate: math.Inf(1)} }, time.Now()),
+		Options:  relay.Options{Partial: true}.WithDefaults(),
+	}, admission
+}
+
 // search runs one search.
 func (z *zonedFleet) search(t *testing.T) runner.Answer {
 	t.Helper()
@@ -119,30 +142,12 @@
 	z.view = roster.NewView(table, replicas, []roster.Member{
 		{VM: "vm-1", Zone: "vantaa", Serving: true}, {VM: "vm-2", Zone: "espoo", Serving: true, PeerAddress: "10.0.0.2:1"},
 	}, nil)
-	newChoice, err := choose.Policies.Lookup("expect")
-	require.NoError(t, err)
-	newBudget, err := hedge.Policies.Lookup("fleet")
-	require.NoError(t, err)
-	newAdmit, err := admit.Policies.Lookup("room")
-	require.NoError(t, err)
-	admission, ok := newAdmit(admit.Options{}).(admit.QueuingPolicy)
-	require.True(t, ok)
 	delegates := runner.NewDelegates(z, z)
 	if z.notices == nil {
 		z.notices = notice.NewTracker(notice.Options{})
 	}
-	env := &relay.Env{
-		Replicas:    func() relay.Replicas { return z.view },
-		Choose:      newChoice(choose.Options{}),
-		Zone:        "vantaa",
-		CanDelegate: delegates.Has,
-		Budget:      newBudget(hedge.Options{Share: 1, Slack: 100}),
-		Latency:     newBudget(hedge.Options{Quantile: 0.9, InitialDelay: 30 * time.Millisecond}),
-		Health:      relay.NewHealth(),
-		Notices:     z.notices,
-		Pace:        relay.NewPacer(func(time.Time, *roster.Replica) relay.Pace { return relay.Pace{Rate: math.Inf(1)} }, time.Now()),
-		Options:     relay.Options{Partial: true, CrossZonePenalty: 0.2}.WithDefaults(),
-	}
+	env, admission := newEnv(t, func() relay.Replicas { return z.view })
+	env.Zone, env.CanDelegate, env.Notices, env.Options.CrossZonePenalty = "vantaa", delegates.Has, z.notices, 0.2
 	time.Sleep(time.Minute) // Fills the retry budget.
 	run := runner.New(runner.Deps{Env: env, Sender: z, OrderSender: orderSender{z}, Delegates: delegates, Views: z, Admit: admission, Metrics: metrics.NewSet()})
 	answer := run.Run(runner.Request{
--- a/internal/query/runner/evidence_test.go
+++ b/internal/query/runner/evidence_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"strings"
 	"sync"
 	"testing"
@@ -20,9 +19,6 @@
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
-	"github.com/samphirestair/samphirestair/internal/query/admit"
-	"github.com/samphirestair/samphirestair/internal/query/choose"
-	"github.com/samphirestair/samphirestair/internal/query/hedge"
 	"github.com/samphirestair/samphirestair/internal/query/poison"
 	"github.com/samphirestair/samphirestair/internal/query/relay"
 	"github.com/samphirestair/samphirestair/internal/query/runner"
@@ -95,24 +91,7 @@
 	table, err := routes.NewTable(&routes.Config{Version: 1, Routes: []routes.Route{*d.route}})
 	require.NoError(t, err)
 	d.view = roster.NewView(table, replicas, []roster.Member{{VM: "vm-1", Serving: true}}, nil)
-	newChoice, err := choose.Policies.Lookup("expect")
-	require.NoError(t, err)
-	newBudget, err := hedge.Policies.Lookup("fleet")
-	require.NoError(t, err)
-	newAdmit, err := admit.Policies.Lookup("room")
-	require.NoError(t, err)
-	admission, ok := newAdmit(admit.Options{}).(admit.QueuingPolicy)
-	require.True(t, ok)
-	env := &relay.Env{
-		Replicas: func() relay.Replicas { return d.view },
-		Choose:   newChoice(choose.Options{}),
-		Budget:   newBudget(hedge.Options{Share: 1, Slack: 100}),
-		Latency:  newBudget(hedge.Options{Quantile: 0.9, InitialDelay: 30 * time.Millisecond}),
-		Health:   relay.NewHealth(),
-		Notices:  notice.NewTracker(notice.Options{}),
-		Pace:     relay.NewPacer(func(time.Time, *roster.Replica) relay.Pace { return relay.Pace{Rate: math.Inf(1)} }, time.Now()),
-		Options:  relay.Options{Partial: true}.WithDefaults(),
-	}
+	env, admission := newEnv(t, func() relay.Replicas { return d.view })
 	d.runner = runner.New(runner.Deps{
 		Env: env, Sender: d, Views: d, Admit: admission, Metrics: metrics.NewSet(), Identity: poison.NewIdentity(nil), Ledger: d.ledger,
 	})
