Count the answers of VMs about evidence one by one

Cause: several answers were counted in one variable, so that the answer of a VM that knows little could make a complete one count as partial; the process then went on asking for up to 5 s. Change: each answer counts by itself. The new test failed before (never complete within 2 s) and passes now, also under the race detector.

--- a/internal/link/gossip/gossip.go
+++ b/internal/link/gossip/gossip.go
@@ -206,10 +206,11 @@
 					return
 				}
 				x.deps.Ledger.Merge(time.Now(), records)
-				if !isComplete {
-					most = partial
+				if isComplete {
+					raise(&learned, most)
+				} else {
+					raise(&learned, partial)
 				}
-				raise(&learned, most)
 			})
 		}
 	}
--- a/internal/link/gossip/gossip_test.go
+++ b/internal/link/gossip/gossip_test.go
@@ -138,3 +138,22 @@
 	})
 	return listener.Addr().String()
 }
+
+// Guards against a VM that goes on asking because one of those that it asked knows little,
+// although another one knows all.
+func TestOneCompleteAnswerSuffices(t *testing.T) {
+	started := serve(t, func(*fasthttp.RequestCtx) {})
+	knowing := serve(t, func(ctx *fasthttp.RequestCtx) {
+		time.Sleep(50 * time.Millisecond)
+		ctx.Response.Header.Set("X-Complete", "1")
+	})
+	x := newExchange(poison.NewLedger(poison.Options{}), &hub{}, started, knowing)
+	run(t, x)
+	isComplete := func() bool {
+		var ctx fasthttp.RequestCtx
+		ctx.Request.SetRequestURI("/v1/evidence")
+		x.Handler(nil)(&ctx)
+		return len(ctx.Response.Header.Peek("X-Complete")) > 0
+	}
+	require.Eventually(t, isComplete, 2*time.Second, 10*time.Millisecond)
+}
