--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -117,28 +117,30 @@
 	return nil
 }
 
-// adminPort is the fixed port of the template.
-const adminPort = "9140"
-
 // freeNetwork returns the first three parts of a loopback network on whose first addresses the
-// fixed port of the template is free.
+// ports of machines are free.
 func freeNetwork(machines int) (string, error) {
 	for range 50 {
 		network := fmt.Sprintf("127.%d.%d.", 10+rand.IntN(200), rand.IntN(250))
 		free := true
 		for i := range machines {
-			l, err := net.Listen("tcp", fmt.Sprint(network, i+1, ":", adminPort))
-			if err != nil {
-				free = false
-				break
+			for _, port := range []string{frontPort, directoryPort, readyPort, peersPort, adminPort} {
+				free = free && isFree(fmt.Sprint(network, i+1, ":", port))
 			}
-			_ = l.Close()
 		}
 		if free {
 			return network, nil
 		}
 	}
-	return "", fmt.Errorf("port %s is in use on all networks that were tried", adminPort)
+	return "", fmt.Errorf("ports are in use on all networks that were tried")
+}
+
+func isFree(address string) bool {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	return l.Close() == nil
 }
 
 func (r *rig) awaitReady(v *vm, listed int) error {
--- a/review/rig/vm.go
+++ b/review/rig/vm.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -16,13 +15,13 @@
 
 // vm is a machine of the system, which runs one process after the other.
 type vm struct {
-	name, zone                         string
-	front, directory, ready, peersPort string
-	settings                           string
-	program                            []string
-	process                            *exec.Cmd
-	exited                             chan struct{}
-	logFile                            *os.File
+	name, zone              string
+	front, directory, ready string
+	settings                string
+	program                 []string
+	process                 *exec.Cmd
+	exited                  chan struct{}
+	logFile                 *os.File
 }
 
 // bounds are those of the small sites.
@@ -33,20 +32,17 @@
 
 var placeholder = regexp.MustCompile(`\{\{([a-zA-Z0-9_.]+)\}\}`)
 
+// Ports of a machine: those of the pages' example, and the fixed one of the template.
+const (
+	frontPort, directoryPort, readyPort, peersPort, adminPort = "8104", "8100", "8108", "7380", "9140"
+)
+
 // newVM renders the template of the deploy file for a machine on a loopback address.
 func newVM(dir, name, zone, ip, storeAddress string) (*vm, error) {
-	var ports []string
-	for range 4 {
-		port, err := freePort(ip)
-		if err != nil {
-			return nil, err
-		}
-		ports = append(ports, port)
-	}
-	v := &vm{name: name, zone: zone, front: ip + ":" + ports[0], directory: ip + ":" + ports[1], ready: ip + ":" + ports[2], settings: filepath.Join(dir, name+".ini")}
+	v := &vm{name: name, zone: zone, front: ip + ":" + frontPort, directory: ip + ":" + directoryPort, ready: ip + ":" + readyPort, settings: filepath.Join(dir, name+".ini")}
 	values := map[string]string{
 		"node": name, "zone": zone, "ip": ip, "listenAddrs.front": v.front, "listenAddrs.directory": v.directory, "listenAddrs.ready": v.ready,
-		"internalPorts.0": ports[3], "platform.address": storeAddress,
+		"internalPorts.0": peersPort, "platform.address": storeAddress,
 	}
 	template, err := os.ReadFile("deploy/forward.ini")
 	if err != nil {
@@ -97,16 +93,6 @@
 	return nil, fmt.Errorf("deploy/system.toml names no command")
 }
 
-func freePort(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	_, port, err := net.SplitHostPort(l.Addr().String())
-	return port, err
-}
-
 func (v *vm) start() error {
 	cmd := exec.Command(v.program[0], v.program[1:]...)
 	cmd.Stdout, cmd.Stderr = v.logFile, v.logFile
