--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -113,10 +113,22 @@
 		if err := r.awaitReady(v, count); err != nil {
 			return err
 		}
+		go r.askReadiness(v)
 	}
 	return nil
 }
 
+// askReadiness asks a machine once a second whether it is ready, as the platform does.
+func (r *rig) askReadiness(v *vm) {
+	ready := true
+	for range time.Tick(time.Second) {
+		if now := v.isReady(); now != ready {
+			ready = now
+			r.rec.log("ready", "%s=%t", v.name, ready)
+		}
+	}
+}
+
 // freeNetwork returns the first three parts of a loopback network on whose first addresses the
 // ports of machines are free.
 func freeNetwork(machines int) (string, error) {
