Keep accepting connections after a burst, and bound them by the descriptors

Cause: the HTTP server ends at the first failed accept, which was only logged, and nothing bounded the connections. Accepting outlasts errors now, idle connections make room when descriptors run out, connections of callers are bounded, and a VM that can't accept is neither ready nor listed. The other listeners of the process are served the same way. A request that crosses the close of its idle connection is refused truly.

The soak has the fault `crowd`.

--- a/internal/core/tier/maintain.go
+++ b/internal/core/tier/maintain.go
@@ -79,6 +79,7 @@
 		}
 		now := time.Now()
 		t.forget(now, view, recent)
+		t.closeIdleCallers(now)
 		t.pool.Sweep(now)
 		t.detours.Sweep(now)
 		t.updateReach(now)
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -114,6 +114,8 @@
 	ready              *fasthttp.Server
 	directory          *fasthttp.Server
 	admin              *admin.Server
+	// ports holds the listeners from Run on.
+	ports atomic.Pointer[listeners]
 }
 
 // Loader reads the settings. It fails if they can't be read or are invalid.
@@ -184,7 +186,7 @@
 	})
 	t.gate = gate.New(gate.Deps{
 		Runner: t.detours, Local: local, Coverage: coverage, Views: t.follower, Self: self,
-		Serving: t.registrar.Serving, Usable: t.registrar.ViewUsable, Peers: t.heartbeats.Detector(),
+		Serving: t.registrar.Serving, Usable: t.registrar.ViewUsable, Accepting: t.isAccepting, Peers: t.heartbeats.Detector(),
 		Names: adapter.Names, Events: t.events,
 	})
 	t.ready = gate.NewServer(adapter.Ready(t.gate.Ready))
@@ -295,6 +297,7 @@
 		"budget":      func() any { return t.budget() },
 		"quarantine":  func() any { return t.ledger.List(time.Now()) },
 		"decisions":   func() any { return t.events.History() },
+		"listeners":   func() any { return t.ports.Load().stats() },
 	}
 }
 
@@ -347,43 +350,6 @@
 	return s
 }
 
-// listeners are the listeners of a running process.
-type listeners struct {
-	callers, directory, ready, peers, admin net.Listener
-}
-
-// listen opens all listeners, or none if one fails.
-func (t *Tier) listen() (*listeners, error) {
-	l := &listeners{}
-	for _, port := range []struct {
-		listener *net.Listener
-		address  string
-	}{
-		{&l.callers, t.settings.Listen.Callers},
-		{&l.directory, t.settings.Listen.Directory},
-		{&l.ready, t.settings.Listen.Ready},
-		{&l.peers, t.settings.Listen.Peers},
-		{&l.admin, t.settings.Listen.Admin},
-	} {
-		listener, err := net.Listen("tcp", port.address)
-		if err != nil {
-			return nil, errors.CombineErrors(errors.Wrapf(err, "tier: listen on %s", port.address), l.close())
-		}
-		*port.listener = listener
-	}
-	return l, nil
-}
-
-func (l *listeners) close() error {
-	var err error
-	for _, listener := range []net.Listener{l.callers, l.directory, l.ready, l.peers, l.admin} {
-		if listener != nil {
-			err = errors.CombineErrors(err, listener.Close())
-		}
-	}
-	return err
-}
-
 // Run runs the process until a planned stop is complete. The first value on stop
 // begins the stop. Each value on reload makes it reload the settings, which it
 // also does periodically. Run returns an error at once if a port can't be opened.
@@ -392,6 +358,7 @@
 	if err != nil {
 		return err
 	}
+	t.ports.Store(ports)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var running, heartbeats conc.WaitGroup
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/accept"
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/routes"
@@ -43,6 +44,9 @@
 	// retryDelay is the time after which a caller may retry at a VM that has no
 	// usable view or configuration yet, and the default for other refusals.
 	retryDelay = 200 * time.Millisecond
+	// closeRetryDelay is the time after which a caller may retry on another connection that
+	// was refused because this VM stops or has closed the connection.
+	closeRetryDelay = 20 * time.Millisecond
 )
 
 // Runner runs requests. Run returns when the answer is complete.
@@ -80,6 +84,8 @@
 	Serving func() bool
 	// Usable reports whether the view is recent enough to run requests.
 	Usable func(now time.Time) bool
+	// Accepting reports whether callers can open connections.
+	Accepting func() bool
 	// Peers reports which VMs are suspected.
 	Peers  Peers
 	Names  header.Names
@@ -99,11 +105,12 @@
 // New returns a gate that does not listen yet.
 func New(deps Deps) *Gate {
 	g := &Gate{deps: deps, watcher: newWatcher()}
-	g.server = NewServer(g.forward)
+	g.server = NewServer(g.Handle)
 	return g
 }
 
-// NewServer returns an HTTP server that adds no headers of its own to answers.
+// NewServer returns an HTTP server that adds no headers of its own to answers, and tells the
+// listener which connections are idle.
 func NewServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                       handler,
@@ -118,6 +125,18 @@
 		DisableHeaderNamesNormalizing: true,
 		DisablePreParseMultipartForm:  true,
 		Logger:                        events.DiscardLogger{},
+		ConnState:                     trackConnection,
+	}
+}
+
+// trackConnection marks a connection as idle or in use.
+func trackConnection(conn net.Conn, state fasthttp.ConnState) {
+	switch state {
+	case fasthttp.StateActive:
+		accept.SetActive(conn)
+	case fasthttp.StateIdle:
+		accept.SetIdle(conn, time.Now())
+	default:
 	}
 }
 
@@ -155,9 +174,9 @@
 }
 
 // Ready reports whether callers may use this VM: it serves, has a configuration, does
-// not drain and is not isolated.
+// not drain, accepts connections and is not isolated.
 func (g *Gate) Ready() bool {
-	return !g.draining.Load() && g.deps.Views.View().Table != nil && g.deps.Serving() && !g.deps.Peers.CutOff()
+	return !g.Draining() && g.deps.Accepting() && g.deps.Views.View().Table != nil && g.deps.Serving() && !g.deps.Peers.CutOff()
 }
 
 // Addresses returns the addresses that callers may use: those of the serving VMs that
@@ -189,8 +208,8 @@
 	return addresses
 }
 
-// forward handles one request of a caller.
-func (g *Gate) forward(ctx *fasthttp.RequestCtx) {
+// Handle handles one request of a caller.
+func (g *Gate) Handle(ctx *fasthttp.RequestCtx) {
 	arrived := time.Now()
 	g.lastRequest.Store(arrived.UnixNano())
 	if g.draining.Load() {
@@ -198,6 +217,12 @@
 	}
 	view := g.deps.Views.View()
 	id := string(findHeader(&ctx.Request.Header, g.deps.Names.RequestID))
+	if accept.IsEvicted(ctx.Conn()) {
+		// The request has crossed the close of its connection, which may not be over yet.
+		ctx.SetConnectionClose()
+		g.refuse(ctx, id, "the connection was closed because it was idle", closeRetryDelay)
+		return
+	}
 	usable := g.deps.Usable(arrived)
 	if view.Table == nil {
 		g.refuse(ctx, id, "no configuration known yet", retryDelay)
--- a/internal/front/gate/gate_test.go
+++ b/internal/front/gate/gate_test.go
@@ -35,6 +35,8 @@
 	silent      coll.Set[ident.VMID]
 	cutOff      bool
 	stale       bool
+	// deaf is set while no connection can be accepted.
+	deaf bool
 	// partitioned holds the VMs that report to be partitioned from the backend servers.
 	partitioned coll.Set[ident.VMID]
 	missing     int
@@ -94,6 +96,8 @@
 		Serving: func() bool { return true },
 		Usable:  func(time.Time) bool { return !fake.stale },
 		Peers:   fake,
+
+		Accepting: func() bool { return !fake.deaf },
 	}
 	for _, one := range change {
 		one(&deps)
@@ -263,6 +267,15 @@
 	require.Equal(t, []string{"10.0.0.1:80"}, newGate(fake).Addresses())
 }
 
+// Guards against a VM that callers are sent to although it accepts no connections.
+func TestVMThatAcceptsNothingIsNeitherReadyNorListed(t *testing.T) {
+	fake := newFakeTier(t)
+	fake.deaf = true
+	g := newGate(fake)
+	require.False(t, g.Ready())
+	require.Equal(t, []string{"10.0.0.2:80"}, g.Addresses())
+}
+
 func TestIsolatedVMListsOnlyTheOthers(t *testing.T) {
 	fake := newFakeTier(t)
 	fake.cutOff = true
--- a/internal/front/gate/stop_test.go
+++ b/internal/front/gate/stop_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttputil"
 
+	"github.com/samphirestair/samphirestair/internal/base/accept"
 	"github.com/samphirestair/samphirestair/internal/front/gate"
 	"github.com/samphirestair/samphirestair/internal/query/runner"
 )
@@ -100,6 +101,30 @@
 	}
 }
 
+// Guards against an answer that nobody gave: a request that has crossed the close of its idle
+// connection is neither passed on nor answered with a success.
+func TestRequestOnAnEvictedConnectionIsNotPassedOn(t *testing.T) {
+	fake := newFakeTier(t)
+	g := newGate(fake)
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	listener := accept.NewListener(tcp, accept.Options{Limit: func() int { return 1 }, Failed: func(error) {}})
+	far, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	near, err := listener.Accept()
+	require.NoError(t, err)
+	listener.CloseIdle(time.Now())
+	// The request was read before the connection was closed.
+	var ctx fasthttp.RequestCtx
+	ctx.Init2(near, nil, false)
+	ctx.Request.SetRequestURI("http://desk.example/one/a")
+	g.Handle(&ctx)
+	require.Equal(t, fasthttp.StatusServiceUnavailable, ctx.Response.StatusCode())
+	require.Empty(t, fake.requests)
+	require.NoError(t, far.Close())
+	require.NoError(t, listener.Close())
+}
+
 // FuzzRequest sends arbitrary bytes. The head of a forwarded request must contain neither
 // the end of the head nor a bare line feed, which could begin a second request.
 func FuzzRequest(f *testing.F) {
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -44,6 +44,7 @@
 	StoreRestore Fault = "store-restores"
 	Partitioned  Fault = "partition"
 	Poison       Fault = "poison"
+	Crowd        Fault = "crowd"
 )
 
 // Faults returns all kinds of faults. New kinds are appended: the order determines
@@ -53,7 +54,7 @@
 		KillVM, KillAll, StopVM, PauseVM, Settings, CallerLink, StoreLink, ServerLink,
 		StoreDown, StoreSlow, StoreLoses, StoreForget, StoreDeaf,
 		ServerCrash, ServerSlow, ServerFails, ServerLoses, ServerSpoils, ServerDrain, ServerReuse, ServerReborn,
-		ConfigMove, ConfigStorm, Reshard, Evacuate, AllFail, ServerQuiet, ServerLimits, StoreRestore, Partitioned, Poison,
+		ConfigMove, ConfigStorm, Reshard, Evacuate, AllFail, ServerQuiet, ServerLimits, StoreRestore, Partitioned, Poison, Crowd,
 	}
 }
 
