Answer or refuse each request that a planned stop has read

Cause: a planned stop accepted requests until 0.9 s before its limit and gave what was in flight 0.45 s, whatever the route's time limit and the servers' queues. Now the stop has a time by which all requests are answered: what may need more is refused at once (503, Retry-After, Connection: close), what is accepted gets no more than is left, and what is unfinished then is answered with 504. The same for detours and orders of other VMs, which run these elsewhere.

--- a/internal/core/tier/quarantine.go
+++ b/internal/core/tier/quarantine.go
@@ -38,9 +38,9 @@
 }
 
 // refusesOrder reports whether another VM had better not order attempts from this one: it may
-// be partitioned from the backend servers, or the request ends them.
+// be partitioned from the backend servers, it stops before they end, or the request ends servers.
 func (t *Tier) refusesOrder(order *deleg.Order) bool {
-	return t.reach.State().MayBePartitioned() ||
+	return !t.gate.Allows(time.Duration(order.LeftMicros)*time.Microsecond) || t.reach.State().MayBePartitioned() ||
 		!t.ledger.Empty() && t.ledger.State(time.Now(), t.identity.Of(order.Head, order.Body)) == poison.Quarantined
 }
 
--- a/internal/front/gate/detour.go
+++ b/internal/front/gate/detour.go
@@ -65,6 +65,10 @@
 		detour.Decline(ctx, detour.Unreachable)
 		return
 	}
+	if !g.limitToStop(&request, now) {
+		detour.Decline(ctx, detour.NotReady)
+		return
+	}
 	g.run(ctx, g.deps.Local, request)
 	detour.Wrap(ctx, table.Config().Version)
 }
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -94,10 +94,11 @@
 
 // Gate is the HTTP server for callers. It is safe for concurrent use.
 type Gate struct {
-	deps     Deps
-	watcher  *callerWatcher
-	server   *fasthttp.Server
-	draining atomic.Bool
+	deps    Deps
+	watcher *callerWatcher
+	server  *fasthttp.Server
+	// stopping is set during a planned stop.
+	stopping atomic.Pointer[plannedStop]
 	// lastRequest is when the last request arrived, in Unix nanoseconds.
 	lastRequest atomic.Int64
 }
@@ -145,18 +146,6 @@
 	return errors.Wrap(g.server.Serve(l), "gate: serve")
 }
 
-// Drain makes the gate not ready, takes this VM off the address list and closes each
-// connection after its next answer, so that callers move to other VMs. Requests are
-// still served.
-func (g *Gate) Drain() {
-	g.draining.Store(true)
-}
-
-// Draining reports whether Drain was called.
-func (g *Gate) Draining() bool {
-	return g.draining.Load()
-}
-
 // SinceLastRequest returns the time since the last request of a caller arrived.
 func (g *Gate) SinceLastRequest(now time.Time) time.Duration {
 	return now.Sub(time.Unix(0, g.lastRequest.Load()))
@@ -212,7 +201,7 @@
 func (g *Gate) Handle(ctx *fasthttp.RequestCtx) {
 	arrived := time.Now()
 	g.lastRequest.Store(arrived.UnixNano())
-	if g.draining.Load() {
+	if g.Draining() {
 		ctx.SetConnectionClose()
 	}
 	view := g.deps.Views.View()
@@ -258,6 +247,10 @@
 		Path:     target.path,
 	}
 	request.Service = pickService(route)
+	if !g.limitToStop(&request, arrived) {
+		g.refuse(ctx, id, "the VM stops before the request can be answered", closeRetryDelay)
+		return
+	}
 	g.run(ctx, g.deps.Runner, request)
 }
 
@@ -271,7 +264,7 @@
 }
 
 // run runs a request and writes the answer. The request is cancelled when the sender closes
-// the connection.
+// the connection, or is abandoned at the end of a planned stop.
 func (g *Gate) run(ctx *fasthttp.RequestCtx, r Runner, request runner.Request) {
 	gone, stopWatch := g.watcher.watch(ctx.Conn(), time.Now())
 	request.Gone = gone
@@ -308,12 +301,11 @@
 	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 }
 
-// write writes the answer to a caller. If the caller has disconnected, it only ends
-// the connection.
+// write writes the answer to a caller. Nobody reads it if the caller has disconnected.
 func (g *Gate) write(ctx *fasthttp.RequestCtx, answer runner.Answer) {
 	if answer.Gone {
 		ctx.SetConnectionClose()
-		ctx.SetStatusCode(fasthttp.StatusBadGateway)
+		ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
 		return
 	}
 	switch answer.Verdict {
--- a/internal/front/gate/gate_test.go
+++ b/internal/front/gate/gate_test.go
@@ -243,7 +243,7 @@
 	g := newGate(fake)
 	require.True(t, g.Ready())
 	require.Equal(t, []string{"10.0.0.2:80", "10.0.0.1:80"}, g.Addresses())
-	g.Drain()
+	g.Drain(time.Now().Add(time.Minute))
 	require.False(t, g.Ready())
 	require.Equal(t, []string{"10.0.0.2:80"}, g.Addresses())
 	response := send(t, g, "GET /one/x HTTP/1.1\r\nHost: desk.example\r\n\r\n")
--- a/internal/front/gate/stop_test.go
+++ b/internal/front/gate/stop_test.go
@@ -18,6 +18,9 @@
 	"github.com/samphirestair/samphirestair/internal/query/runner"
 )
 
+// lookup is a request of a route with a timeout of one second.
+const lookup = "GET /one/a HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: r1\r\n\r\n"
+
 // recordingRunner answers each request after 15 ms and records its id.
 type recordingRunner struct {
 	*fakeTier
@@ -88,7 +91,7 @@
 			calling.Go(func() { load.call(caller) })
 		}
 		time.Sleep(time.Duration(100+17*round) * time.Millisecond)
-		g.Drain()
+		g.Drain(time.Now().Add(time.Minute))
 		time.Sleep(50 * time.Millisecond)
 		require.NoError(t, g.Shutdown())
 		serving.Wait()
@@ -101,6 +104,57 @@
 	}
 }
 
+// Guards against requests that a planned stop accepts and has no time to answer: they are
+// refused at once, and none gets more time than is left.
+func TestPlannedStopRefusesWhatItCantAnswer(t *testing.T) {
+	fake := newFakeTier(t)
+	g := newGate(fake)
+	const untilStop = 600 * time.Millisecond
+	g.Drain(time.Now().Add(untilStop))
+	response := send(t, g, lookup)
+	require.Equal(t, fasthttp.StatusCreated, response.StatusCode())
+	require.True(t, response.ConnectionClose())
+	passedOn := <-fake.requests
+	require.Less(t, passedOn.Wait, untilStop)
+	require.True(t, passedOn.Deadline().Before(time.Now().Add(untilStop)))
+	time.Sleep(untilStop * 3 / 4)
+	response = send(t, g, lookup)
+	require.Equal(t, fasthttp.StatusServiceUnavailable, response.StatusCode())
+	require.True(t, response.ConnectionClose())
+	require.NotEmpty(t, response.Header.Peek(fasthttp.HeaderRetryAfter))
+	require.Empty(t, fake.requests)
+	require.False(t, g.Allows(time.Minute))
+	require.True(t, g.Allows(time.Millisecond))
+}
+
+// Guards against requests that are cut off because they outlast a planned stop.
+func TestAbandonedRequestsAreAnswered(t *testing.T) {
+	fake := newFakeTier(t)
+	fake.answer = func(request runner.Request) runner.Answer {
+		<-request.Gone
+		return runner.Answer{Gone: true}
+	}
+	g := newGate(fake)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = g.Serve(listener) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	_, err = conn.Write([]byte(lookup))
+	require.NoError(t, err)
+	<-fake.requests
+	g.Drain(time.Now())
+	closed := make(chan error)
+	go func() { closed <- g.Shutdown() }()
+	require.Eventually(t, func() bool { return g.Abandon() == 1 }, 5*time.Second, time.Millisecond)
+	var response fasthttp.Response
+	require.NoError(t, response.Read(bufio.NewReader(conn)))
+	require.Equal(t, fasthttp.StatusGatewayTimeout, response.StatusCode())
+	require.True(t, response.ConnectionClose())
+	require.NoError(t, conn.Close())
+	require.NoError(t, <-closed)
+}
+
 // Guards against an answer that nobody gave: a request that has crossed the close of its idle
 // connection is neither passed on nor answered with a success.
 func TestRequestOnAnEvictedConnectionIsNotPassedOn(t *testing.T) {
--- a/internal/front/gate/watch.go
+++ b/internal/front/gate/watch.go
@@ -27,7 +27,7 @@
 }
 
 // pendingCaller is a caller that waits for an answer. gone is closed when it
-// disconnects.
+// disconnects or is abandoned.
 type pendingCaller struct {
 	conn  net.Conn
 	since time.Time
@@ -38,8 +38,8 @@
 	return &callerWatcher{pending: map[*pendingCaller]struct{}{}}
 }
 
-// watch returns a channel that is closed when the caller disconnects, and a function
-// that ends the watch and has to be called. now is when the request arrived.
+// watch returns a channel that is closed when the caller disconnects or is abandoned, and a
+// function that ends the watch and has to be called. now is when the request arrived.
 func (w *callerWatcher) watch(conn net.Conn, now time.Time) (gone <-chan struct{}, stop func()) {
 	caller := &pendingCaller{conn: conn, since: now, gone: make(chan struct{})}
 	w.mu.Lock()
@@ -56,6 +56,19 @@
 	}
 }
 
+// abandon ends the wait of all callers as if they had disconnected, and returns how many there
+// were.
+func (w *callerWatcher) abandon() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	waiting := len(w.pending)
+	for caller := range w.pending {
+		close(caller.gone)
+	}
+	clear(w.pending)
+	return waiting
+}
+
 // run checks the waiting callers every watchInterval until none is left.
 func (w *callerWatcher) run() {
 	for {
--- a/internal/query/runner/report.go
+++ b/internal/query/runner/report.go
@@ -17,7 +17,7 @@
 	switch {
 	case answer.Gone:
 		kind = "request_cancelled"
-		answer.Reason = "caller left"
+		answer.Reason = "caller left or this process stops"
 	case answer.Quarantined:
 		kind = "request_quarantined"
 	case answer.Verdict != relay.Success:
--- a/internal/query/runner/request.go
+++ b/internal/query/runner/request.go
@@ -21,7 +21,8 @@
 	Overhead time.Duration
 	// Wait is how long the caller waits for the answer, or 0 if it didn't say.
 	Wait time.Duration
-	// Gone is closed when the caller has left.
+	// Gone is closed when nobody waits for the answer any more: the caller has left, or this
+	// process stops.
 	Gone <-chan struct{}
 	// Host and Path are what the request was routed by.
 	Host, Path string
@@ -41,8 +42,8 @@
 // Answer is the answer to a request.
 type Answer struct {
 	relay.Outcome
-	// Gone is set if the caller left before there was an answer. Nothing else is set
-	// then.
+	// Gone is set if Request.Gone was closed before there was an answer. Nothing else is
+	// set then.
 	Gone bool
 	// Result is the backend server's answer if the request is not a search. The
 	// receiver has to release it.
