Tell ends of servers by the order of events, also when they are told late

A request that ends the server that runs it went on to end servers although several had ended.

Cause: a new connection shows whether a process has ended. Behind a proxy it counted as a sign of life if it stayed open for 10 ms, and a connection that had lived for 10 ms as a sign that the process lived. Both pass by themselves on a busy machine.

The unit tests do not build before, since the message has no OnEnd.

--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -45,6 +45,7 @@
 	Partitioned  Fault = "partition"
 	Poison       Fault = "poison"
 	Crowd        Fault = "crowd"
+	SlowLinks    Fault = "slow-links"
 )
 
 // Faults returns all kinds of faults. New kinds are appended: the order determines
@@ -54,7 +55,7 @@
 		KillVM, KillAll, StopVM, PauseVM, Settings, CallerLink, StoreLink, ServerLink,
 		StoreDown, StoreSlow, StoreLoses, StoreForget, StoreDeaf,
 		ServerCrash, ServerSlow, ServerFails, ServerLoses, ServerSpoils, ServerDrain, ServerReuse, ServerReborn,
-		ConfigMove, ConfigStorm, Reshard, Evacuate, AllFail, ServerQuiet, ServerLimits, StoreRestore, Partitioned, Poison, Crowd,
+		ConfigMove, ConfigStorm, Reshard, Evacuate, AllFail, ServerQuiet, ServerLimits, StoreRestore, Partitioned, Poison, Crowd, SlowLinks,
 	}
 }
 
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -28,7 +28,8 @@
 
 // Impairment is a fault of a link. The zero value is a healthy link.
 type Impairment struct {
-	// Delay is added to each block of data, in each direction.
+	// Delay is added to each block of data, in each direction, and to the time until a
+	// connection is reset whose target can't be reached.
 	Delay time.Duration
 	// CutUp and CutDown hold back the data to the target and from it, on all
 	// connections, until the impairment ends.
@@ -305,6 +306,8 @@
 	far, err := p.dialer.Dial("tcp", target)
 	l := &link{near: near, far: far}
 	if err != nil {
+		delay, _ := p.state(l, func(Impairment) bool { return false })
+		time.Sleep(delay)
 		l.reset()
 		return
 	}
--- a/internal/lab/soak/proxy_test.go
+++ b/internal/lab/soak/proxy_test.go
@@ -105,6 +105,21 @@
 	require.NoError(t, connect(t, p).echo(t, long))
 }
 
+func TestDelayAppliesToConnectionsWithoutATarget(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, target.Close())
+	p, err := soak.NewProxy("127.0.0.1:0", target.Addr().String())
+	require.NoError(t, err)
+	defer func() { require.NoError(t, p.Close()) }()
+	end, err := p.Impair(soak.Impairment{Delay: 50 * time.Millisecond})
+	require.NoError(t, err)
+	began := time.Now()
+	require.Error(t, connect(t, p).echo(t, long))
+	require.GreaterOrEqual(t, time.Since(began), 50*time.Millisecond)
+	require.NoError(t, end())
+}
+
 func TestHangingProxyAnswersNoNewConnection(t *testing.T) {
 	p, err := soak.NewProxyFrom(net.IPv4(127, 0, 0, 9), "127.0.0.1:0", startEchoServer(t))
 	require.NoError(t, err)
--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -53,14 +53,14 @@
 	lastID string
 	// closed is set once the connection was closed while idle.
 	closed bool
-	// openedAt is when the connection was opened, and answered is set once it has carried an
-	// answer. Only the reader uses it.
-	openedAt time.Time
-	answered bool
+	// answersBefore is the number of the server's answers when the connection was opened.
+	answersBefore int
+	// check is the check that the connection was opened for, or nil.
+	check *endCheck
 }
 
 func newConn(p *Pool, srv *server, nc net.Conn) *conn {
-	return &conn{pool: p, server: srv, nc: nc, br: bufio.NewReaderSize(nc, readBufferSize), idleTimeout: p.options.IdleTimeout, openedAt: time.Now()}
+	return &conn{pool: p, server: srv, nc: nc, br: bufio.NewReaderSize(nc, readBufferSize), idleTimeout: p.options.IdleTimeout, answersBefore: srv.answerCount()}
 }
 
 // close closes the connection. An error can be ignored: the reader goroutine ends in any
@@ -155,16 +155,18 @@
 	unanswered, err := c.readUntilClosed()
 	c.close()
 	c.pool.releaseSlot(c.server)
+	c.concludeCheck(err)
 	if unanswered != nil {
 		c.pool.broken.Inc()
-		lived := c.answered || time.Since(c.openedAt) > endCheckGrace
+		lived := c.server.answerCount() > c.answersBefore
 		c.pool.finishClosed(c.server, unanswered, lived, err)
 		c.server.countRequest(-1)
 	}
 }
 
-// readUntilClosed reads answers until the connection has to be closed. If that is because
-// the answer to a call could not be read to its end, it returns the call and the error.
+// readUntilClosed reads answers until the connection has to be closed. err is why nothing more
+// can be read, or nil if this VM ends the connection. unanswered is the call whose answer could
+// not be read to its end, or nil.
 func (c *conn) readUntilClosed() (unanswered *Call, err error) {
 	for {
 		_, err := c.br.Peek(1)
@@ -174,7 +176,7 @@
 		call := c.currentOrClose()
 		if call == nil {
 			c.server.removeIdle(c)
-			return nil, nil
+			return nil, err
 		}
 		if err != nil {
 			return call, errors.Wrap(err, "no answer")
@@ -215,7 +217,9 @@
 		return false, err
 	}
 	c.server.countRequest(-1)
-	c.answered = true
+	if !result.Misdirected {
+		c.server.countAnswer()
+	}
 	// The answer to a short request may arrive before its write has returned.
 	call.writing.Wait()
 	reusable := !response.ConnectionClose() && c.br.Buffered() == 0 && call.isWritten()
--- a/internal/owner/pool/pool.go
+++ b/internal/owner/pool/pool.go
@@ -46,6 +46,10 @@
 	IdleTimeout time.Duration
 	// MaxBody is the maximum size of an answer's body in bytes.
 	MaxBody int
+	// EndCheckGrace is how long an attempt whose connection was closed waits whether a new one
+	// is closed as well. A proxy accepts connections to a process that has ended, and closes
+	// them.
+	EndCheckGrace time.Duration
 	// Names holds the names of the platform's headers.
 	Names header.Names
 	// AllowAnonymous accepts answers without a request id. Otherwise a faulty backend server's
@@ -77,6 +81,7 @@
 	options.DialTimeout = coll.Positive(options.DialTimeout, defaultDialTimeout)
 	options.IdleTimeout = coll.Positive(options.IdleTimeout, defaultIdleTimeout)
 	options.MaxBody = coll.Positive(options.MaxBody, defaultMaxBodySize)
+	options.EndCheckGrace = coll.Positive(options.EndCheckGrace, defaultEndCheckGrace)
 	if options.Tracker == nil {
 		options.Tracker = notice.NewTracker(notice.Options{})
 	}
--- a/internal/owner/pool/server.go
+++ b/internal/owner/pool/server.go
@@ -19,7 +19,9 @@
 	retired bool
 	// running counts the requests of this VM that have no answer yet.
 	running int
-	// check is the check in progress whether the process has ended, or nil.
+	// answers counts the answers of the process.
+	answers int
+	// check is the check whether the process has ended that attempts wait for, or nil.
 	check *endCheck
 }
 
@@ -37,23 +39,39 @@
 	return s.running
 }
 
-// joinEndCheck returns the check in progress, or a new one that the caller has to finish.
+// countAnswer counts an answer of the process.
+func (s *server) countAnswer() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers++
+}
+
+// answerCount returns the number of answers of the process.
+func (s *server) answerCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answers
+}
+
+// joinEndCheck returns the check that attempts wait for, or a new one that the caller has to
+// begin and to leave.
 func (s *server) joinEndCheck() (check *endCheck, isNew bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.check != nil {
 		return s.check, false
 	}
-	s.check = &endCheck{done: make(chan struct{})}
+	s.check = newEndCheck()
 	return s.check, true
 }
 
-// finishEndCheck publishes the result of a check.
-func (s *server) finishEndCheck(check *endCheck) {
+// leaveEndCheck ends the wait of all attempts for a check. Attempts whose connections are
+// closed later begin another one.
+func (s *server) leaveEndCheck(check *endCheck) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.check = nil
-	close(check.done)
+	close(check.waited)
 }
 
 // acquire returns an idle connection. If there is none, it reserves a slot for a new
--- a/internal/owner/pool/types.go
+++ b/internal/owner/pool/types.go
@@ -37,6 +37,10 @@
 	Body []byte
 	// NoBody is set if answers have no body, as to a HEAD request.
 	NoBody bool
+	// OnEnd is called, on any goroutine, if it turns out after the result of an attempt that
+	// the backend server's process ended while it had the request. shared is as in Result. It
+	// may be nil.
+	OnEnd func(process notice.Process, shared int)
 }
 
 // Outcome is how an attempt ended.
--- a/internal/query/poison/ledger.go
+++ b/internal/query/poison/ledger.go
@@ -229,6 +229,16 @@
 	l.publish(f, e)
 }
 
+// AnsweredSince reports whether a server has answered a request since a time.
+func (l *Ledger) AnsweredSince(since time.Time, f Fingerprint) bool {
+	if l == nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.answers.last(f).After(since)
+}
+
 // EndTrial records that a trial has ended, whatever came out.
 func (l *Ledger) EndTrial(f Fingerprint) {
 	if l == nil {
--- a/internal/query/runner/evidence.go
+++ b/internal/query/runner/evidence.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/samphirestair/samphirestair/internal/owner/notice"
 	"github.com/samphirestair/samphirestair/internal/query/poison"
 	"github.com/samphirestair/samphirestair/internal/query/relay"
 )
@@ -76,12 +77,33 @@
 	if !r.result.Ended {
 		return
 	}
-	e.trace("server_ended", "it had the request", slog.String("server", string(r.process.ID)), slog.Int64("born", r.process.Born), slog.String("request", e.fingerprint().String()),
-		slog.Bool("answered", e.query.Cleared()), slog.Int("shared", r.result.Shared), slog.Int("shard", r.shard), slog.Duration("after", now.Sub(r.sentAt)))
-	if e.query.Cleared() {
-		return
+	e.traceEnd(r.process, r.result.Shared, e.query.Cleared(), slog.Int("shard", r.shard), slog.Duration("after", now.Sub(r.sentAt)))
+	if !e.query.Cleared() {
+		e.recordEnd(now, r.process, r.result.Shared)
+	}
+}
+
+// observeLateEnd is like observeEnd for an end that is told after the result of the attempt.
+// It may be called on any goroutine, also after Run has returned.
+func (e *execution) observeLateEnd(process notice.Process, shared int) {
+	e.runner.deps.Env.Health.Gone(process.ID)
+	answered := e.runner.deps.Ledger.AnsweredSince(e.request.Arrived, e.fingerprint())
+	e.traceEnd(process, shared, answered, slog.Bool("late", true))
+	if !answered {
+		e.recordEnd(time.Now(), process, shared)
 	}
-	e.runner.deps.Ledger.ServerEnded(now, e.fingerprint(), e.request.Message.Head, poison.End{Process: r.process, Shared: r.result.Shared, Trial: e.isTrial})
+}
+
+func (e *execution) traceEnd(process notice.Process, shared int, answered bool, attrs ...slog.Attr) {
+	attrs = append([]slog.Attr{
+		slog.String("server", string(process.ID)), slog.Int64("born", process.Born), slog.String("request", e.fingerprint().String()),
+		slog.Bool("answered", answered), slog.Int("shared", shared),
+	}, attrs...)
+	e.trace("server_ended", "it had the request", attrs...)
+}
+
+func (e *execution) recordEnd(now time.Time, process notice.Process, shared int) {
+	e.runner.deps.Ledger.ServerEnded(now, e.fingerprint(), e.request.Message.Head, poison.End{Process: process, Shared: shared, Trial: e.isTrial})
 }
 
 // observeAnswer records that a server has answered the request. Further answers to the same
--- a/internal/query/runner/evidence_test.go
+++ b/internal/query/runner/evidence_test.go
@@ -34,15 +34,19 @@
 // deadlyFleet is a VM and the servers of a search, three of each shard. Servers end when they
 // run a request with deadlyPath, and are back at once.
 type deadlyFleet struct {
+	// slowProxies is set if ends are told only after the results of the attempts.
+	slowProxies bool
+
 	view   *roster.View
 	ledger *poison.Ledger
 	runner *runner.Runner
 	route  *routes.Route
 	sent   int
 
-	mu    sync.Mutex
-	ended int
-	sends int
+	mu          sync.Mutex
+	ended       int
+	sends       int
+	lastMessage *pool.Message
 }
 
 func (d *deadlyFleet) View() *roster.View { return d.view }
@@ -58,11 +62,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.sends++
+	d.lastMessage = message
 	time.AfterFunc(serviceTime, func() {
 		if strings.Contains(string(message.Head), deadlyPath) {
 			d.mu.Lock()
 			d.ended++
 			d.mu.Unlock()
+			if d.slowProxies {
+				done(pool.Result{Outcome: pool.Broken, Shared: 1})
+				time.AfterFunc(serviceTime, func() { message.OnEnd(notice.Process{ID: target.ID}, 1) })
+				return
+			}
 			done(pool.Result{Outcome: pool.Broken, Gone: true, Ended: true, Shared: 1})
 			return
 		}
@@ -139,6 +149,33 @@
 	})
 }
 
+// Guards against a deadly request that is not known because the ends of servers are told after
+// it has failed.
+func TestEndsThatAreToldLateCountAgainstTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeadlyFleet(t)
+		d.slowProxies = true
+		require.NotEqual(t, relay.Success, d.search(deadlyPath).Verdict)
+		time.Sleep(2 * serviceTime)
+		require.NotEqual(t, relay.Success, d.search(deadlyPath).Verdict, "a trial")
+		time.Sleep(2 * serviceTime)
+		sends, _ := d.counts()
+		require.True(t, d.search(deadlyPath).Quarantined)
+		unchanged, _ := d.counts()
+		require.Equal(t, sends, unchanged)
+	})
+}
+
+// Guards against a request that is blamed for an end that is told after a server answered it.
+func TestLateEndOfAnAnsweredRequestIsNotItsFault(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeadlyFleet(t)
+		require.Equal(t, relay.Success, d.search("/other").Verdict)
+		d.lastMessage.OnEnd(notice.Process{ID: "s0a"}, 1)
+		require.True(t, d.ledger.Empty())
+	})
+}
+
 // Guards against repeats of a suspect request that all fail because one of them is tried.
 func TestRepeatsOfASuspectRequestWaitForItsTrial(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/query/runner/runner.go
+++ b/internal/query/runner/runner.go
@@ -77,6 +77,9 @@
 func (r *Runner) Run(request Request) Answer {
 	e := &execution{runner: r, request: request, wake: make(chan struct{}, 1)}
 	e.fingerprint = sync.OnceValue(func() poison.Fingerprint { return r.deps.Identity.Of(request.Message.Head, request.Message.Body) })
+	message := *request.Message
+	message.OnEnd = e.observeLateEnd
+	e.request.Message = &message
 	defer r.requestMetrics.begin()()
 	if request.Route.IsSearch() {
 		e.parts = newParts(request.Route.Limit, len(request.Route.Shards))
