Let all requests of an ended process share its end, whichever is handled first

Of several requests that a server had when it ended, the last one whose connection was handled got the whole blame: the others had been taken off the count before. All get the largest number since the last answer now.

TestRequestsOfAnEndedProcessShareTheBlame fails before (1 instead of 2) and passes now.

--- a/internal/owner/pool/ended.go
+++ b/internal/owner/pool/ended.go
@@ -93,7 +93,7 @@
 // the message's OnEnd is called later. lived is set if the process has answered since the
 // connection was opened.
 func (p *Pool) finishClosed(s *server, call *Call, lived bool, err error) {
-	result := Result{Outcome: Broken, Reason: err.Error(), Shared: s.requests()}
+	result := Result{Outcome: Broken, Reason: err.Error(), Shared: s.shareOfEnd()}
 	if isClosedByPeer(err) && !call.isCancelled() && time.Now().Before(call.deadline) {
 		check := p.checkEnd(s)
 		state := check.state()
--- a/internal/owner/pool/ended_test.go
+++ b/internal/owner/pool/ended_test.go
@@ -68,6 +68,28 @@
 	}
 }
 
+// Guards against a request that is blamed alone for the end of a process that ran others, because
+// the ends of their connections were handled before.
+func TestRequestsOfAnEndedProcessShareTheBlame(t *testing.T) {
+	b := newScripted(t)
+	p := newPool(t)
+	const requests = 2
+	var conns []net.Conn
+	var results []chan pool.Result
+	for range requests {
+		result := make(chan pool.Result, 1)
+		p.Send(b.target(), messageOf("r1", nil), time.Now().Add(5*time.Second), false, func(r pool.Result) { result <- r })
+		conns, results = append(conns, b.accept(t)), append(results, result)
+	}
+	require.NoError(t, b.listener.Close())
+	for i := range requests {
+		require.NoError(t, conns[i].Close())
+		r := await(t, results[i])
+		require.True(t, r.Ended)
+		require.Equal(t, requests, r.Shared)
+	}
+}
+
 // Behind a proxy, which accepts connections to a process that has ended, only an answer shows
 // that the process lived. How long a connection was open, on a busy machine or behind a slow
 // proxy, shows nothing.
--- a/internal/owner/pool/server.go
+++ b/internal/owner/pool/server.go
@@ -21,6 +21,9 @@
 	running int
 	// answers counts the answers of the process.
 	answers int
+	// shared is the largest number of requests without an answer at the close of a connection
+	// since the last answer.
+	shared int
 	// check is the check whether the process has ended that attempts wait for, or nil.
 	check *endCheck
 }
@@ -32,11 +35,13 @@
 	s.running += change
 }
 
-// requests returns the number of requests of this VM without an answer.
-func (s *server) requests() int {
+// shareOfEnd returns the number of requests that the process had if the close of a connection
+// is its end. All requests that it had get the same number, whichever is handled first.
+func (s *server) shareOfEnd() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.running
+	s.shared = max(s.shared, s.running)
+	return s.shared
 }
 
 // countAnswer counts an answer of the process.
@@ -44,6 +49,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answers++
+	s.shared = 0
 }
 
 // answerCount returns the number of answers of the process.
