Tell ends of servers whose connections are all in use

Where waiting requests took all connections that a server allows, the connection that checks its end was closed at once or not opened, so that the end was never told. It is kept until the check is decided now, or the check follows the one before it.

TestEndAtTheConnectionLimitBehindASlowProxy fails before (no end is told within 5 s) and passes now.

--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -144,12 +144,18 @@
 // serveIdle adds a connection without a request to the pool and reads from it.
 func (c *conn) serveIdle() {
 	c.idleUntil = time.Now().Add(c.idleTimeout)
-	if !c.server.putIdle(c) {
+	if !c.server.putIdle(c) && !c.watchOnly() {
 		c.close()
 	}
 	c.readAnswers()
 }
 
+// watchOnly keeps a connection that was opened for a check until that is decided, although the
+// server allows no more connections for requests. It returns false for others.
+func (c *conn) watchOnly() bool {
+	return c.check != nil && c.nc.SetReadDeadline(time.Now().Add(endWatchTime)) == nil
+}
+
 // readAnswers reads answers until the connection has to be closed, and closes it.
 func (c *conn) readAnswers() {
 	unanswered, err := c.readUntilClosed()
--- a/internal/owner/pool/ended.go
+++ b/internal/owner/pool/ended.go
@@ -44,6 +44,19 @@
 	})
 }
 
+// follow lets the check end like an earlier one, whose connection is watched still, or without a
+// sign of an end if there is none.
+func (c *endCheck) follow(earlier *endCheck) {
+	if earlier == nil || earlier.state() != undecided {
+		c.conclude(alive)
+		return
+	}
+	go func() {
+		<-earlier.done
+		c.conclude(earlier.result)
+	}()
+}
+
 // state returns the result, or undecided if it is not known yet.
 func (c *endCheck) state() endState {
 	select {
@@ -128,7 +141,7 @@
 // it stays open.
 func (p *Pool) openCheck(s *server, check *endCheck) {
 	if !s.reserveExtra() {
-		check.conclude(alive)
+		check.follow(s.previousCheck())
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
--- a/internal/owner/pool/ended_test.go
+++ b/internal/owner/pool/ended_test.go
@@ -215,3 +215,49 @@
 	_, _ = conn.Read(make([]byte, 4096))
 	return conn
 }
+
+// Guards against ends that are not told because all connections that the server allows are in use:
+// waiting requests take the place of the closed ones at once.
+func TestEndAtTheConnectionLimitBehindASlowProxy(t *testing.T) {
+	const limit = 2
+	b := newScripted(t)
+	target := b.target()
+	target.Connections = limit
+	p := pool.New(metrics.NewSet(), pool.Options{Names: header.Default(), EndCheckGrace: time.Nanosecond})
+	results, ends := make(chan pool.Result, 2*limit+1), make(chan int, limit)
+	send := func(id string, onEnd func(notice.Process, int)) {
+		message := messageOf(id, nil)
+		message.OnEnd = onEnd
+		p.Send(target, message, time.Now().Add(5*time.Second), true, func(r pool.Result) { results <- r })
+	}
+	var conns []net.Conn
+	for _, id := range []string{"a", "b"} {
+		send(id, nil)
+		conns = append(conns, b.accept(t))
+	}
+	for i, id := range []string{"a", "b"} {
+		say(conns[i], reply(id, "x"))
+		require.Equal(t, pool.Answered, await(t, results).Outcome)
+	}
+	for range limit {
+		send("deadly", func(_ notice.Process, shared int) { ends <- shared })
+	}
+	send("waiting", nil)
+	for _, conn := range conns {
+		require.NoError(t, conn.Close())
+		require.Equal(t, pool.Broken, await(t, results).Outcome)
+	}
+	// The proxy closes all new connections, since it can't reach the process.
+	go func() {
+		for {
+			conn, err := b.listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+	for range limit {
+		require.GreaterOrEqual(t, await(t, ends), limit)
+	}
+}
--- a/internal/owner/pool/server.go
+++ b/internal/owner/pool/server.go
@@ -24,8 +24,9 @@
 	// shared is the largest number of requests without an answer at the close of a connection
 	// since the last answer.
 	shared int
-	// check is the check whether the process has ended that attempts wait for, or nil.
-	check *endCheck
+	// check is the check whether the process has ended that attempts wait for, or nil, and
+	// lastCheck the last one that they waited for.
+	check, lastCheck *endCheck
 }
 
 // countRequest adds to the number of requests without an answer.
@@ -76,10 +77,17 @@
 func (s *server) leaveEndCheck(check *endCheck) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.check = nil
+	s.check, s.lastCheck = nil, check
 	close(check.waited)
 }
 
+// previousCheck returns the last check that attempts waited for, or nil.
+func (s *server) previousCheck() *endCheck {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastCheck
+}
+
 // acquire returns an idle connection. If there is none, it reserves a slot for a new
 // one if the limit allows, and sets mayDial.
 func (s *server) acquire(now time.Time) (c *conn, mayDial bool) {
