Add up the trials of a suspect request over all VMs

The weight of each trial is told with the end now, once for each process; trials before a quarantine do not count for the next one, and an answer forgets them.

TestTrialsOnSeveralVMsAddUp fails before (suspect instead of quarantined) and passes now. TestTrialsBeforeAQuarantineDoNotCountAgain and TestRequestThatBecomesDeadlyAfterManyTrialsIsQuarantined guard against two mistakes of the sum itself, and pass before as well.

--- a/internal/query/poison/entry.go
+++ b/internal/query/poison/entry.go
@@ -37,6 +37,9 @@
 type end struct {
 	process notice.Process
 	at      time.Time
+	// trial is the number of requests of the VM that the process ran if the request ran as a
+	// trial, or 0.
+	trial int
 }
 
 // entry is what is known of one request. It is guarded by the mutex of the ledger.
@@ -55,9 +58,11 @@
 	pinned        bool
 	// trialUntil is the latest end of the trial in progress.
 	trialUntil time.Time
-	// blame sums up what trials say against the request: each server that ended during one
-	// counts as the inverse of the number of requests that it ran.
+	// blame sums up what trials of all VMs say against the request: each server that ended
+	// during one counts as the inverse of the number of requests that it ran. tried identifies
+	// the servers that are counted.
 	blame float64
+	tried coll.Set[processHash]
 	// usedAt is when the request last came or something was learnt of it.
 	usedAt  time.Time
 	refused int
@@ -165,6 +170,23 @@
 	return true
 }
 
+// addTrial counts the end of a server during a trial. What trials showed before the end of the
+// last quarantine has led to that.
+func (e *entry) addTrial(added end) {
+	if h := hashOf(added.process); added.trial > 0 && len(e.tried) < maxProcesses && !e.tried.Has(h) && !added.at.Before(e.quarantinedAt.Add(e.hold)) {
+		e.tried.Add(h)
+		e.blame += 1 / float64(added.trial)
+	}
+}
+
+// lastEnd returns when the last server ended, or zero if none is known.
+func (e *entry) lastEnd() time.Time {
+	if len(e.ends) == 0 {
+		return time.Time{}
+	}
+	return e.ends[len(e.ends)-1].at
+}
+
 // acquit records that the request did not end the servers that ran it at a moment.
 func (e *entry) acquit(at time.Time) {
 	e.ends = slices.DeleteFunc(e.ends, func(known end) bool { return !known.at.After(at) })
@@ -172,6 +194,7 @@
 		e.quarantinedAt, e.hold = time.Time{}, 0
 		clear(e.processes)
 	}
+	clear(e.tried)
 	e.blame, e.trialUntil = 0, time.Time{}
 }
 
@@ -189,8 +212,8 @@
 			last = at
 		}
 	}
-	if len(e.ends) > 0 && e.ends[len(e.ends)-1].at.After(last) {
-		last = e.ends[len(e.ends)-1].at
+	if at := e.lastEnd(); at.After(last) {
+		last = at
 	}
 	return last
 }
@@ -220,7 +243,7 @@
 		r.Processes = encodeHashes(e.processes)
 	}
 	for _, known := range e.ends {
-		r.Ends = append(r.Ends, EndRecord{Server: string(known.process.ID), Born: known.process.Born, Ago: age(now, known.at)})
+		r.Ends = append(r.Ends, EndRecord{Server: string(known.process.ID), Born: known.process.Born, Ago: age(now, known.at), Trial: known.trial})
 	}
 	return r
 }
--- a/internal/query/poison/ledger.go
+++ b/internal/query/poison/ledger.go
@@ -179,16 +179,14 @@
 	e := l.entry(now, f)
 	e.label = labelOf(head)
 	before := e.state(now)
-	if !l.addEnd(now, f, e, end{process: ended.Process, at: now}) {
-		return
-	}
+	added := end{process: ended.Process, at: now}
 	if ended.Trial {
-		e.blame += 1 / float64(max(ended.Shared, 1))
+		added.trial = max(ended.Shared, 1)
 	}
-	if before == Suspect && e.isGuilty(now) {
-		e.quarantine(now, l.options.Hold)
-		l.explain(now, e)
+	if !l.addEnd(now, f, e, added) {
+		return
 	}
+	l.judge(now, e)
 	l.report(now, f, e, before, "servers ended while they ran it")
 	l.publish(f, e)
 }
@@ -199,6 +197,18 @@
 		return false
 	}
 	l.byProcess.add(added.process, f)
+	e.addTrial(added)
+	return true
+}
+
+// judge quarantines a suspect request if trials have shown that it ends servers. It reports
+// whether it did.
+func (l *Ledger) judge(now time.Time, e *entry) bool {
+	if e.state(now) != Suspect || !e.isGuilty(now) {
+		return false
+	}
+	e.quarantine(now, l.options.Hold)
+	l.explain(now, e)
 	return true
 }
 
@@ -260,7 +270,7 @@
 		if len(l.entries) >= l.options.MaxEntries {
 			l.evict(now)
 		}
-		e = &entry{processes: coll.NewSet[processHash](), clearedAt: l.answers.last(f)}
+		e = &entry{processes: coll.NewSet[processHash](), tried: coll.NewSet[processHash](), clearedAt: l.answers.last(f)}
 		l.entries[f] = e
 		l.count.Store(int64(len(l.entries)))
 	}
--- a/internal/query/poison/ledger_test.go
+++ b/internal/query/poison/ledger_test.go
@@ -279,6 +279,26 @@
 	}
 }
 
+// Guards against a request that servers have answered in many trials, and that is never quarantined
+// once it has become deadly.
+func TestRequestThatBecomesDeadlyAfterManyTrialsIsQuarantined(t *testing.T) {
+	l := poison.NewLedger(poison.Options{})
+	now := start
+	// The request is known to other VMs, so that its entry is kept.
+	condemn(t, l, now, "a")
+	l.All(now)
+	for server := range 300 {
+		now = now.Add(time.Second)
+		complete(l, now, "a")
+		end(l, now.Add(time.Millisecond), "a", 10+server, true, 1)
+	}
+	for server := range 6 {
+		now = now.Add(time.Second)
+		end(l, now, "a", 1000+server, decide(l, now, "a").Verdict == poison.Try, 1)
+	}
+	require.Equal(t, poison.Quarantined, state(l, now, "a"))
+}
+
 // Servers that are replaced one after the other end under whatever runs there at the moment.
 func TestRollOfServersQuarantinesNothing(t *testing.T) {
 	l := poison.NewLedger(poison.Options{})
--- a/internal/query/poison/record.go
+++ b/internal/query/poison/record.go
@@ -38,6 +38,9 @@
 	Server string `msg:"s"`
 	Born   int64  `msg:"b"`
 	Ago    int64  `msg:"a"`
+	// Trial is the number of requests of the VM that the process ran if the request ran as a
+	// trial, or 0.
+	Trial int `msg:"t"`
 }
 
 // age returns the time since at in milliseconds, or -1 if at is zero.
--- a/internal/query/poison/record_gen.go
+++ b/internal/query/poison/record_gen.go
@@ -42,6 +42,12 @@
 				err = msgp.WrapError(err, "Ago")
 				return
 			}
+		case "t":
+			z.Trial, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Trial")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -54,10 +60,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z EndRecord) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+func (z *EndRecord) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
 	// write "s"
-	err = en.Append(0x83, 0xa1, 0x73)
+	err = en.Append(0x84, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -86,15 +92,25 @@
 		err = msgp.WrapError(err, "Ago")
 		return
 	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Trial)
+	if err != nil {
+		err = msgp.WrapError(err, "Trial")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z EndRecord) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *EndRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "s"
-	o = append(o, 0x83, 0xa1, 0x73)
+	o = append(o, 0x84, 0xa1, 0x73)
 	o = msgp.AppendString(o, z.Server)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -102,6 +118,9 @@
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendInt64(o, z.Ago)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt(o, z.Trial)
 	return
 }
 
@@ -141,6 +160,12 @@
 				err = msgp.WrapError(err, "Ago")
 				return
 			}
+		case "t":
+			z.Trial, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Trial")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -154,8 +179,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z EndRecord) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Server) + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+func (z *EndRecord) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Server) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize
 	return
 }
 
@@ -206,50 +231,11 @@
 				z.Ends = make([]EndRecord, zb0002)
 			}
 			for za0001 := range z.Ends {
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
+				err = z.Ends[za0001].DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Ends", za0001)
 					return
 				}
-				if zb0003 > 64 {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Ends", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "s":
-						z.Ends[za0001].Server, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Ends", za0001, "Server")
-							return
-						}
-					case "b":
-						z.Ends[za0001].Born, err = dc.ReadInt64()
-						if err != nil {
-							err = msgp.WrapError(err, "Ends", za0001, "Born")
-							return
-						}
-					case "a":
-						z.Ends[za0001].Ago, err = dc.ReadInt64()
-						if err != nil {
-							err = msgp.WrapError(err, "Ends", za0001, "Ago")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Ends", za0001)
-							return
-						}
-					}
-				}
 			}
 		case "c":
 			z.ClearedAgo, err = dc.ReadInt64()
@@ -338,35 +324,9 @@
 		return
 	}
 	for za0001 := range z.Ends {
-		// map header, size 3
-		// write "s"
-		err = en.Append(0x83, 0xa1, 0x73)
+		err = z.Ends[za0001].EncodeMsg(en)
 		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Ends[za0001].Server)
-		if err != nil {
-			err = msgp.WrapError(err, "Ends", za0001, "Server")
-			return
-		}
-		// write "b"
-		err = en.Append(0xa1, 0x62)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt64(z.Ends[za0001].Born)
-		if err != nil {
-			err = msgp.WrapError(err, "Ends", za0001, "Born")
-			return
-		}
-		// write "a"
-		err = en.Append(0xa1, 0x61)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt64(z.Ends[za0001].Ago)
-		if err != nil {
-			err = msgp.WrapError(err, "Ends", za0001, "Ago")
+			err = msgp.WrapError(err, "Ends", za0001)
 			return
 		}
 	}
@@ -457,16 +417,11 @@
 	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
 	for za0001 := range z.Ends {
-		// map header, size 3
-		// string "s"
-		o = append(o, 0x83, 0xa1, 0x73)
-		o = msgp.AppendString(o, z.Ends[za0001].Server)
-		// string "b"
-		o = append(o, 0xa1, 0x62)
-		o = msgp.AppendInt64(o, z.Ends[za0001].Born)
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendInt64(o, z.Ends[za0001].Ago)
+		o, err = z.Ends[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Ends", za0001)
+			return
+		}
 	}
 	// string "c"
 	o = append(o, 0xa1, 0x63)
@@ -539,50 +494,11 @@
 				z.Ends = make([]EndRecord, zb0002)
 			}
 			for za0001 := range z.Ends {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Ends[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Ends", za0001)
 					return
 				}
-				if zb0003 > 64 {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Ends", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "s":
-						z.Ends[za0001].Server, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Ends", za0001, "Server")
-							return
-						}
-					case "b":
-						z.Ends[za0001].Born, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Ends", za0001, "Born")
-							return
-						}
-					case "a":
-						z.Ends[za0001].Ago, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Ends", za0001, "Ago")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Ends", za0001)
-							return
-						}
-					}
-				}
 			}
 		case "c":
 			z.ClearedAgo, bts, err = msgp.ReadInt64Bytes(bts)
@@ -642,7 +558,7 @@
 func (z *Record) Msgsize() (s int) {
 	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Fingerprint) + 2 + msgp.StringPrefixSize + len(z.Label) + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Ends {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Ends[za0001].Server) + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+		s += z.Ends[za0001].Msgsize()
 	}
 	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Processes)
 	return
--- a/internal/query/poison/share_test.go
+++ b/internal/query/poison/share_test.go
@@ -51,6 +51,44 @@
 	}
 }
 
+// Guards against trials at busy servers, each on another VM, that never suffice for a quarantine
+// because every VM counts only its own.
+func TestTrialsOnSeveralVMsAddUp(t *testing.T) {
+	vms := newLedgers(4)
+	end(vms[0], start, "a", 1, false, 1)
+	end(vms[0], start, "a", 2, false, 1)
+	tell(t, start, vms[0], vms[1:]...)
+	for i := 1; i <= 3; i++ {
+		require.Equal(t, poison.Try, decide(vms[i], start, "a").Verdict)
+		end(vms[i], start, "a", 2+i, true, 3)
+		_, f := requestNamed("a")
+		vms[i].EndTrial(f)
+		for range 3 { // Repetition must not count a trial twice.
+			tell(t, start, vms[i], vms...)
+			for _, vm := range vms {
+				vm.Merge(start, vms[i].All(start))
+			}
+		}
+		if i < 3 {
+			require.Equal(t, poison.Suspect, state(vms[0], start, "a"), "%d trials at servers that ran two other requests", i)
+		}
+	}
+	for _, vm := range vms {
+		require.Equal(t, poison.Refuse, decide(vm, start, "a").Verdict)
+	}
+}
+
+// Guards against a process that has just started and takes the trials that led to an earlier
+// quarantine for those of a new one.
+func TestTrialsBeforeAQuarantineDoNotCountAgain(t *testing.T) {
+	vms := newLedgers(2)
+	condemn(t, vms[0], start, "a")
+	now := after(2 * time.Minute)
+	vms[1].Merge(now, vms[0].All(now))
+	require.Equal(t, poison.Suspect, state(vms[1], now, "a"))
+	require.Equal(t, poison.Try, decide(vms[1], now, "a").Verdict)
+}
+
 func TestAnswerOnOneVMClearsTheRequestOnAll(t *testing.T) {
 	vms := newLedgers(2)
 	condemn(t, vms[0], start, "a")
