Try suspect requests where the end of a server says most and harms least

A trial went to any server: to one that ran other requests, so that its end said little; to one whose end proves nothing, because the VM had no connection with an answer; or to the last server of its service. It now goes to the server with the fewest requests of this VM and a connection on which it has answered, prefers shards that keep a server, is not repeated without an answer, and a lookup is not tried at the last server until 10 s after the last end.

The tests in relay/probation_test.go and TestConnectionsWithAnAnswerAreUsedFirst do not build before, since there is no TrialLoad.

--- a/internal/base/coll/coll_test.go
+++ b/internal/base/coll/coll_test.go
@@ -27,3 +27,8 @@
 	fmt.Println(coll.Positive(0, 5), coll.Positive(-1, 5), coll.Positive(3, 5))
 	// Output: 5 5 3
 }
+
+func ExampleCompareBools() {
+	fmt.Println(coll.CompareBools(false, true), coll.CompareBools(true, true), coll.CompareBools(true, false))
+	// Output: -1 0 1
+}
--- a/internal/base/coll/value.go
+++ b/internal/base/coll/value.go
@@ -11,3 +11,15 @@
 	}
 	return fallback
 }
+
+// CompareBools is like cmp.Compare for booleans; true is greater than false.
+func CompareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -262,9 +262,12 @@
 		Budget:   newBudget(options),
 		Latency:  newBudget(hedge.Options{Quantile: hedgeQuantile, InitialDelay: initialHedgeDelay}),
 		Health:   relay.NewHealth(),
-		Notices:  t.notices,
-		Pace:     relay.NewPacer(t.pace, time.Now()),
-		Options:  relay.Options{Partial: t.settings.Answers.Partial, CrossZonePenalty: t.settings.Cost.Stay}.WithDefaults(),
+		TrialLoad: func(server ident.ServerID) (requests int, certain bool) {
+			return t.pool.TrialLoad(server)
+		},
+		Notices: t.notices,
+		Pace:    relay.NewPacer(t.pace, time.Now()),
+		Options: relay.Options{Partial: t.settings.Answers.Partial, CrossZonePenalty: t.settings.Cost.Stay}.WithDefaults(),
 	}
 	return nil
 }
--- a/internal/fleet/place/place.go
+++ b/internal/fleet/place/place.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 )
@@ -60,8 +61,8 @@
 	}
 	slices.SortFunc(ranked, func(a, b rankedMember) int {
 		return cmp.Or(
-			compareBool(b.kept, a.kept),
-			compareBool(a.member.Leaving, b.member.Leaving),
+			coll.CompareBools(b.kept, a.kept),
+			coll.CompareBools(a.member.Leaving, b.member.Leaving),
 			cmp.Compare(b.score, a.score),
 			cmp.Compare(a.member.Process.VM, b.member.Process.VM),
 		)
@@ -139,14 +140,3 @@
 	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
 	return x ^ (x >> 31)
 }
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
--- a/internal/fleet/place/plan.go
+++ b/internal/fleet/place/plan.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 )
@@ -79,10 +80,10 @@
 
 func (c cost) compare(d cost) int {
 	return cmp.Or(
-		compareBool(c.ownsReplica, d.ownsReplica),
-		compareBool(c.otherZone, d.otherZone),
-		compareBool(c.replicaInZone, d.replicaInZone),
-		compareBool(c.overLimit, d.overLimit),
+		coll.CompareBools(c.ownsReplica, d.ownsReplica),
+		coll.CompareBools(c.otherZone, d.otherZone),
+		coll.CompareBools(c.replicaInZone, d.replicaInZone),
+		coll.CompareBools(c.overLimit, d.overLimit),
 		cmp.Compare(d.score, c.score),
 	)
 }
@@ -139,7 +140,7 @@
 	}
 	slices.SortFunc(sorted, func(a, b *view.Group) int {
 		return cmp.Or(
-			compareBool(zones[b.Zone], zones[a.Zone]),
+			coll.CompareBools(zones[b.Zone], zones[a.Zone]),
 			cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID))),
 			cmp.Compare(a.ID, b.ID),
 		)
--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -41,10 +41,11 @@
 	server *server
 	nc     net.Conn
 	br     *bufio.Reader
-	// idleUntil and idleTimeout are guarded by the server's mutex while the
-	// connection is idle.
+	// idleUntil, idleTimeout and proven are guarded by the server's mutex while the
+	// connection is idle. proven is set once the process has answered on the connection.
 	idleUntil   time.Time
 	idleTimeout time.Duration
+	proven      bool
 
 	mu   sync.Mutex
 	call *Call
@@ -246,6 +247,7 @@
 		c.idleTimeout = idleTimeout
 	}
 	c.idleUntil = time.Now().Add(c.idleTimeout)
+	c.proven = true
 	if !c.server.putIdle(c) {
 		return false
 	}
--- a/internal/owner/pool/ended_test.go
+++ b/internal/owner/pool/ended_test.go
@@ -216,6 +216,38 @@
 	return conn
 }
 
+// Guards against a request that is sent on a new connection, whose end would not tell whether the
+// process had the request, although an older one is idle.
+func TestConnectionsWithAnAnswerAreUsedFirst(t *testing.T) {
+	b := newScripted(t)
+	target := b.target()
+	target.Connections = 4
+	p := newPool(t)
+	results := make(chan pool.Result, 1)
+	send := func(id string) {
+		p.Send(target, messageOf(id, nil), time.Now().Add(5*time.Second), false, func(r pool.Result) { results <- r })
+	}
+	requests, certain := p.TrialLoad(target.ID)
+	require.Zero(t, requests)
+	require.False(t, certain, "the server is not known")
+	send("r0")
+	first := b.accept(t)
+	say(first, reply("r0", "x"))
+	require.Equal(t, pool.Answered, await(t, results).Outcome)
+	require.True(t, p.Probe(target, time.Second))
+	second := b.accept(t)
+	requests, certain = p.TrialLoad(target.ID)
+	require.Zero(t, requests)
+	require.True(t, certain)
+	send("r1")
+	requests, certain = p.TrialLoad(target.ID)
+	require.Equal(t, 1, requests)
+	require.False(t, certain, "only a new connection is idle")
+	say(first, reply("r1", "x"))
+	require.Equal(t, pool.Answered, await(t, results).Outcome)
+	require.NoError(t, second.Close())
+}
+
 // Guards against ends that are not told because all connections that the server allows are in use:
 // waiting requests take the place of the closed ones at once.
 func TestEndAtTheConnectionLimitBehindASlowProxy(t *testing.T) {
--- a/internal/owner/pool/pool.go
+++ b/internal/owner/pool/pool.go
@@ -226,6 +226,19 @@
 	return srv.open > 0
 }
 
+// TrialLoad returns the number of requests of this VM that a backend server has not answered,
+// and whether it would be certain that its process ended while it had a request that is sent
+// to it now, if it ends.
+func (p *Pool) TrialLoad(id ident.ServerID) (requests int, certain bool) {
+	p.mu.Lock()
+	srv := p.servers[id]
+	p.mu.Unlock()
+	if srv == nil {
+		return 0, false
+	}
+	return srv.load()
+}
+
 // Stats returns the number of connections to each backend server, including those being
 // opened.
 func (p *Pool) Stats() map[ident.ServerID]int {
--- a/internal/owner/pool/server.go
+++ b/internal/owner/pool/server.go
@@ -10,7 +10,8 @@
 type server struct {
 	target Target
 	mu     sync.Mutex
-	// idle holds the idle connections, the most recently used one last.
+	// idle holds the idle connections: those on which the process has not answered yet, then
+	// the others, the most recently used one last.
 	idle []*conn
 	// waiting is a FIFO queue of attempts that wait for a connection.
 	waiting []*Call
@@ -60,6 +61,14 @@
 	return s.answers
 }
 
+// load returns the number of requests without an answer, and whether a connection is idle on
+// which the process has answered.
+func (s *server) load() (requests int, proven bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running, len(s.idle) > 0 && s.idle[len(s.idle)-1].proven
+}
+
 // joinEndCheck returns the check that attempts wait for, or a new one that the caller has to
 // begin and to leave.
 func (s *server) joinEndCheck() (check *endCheck, isNew bool) {
@@ -169,7 +178,11 @@
 	if s.retired || s.open > s.target.Connections {
 		return false
 	}
-	s.idle = append(s.idle, c)
+	at := len(s.idle)
+	if !c.proven {
+		at = 0
+	}
+	s.idle = slices.Insert(s.idle, at, c)
 	return true
 }
 
--- a/internal/query/poison/ledger.go
+++ b/internal/query/poison/ledger.go
@@ -93,8 +93,10 @@
 // Decision is what to do with a request.
 type Decision struct {
 	Verdict Verdict
-	// Ends is the number of servers known to have ended while they ran the request.
-	Ends int
+	// Ends is the number of servers known to have ended while they ran the request, and
+	// LastEnd when the last one did.
+	Ends    int
+	LastEnd time.Time
 	// RetryAfter is the time until the request may be tried again, if it is refused.
 	RetryAfter time.Duration
 	// Until is the latest end of the trial in progress, and Changed is closed if it ends
@@ -134,7 +136,7 @@
 	default:
 		e.trialUntil = now.Add(trialTime)
 		l.publish(f, e)
-		return Decision{Verdict: Try, Ends: max(len(e.ends), suspectEnds)}
+		return Decision{Verdict: Try, Ends: max(len(e.ends), suspectEnds), LastEnd: e.lastEnd()}
 	}
 }
 
--- a/internal/query/relay/candidates.go
+++ b/internal/query/relay/candidates.go
@@ -58,5 +58,6 @@
 		candidates = append(candidates, choose.Candidate{Server: r.ID})
 	}
 	q.penalizeOtherZones(s, replicas, candidates)
+	q.penalizeBusy(candidates)
 	return replicas[q.env.Choose.Choose(now, candidates)]
 }
--- a/internal/query/relay/probation.go
+++ b/internal/query/relay/probation.go
@@ -1,9 +1,13 @@
 package relay
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/query/choose"
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
 )
 
@@ -14,6 +18,17 @@
 	// harmfulEnds is the number of ended servers from which on the remaining attempts of
 	// such a request are cancelled, once most requests would have an answer.
 	harmfulEnds = 3
+	// lookupTrialPause is the time after the end of a server for which a request that may have
+	// caused it, and is not a search, is tried only where that leaves another server, and the
+	// end of the server would tell. Most servers are back by then.
+	lookupTrialPause = 10 * time.Second
+	// redundantServers is the number of servers from which on the end of one leaves others.
+	redundantServers = 2
+	// sharedPenalty is added to the expected completion time of a server, for the choice of
+	// the server for a trial, for each request that it has, and uncertainPenalty if its end
+	// might not be put down to the trial.
+	sharedPenalty    = 100 * time.Millisecond
+	uncertainPenalty = time.Second
 	// checkInterval is the time between two checks whether repeats of the request have ended
 	// servers elsewhere.
 	checkInterval = 20 * time.Millisecond
@@ -25,8 +40,9 @@
 type probation struct {
 	// answeredOnce is set once a server has answered the request.
 	answeredOnce bool
-	// ended counts the attempts whose server ended.
-	ended int
+	// ended counts the attempts whose server ended, and lost those without an answer, whose
+	// server may have ended.
+	ended, lost int
 	// probationEnd is when most requests would have an answer, and checkedAt when harm was
 	// last checked after that.
 	probationEnd, checkedAt time.Time
@@ -40,8 +56,12 @@
 	if reply.Kind == Served {
 		p.answeredOnce = true
 	}
-	if reply.Ended {
+	switch {
+	case reply.Ended:
 		p.ended++
+	case reply.Kind == Ambiguous:
+		p.lost++
+	default:
 	}
 }
 
@@ -74,7 +94,62 @@
 // holdsBack reports whether the request must not go to more servers for now: it runs as a
 // trial, or one ended, and none has answered.
 func (q *Query) holdsBack() bool {
-	return q.EndsServers() || q.request.Trial && q.request.Route.IsSearch() && !q.answeredOnce
+	return q.EndsServers() || q.request.Trial && (q.request.Route.IsSearch() || q.lost > 0) && !q.answeredOnce
+}
+
+// mayHaveEnded returns the number of servers that may have ended because of the request.
+func (q *Query) mayHaveEnded() int {
+	if q.request.Trial {
+		return q.ended + q.lost
+	}
+	return q.ended
+}
+
+// postponesTrial reports whether a trial of a request that is not a search might leave its
+// service without any server, or tell nothing about the request, although others have ended
+// lately and are probably coming back.
+func (q *Query) postponesTrial(now time.Time) bool {
+	if !q.request.Trial || q.request.Route.IsSearch() || now.Sub(q.request.LastEnd) >= lookupTrialPause {
+		return false
+	}
+	usable, certain := q.trialServers(now, &q.shards[0])
+	return usable < redundantServers || !certain
+}
+
+// trialServers returns the number of servers that could get the next attempt of a shard, and
+// whether the end of one of them could be put down to it.
+func (q *Query) trialServers(now time.Time, s *shard) (usable int, certain bool) {
+	for _, r := range q.env.Replicas().Replicas(s.service) {
+		if q.accepts(now, r) && !s.tried(now, r.ID) {
+			usable++
+			certain = certain || q.isCertain(r.ID)
+		}
+	}
+	return usable, certain
+}
+
+// isCertain reports whether the end of a server could be put down to a request that it is sent
+// now.
+func (q *Query) isCertain(id ident.ServerID) bool {
+	if q.env.TrialLoad == nil {
+		return true
+	}
+	_, certain := q.env.TrialLoad(id)
+	return certain
+}
+
+// penalizeBusy penalizes, for a trial, the servers whose end would say little about the request.
+func (q *Query) penalizeBusy(candidates []choose.Candidate) {
+	if !q.request.Trial || q.answeredOnce || q.env.TrialLoad == nil {
+		return
+	}
+	for i := range candidates {
+		requests, certain := q.env.TrialLoad(candidates[i].Server)
+		candidates[i].Penalty += time.Duration(requests) * sharedPenalty
+		if !certain {
+			candidates[i].Penalty += uncertainPenalty
+		}
+	}
 }
 
 // hedgesAllowedFrom returns the time from which late attempts are hedged. allowed is false if
@@ -158,14 +233,14 @@
 			return sends
 		case !q.isIdle():
 			return sends
-		case q.ended > 0 && q.ended+q.request.Ends >= maxEnds || q.triedOften(held):
+		case q.mayHaveEnded() > 0 && q.mayHaveEnded()+q.request.Ends >= maxEnds || q.triedOften(held):
 			for _, index := range held {
 				q.shards[index].held = false
 				sends = q.failIfNonePending(&q.shards[index], sends)
 			}
 			return sends
 		default:
-			sends = q.release(now, q.mostRedundant(now, held), sends)
+			sends = q.release(now, q.bestForTrial(now, held), sends)
 		}
 	}
 }
@@ -196,26 +271,34 @@
 	return sends
 }
 
-// mostRedundant returns the one of some shards that would be left with the most servers if the
-// next one ends. It prefers those without attempts.
-func (q *Query) mostRedundant(now time.Time, indices []int) int {
-	best, most := indices[0], -1
+// bestForTrial returns the one of some shards that is best for the next attempt of a trial. It
+// prefers those that are left with a server if the next one ends, then those where that end could
+// be put down to the request, then those with more servers, and then those without attempts.
+func (q *Query) bestForTrial(now time.Time, indices []int) int {
+	best, most := indices[0], trialRank{usable: -1}
 	rand.Shuffle(len(indices), func(i, j int) { indices[i], indices[j] = indices[j], indices[i] })
 	for _, index := range indices {
 		s := &q.shards[index]
-		servers := 0
-		for _, r := range q.env.Replicas().Replicas(s.service) {
-			if q.accepts(now, r) && !s.tried(now, r.ID) {
-				servers++
-			}
-		}
-		if servers = 2*servers - min(len(s.attempts), 1); servers > most {
-			best, most = index, servers
+		usable, certain := q.trialServers(now, s)
+		rank := trialRank{redundant: usable >= redundantServers, certain: certain, usable: usable, untried: len(s.attempts) == 0}
+		if rank.compare(most) > 0 {
+			best, most = index, rank
 		}
 	}
 	return best
 }
 
+// trialRank orders shards by how well they suit the next attempt of a trial.
+type trialRank struct {
+	redundant, certain bool
+	usable             int
+	untried            bool
+}
+
+func (r trialRank) compare(other trialRank) int {
+	return cmp.Or(coll.CompareBools(r.redundant, other.redundant), coll.CompareBools(r.certain, other.certain), cmp.Compare(r.usable, other.usable), coll.CompareBools(r.untried, other.untried))
+}
+
 // heldShards returns the indices of the shards that are held.
 func (q *Query) heldShards() []int {
 	var held []int
--- a/internal/query/relay/probation_test.go
+++ b/internal/query/relay/probation_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/query/choose"
 	"github.com/samphirestair/samphirestair/internal/query/relay"
@@ -104,6 +105,94 @@
 	}
 }
 
+// Guards against trials that prove nothing, because the server that ends ran other requests, or
+// may have ended before.
+func TestTrialGoesToTheServerWhoseEndSaysMost(t *testing.T) {
+	request := requestTo(lookupRoute(true))
+	request.Trial, request.Ends = true, 2
+	for name, loads := range map[string]map[ident.ServerID]int{
+		"idle": {"a": 3, "b": 0}, "certain": {"b": 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 20 {
+				c := newCluster(t, 1, 100)
+				c.env.TrialLoad = func(server ident.ServerID) (int, bool) {
+					requests, certain := loads[server[len(server)-1:]]
+					return requests, certain
+				}
+				_, sends := relay.New(c.env, request, start)
+				require.Len(t, sends, 1)
+				require.Equal(t, ident.ServerID("b"), sends[0].Replica.ID[len(sends[0].Replica.ID)-1:])
+				require.False(t, sends[0].Delegated)
+			}
+		})
+	}
+}
+
+// Guards against trials of a search at servers whose end proves nothing, while others would do.
+func TestTrialOfASearchPrefersCertainShards(t *testing.T) {
+	request := requestTo(searchRoute(6, 0.5))
+	request.Trial, request.Ends = true, 2
+	for range 20 {
+		c := newCluster(t, 6, 100)
+		certain := coll.NewSet[ident.ServerID](ident.ServerID(string(shardName(2))+"b"), ident.ServerID(string(shardName(4))+"b"))
+		c.env.TrialLoad = func(server ident.ServerID) (int, bool) { return 0, certain.Has(server) }
+		c.env.Health.Gone(ident.ServerID(string(shardName(4)) + "a"))
+		_, sends := relay.New(c.env, request, start)
+		require.Len(t, sends, 1)
+		require.Equal(t, 2, sends[0].Shard, "the shard that keeps a server")
+		require.Equal(t, ident.ServerID(string(shardName(2))+"b"), sends[0].Replica.ID)
+	}
+}
+
+// Guards against trials of a lookup that end servers and prove nothing.
+func TestLookupIsTriedWhereTheEndTells(t *testing.T) {
+	request := requestTo(lookupRoute(true))
+	request.Trial, request.Ends, request.LastEnd = true, 2, start.Add(-time.Second)
+	c := newCluster(t, 1, 100)
+	certain := false
+	c.env.TrialLoad = func(ident.ServerID) (int, bool) { return 0, certain }
+	q, sends := relay.New(c.env, request, start)
+	require.Empty(t, sends)
+	require.Equal(t, relay.Refused, outcome(t, q).Verdict)
+	certain = true
+	_, sends = relay.New(c.env, request, start)
+	require.Len(t, sends, 1)
+	certain, request.LastEnd = false, start.Add(-time.Minute)
+	_, sends = relay.New(c.env, request, start)
+	require.Len(t, sends, 1)
+}
+
+// Guards against a request that leaves its service without servers although it is known to end them.
+func TestLookupIsNotTriedAtTheLastServer(t *testing.T) {
+	request := requestTo(lookupRoute(true))
+	request.Trial, request.Ends, request.LastEnd = true, 2, start.Add(-time.Second)
+	c := newCluster(t, 1, 100)
+	c.env.Health.Gone(ident.ServerID(string(shardName(0)) + "a"))
+	q, sends := relay.New(c.env, request, start)
+	require.Empty(t, sends)
+	require.Equal(t, relay.Refused, outcome(t, q).Verdict)
+
+	c.env.Health.Responded(ident.ServerID(string(shardName(0)) + "a"))
+	_, sends = relay.New(c.env, request, start)
+	require.Len(t, sends, 1, "two servers are up")
+
+	c.env.Health.Gone(ident.ServerID(string(shardName(0)) + "a"))
+	request.LastEnd = start.Add(-time.Minute)
+	_, sends = relay.New(c.env, request, start)
+	require.Len(t, sends, 1, "the other server does not come back")
+}
+
+// Guards against a trial that ends a second server because nothing tells whether the first one did.
+func TestTrialWithoutAnAnswerIsNotSentToAnotherServer(t *testing.T) {
+	request := requestTo(lookupRoute(true))
+	request.Trial, request.Ends = true, 2
+	c := newCluster(t, 1, 100)
+	q, sends := relay.New(c.env, request, start)
+	require.Empty(t, reply(q, after(30), sends[0], relay.Reply{Kind: relay.Ambiguous, Gone: true, Sample: choose.Sample{Refused: true}}))
+	require.Equal(t, relay.Failed, outcome(t, q).Verdict)
+}
+
 // A trial that did not run goes on with another shard.
 func TestTrialThatDidNotRunGoesOnElsewhere(t *testing.T) {
 	request := requestTo(searchRoute(6, 0.5))
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -84,6 +84,10 @@
 	if q.outcome != nil {
 		return nil
 	}
+	if q.postponesTrial(now) {
+		q.outcome = q.refusal("a repeat is tried later, when more servers are up")
+		return nil
+	}
 	if request := &q.request; request.Trial && request.Route.IsSearch() {
 		return q.beginTrial(now)
 	}
@@ -392,7 +396,7 @@
 	s := &q.shards[index]
 	a := attempt{server: replica.ID, sentAt: now, pending: true, mayHaveRun: true, maybeReceived: true}
 	isOtherZone := q.env.isOtherZone(replica.Zone)
-	a.delegated = reason == "first" && q.zoneInfo(replica.Zone).canDelegate
+	a.delegated = reason == "first" && (!q.request.Trial || q.answeredOnce) && q.zoneInfo(replica.Zone).canDelegate
 	if q.request.Route.Idempotent {
 		a.hedgeAt = q.hedgeAt(now)
 	}
--- a/internal/query/relay/types.go
+++ b/internal/query/relay/types.go
@@ -42,6 +42,10 @@
 	// Latency estimates, by route, the delay after which an attempt is hedged.
 	Latency hedge.Policy
 	Health  *Health
+	// TrialLoad returns the number of requests of this VM that a server has not answered, and
+	// whether the end of the server could be put down to what it is sent now. nil means that
+	// all servers are alike.
+	TrialLoad func(server ident.ServerID) (requests int, certain bool)
 	// Notices holds what backend servers announced: that they are leaving, or want
 	// no requests for a while.
 	Notices *notice.Tracker
@@ -109,8 +113,10 @@
 	// Trial is set if the request may end the backend servers that run it: one server gets
 	// it first, and the others once that has answered.
 	Trial bool
-	// Ends is the number of servers known to have ended while they ran repeats of the request.
-	Ends int
+	// Ends is the number of servers known to have ended while they ran repeats of the request,
+	// and LastEnd when the last one did.
+	Ends    int
+	LastEnd time.Time
 	// Suspect reports whether repeats of the request have ended servers meanwhile. nil means
 	// that they have not.
 	Suspect func() bool
