Let a partitioned VM that is not registered as such replace no other

When all VMs were partitioned at the same moment, some that no longer served began to serve again, and others stopped for them.

Cause: who serves is decided by the VM's own registration as the view shows it, which says so only after a write to the store. A VM that knows better does not begin to serve now.

TestPartitionedVMReplacesNoOther fails before and passes now.

--- a/internal/fleet/roster/registrar.go
+++ b/internal/fleet/roster/registrar.go
@@ -225,6 +225,7 @@
 	defer r.mu.Unlock()
 	previous := r.role.mode
 	view := r.follower.View()
+	r.role.partitioned = r.desired.Partitioned
 	mode := r.role.update(now, r.self, view, r.follower.UpToDate())
 	r.follower.SetFollowAll(!r.role.canFollowServingOnly(now, r.self, view, r.follower.ResumedStandby()))
 	r.serving.Store(mode == serving)
--- a/internal/fleet/roster/role.go
+++ b/internal/fleet/roster/role.go
@@ -56,6 +56,9 @@
 	// lastRequestAt is when a caller last sent a request to this VM while it didn't
 	// serve, or another VM treated it as a serving one.
 	lastRequestAt time.Time
+	// partitioned is set while this VM is partitioned from the backend servers, which its
+	// registration may not say yet.
+	partitioned bool
 	// notSelectedSince is when other VMs were selected in place of this serving VM, or
 	// zero.
 	notSelectedSince time.Time
@@ -135,19 +138,24 @@
 	if view.ServingCount == 0 && now.Sub(r.firstUpdate) < settleTime {
 		return false
 	}
-	members := view.Members
-	if !containsVM(members, self) {
+	registered, isRegistered := findMember(view.Members, self)
+	switch {
+	case !isRegistered:
 		return r.mode == serving
+	case r.partitioned && !registered.Partitioned && r.mode != serving:
+		return false
+	default:
+		return view.TargetServing().Has(self)
 	}
-	return view.TargetServing().Has(self)
 }
 
 // canFollowServingOnly reports whether the VM need only follow the serving VMs, and with
 // a delay, because it stands by and others serve or are about to. A VM that doesn't see
 // its own registration yet may be about to serve, unless it resumed standing by.
 func (r *servingRole) canFollowServingOnly(now time.Time, self ident.VMID, view *View, resumed bool) bool {
+	_, isRegistered := findMember(view.Members, self)
 	return r.mode == standingBy && (view.ServingCount > 0 || r.othersAboutToServe(now, self, view)) &&
-		(resumed || containsVM(view.Members, self)) && now.Sub(r.lastRequestAt) >= staleListGrace
+		(resumed || isRegistered) && now.Sub(r.lastRequestAt) >= staleListGrace
 }
 
 // othersAboutToServe reports whether the fleet is starting and other VMs are selected to
@@ -158,11 +166,11 @@
 	return !r.fleetServed && age >= settleTime && age < initialServeWindow && len(target) > 0 && !target.Has(self)
 }
 
-func containsVM(members []Member, self ident.VMID) bool {
+func findMember(members []Member, vm ident.VMID) (m Member, found bool) {
 	for _, m := range members {
-		if m.VM == self {
-			return true
+		if m.VM == vm {
+			return m, true
 		}
 	}
-	return false
+	return Member{}, false
 }
--- a/internal/fleet/roster/role_test.go
+++ b/internal/fleet/roster/role_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,11 +18,15 @@
 	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/lab/depsrv"
+	"github.com/samphirestair/samphirestair/internal/plat/depot"
 )
 
 // cluster is a fleet of VMs that share a simulated store.
 type cluster struct {
-	store   *depsrv.Store
+	store *depsrv.Store
+	// readOnly is set while the store accepts no writes.
+	readOnly atomic.Bool
+
 	stops   map[ident.VMID]context.CancelFunc
 	running conc.WaitGroup
 
@@ -41,12 +46,25 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	c.stops[vm] = cancel
 	f := roster.NewFollower(c.store, roster.NewState(vm, jsonDecoder{}, nil), roster.FollowerOptions{})
-	r := roster.NewRegistrar(c.store, f, roster.Member{VM: vm, Zone: "vantaa", Cores: 1}, nil)
+	r := roster.NewRegistrar(clusterDepot{c.store, &c.readOnly}, f, roster.Member{VM: vm, Zone: "vantaa", Cores: 1}, nil)
 	c.followers[vm], c.registrars[vm] = f, r
 	c.running.Go(func() { f.Run(ctx) })
 	c.running.Go(func() { r.Run(ctx) })
 }
 
+// clusterDepot is the cluster's store as its registrars see it.
+type clusterDepot struct {
+	depot.Depot
+	readOnly *atomic.Bool
+}
+
+func (d clusterDepot) Put(ctx context.Context, write depot.Write) (depot.Position, error) {
+	if d.readOnly.Load() {
+		return 0, depot.ErrUnavailable
+	}
+	return d.Depot.Put(ctx, write)
+}
+
 // serving returns the VMs that are registered as serving.
 func (c *cluster) serving(t *testing.T) []ident.VMID {
 	t.Helper()
@@ -141,6 +159,27 @@
 	})
 }
 
+// Guards against a VM that takes the place of a partitioned one while it is partitioned itself
+// and only its registration doesn't say so yet.
+func TestPartitionedVMReplacesNoOther(t *testing.T) {
+	withCluster(t, func(t *testing.T, c *cluster) {
+		c.startVMs(t, 7)
+		time.Sleep(10 * time.Second)
+		first := c.serving(t)
+		require.Len(t, first, 6)
+		c.registrars[first[0]].SetPartitioned(true)
+		synctest.Wait()
+		c.readOnly.Store(true)
+		for vm, r := range c.registrars {
+			if !slices.Contains(first, vm) {
+				r.SetPartitioned(true)
+				time.Sleep(3 * time.Second)
+				require.False(t, r.Serving())
+			}
+		}
+	})
+}
+
 func TestRestartedVMServesAgainWithoutAGap(t *testing.T) {
 	withCluster(t, func(t *testing.T, c *cluster) {
 		c.startVMs(t, 12)
