Give attempts without a hedge all their time at delegates

An attempt that is not hedged had a time until the hedge of minus 292 years, which a delegate reads as "report at once". It is the timeout now.

TestAttemptWithoutHedgeMayTakeAllItsTime/not_hedged fails before ("-2562047h47m16.85s" is not positive) and passes now.

--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -408,9 +408,14 @@
 		q.crossZone[s.crossZoneReason]++
 	}
 	q.env.Choose.Sent(now, replica.ID)
+	timeout := q.request.Deadline.Sub(now)
+	hedgeAfter := timeout
+	if !a.hedgeAt.IsZero() {
+		hedgeAfter = a.hedgeAt.Sub(now)
+	}
 	return Send{
-		Shard: index, Attempt: len(s.attempts) - 1, Replica: replica, CrossZone: isOtherZone, Delegated: a.delegated, HedgeAfter: a.hedgeAt.Sub(now),
-		Timeout: q.request.Deadline.Sub(now), AwaitConnection: len(s.attempts) > 1, Reason: reason,
+		Shard: index, Attempt: len(s.attempts) - 1, Replica: replica, CrossZone: isOtherZone, Delegated: a.delegated, HedgeAfter: hedgeAfter,
+		Timeout: timeout, AwaitConnection: len(s.attempts) > 1, Reason: reason,
 	}
 }
 
--- a/internal/query/relay/types.go
+++ b/internal/query/relay/types.go
@@ -130,8 +130,8 @@
 	// Delegated is set if a VM in the server's zone may send the attempt on behalf
 	// of this one.
 	Delegated bool
-	// HedgeAfter is the time after which the attempt is hedged if it has no reply. It
-	// has no meaning if the attempt is not hedged.
+	// HedgeAfter is the time after which the attempt is hedged if it has no reply, or
+	// Timeout if it is not hedged.
 	HedgeAfter time.Duration
 	// CrossZone is set if the server is in another zone than this VM.
 	CrossZone bool
--- a/internal/query/relay/zones_test.go
+++ b/internal/query/relay/zones_test.go
@@ -200,3 +200,24 @@
 	relay.New(c.env, requestTo(searchRoute(12, 0.5)), start)
 	require.Equal(t, map[ident.Zone]int{"vantaa": 1, "espoo": 1}, calls)
 }
+
+// Guards against a delegate that reports at once, and merges nothing, because the attempts of a
+// search without hedges have a negative time until the hedge.
+func TestAttemptWithoutHedgeMayTakeAllItsTime(t *testing.T) {
+	for name, idempotent := range map[string]bool{"hedged": true, "not_hedged": false} {
+		t.Run(name, func(t *testing.T) {
+			c := newTwoZoneCluster(t, 12)
+			c.env.Zone = "lahti"
+			c.env.CanDelegate = func(ident.Zone) bool { return true }
+			request := requestTo(searchRoute(12, 0.5))
+			request.Route.Idempotent = idempotent
+			_, sends := relay.New(c.env, request, start)
+			require.NotEmpty(t, sends)
+			for _, s := range sends {
+				require.True(t, s.Delegated)
+				require.Positive(t, s.HedgeAfter)
+				require.Equal(t, !idempotent, s.HedgeAfter == s.Timeout)
+			}
+		})
+	}
+}
