--- a/internal/lab/audit/config.go
+++ b/internal/lab/audit/config.go
@@ -38,7 +38,7 @@
 			}
 		}
 	}
-	h.checkRegister(t)
+	h.checkRegister(t, registerTimeout)
 }
 
 // acceptedCommands are the events of accepted commands, ordered by time.
@@ -110,9 +110,9 @@
 
 // checkRegister checks that the operators' changes and reads are linearizable:
 // that they fit an order in which each accepted change raises the serial by
-// one and each read returns the current one. If the check times out, it reports
-// no violation.
-func (h *History) checkRegister(t *tally) {
+// one and each read returns the current one. It reports a violation, too, if it
+// can't tell within the timeout.
+func (h *History) checkRegister(t *tally, timeout time.Duration) {
 	var operations []porcupine.Operation
 	for i, event := range h.eventsOfKind(trace.KindCommand) {
 		c := event.Command
@@ -126,7 +126,10 @@
 		operations = append(operations, op)
 	}
 	model := registerModel.ToModel()
-	if porcupine.CheckOperationsTimeout(model, operations, registerTimeout) == porcupine.Illegal {
+	switch porcupine.CheckOperationsTimeout(model, operations, timeout) {
+	case porcupine.Illegal:
 		t.violationf("the serials of %d changes and reads fit no order", len(operations))
+	case porcupine.Unknown:
+		t.violationf("not decided within %v whether the serials of %d changes and reads fit an order", timeout, len(operations))
 	}
 }
