Let the process outlive the reader of its log

When whoever reads the process's standard output ends, the next log line ended the process by SIGPIPE and cut off its requests. The signal is ignored; a failed write loses the line.

TestProcessOutlivesTheReaderOfItsLog fails before ("signal: broken pipe") and passes now.

--- a/cmd/samphirestair/main.go
+++ b/cmd/samphirestair/main.go
@@ -69,8 +69,15 @@
 	return s
 }
 
+// outliveLogReader keeps the process running if whoever reads its output ends. Otherwise the
+// next log line would end it, too.
+func outliveLogReader() {
+	signal.Ignore(syscall.SIGPIPE)
+}
+
 // serve runs the process of a VM until a planned stop is complete.
 func serve(signals *processSignals, settings *vmconf.Settings) error {
+	outliveLogReader()
 	process, err := node.New(settings, newLogger(settings.Log))
 	if err != nil {
 		return err
@@ -84,6 +91,7 @@
 // forward runs the process of a VM that forwards requests by the routes in the
 // platform's store, until a planned stop is complete.
 func forward(signals *processSignals, settings *fwconf.Settings, load func() (*fwconf.Settings, error)) error {
+	outliveLogReader()
 	output := events.NewWriter(os.Stdout)
 	defer output.Close(logCloseTimeout)
 	logger := events.NewLogger(output, settings.Log.Level)
--- a/cmd/samphirestair/main_test.go
+++ b/cmd/samphirestair/main_test.go
@@ -15,16 +15,20 @@
 	"github.com/samphirestair/samphirestair/internal/lab/soak"
 )
 
-// startReadingSettings starts the program with a named pipe as its settings file. It
-// returns once the program has opened the pipe; writeSettings writes the settings.
-func startReadingSettings(t *testing.T) (process *exec.Cmd, writeSettings func(text string)) {
+// startReadingSettings starts the program with a named pipe as its settings file and the
+// given output, or none. It returns once the program has opened the pipe; writeSettings writes
+// the settings.
+func startReadingSettings(t *testing.T, output *os.File) (process *exec.Cmd, writeSettings func(text string)) {
 	t.Helper()
 	dir := t.TempDir()
 	program, settings := filepath.Join(dir, "samphirestair"), filepath.Join(dir, "vm.ini")
-	output, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
-	require.NoError(t, err, string(output))
+	built, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
+	require.NoError(t, err, string(built))
 	require.NoError(t, syscall.Mkfifo(settings, 0o600))
 	process = exec.Command(program, "forward", "--settings", settings)
+	if output != nil {
+		process.Stdout = output
+	}
 	require.NoError(t, process.Start())
 	pipe, err := os.OpenFile(settings, os.O_WRONLY, 0)
 	require.NoError(t, err)
@@ -58,7 +62,7 @@
 // Guards against a reload or stop signal that ends a process while it starts. The stop is
 // carried out after the start.
 func TestSignalsDuringStart(t *testing.T) {
-	process, writeSettings := startReadingSettings(t)
+	process, writeSettings := startReadingSettings(t, nil)
 	require.NoError(t, process.Process.Signal(syscall.SIGHUP))
 	time.Sleep(100 * time.Millisecond)
 	require.NoError(t, process.Process.Signal(syscall.SIGTERM))
@@ -68,6 +72,21 @@
 	require.True(t, state.Success(), state.String())
 }
 
+// Guards against a process that ends, and cuts off its requests, because nobody reads its log
+// any more.
+func TestProcessOutlivesTheReaderOfItsLog(t *testing.T) {
+	reader, output, err := os.Pipe()
+	require.NoError(t, err)
+	process, writeSettings := startReadingSettings(t, output)
+	require.NoError(t, output.Close())
+	require.NoError(t, reader.Close())
+	writeSettings(settingsText())
+	time.Sleep(500 * time.Millisecond)
+	require.NoError(t, process.Process.Signal(syscall.SIGTERM))
+	state := waitForExit(t, process)
+	require.True(t, state.Success(), state.String())
+}
+
 // Guards against a reload signal that ends a process before its Go runtime starts. The
 // program ignores SIGHUP from the moment it is loaded until it catches it.
 func TestHangupBeforeRuntimeStarts(t *testing.T) {
