Let the proxies of a soak wait for their port

A proxy could not accept connections again after a fault: a process that is being started holds copies of all descriptors for a moment.

TestProxyWaitsForItsPort fails before ("address already in use") and passes now.

--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,9 @@
 	// listener's queue is full, and maxQueueFillers bounds the connections that fill it.
 	fullQueueTime   = 30 * time.Millisecond
 	maxQueueFillers = 8
+	// portWait is how long a proxy waits for its port. A process that is being started holds
+	// copies of all descriptors for a moment.
+	portWait = time.Second
 )
 
 // Impairment is a fault of a link. The zero value is a healthy link.
@@ -265,7 +269,12 @@
 }
 
 func (p *Proxy) listenLocked() error {
+	began := time.Now()
 	l, err := net.Listen("tcp", p.address)
+	for errors.Is(err, syscall.EADDRINUSE) && time.Since(began) < portWait {
+		time.Sleep(heldPoll)
+		l, err = net.Listen("tcp", p.address)
+	}
 	if err != nil {
 		return errors.Wrap(err, "soak: proxy")
 	}
--- a/internal/lab/soak/proxy_test.go
+++ b/internal/lab/soak/proxy_test.go
@@ -142,3 +142,17 @@
 	require.ErrorIs(t, err, syscall.ECONNRESET)
 	require.NoError(t, connect(t, p).echo(t, long))
 }
+
+// Guards against a proxy that can't accept connections again after a fault because a process that
+// was just started still holds its port.
+func TestProxyWaitsForItsPort(t *testing.T) {
+	p, err := soak.NewProxy("127.0.0.1:0", "127.0.0.1:1")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, p.Close()) }()
+	end, err := p.Impair(soak.Impairment{Refuse: true})
+	require.NoError(t, err)
+	other, err := net.Listen("tcp", p.Address())
+	require.NoError(t, err)
+	time.AfterFunc(100*time.Millisecond, func() { _ = other.Close() })
+	require.NoError(t, end())
+}
