Count no repeat of a deadly request that a disturbed link held up

The soak counted each repeat of a deadly request that reached a server later than the time of contact after it was known. Only faults of the links count, not those of the server.

--- a/internal/lab/soak/deadly.go
+++ b/internal/lab/soak/deadly.go
@@ -54,7 +54,8 @@
 	return total
 }
 
-// checkDeadly checks that few repeats of a deadly request reach servers once it is known.
+// checkDeadly checks that few repeats of a deadly request reach servers once it is known. A
+// repeat that a disturbed link may have held up is not counted.
 func (r *Checker) checkDeadly(q *request, a Arrival) {
 	d := r.deadly[q.Deadly]
 	if q.Deadly == "" || d == nil || d.knownAt.IsZero() || a.At.Sub(d.knownAt) <= r.bounds.Contact {
@@ -63,6 +64,9 @@
 	if !r.boundsApply(string(q.VM), a.At) || a.Sender != "" && !r.boundsApply(string(a.Sender), a.At) || d.repeats.Has(q.ID) {
 		return
 	}
+	if !r.faults.NoUnplannedBetween(Links(a.Server), a.At.Add(-r.bounds.Contact), a.At) {
+		return
+	}
 	d.repeats.Add(q.ID)
 	if len(d.repeats) > deadlyTolerance {
 		r.addFindingf(Deadly, q.ID, "repeat %d of %s reaches %s from %s %v after it had ended %d servers, %d in all",
--- a/internal/lab/soak/faultlog.go
+++ b/internal/lab/soak/faultlog.go
@@ -16,6 +16,12 @@
 	return "servers of " + string(vm)
 }
 
+// Links returns the subject of faults of the links to a backend server, as opposed to those of
+// the server itself.
+func Links(server ident.ServerID) string {
+	return "links to " + string(server)
+}
+
 // FaultLog records when VMs, backend servers and the store were affected by faults.
 // It is safe for concurrent use.
 type FaultLog struct {
