Start many processes at once on a simulated clock in the test of the fleet

TestManyProcessesStartAtOnce runs 24 processes of `serve` in one test program. In production each process has a VM.

The processes are connected in memory now, by a Dial option of the control client, and the test runs on the clock of testing/synctest. The other tests of the package use TCP as before.

--- a/internal/fleet/agent/agent_test.go
+++ b/internal/fleet/agent/agent_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
@@ -252,14 +253,19 @@
 	require.Contains(t, f.nodes["vm0"].views.Load().Members, n.self.Process.VM)
 }
 
+// The clock is simulated: on a machine with fewer processors than processes, these take each other
+// for silent, which is the machine's fault.
 func TestManyProcessesStartAtOnce(t *testing.T) {
-	f := newFleet(t, testConfig(20))
-	for i := range 24 {
-		f.start(i, 1)
-	}
-	took := f.eventually(func() bool { return f.converged(40) }, "the fleet does not form")
-	t.Logf("24 processes formed in %v with %d writes", took, f.store.writes)
-	require.LessOrEqual(t, f.store.writes, 24)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, testConfig(20))
+		f.network = &pipes{listeners: map[string]*pipeListener{}}
+		for i := range 24 {
+			f.start(i, 1)
+		}
+		took := f.eventually(func() bool { return f.converged(40) }, "the fleet does not form")
+		t.Logf("24 processes formed in %v with %d writes", took, f.store.writes)
+		require.LessOrEqual(t, f.store.writes, 24)
+	})
 }
 
 func TestClaimsSurviveOwnerFailure(t *testing.T) {
--- a/internal/fleet/agent/fleet_test.go
+++ b/internal/fleet/agent/fleet_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"maps"
+	"net"
 	"os"
 	"slices"
 	"sync"
@@ -218,9 +219,73 @@
 	alive         bool
 }
 
+// pipes is a network in memory, for tests on a simulated clock.
+type pipes struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+}
+
+// pipeListener accepts the connections that are opened to an address of a network.
+type pipeListener struct {
+	addr   pipeAddr
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+type pipeAddr string
+
+func (a pipeAddr) Network() string { return "pipe" }
+
+func (a pipeAddr) String() string { return string(a) }
+
+func (l *pipeListener) Addr() net.Addr { return l.addr }
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// listen returns a listener with a new address.
+func (p *pipes) listen() net.Listener {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := &pipeListener{addr: pipeAddr(fmt.Sprint("pipe:", len(p.listeners))), conns: make(chan net.Conn), closed: make(chan struct{})}
+	p.listeners[l.addr.String()] = l
+	return l
+}
+
+// dial opens a connection to a listener of the network.
+func (p *pipes) dial(ctx context.Context, addr string) (net.Conn, error) {
+	p.mu.Lock()
+	l := p.listeners[addr]
+	p.mu.Unlock()
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // fleet is a set of processes with a key-value service and a VM list of their own.
 type fleet struct {
-	t      *testing.T
+	t *testing.T
+	// network connects the processes in memory. They use TCP if it is nil.
+	network *pipes
+
 	store  *memoryStore
 	list   *fakeVMList
 	links  *links
@@ -256,8 +321,7 @@
 }
 
 func (f *fleet) start(i, incarnation int) *node {
-	l, err := ctrl.Listen("127.0.0.1:0")
-	require.NoError(f.t, err)
+	l, dial := f.listen()
 	addr := l.Addr().String()
 	vm := ident.VMID(fmt.Sprint("vm", i))
 	self := view.Member{
@@ -277,7 +341,7 @@
 	n.events = events.New(logger, n.set)
 	n.stateTransfer = &stateRecorder{exported: "of " + string(vm), imported: map[ident.GroupID]string{}}
 	server := ctrl.NewServer(ctrl.ServerOptions{Metrics: n.set, Filter: filter})
-	client := ctrl.NewClient(ctrl.ClientOptions{Metrics: n.set, Filter: filter, Self: addr})
+	client := ctrl.NewClient(ctrl.ClientOptions{Metrics: n.set, Filter: filter, Self: addr, Dial: dial})
 	n.agent = agent.New(agent.Deps{
 		Self: self, Store: n.store, VMs: f.list, Server: server, Client: client,
 		Views: n.views, Events: n.events, Logger: logger, StateTransfer: n.stateTransfer,
@@ -296,6 +360,16 @@
 	return n
 }
 
+// listen opens the listener of a process. dial is nil if processes use TCP.
+func (f *fleet) listen() (l net.Listener, dial func(context.Context, string) (net.Conn, error)) {
+	if f.network != nil {
+		return f.network.listen(), f.network.dial
+	}
+	l, err := ctrl.Listen("127.0.0.1:0")
+	require.NoError(f.t, err)
+	return l, nil
+}
+
 // isolate cuts a process off from all others and from the key-value service, or
 // connects it again.
 func (f *fleet) isolate(vm ident.VMID, cut bool) {
--- a/internal/fleet/ctrl/client.go
+++ b/internal/fleet/ctrl/client.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"net"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	Self string
 	// Filter blocks calls to peers; nil blocks none.
 	Filter Filter
+	// Dial opens a connection to an address; nil opens a TCP connection.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 }
 
 // Client calls methods of other VMs over one connection per address.
@@ -59,6 +62,9 @@
 // NewClient returns a client. Connections are opened by the first calls.
 func NewClient(options ClientOptions) *Client {
 	options.Timeout = cmp.Or(options.Timeout, defaultCallTimeout)
+	if options.Dial == nil {
+		options.Dial = dial
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
 		options: options,
@@ -167,7 +173,7 @@
 		return conn, nil
 	}
 	c.traffic.dials.Inc()
-	socket, err := dial(ctx, addr)
+	socket, err := c.options.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
