Make requests suspect by ends of which it is not known whether they had a part in them

Behind proxies a request that ends servers went on to end them although all had ended before: on new connections nothing tells whether the process lived when it got the request, so that such ends counted for nothing and the request was never suspect. An uncertain end counts one half now, for a suspicion only, and nothing while a connection is open on which the process has answered. Delegates report it, VMs share it, and a search is not tried where no end would tell, until 10 s after the last end.

TestUncertainEndsMakeASearchRunAsATrial fails without the evidence (8 servers end in the second search, 1 allowed).

--- a/internal/link/deleg/deleg_test.go
+++ b/internal/link/deleg/deleg_test.go
@@ -27,10 +27,11 @@
 
 	delays map[string]time.Duration
 	limits map[string]notice.Limit
-	// ended holds how many requests the servers had that ended.
-	ended map[string]int
-	mu    sync.Mutex
-	sent  []pool.Target
+	// ended holds how many requests the servers had that ended, and maybe the same for those that
+	// may have ended before.
+	ended, maybe map[string]int
+	mu           sync.Mutex
+	sent         []pool.Target
 }
 
 func (b *backend) Send(target pool.Target, _ *pool.Message, _ time.Time, _ bool, done func(pool.Result)) *pool.Call {
@@ -48,6 +49,9 @@
 	if shared, ended := b.ended[server]; ended {
 		return pool.Result{Outcome: pool.Broken, Ended: true, Shared: shared}
 	}
+	if shared, maybe := b.maybe[server]; maybe {
+		return pool.Result{Outcome: pool.Broken, MayHaveEnded: true, Shared: shared}
+	}
 	response := fasthttp.AcquireResponse()
 	response.SetBody(record(server))
 	limit := notice.Unlimited
@@ -142,14 +146,15 @@
 }
 
 func TestEndsOfServersAreReported(t *testing.T) {
-	b := &backend{ended: map[string]int{"c": 2}}
+	b := &backend{ended: map[string]int{"c": 2}, maybe: map[string]int{"d": 3}}
 	c := send(t, deleg.NewClient(), serve(t, b), newOrder("a", "b", "c", "d", "e"))
 	require.Empty(t, c.ended)
-	var ends []deleg.Ended
+	var ends, maybe []deleg.Ended
 	for _, report := range c.reports {
-		ends = append(ends, report.Ended...)
+		ends, maybe = append(ends, report.Ended...), append(maybe, report.MayHaveEnded...)
 	}
 	require.Equal(t, []deleg.Ended{{Seq: 2, Shared: 2}}, ends)
+	require.Equal(t, []deleg.Ended{{Seq: 3, Shared: 3}}, maybe)
 }
 
 func TestLimitsAreReported(t *testing.T) {
--- a/internal/link/deleg/server.go
+++ b/internal/link/deleg/server.go
@@ -208,8 +208,13 @@
 			if limit, told := r.result.Limit.Get(); told && limit != notice.Unlimited {
 				report.Limits = append(report.Limits, Limit{Seq: r.seq, PerSecond: float64(limit)})
 			}
-			if r.result.Ended {
-				report.Ended = append(report.Ended, Ended{Seq: r.seq, Shared: uint32(max(r.result.Shared, 0))})
+			end := Ended{Seq: r.seq, Shared: uint32(max(r.result.Shared, 0))}
+			switch {
+			case r.result.Ended:
+				report.Ended = append(report.Ended, end)
+			case r.result.MayHaveEnded:
+				report.MayHaveEnded = append(report.MayHaveEnded, end)
+			default:
 			}
 			report.Outcomes = append(report.Outcomes, e.newOutcome(&r, records, !first))
 			switch {
--- a/internal/link/deleg/wire.go
+++ b/internal/link/deleg/wire.go
@@ -50,8 +50,10 @@
 	// the other answers name none.
 	Limits    []Limit `msg:"l,limit=65536"`
 	HasLimits bool    `msg:"t"`
-	// Ended holds the backend servers whose process ended while it had an attempt.
-	Ended []Ended `msg:"e,limit=65536"`
+	// Ended holds the backend servers whose process ended while it had an attempt, and
+	// MayHaveEnded those of which that is not known.
+	Ended        []Ended `msg:"e,limit=65536"`
+	MayHaveEnded []Ended `msg:"m,limit=65536"`
 }
 
 //msgp:tuple Ended
--- a/internal/link/deleg/wire_gen.go
+++ b/internal/link/deleg/wire_gen.go
@@ -925,6 +925,48 @@
 					return
 				}
 			}
+		case "m":
+			var zb0007 uint32
+			zb0007, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "MayHaveEnded")
+				return
+			}
+			if zb0007 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.MayHaveEnded) >= int(zb0007) {
+				z.MayHaveEnded = (z.MayHaveEnded)[:zb0007]
+			} else {
+				z.MayHaveEnded = make([]Ended, zb0007)
+			}
+			for za0004 := range z.MayHaveEnded {
+				var zb0008 uint32
+				zb0008, err = dc.ReadArrayHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "MayHaveEnded", za0004)
+					return
+				}
+				if zb0008 > 65536 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if zb0008 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0008}
+					return
+				}
+				z.MayHaveEnded[za0004].Seq, err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "MayHaveEnded", za0004, "Seq")
+					return
+				}
+				z.MayHaveEnded[za0004].Shared, err = dc.ReadUint32()
+				if err != nil {
+					err = msgp.WrapError(err, "MayHaveEnded", za0004, "Shared")
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -938,9 +980,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Report) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "o"
-	err = en.Append(0x85, 0xa1, 0x6f)
+	err = en.Append(0x86, 0xa1, 0x6f)
 	if err != nil {
 		return
 	}
@@ -1030,15 +1072,42 @@
 			return
 		}
 	}
+	// write "m"
+	err = en.Append(0xa1, 0x6d)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.MayHaveEnded)))
+	if err != nil {
+		err = msgp.WrapError(err, "MayHaveEnded")
+		return
+	}
+	for za0004 := range z.MayHaveEnded {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint32(z.MayHaveEnded[za0004].Seq)
+		if err != nil {
+			err = msgp.WrapError(err, "MayHaveEnded", za0004, "Seq")
+			return
+		}
+		err = en.WriteUint32(z.MayHaveEnded[za0004].Shared)
+		if err != nil {
+			err = msgp.WrapError(err, "MayHaveEnded", za0004, "Shared")
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "o"
-	o = append(o, 0x85, 0xa1, 0x6f)
+	o = append(o, 0x86, 0xa1, 0x6f)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Outcomes)))
 	for za0001 := range z.Outcomes {
 		o, err = z.Outcomes[za0001].MarshalMsg(o)
@@ -1071,6 +1140,15 @@
 		o = msgp.AppendUint32(o, z.Ended[za0003].Seq)
 		o = msgp.AppendUint32(o, z.Ended[za0003].Shared)
 	}
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.MayHaveEnded)))
+	for za0004 := range z.MayHaveEnded {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendUint32(o, z.MayHaveEnded[za0004].Seq)
+		o = msgp.AppendUint32(o, z.MayHaveEnded[za0004].Shared)
+	}
 	return
 }
 
@@ -1203,6 +1281,44 @@
 					return
 				}
 			}
+		case "m":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MayHaveEnded")
+				return
+			}
+			if zb0007 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.MayHaveEnded) >= int(zb0007) {
+				z.MayHaveEnded = (z.MayHaveEnded)[:zb0007]
+			} else {
+				z.MayHaveEnded = make([]Ended, zb0007)
+			}
+			for za0004 := range z.MayHaveEnded {
+				var zb0008 uint32
+				zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "MayHaveEnded", za0004)
+					return
+				}
+				if zb0008 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0008}
+					return
+				}
+				z.MayHaveEnded[za0004].Seq, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "MayHaveEnded", za0004, "Seq")
+					return
+				}
+				z.MayHaveEnded[za0004].Shared, bts, err = msgp.ReadUint32Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "MayHaveEnded", za0004, "Shared")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1221,7 +1337,7 @@
 	for za0001 := range z.Outcomes {
 		s += z.Outcomes[za0001].Msgsize()
 	}
-	s += 2 + msgp.BytesPrefixSize + len(z.Records) + 2 + msgp.ArrayHeaderSize + (len(z.Limits) * (15 + msgp.Uint32Size + msgp.Float64Size)) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Ended) * (12 + msgp.Uint32Size + msgp.Uint32Size))
+	s += 2 + msgp.BytesPrefixSize + len(z.Records) + 2 + msgp.ArrayHeaderSize + (len(z.Limits) * (15 + msgp.Uint32Size + msgp.Float64Size)) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Ended) * (12 + msgp.Uint32Size + msgp.Uint32Size)) + 2 + msgp.ArrayHeaderSize + (len(z.MayHaveEnded) * (12 + msgp.Uint32Size + msgp.Uint32Size))
 	return
 }
 
--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -54,8 +54,10 @@
 	lastID string
 	// closed is set once the connection was closed while idle.
 	closed bool
-	// answersBefore is the number of the server's answers when the connection was opened.
+	// answersBefore is the number of the server's answers when the connection was opened, and
+	// answered is set once this connection has carried one. Only the reader uses them.
 	answersBefore int
+	answered      bool
 	// check is the check that the connection was opened for, or nil.
 	check *endCheck
 }
@@ -161,6 +163,9 @@
 func (c *conn) readAnswers() {
 	unanswered, err := c.readUntilClosed()
 	c.close()
+	if c.answered {
+		c.server.removeProven()
+	}
 	c.pool.releaseSlot(c.server)
 	c.concludeCheck(err)
 	if unanswered != nil {
@@ -225,7 +230,8 @@
 	}
 	c.server.countRequest(-1)
 	if !result.Misdirected {
-		c.server.countAnswer()
+		c.server.countAnswer(!c.answered)
+		c.answered = true
 	}
 	// The answer to a short request may arrive before its write has returned.
 	call.writing.Wait()
--- a/internal/owner/pool/ended.go
+++ b/internal/owner/pool/ended.go
@@ -95,6 +95,11 @@
 	return s == refusing || s == closing && lived
 }
 
+// mayBeEndUnder reports whether the process ended and may have had that request.
+func (s *server) mayBeEndUnder(state endState, lived bool) bool {
+	return state == closing && !lived && !s.hasProven()
+}
+
 // isClosedByPeer reports whether an error of a connection means that the other side closed
 // or reset it, rather than that the link failed or this VM closed it.
 func isClosedByPeer(err error) bool {
@@ -110,12 +115,12 @@
 	if isClosedByPeer(err) && !call.isCancelled() && time.Now().Before(call.deadline) {
 		check := p.checkEnd(s)
 		state := check.state()
-		result.Gone, result.Ended = state.isGone(), state.isEndUnder(lived)
+		result.Gone, result.Ended, result.MayHaveEnded = state.isGone(), state.isEndUnder(lived), s.mayBeEndUnder(state, lived)
 		if onEnd := call.message.OnEnd; state == undecided && onEnd != nil {
 			go func() {
 				<-check.done
-				if check.result.isEndUnder(lived) {
-					onEnd(s.target.process(), result.Shared)
+				if certain := check.result.isEndUnder(lived); certain || s.mayBeEndUnder(check.result, lived) {
+					onEnd(s.target.process(), result.Shared, certain)
 				}
 			}()
 		}
--- a/internal/owner/pool/ended_test.go
+++ b/internal/owner/pool/ended_test.go
@@ -117,10 +117,42 @@
 			r := await(t, results)
 			require.True(t, r.Gone)
 			require.Equal(t, answers, r.Ended)
+			require.Equal(t, !answers, r.MayHaveEnded)
 		})
 	}
 }
 
+// Guards against requests that are blamed where a server closes connections that it has too many of:
+// it lives as long as one is open on which it has answered.
+func TestClosedConnectionsBesideAnOpenOneAreNoEnd(t *testing.T) {
+	b := newScripted(t)
+	target := b.target()
+	target.Connections = 4
+	p := pool.New(metrics.NewSet(), pool.Options{Names: header.Default(), EndCheckGrace: time.Minute})
+	results := make(chan pool.Result, 1)
+	send := func(id string) net.Conn {
+		p.Send(target, messageOf(id, nil), time.Now().Add(5*time.Second), false, func(r pool.Result) { results <- r })
+		return b.accept(t)
+	}
+	kept := send("r0")
+	say(kept, reply("r0", "x"))
+	require.Equal(t, pool.Answered, await(t, results).Outcome)
+	// The kept connection is in use when the next one is opened.
+	p.Send(target, messageOf("r1", nil), time.Now().Add(5*time.Second), false, func(pool.Result) {})
+	for _, closeKept := range []bool{false, true} {
+		if closeKept {
+			require.NoError(t, kept.Close())
+			require.NoError(t, b.accept(t).Close(), "the check for r1")
+		}
+		conn := send("r2")
+		require.NoError(t, conn.Close())
+		require.NoError(t, b.accept(t).Close())
+		r := await(t, results)
+		require.False(t, r.Ended)
+		require.Equal(t, closeKept, r.MayHaveEnded)
+	}
+}
+
 // Guards against the end of a process that is never told because a slow proxy, or one on a busy
 // machine, closes the connection that checks it later than attempts wait.
 func TestEndBehindASlowProxy(t *testing.T) {
@@ -139,16 +171,20 @@
 			target := b.target()
 			target.Connections = 4
 			p := newPool(t)
-			answered, results, ends := make(chan pool.Result, 2), make(chan pool.Result, 1), make(chan int, 1)
+			answered, results, ends, uncertain := make(chan pool.Result, 2), make(chan pool.Result, 1), make(chan int, 1), make(chan int, 1)
 			sendOther := func(id string) net.Conn {
 				p.Send(target, messageOf(id, nil), time.Now().Add(5*time.Second), false, func(r pool.Result) { answered <- r })
 				return b.accept(t)
 			}
 			before, after := sendOther("before"), sendOther("after")
 			message := messageOf("r1", nil)
-			message.OnEnd = func(process notice.Process, shared int) {
+			message.OnEnd = func(process notice.Process, shared int, certain bool) {
 				require.Equal(t, target.ID, process.ID)
-				ends <- shared
+				if certain {
+					ends <- shared
+					return
+				}
+				uncertain <- shared
 			}
 			p.Send(target, message, time.Now().Add(5*time.Second), false, func(r pool.Result) { results <- r })
 			conn := b.accept(t)
@@ -170,9 +206,14 @@
 				require.Equal(t, r.Shared, await(t, ends))
 				return
 			}
+			if !c.answersAfter {
+				require.Equal(t, r.Shared, await(t, uncertain))
+			}
 			select {
 			case <-ends:
 				require.Fail(t, "the request is blamed")
+			case <-uncertain:
+				require.Fail(t, "the process answers")
 			case <-time.After(livesAfter):
 			}
 		})
@@ -257,7 +298,7 @@
 	target.Connections = limit
 	p := pool.New(metrics.NewSet(), pool.Options{Names: header.Default(), EndCheckGrace: time.Nanosecond})
 	results, ends := make(chan pool.Result, 2*limit+1), make(chan int, limit)
-	send := func(id string, onEnd func(notice.Process, int)) {
+	send := func(id string, onEnd func(notice.Process, int, bool)) {
 		message := messageOf(id, nil)
 		message.OnEnd = onEnd
 		p.Send(target, message, time.Now().Add(5*time.Second), true, func(r pool.Result) { results <- r })
@@ -272,7 +313,11 @@
 		require.Equal(t, pool.Answered, await(t, results).Outcome)
 	}
 	for range limit {
-		send("deadly", func(_ notice.Process, shared int) { ends <- shared })
+		send("deadly", func(_ notice.Process, shared int, certain bool) {
+			if certain {
+				ends <- shared
+			}
+		})
 	}
 	send("waiting", nil)
 	for _, conn := range conns {
--- a/internal/owner/pool/server.go
+++ b/internal/owner/pool/server.go
@@ -20,8 +20,9 @@
 	retired bool
 	// running counts the requests of this VM that have no answer yet.
 	running int
-	// answers counts the answers of the process.
-	answers int
+	// answers counts the answers of the process, and proven the open connections that have
+	// carried one.
+	answers, proven int
 	// shared is the largest number of requests without an answer at the close of a connection
 	// since the last answer.
 	shared int
@@ -46,12 +47,31 @@
 	return s.shared
 }
 
-// countAnswer counts an answer of the process.
-func (s *server) countAnswer() {
+// countAnswer counts an answer of the process. first is set if it is the first one on its
+// connection.
+func (s *server) countAnswer(first bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answers++
 	s.shared = 0
+	if first {
+		s.proven++
+	}
+}
+
+// removeProven removes a closed connection from those that have carried an answer.
+func (s *server) removeProven() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.proven--
+}
+
+// hasProven reports whether a connection is open on which the process has answered, so that it
+// probably lives.
+func (s *server) hasProven() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.proven > 0
 }
 
 // answerCount returns the number of answers of the process.
--- a/internal/owner/pool/types.go
+++ b/internal/owner/pool/types.go
@@ -38,9 +38,9 @@
 	// NoBody is set if answers have no body, as to a HEAD request.
 	NoBody bool
 	// OnEnd is called, on any goroutine, if it turns out after the result of an attempt that
-	// the backend server's process ended while it had the request. shared is as in Result. It
-	// may be nil.
-	OnEnd func(process notice.Process, shared int)
+	// the backend server's process ended while it had the request, or may have done so if certain
+	// is false. shared is as in Result. OnEnd may be nil.
+	OnEnd func(process notice.Process, shared int, certain bool)
 }
 
 // Outcome is how an attempt ended.
@@ -82,10 +82,10 @@
 	// Cancelled is set if the attempt was cancelled before it ended.
 	Cancelled bool
 	// Gone is set if the process of the backend server has ended, and Ended if it did so while
-	// it had the request, rather than before. Shared is then the number of this VM's requests
-	// that it had, including this one.
-	Gone, Ended bool
-	Shared      int
+	// it had the request, rather than before. MayHaveEnded is set if that is not known. Shared is
+	// then the number of this VM's requests that it had, including this one.
+	Gone, Ended, MayHaveEnded bool
+	Shared                    int
 	// Leaving is set if the backend server announced that it takes no new requests.
 	Leaving bool
 	// Misdirected is set if a different backend server answered at the address.
--- a/internal/query/poison/entry.go
+++ b/internal/query/poison/entry.go
@@ -18,6 +18,8 @@
 	// before: it runs all the time, so that it is found wherever a server ends.
 	trustedEnds = 4
 	trustTime   = 5 * time.Minute
+	// uncertainWeight is the weight of an end that the request may not have caused.
+	uncertainWeight = 0.5
 	// maxEnds is the number of ends that are kept of each request.
 	maxEnds = 6
 	// maxHold bounds the duration of a quarantine that doubles with each failed trial.
@@ -40,6 +42,8 @@
 	// trial is the number of requests of the VM that the process ran if the request ran as a
 	// trial, or 0.
 	trial int
+	// uncertain is set if the process may have ended before it got the request.
+	uncertain bool
 }
 
 // entry is what is known of one request. It is guarded by the mutex of the ledger.
@@ -113,7 +117,7 @@
 	switch {
 	case e.pinned, !e.quarantinedAt.IsZero() && now.Before(e.quarantinedAt.Add(e.hold)):
 		return Quarantined
-	case !e.quarantinedAt.IsZero() || len(e.ends) >= e.suspectEnds(now):
+	case !e.quarantinedAt.IsZero() || e.weight() >= e.suspectEnds(now):
 		return Suspect
 	default:
 		return Clear
@@ -125,8 +129,21 @@
 	return !e.clearedAt.IsZero() && now.Sub(e.clearedAt) <= trustTime
 }
 
-// suspectEnds returns the number of ends from which on the request is suspect.
-func (e *entry) suspectEnds(now time.Time) int {
+// weight returns the number of ends, of which an uncertain one counts as a part.
+func (e *entry) weight() float64 {
+	sum := 0.0
+	for _, known := range e.ends {
+		if known.uncertain {
+			sum += uncertainWeight
+		} else {
+			sum++
+		}
+	}
+	return sum
+}
+
+// suspectEnds returns the weight of ends from which on the request is suspect.
+func (e *entry) suspectEnds(now time.Time) float64 {
 	if e.isTrusted(now) {
 		return trustedEnds
 	}
@@ -136,9 +153,9 @@
 // isGuilty reports whether trials have shown that the request ends servers.
 func (e *entry) isGuilty(now time.Time) bool {
 	if e.isTrusted(now) {
-		return e.blame >= trustedBlame && len(e.ends) >= trustedEnds
+		return e.blame >= trustedBlame && e.weight() >= trustedEnds
 	}
-	return e.blame >= trialBlame && len(e.ends) >= minEnds
+	return e.blame >= trialBlame && e.weight() >= minEnds
 }
 
 // dropExplained drops the ends that are put down to other requests, and what trials showed.
@@ -153,12 +170,19 @@
 	return true
 }
 
-// addEnd adds the end of a server, unless it is known or was before the request was cleared.
+// addEnd adds the end of a server, unless it is known or was before the request was cleared. A
+// certain end replaces an uncertain one.
 func (e *entry) addEnd(added end) (isNew bool) {
 	known := func(other end) bool { return other.process == added.process }
-	if !added.at.After(e.clearedAt) || !added.at.After(e.liftedAt) || slices.ContainsFunc(e.ends, known) {
+	if !added.at.After(e.clearedAt) || !added.at.After(e.liftedAt) {
 		return false
 	}
+	if at := slices.IndexFunc(e.ends, known); at >= 0 {
+		if added.uncertain || !e.ends[at].uncertain {
+			return false
+		}
+		e.ends = slices.Delete(e.ends, at, at+1)
+	}
 	if len(e.processes) < maxProcesses {
 		e.processes.Add(hashOf(added.process))
 	}
@@ -173,7 +197,7 @@
 // addTrial counts the end of a server during a trial. What trials showed before the end of the
 // last quarantine has led to that.
 func (e *entry) addTrial(added end) {
-	if h := hashOf(added.process); added.trial > 0 && len(e.tried) < maxProcesses && !e.tried.Has(h) && !added.at.Before(e.quarantinedAt.Add(e.hold)) {
+	if h := hashOf(added.process); added.trial > 0 && !added.uncertain && len(e.tried) < maxProcesses && !e.tried.Has(h) && !added.at.Before(e.quarantinedAt.Add(e.hold)) {
 		e.tried.Add(h)
 		e.blame += 1 / float64(added.trial)
 	}
@@ -243,7 +267,7 @@
 		r.Processes = encodeHashes(e.processes)
 	}
 	for _, known := range e.ends {
-		r.Ends = append(r.Ends, EndRecord{Server: string(known.process.ID), Born: known.process.Born, Ago: age(now, known.at), Trial: known.trial})
+		r.Ends = append(r.Ends, EndRecord{Server: string(known.process.ID), Born: known.process.Born, Ago: age(now, known.at), Trial: known.trial, Uncertain: known.uncertain})
 	}
 	return r
 }
--- a/internal/query/poison/ledger.go
+++ b/internal/query/poison/ledger.go
@@ -168,6 +168,9 @@
 	Shared int
 	// Trial is set if the request ran as a trial.
 	Trial bool
+	// Uncertain is set if the process may have ended before it got the request. Such an end
+	// makes a request suspect, but proves nothing.
+	Uncertain bool
 }
 
 // ServerEnded records that a server process ended while it ran a request that no server has
@@ -181,7 +184,7 @@
 	e := l.entry(now, f)
 	e.label = labelOf(head)
 	before := e.state(now)
-	added := end{process: ended.Process, at: now}
+	added := end{process: ended.Process, at: now, uncertain: ended.Uncertain}
 	if ended.Trial {
 		added.trial = max(ended.Shared, 1)
 	}
--- a/internal/query/poison/ledger_test.go
+++ b/internal/query/poison/ledger_test.go
@@ -37,6 +37,14 @@
 	})
 }
 
+// maybeEnd records that a server ended that may have run request "a".
+func maybeEnd(l *poison.Ledger, now time.Time, server int, trial bool) {
+	head, f := requestNamed("a")
+	l.ServerEnded(now, f, head, poison.End{
+		Process: notice.Process{ID: ident.ServerID(fmt.Sprint("i-", server)), Born: 1}, Shared: 1, Trial: trial, Uncertain: true,
+	})
+}
+
 func decide(l *poison.Ledger, now time.Time, name string) poison.Decision {
 	_, f := requestNamed(name)
 	return l.Decide(now, f)
@@ -299,6 +307,55 @@
 	require.Equal(t, poison.Quarantined, state(l, now, "a"))
 }
 
+// Guards against a request that ends server after server because nothing tells whether they ended
+// before: its repeats are run with care, and a trial whose end is certain condemns it.
+func TestUncertainEndsMakeARequestSuspectOnly(t *testing.T) {
+	l := poison.NewLedger(poison.Options{})
+	for server := range 3 {
+		maybeEnd(l, start, server, false)
+		require.Equal(t, poison.Clear, state(l, start, "a"))
+	}
+	maybeEnd(l, start, 3, false)
+	require.Equal(t, poison.Suspect, state(l, start, "a"))
+	now := start
+	for server := range 20 {
+		now = now.Add(time.Second)
+		require.Equal(t, poison.Try, decide(l, now, "a").Verdict)
+		maybeEnd(l, now, 10+server, true)
+	}
+	require.Equal(t, poison.Suspect, state(l, now, "a"), "no trial has proven anything")
+	now = now.Add(time.Second)
+	require.Equal(t, poison.Try, decide(l, now, "a").Verdict)
+	end(l, now, "a", 100, true, 1)
+	require.Equal(t, poison.Quarantined, state(l, now, "a"))
+}
+
+// Guards against harmless requests that are refused because they ran into the ends of servers.
+func TestUncertainEndsSayNothingAboutAnsweredRequests(t *testing.T) {
+	l := poison.NewLedger(poison.Options{})
+	for server := range 20 {
+		maybeEnd(l, start, server, false)
+	}
+	complete(l, after(time.Second), "a")
+	require.Equal(t, poison.Clear, state(l, after(time.Second), "a"))
+	for server := range 20 {
+		maybeEnd(l, after(2*time.Second), 20+server, false)
+	}
+	require.Equal(t, poison.Clear, state(l, after(2*time.Second), "a"))
+}
+
+// Guards against an end that counts as uncertain although another VM, or a later sign, is sure of it.
+func TestCertainEndReplacesAnUncertainOne(t *testing.T) {
+	l := poison.NewLedger(poison.Options{})
+	maybeEnd(l, start, 1, false)
+	maybeEnd(l, start, 2, false)
+	require.Equal(t, poison.Clear, state(l, start, "a"))
+	end(l, start, "a", 1, false, 1)
+	end(l, start, "a", 2, false, 1)
+	maybeEnd(l, start, 2, false)
+	require.Equal(t, poison.Suspect, state(l, start, "a"))
+}
+
 // Servers that are replaced one after the other end under whatever runs there at the moment.
 func TestRollOfServersQuarantinesNothing(t *testing.T) {
 	l := poison.NewLedger(poison.Options{})
--- a/internal/query/poison/record.go
+++ b/internal/query/poison/record.go
@@ -41,6 +41,8 @@
 	// Trial is the number of requests of the VM that the process ran if the request ran as a
 	// trial, or 0.
 	Trial int `msg:"t"`
+	// Uncertain is set if the process may have ended before it got the request.
+	Uncertain bool `msg:"u"`
 }
 
 // age returns the time since at in milliseconds, or -1 if at is zero.
--- a/internal/query/poison/record_gen.go
+++ b/internal/query/poison/record_gen.go
@@ -48,6 +48,12 @@
 				err = msgp.WrapError(err, "Trial")
 				return
 			}
+		case "u":
+			z.Uncertain, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Uncertain")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -61,9 +67,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *EndRecord) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "s"
-	err = en.Append(0x84, 0xa1, 0x73)
+	err = en.Append(0x85, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -102,15 +108,25 @@
 		err = msgp.WrapError(err, "Trial")
 		return
 	}
+	// write "u"
+	err = en.Append(0xa1, 0x75)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Uncertain)
+	if err != nil {
+		err = msgp.WrapError(err, "Uncertain")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *EndRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "s"
-	o = append(o, 0x84, 0xa1, 0x73)
+	o = append(o, 0x85, 0xa1, 0x73)
 	o = msgp.AppendString(o, z.Server)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -121,6 +137,9 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt(o, z.Trial)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendBool(o, z.Uncertain)
 	return
 }
 
@@ -166,6 +185,12 @@
 				err = msgp.WrapError(err, "Trial")
 				return
 			}
+		case "u":
+			z.Uncertain, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Uncertain")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -180,7 +205,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EndRecord) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Server) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Server) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize
 	return
 }
 
--- a/internal/query/poison/share.go
+++ b/internal/query/poison/share.go
@@ -110,7 +110,7 @@
 	contested := e.contests(now, r)
 	e.merge(now, r)
 	for _, other := range r.Ends {
-		l.addEnd(now, f, e, end{process: notice.Process{ID: ident.ServerID(other.Server), Born: other.Born}, at: before(now, max(other.Ago, 0)), trial: max(other.Trial, 0)})
+		l.addEnd(now, f, e, end{process: notice.Process{ID: ident.ServerID(other.Server), Born: other.Born}, at: before(now, max(other.Ago, 0)), trial: max(other.Trial, 0), uncertain: other.Uncertain})
 	}
 	e.published = true
 	if l.judge(now, e) || contested {
--- a/internal/query/poison/share_test.go
+++ b/internal/query/poison/share_test.go
@@ -78,6 +78,19 @@
 	}
 }
 
+// Guards against uncertain ends that other VMs take for certain ones.
+func TestUncertainEndsOfSeveralVMsAddUp(t *testing.T) {
+	vms := newLedgers(4)
+	for i, vm := range vms {
+		require.Equal(t, poison.Clear, state(vms[0], start, "a"), "%d ends", i)
+		maybeEnd(vm, start, i, false)
+		tell(t, start, vm, vms...)
+	}
+	for _, vm := range vms {
+		require.Equal(t, poison.Suspect, state(vm, start, "a"))
+	}
+}
+
 // Guards against a process that has just started and takes the trials that led to an earlier
 // quarantine for those of a new one.
 func TestTrialsBeforeAQuarantineDoNotCountAgain(t *testing.T) {
--- a/internal/query/relay/probation.go
+++ b/internal/query/relay/probation.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
@@ -18,10 +19,10 @@
 	// harmfulEnds is the number of ended servers from which on the remaining attempts of
 	// such a request are cancelled, once most requests would have an answer.
 	harmfulEnds = 3
-	// lookupTrialPause is the time after the end of a server for which a request that may have
-	// caused it, and is not a search, is tried only where that leaves another server, and the
-	// end of the server would tell. Most servers are back by then.
-	lookupTrialPause = 10 * time.Second
+	// trialPause is the time after the end of a server for which a request that may have caused
+	// it is tried only where the end of the next one would tell, and, if it is not a search, that
+	// leaves another server. Most servers are back by then.
+	trialPause = 10 * time.Second
 	// redundantServers is the number of servers from which on the end of one leaves others.
 	redundantServers = 2
 	// sharedPenalty is added to the expected completion time of a server, for the choice of
@@ -105,15 +106,21 @@
 	return q.ended
 }
 
-// postponesTrial reports whether a trial of a request that is not a search might leave its
-// service without any server, or tell nothing about the request, although others have ended
-// lately and are probably coming back.
+// postponesTrial reports whether a trial would tell nothing about the request, or, if that is not
+// a search, might leave its service without any server, although others have ended lately and are
+// probably coming back.
 func (q *Query) postponesTrial(now time.Time) bool {
-	if !q.request.Trial || q.request.Route.IsSearch() || now.Sub(q.request.LastEnd) >= lookupTrialPause {
+	if !q.request.Trial || now.Sub(q.request.LastEnd) >= trialPause {
 		return false
 	}
-	usable, certain := q.trialServers(now, &q.shards[0])
-	return usable < redundantServers || !certain
+	if !q.request.Route.IsSearch() {
+		usable, certain := q.trialServers(now, &q.shards[0])
+		return usable < redundantServers || !certain
+	}
+	return !slices.ContainsFunc(q.shards, func(s shard) bool {
+		_, certain := q.trialServers(now, &s)
+		return certain
+	})
 }
 
 // trialServers returns the number of servers that could get the next attempt of a shard, and
--- a/internal/query/relay/probation_test.go
+++ b/internal/query/relay/probation_test.go
@@ -145,6 +145,25 @@
 	}
 }
 
+// Guards against trials of a search that end servers one after the other and prove nothing.
+func TestSearchIsTriedWhereTheEndTells(t *testing.T) {
+	request := requestTo(searchRoute(6, 0.5))
+	request.Trial, request.Ends, request.LastEnd = true, 2, start.Add(-time.Second)
+	c := newCluster(t, 6, 100)
+	certain := coll.NewSet[ident.ServerID]()
+	c.env.TrialLoad = func(server ident.ServerID) (int, bool) { return 0, certain.Has(server) }
+	q, sends := relay.New(c.env, request, start)
+	require.Empty(t, sends)
+	require.Equal(t, relay.Refused, outcome(t, q).Verdict)
+	certain.Add(ident.ServerID(string(shardName(2)) + "b"))
+	_, sends = relay.New(c.env, request, start)
+	require.Len(t, sends, 1)
+	certain.Remove(ident.ServerID(string(shardName(2)) + "b"))
+	request.LastEnd = start.Add(-time.Minute)
+	_, sends = relay.New(c.env, request, start)
+	require.Len(t, sends, 1, "the end of a server is the only way to learn")
+}
+
 // Guards against trials of a lookup that end servers and prove nothing.
 func TestLookupIsTriedWhereTheEndTells(t *testing.T) {
 	request := requestTo(lookupRoute(true))
--- a/internal/query/runner/delegate.go
+++ b/internal/query/runner/delegate.go
@@ -199,8 +199,11 @@
 		d.unreported--
 		r := reply{shard: d.ordered[o.Seq].shard, attempt: d.ordered[o.Seq].attempt, process: d.ordered[o.Seq].process, result: resultOf(o), sentAt: d.sentAt}
 		r.result.Limit = limitOf(report, o)
-		r.result.Shared, r.result.Ended = endOf(report, o)
-		r.result.Gone = r.result.Ended
+		if shared, ended := findEnd(report.Ended, o); ended {
+			r.result.Shared, r.result.Gone, r.result.Ended = shared, true, true
+		} else if shared, maybe := findEnd(report.MayHaveEnded, o); maybe {
+			r.result.Shared, r.result.Gone, r.result.MayHaveEnded = shared, true, true
+		}
 		d.execution.runner.deps.Env.Notices.Observe(time.Now(), d.ordered[o.Seq].process, notice.Notice{Leaving: o.Leaving, Limit: r.result.Limit})
 		r.remoteElapsed = time.Duration(o.Micros) * time.Microsecond
 		if o.Alone {
@@ -254,10 +257,10 @@
 	return coll.Some(notice.Unlimited)
 }
 
-// endOf reports whether the process of the backend server ended while it had an attempt, and
+// findEnd reports whether some ends include that of the backend server that had an attempt, and
 // how many requests of the delegate it had then.
-func endOf(report *deleg.Report, o *deleg.Outcome) (shared int, ended bool) {
-	for _, e := range report.Ended {
+func findEnd(ends []deleg.Ended, o *deleg.Outcome) (shared int, found bool) {
+	for _, e := range ends {
 		if e.Seq == o.Seq {
 			return int(e.Shared), true
 		}
--- a/internal/query/runner/evidence.go
+++ b/internal/query/runner/evidence.go
@@ -74,36 +74,43 @@
 // observeEnd records that the process of a backend server ended while it had the request,
 // unless a server has answered it.
 func (e *execution) observeEnd(now time.Time, r *reply) {
-	if !r.result.Ended {
+	if !r.result.Ended && !r.result.MayHaveEnded {
 		return
 	}
-	e.traceEnd(r.process, r.result.Shared, e.query.Cleared(), slog.Int("shard", r.shard), slog.Duration("after", now.Sub(r.sentAt)))
+	end := e.endOf(r.process, r.result.Shared, r.result.Ended)
+	e.traceEnd(end, e.query.Cleared(), slog.Int("shard", r.shard), slog.Duration("after", now.Sub(r.sentAt)))
 	if !e.query.Cleared() {
-		e.recordEnd(now, r.process, r.result.Shared)
+		e.recordEnd(now, end)
 	}
 }
 
 // observeLateEnd is like observeEnd for an end that is told after the result of the attempt.
 // It may be called on any goroutine, also after Run has returned.
-func (e *execution) observeLateEnd(process notice.Process, shared int) {
+func (e *execution) observeLateEnd(process notice.Process, shared int, certain bool) {
 	e.runner.deps.Env.Health.Gone(process.ID)
+	end := e.endOf(process, shared, certain)
 	answered := e.runner.deps.Ledger.AnsweredSince(e.request.Arrived, e.fingerprint())
-	e.traceEnd(process, shared, answered, slog.Bool("late", true))
+	e.traceEnd(end, answered, slog.Bool("late", true))
 	if !answered {
-		e.recordEnd(time.Now(), process, shared)
+		e.recordEnd(time.Now(), end)
 	}
 }
 
-func (e *execution) traceEnd(process notice.Process, shared int, answered bool, attrs ...slog.Attr) {
+// endOf returns the end of a process that had the request, or may have had it.
+func (e *execution) endOf(process notice.Process, shared int, certain bool) poison.End {
+	return poison.End{Process: process, Shared: shared, Trial: e.isTrial, Uncertain: !certain}
+}
+
+func (e *execution) traceEnd(end poison.End, answered bool, attrs ...slog.Attr) {
 	attrs = append([]slog.Attr{
-		slog.String("server", string(process.ID)), slog.Int64("born", process.Born), slog.String("request", e.fingerprint().String()),
-		slog.Bool("answered", answered), slog.Int("shared", shared),
+		slog.String("server", string(end.Process.ID)), slog.Int64("born", end.Process.Born), slog.String("request", e.fingerprint().String()),
+		slog.Bool("answered", answered), slog.Int("shared", end.Shared), slog.Bool("certain", !end.Uncertain),
 	}, attrs...)
 	e.trace("server_ended", "it had the request", attrs...)
 }
 
-func (e *execution) recordEnd(now time.Time, process notice.Process, shared int) {
-	e.runner.deps.Ledger.ServerEnded(now, e.fingerprint(), e.request.Message.Head, poison.End{Process: process, Shared: shared, Trial: e.isTrial})
+func (e *execution) recordEnd(now time.Time, end poison.End) {
+	e.runner.deps.Ledger.ServerEnded(now, e.fingerprint(), e.request.Message.Head, end)
 }
 
 // observeAnswer records that a server has answered the request. Further answers to the same
--- a/internal/query/runner/evidence_test.go
+++ b/internal/query/runner/evidence_test.go
@@ -34,8 +34,9 @@
 // deadlyFleet is a VM and the servers of a search, three of each shard. Servers end when they
 // run a request with deadlyPath, and are back at once.
 type deadlyFleet struct {
-	// slowProxies is set if ends are told only after the results of the attempts.
-	slowProxies bool
+	// slowProxies is set if ends are told only after the results of the attempts, and newConns if
+	// nothing tells whether the servers ended before.
+	slowProxies, newConns bool
 
 	view   *roster.View
 	ledger *poison.Ledger
@@ -70,10 +71,10 @@
 			d.mu.Unlock()
 			if d.slowProxies {
 				done(pool.Result{Outcome: pool.Broken, Shared: 1})
-				time.AfterFunc(serviceTime, func() { message.OnEnd(notice.Process{ID: target.ID}, 1) })
+				time.AfterFunc(serviceTime, func() { message.OnEnd(notice.Process{ID: target.ID}, 1, !d.newConns) })
 				return
 			}
-			done(pool.Result{Outcome: pool.Broken, Gone: true, Ended: true, Shared: 1})
+			done(pool.Result{Outcome: pool.Broken, Gone: true, Ended: !d.newConns, MayHaveEnded: d.newConns, Shared: 1})
 			return
 		}
 		response := fasthttp.AcquireResponse()
@@ -166,12 +167,32 @@
 	})
 }
 
+// Guards against a deadly request that runs everywhere at once again and again because all connections
+// are new, so that nothing tells whether the servers ended before.
+func TestUncertainEndsMakeASearchRunAsATrial(t *testing.T) {
+	for name, late := range map[string]bool{"told_at_once": false, "told_late": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeadlyFleet(t)
+				d.slowProxies, d.newConns = late, true
+				require.NotEqual(t, relay.Success, d.search(deadlyPath).Verdict)
+				time.Sleep(2 * serviceTime)
+				_, before := d.counts()
+				require.NotEqual(t, relay.Success, d.search(deadlyPath).Verdict)
+				time.Sleep(2 * serviceTime)
+				_, after := d.counts()
+				require.LessOrEqual(t, after-before, 1)
+			})
+		})
+	}
+}
+
 // Guards against a request that is blamed for an end that is told after a server answered it.
 func TestLateEndOfAnAnsweredRequestIsNotItsFault(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDeadlyFleet(t)
 		require.Equal(t, relay.Success, d.search("/other").Verdict)
-		d.lastMessage.OnEnd(notice.Process{ID: "s0a"}, 1)
+		d.lastMessage.OnEnd(notice.Process{ID: "s0a"}, 1, true)
 		require.True(t, d.ledger.Empty())
 	})
 }
