Send the attempts of other VMs' orders to the address that this VM knows

Each change of address also closed the connections of its own requests. A server that the VM knows is reached by its own view now, for whomever.

At the users all VMs read the same addresses.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -172,7 +172,7 @@
 		return nil, errors.New("tier: the admission policy has no queue")
 	}
 	t.peerClient = deleg.NewClient()
-	t.peerServer = deleg.NewServer(t.pool, t.refusesOrder, t.peerHandler(), t.events)
+	t.peerServer = deleg.NewServer(runner.NewLocalSender(t.follower, t.pool), t.refusesOrder, t.peerHandler(), t.events)
 	t.delegates = runner.NewDelegates(t.follower, t.heartbeats.Detector())
 	t.env.CanDelegate = t.delegates.Has
 	local := runner.New(runner.Deps{
