--- a/internal/link/detour/runner.go
+++ b/internal/link/detour/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -81,12 +82,34 @@
 
 	mu sync.Mutex
 	// avoidUntil holds the time until which each VM is avoided.
-	avoidUntil map[ident.VMID]time.Time
+	avoidUntil map[avoidance]time.Time
 	// newest is the newest configuration with which a request of this VM ran elsewhere. This
 	// VM must not go back to an older one.
 	newest ident.Version
 }
 
+// avoidance is a VM that is avoided by the requests that need something, or by all.
+type avoidance struct {
+	vm   ident.VMID
+	need need
+}
+
+// need is what requests need of a VM: links to the backend servers of a search route, or of a
+// service. anything stands for all needs.
+type need struct {
+	route   string
+	service ident.ServiceID
+}
+
+var anything = need{}
+
+func needOf(request *runner.Request) need {
+	if request.Route.IsSearch() {
+		return need{route: request.Route.Name}
+	}
+	return need{service: request.Service}
+}
+
 // New returns a runner without connections.
 func New(deps Deps) *Runner {
 	names := header.Default()
@@ -97,7 +120,7 @@
 	return &Runner{
 		deps:       deps,
 		pool:       pool.New(metrics.NewSet(), pool.Options{DialTimeout: dialTimeout, MaxBody: maxAnswerBytes, Names: names, AllowAnonymous: true}),
-		avoidUntil: map[ident.VMID]time.Time{},
+		avoidUntil: map[avoidance]time.Time{},
 	}
 }
 
@@ -156,7 +179,7 @@
 	tried := coll.NewSet[ident.VMID]()
 	for range maxPeers {
 		now := time.Now()
-		peer, found := r.choose(now, tried, mandatory)
+		peer, found := r.choose(now, needOf(&request), tried, mandatory)
 		if !found || deadline.Sub(now) < minTimeLeft {
 			return runner.Answer{}, false
 		}
@@ -190,7 +213,7 @@
 // choose returns a random VM that serves and reaches more backend servers than this VM,
 // unless mandatory is set, except for VMs that were tried, are silent or are avoided. There
 // is none while this VM is cut off from the others.
-func (r *Runner) choose(now time.Time, tried coll.Set[ident.VMID], mandatory bool) (chosen roster.Member, found bool) {
+func (r *Runner) choose(now time.Time, needed need, tried coll.Set[ident.VMID], mandatory bool) (chosen roster.Member, found bool) {
 	if r.deps.Peers.CutOff() {
 		return roster.Member{}, false
 	}
@@ -199,7 +222,7 @@
 	defer r.mu.Unlock()
 	count := 0
 	for _, m := range r.deps.Views.View().Members {
-		if !m.Serving || m.VM == r.deps.Self || tried.Has(m.VM) || now.Before(r.avoidUntil[m.VM]) || r.deps.Peers.Silent(m.VM) {
+		if !m.Serving || m.VM == r.deps.Self || tried.Has(m.VM) || r.avoids(now, m.VM, needed) || r.deps.Peers.Silent(m.VM) {
 			continue
 		}
 		reach := r.deps.Peers.Reach(now, m.VM)
@@ -214,6 +237,11 @@
 	return chosen, count > 0
 }
 
+// avoids reports whether a VM is avoided. r.mu must be held.
+func (r *Runner) avoids(now time.Time, vm ident.VMID, needed need) bool {
+	return now.Before(r.avoidUntil[avoidance{vm, anything}]) || now.Before(r.avoidUntil[avoidance{vm, needed}])
+}
+
 // send sends a request to another VM and waits for the result. It gives up when the VM
 // falls silent, the deadline passes or the caller leaves; gone is set in the last case.
 func (r *Runner) send(request runner.Request, peer roster.Member, missing int, deadline time.Time) (result pool.Result, gone bool) {
@@ -278,10 +306,15 @@
 	return runner.Answer{Outcome: relay.Outcome{Verdict: relay.Success, Reason: "answered by " + string(peer.VM)}, Result: result}
 }
 
-// reject logs that another VM gave no answer, and avoids it for a while.
+// reject logs that another VM gave no answer, and avoids it for a while. One that reaches no more
+// backend servers is avoided by requests that need the same ones only.
 func (r *Runner) reject(request runner.Request, peer roster.Member, result *pool.Result) {
+	avoided := avoidance{peer.VM, anything}
+	if result.Response != nil && string(result.Response.Header.Peek(declinedHeader)) == Unreachable {
+		avoided.need = needOf(&request)
+	}
 	r.mu.Lock()
-	r.avoidUntil[peer.VM] = time.Now().Add(avoidTime)
+	r.avoidUntil[avoided] = time.Now().Add(avoidTime)
 	r.mu.Unlock()
 	r.deps.Events.Trace("detour_failed", request.Message.ID, result.Reason, slog.String("vm", string(peer.VM)), slog.String("fate", result.Outcome.String()))
 	result.Release()
@@ -290,9 +323,10 @@
 // Retain forgets the VMs for which keep is false, and closes the connections to them.
 func (r *Runner) Retain(keep func(vm ident.VMID) bool) {
 	r.pool.Retain(func(id ident.ServerID) bool { return keep(ident.VMID(id)) })
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	coll.Retain(r.avoidUntil, keep)
+	maps.DeleteFunc(r.avoidUntil, func(_ avoidance, until time.Time) bool { return !now.Before(until) })
 }
 
 // Sweep closes the connections that have been idle for too long.
--- a/internal/link/detour/runner_test.go
+++ b/internal/link/detour/runner_test.go
@@ -197,6 +197,26 @@
 	require.LessOrEqual(t, bad.orders.Load(), int32(1), "it is avoided for a while")
 }
 
+// Guards against requests that are refused because another VM can't reach what other requests need.
+func TestVMThatCantReachOneServiceGetsOtherRequests(t *testing.T) {
+	p := newPeer(t, "vm-1", func(ctx *fasthttp.RequestCtx, order *detour.Order) {
+		if strings.HasPrefix(order.Request, "other") {
+			detour.Decline(ctx, detour.Unreachable)
+			return
+		}
+		answers(3)(ctx, order)
+	})
+	s := newSite(t, 3, p)
+	s.partition(0)
+	other := request(lookup, "other-1")
+	other.Service = "other"
+	require.Equal(t, relay.Refused, s.Run(other).Verdict)
+	require.Equal(t, relay.Success, s.Run(request(lookup, "r1")).Verdict)
+	other.Message.ID = "other-2"
+	require.Equal(t, relay.Refused, s.Run(other).Verdict)
+	require.EqualValues(t, 2, p.orders.Load(), "the same need is not asked for again at once")
+}
+
 func TestDetoursGoToVMsThatReachMore(t *testing.T) {
 	for _, test := range []struct {
 		name string
