Identify tenants by the keys of their callers

Requests ran whatever key they carried, and backend servers got the key. A configuration with tenants now requires a key on every route that is not public: 401 for an unknown one, 503 while the configuration may be out of date. Only digests of keys are kept; the name of the tenant replaces the key in requests to backend servers, also in detours and orders to delegates.

Ran: the tests of front/gate, conf/routes and platform.

--- a/internal/base/ident/ident.go
+++ b/internal/base/ident/ident.go
@@ -16,6 +16,9 @@
 // ServiceID names a service and its document.
 type ServiceID string
 
+// TenantID names a tenant: a customer of the callers' services, with its own keys and quota.
+type TenantID string
+
 // ServerID names a backend server as "service/name". It is unique among the backend
 // servers of all services.
 type ServerID string
--- a/internal/conf/routes/config.go
+++ b/internal/conf/routes/config.go
@@ -15,7 +15,9 @@
 	Version  ident.Version
 	Routes   []Route
 	Services map[ident.ServiceID]Service
-	Limits   Limits
+	// Tenants hold the keys of callers. If there are none, requests need no key.
+	Tenants []Tenant
+	Limits  Limits
 }
 
 // Route defines how requests for one path prefix of one host are handled.
@@ -49,6 +51,8 @@
 	// Coverage is the minimum fraction of the shards, from 0 to 1, that a
 	// successful answer to a search covers.
 	Coverage float64
+	// Public is true if requests need no key although there are tenants.
+	Public bool
 }
 
 // WeightedService is one of the services among which requests are split.
--- a/internal/conf/routes/table.go
+++ b/internal/conf/routes/table.go
@@ -20,12 +20,17 @@
 	// descending length of the prefix.
 	routesByHost map[string][]*Route
 	usedServices coll.Set[ident.ServiceID]
+	tenantsByKey map[KeyDigest]*Tenant
+	tenants      map[ident.TenantID]*Tenant
 }
 
 // NewTable validates config and builds its table. config must not be modified
 // afterwards.
 func NewTable(config *Config) (*Table, error) {
 	t := &Table{config: config, routesByHost: map[string][]*Route{}, usedServices: coll.NewSet[ident.ServiceID]()}
+	if err := t.addTenants(); err != nil {
+		return nil, errors.Wrapf(err, "routes: version %d", config.Version)
+	}
 	for i := range config.Routes {
 		route := &config.Routes[i]
 		if err := route.validate(); err != nil {
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -154,7 +155,7 @@
 		return nil, err
 	}
 	t.ledger = poison.NewLedger(poison.Options{Hold: settings.Quarantine.Hold, Events: t.events})
-	t.identity = poison.NewIdentity(settings.Quarantine.Callers)
+	t.identity = poison.NewIdentity(append(slices.Clone(settings.Quarantine.Callers), adapter.Names.Tenant))
 	t.gossip = gossip.New(gossip.Deps{
 		Ledger: t.ledger, Broadcaster: t.heartbeats, MaxBytes: beats.MaxMessageBytes, Serving: func() bool { return t.registrar.Serving() || t.hasCallers() }, Peers: t.otherVMs, Events: t.events,
 	})
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -233,13 +233,19 @@
 		g.unknownRoute(ctx, id, arrived)
 		return
 	}
+	tenant, ok := authenticate(view.Table, route, &ctx.Request.Header)
+	if !ok {
+		g.unknownKey(ctx, id, arrived)
+		return
+	}
 	if limit := view.Table.Config().Limits.BodyBytes; limit > 0 && len(ctx.Request.Body()) > limit {
 		g.reject(ctx, id, fasthttp.StatusRequestEntityTooLarge, "the body exceeds the limit")
 		return
 	}
 	request := runner.Request{
-		Message:  newMessage(ctx, id, &g.deps.Names),
+		Message:  newMessage(ctx, id, newHeaderRules(view.Table, &g.deps.Names, tenant)),
 		Route:    route,
+		Tenant:   tenant,
 		Arrived:  arrived,
 		Overhead: networkOverhead(ctx.Conn(), ctx.ConnRequestNum() == 1),
 		Wait:     parseWait(findHeader(&ctx.Request.Header, g.deps.Names.Deadline)),
--- a/internal/front/gate/message.go
+++ b/internal/front/gate/message.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/plat/header"
 )
@@ -91,10 +92,31 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// headerRules defines which headers of a caller are replaced.
+type headerRules struct {
+	names *header.Names
+	// tenant is the tenant of the caller, or nil.
+	tenant *routes.Tenant
+	// dropped holds the names, in lower case, of the headers that the tier sets itself or
+	// withholds from backend servers.
+	dropped coll.Set[string]
+}
+
+// newHeaderRules returns the rules for a request. If there are tenants, backend servers get the
+// name of the caller's tenant and never the key.
+func newHeaderRules(table *routes.Table, names *header.Names, tenant *routes.Tenant) headerRules {
+	dropped := coll.NewSet(strings.ToLower(names.Deadline), strings.ToLower(names.ExpectedServer))
+	if table.HasTenants() {
+		dropped.Add(strings.ToLower(names.Tenant))
+		dropped.Add(strings.ToLower(fasthttp.HeaderAuthorization))
+	}
+	return headerRules{names: names, tenant: tenant, dropped: dropped}
+}
+
 // newMessage builds the request for backend servers from that of the caller. Method,
 // target, body and headers are unchanged, except that hop-by-hop headers and those that
 // the tier sets itself are left out.
-func newMessage(ctx *fasthttp.RequestCtx, id string, names *header.Names) *pool.Message {
+func newMessage(ctx *fasthttp.RequestCtx, id string, rules headerRules) *pool.Message {
 	header := &ctx.Request.Header
 	body := ctx.Request.Body()
 	head := make([]byte, 0, 512)
@@ -102,13 +124,17 @@
 	head = append(append(head, header.RequestURI()...), " HTTP/1.1\r\n"...)
 	listed := connectionHeaders(header)
 	for key, value := range header.All() {
-		name := strings.ToLower(string(key))
-		if hopByHopHeaders.Has(name) || listed.Has(name) || strings.EqualFold(name, names.Deadline) || strings.EqualFold(name, names.ExpectedServer) {
+		name := strings.ToLower(strings.TrimSpace(string(key)))
+		if hopByHopHeaders.Has(name) || listed.Has(name) || rules.dropped.Has(name) {
 			continue
 		}
 		head = append(append(append(head, key...), ": "...), value...)
 		head = append(head, "\r\n"...)
 	}
+	if rules.tenant != nil {
+		head = append(append(append(head, rules.names.Tenant...), ": "...), rules.tenant.Name...)
+		head = append(head, "\r\n"...)
+	}
 	if len(body) > 0 || header.ContentLength() > 0 || needsLength(header) {
 		head = append(strconv.AppendInt(append(head, "Content-Length: "...), int64(len(body)), 10), "\r\n"...)
 	}
--- a/internal/link/detour/wire.go
+++ b/internal/link/detour/wire.go
@@ -44,6 +44,9 @@
 	// Counted is set if the sender has already counted the request towards the budgets of
 	// retries.
 	Counted bool `msg:"c"`
+	// Tenant is the name of the caller's tenant, or empty if there is none. Head names it too,
+	// and never contains the caller's key.
+	Tenant string `msg:"t"`
 }
 
 // Answer is the answer for the caller. It is the body of the answer to an order, since its
--- a/internal/link/detour/wire_gen.go
+++ b/internal/link/detour/wire_gen.go
@@ -456,6 +456,12 @@
 				err = msgp.WrapError(err, "Counted")
 				return
 			}
+		case "t":
+			z.Tenant, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Tenant")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -469,9 +475,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Order) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 12
+	// map header, size 13
 	// write "i"
-	err = en.Append(0x8c, 0xa1, 0x69)
+	err = en.Append(0x8d, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -590,15 +596,25 @@
 		err = msgp.WrapError(err, "Counted")
 		return
 	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Tenant)
+	if err != nil {
+		err = msgp.WrapError(err, "Tenant")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Order) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 13
 	// string "i"
-	o = append(o, 0x8c, 0xa1, 0x69)
+	o = append(o, 0x8d, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.Request)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
@@ -633,6 +649,9 @@
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendBool(o, z.Counted)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.Tenant)
 	return
 }
 
@@ -726,6 +745,12 @@
 				err = msgp.WrapError(err, "Counted")
 				return
 			}
+		case "t":
+			z.Tenant, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tenant")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -740,6 +765,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Order) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Request) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.BytesPrefixSize + len(z.Head) + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Request) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.BytesPrefixSize + len(z.Head) + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Tenant)
 	return
 }
--- a/internal/plat/header/header.go
+++ b/internal/plat/header/header.go
@@ -19,6 +19,8 @@
 	// Load is "running,waiting,slots": the numbers of running and waiting requests
 	// and of slots of the backend server.
 	Load string
+	// Tenant is the name of the tenant that holds the caller's key. Only the tier sets it.
+	Tenant string
 	// Leaving is "1" in the answers of a backend server that takes no new requests.
 	Leaving string
 	// Limit is the number of requests per second, a decimal number, that the backend
@@ -40,6 +42,7 @@
 		Signature:      "X-Signature",
 		NotRun:         "X-Not-Run",
 		Load:           "X-Load",
+		Tenant:         "X-Tenant",
 		Leaving:        "X-Server-Leaving",
 		Limit:          "X-Server-Limit",
 		PartSignatures: "X-Part-Signatures",
--- a/internal/query/runner/request.go
+++ b/internal/query/runner/request.go
@@ -13,6 +13,8 @@
 type Request struct {
 	Message *pool.Message
 	Route   *routes.Route
+	// Tenant is the tenant of the caller, or nil if there is none.
+	Tenant *routes.Tenant
 	// Service is the service that was picked if the request is not a search.
 	Service ident.ServiceID
 	Arrived time.Time
