Let VMs that stand by call an unavailable store less often

The pause now doubles up to 2 s; a request or a heartbeat still ends it at once.

Ran: the tests of fleet/roster with the race detector.

--- a/internal/fleet/roster/follower.go
+++ b/internal/fleet/roster/follower.go
@@ -52,6 +52,11 @@
 	// random so that VMs don't all call at once when the store returns.
 	minRetryPause = 150 * time.Millisecond
 	maxRetryPause = 600 * time.Millisecond
+	// maxStandbyRetryPause bounds the pause of a VM that stands by. It is below the time for
+	// which the registration of a lost VM that serves is kept, so that replacements are not
+	// late. maxPauseDoublings is how often the pause doubles before it reaches the bound.
+	maxStandbyRetryPause = 2 * time.Second
+	maxPauseDoublings    = 4
 	// tickInterval is the time between two removals of expired registrations.
 	tickInterval = 200 * time.Millisecond
 	// peerCheckDelay is the time after the first read, and between two tries, after which
--- a/internal/fleet/roster/readloop.go
+++ b/internal/fleet/roster/readloop.go
@@ -184,11 +184,18 @@
 	}
 }
 
-// handleFailedCall records a failed call, and pauses from the second consecutive one on.
+// handleFailedCall records a failed call, and pauses from the second consecutive one on. While
+// the VM stands by, the pause doubles with each failure.
 func (f *Follower) handleFailedCall(ctx context.Context, r *readProgress, err error) {
 	f.send(ctx, update{err: err})
-	if r.failures++; r.failures > 1 {
+	r.failures++
+	switch {
+	case r.failures <= 1:
+	case f.followAll.Load():
 		sleep.For(ctx, retryPause())
+	case f.pause(ctx, standbyRetryPause(r.failures)):
+		r.loaded = false
+	default:
 	}
 }
 
@@ -254,7 +261,12 @@
 	if f.followAll.Load() {
 		pause = f.options.BatchDelay
 	}
-	timer := time.NewTimer(pause)
+	return f.pause(ctx, pause)
+}
+
+// pause waits for d. It reports whether the wait was interrupted to read all keys.
+func (f *Follower) pause(ctx context.Context, d time.Duration) (reread bool) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -266,6 +278,13 @@
 	}
 }
 
+// standbyRetryPause returns the pause after a number of consecutive failures of a VM that stands
+// by. Most VMs of a large fleet stand by, and none of their callers waits for the store.
+func standbyRetryPause(failures int) time.Duration {
+	doublings := min(failures-2, maxPauseDoublings)
+	return min(retryPause()<<doublings, maxStandbyRetryPause)
+}
+
 func retryPause() time.Duration {
 	return minRetryPause + rand.N(maxRetryPause-minRetryPause)
 }
--- a/internal/fleet/roster/role_test.go
+++ b/internal/fleet/roster/role_test.go
@@ -535,3 +535,26 @@
 		})
 	})
 }
+
+// The store refuses all calls while VMs stand by: they must not call it as often as VMs that
+// serve, and all of them have to know of changes soon after it is back.
+func TestStandbyVMsCallAnUnavailableStoreRarely(t *testing.T) {
+	withCluster(t, func(t *testing.T, c *cluster) {
+		const vms, outage = 40, 10
+		c.startVMs(t, vms)
+		time.Sleep(30 * time.Second)
+		standby := vms - len(c.serving(t))
+		c.store.SetFaults(depsrv.Faults{Down: true})
+		time.Sleep(2 * time.Second)
+		before := c.store.Calls()
+		time.Sleep(outage * time.Second)
+		serving := vms - standby
+		renewals := outage * vms * 10 / 12
+		require.Less(t, c.store.Calls()-before, renewals+standby*outage*3/4+serving*outage*3)
+		c.store.SetFaults(depsrv.Faults{})
+		time.Sleep(3 * time.Second)
+		for vm, f := range c.followers {
+			require.False(t, f.StoreDown(), "%s", vm)
+		}
+	})
+}
