Check a routing configuration before it is sent

Operators learned of mistakes in a routing configuration only when VMs used it. samphirestair check now reads it, lists errors and warnings with their place, and shows what differs from the version in force with the effect on requests under way. Keys are shown as fingerprints.

--- a/cmd/samphirestair/main.go
+++ b/cmd/samphirestair/main.go
@@ -46,6 +46,7 @@
 		Store:       newStore,
 		VMs:         newVMList,
 		Fetch:       fetch.New(),
+		Routing:     platform.Facts{}.Config,
 		PolicyNames: policyNames,
 	})
 	return command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
--- a/internal/conf/routes/table.go
+++ b/internal/conf/routes/table.go
@@ -33,7 +33,7 @@
 	}
 	for i := range config.Routes {
 		route := &config.Routes[i]
-		if err := route.validate(); err != nil {
+		if err := route.Validate(); err != nil {
 			return nil, errors.Wrapf(err, "routes: version %d, route %q", config.Version, route.Name)
 		}
 		host := strings.ToLower(route.Host)
@@ -112,8 +112,8 @@
 	return r.Split[len(r.Split)-1].Service
 }
 
-// validate returns an error that describes the first invalid field, or nil.
-func (r *Route) validate() error {
+// Validate returns an error that describes the first invalid field, or nil.
+func (r *Route) Validate() error {
 	switch {
 	case r.Host == "":
 		return errors.New("no host")
--- a/internal/conf/routes/tenant.go
+++ b/internal/conf/routes/tenant.go
@@ -29,6 +29,17 @@
 	return t.Rate > 0
 }
 
+// Validate returns an error that describes the first invalid field, or nil.
+func (t *Tenant) Validate() error {
+	switch {
+	case !isHeaderValue(string(t.Name)):
+		return errors.New("the name is not a header value")
+	case t.Rate < 0 || t.Burst < 0:
+		return errors.New("the quota is negative")
+	}
+	return nil
+}
+
 // KeyDigest identifies a key without revealing it. Digests are compared instead of keys, so
 // that the time of a look-up tells nothing about the keys in force.
 type KeyDigest [sha256.Size]byte
@@ -85,8 +96,8 @@
 	t.tenants = make(map[ident.TenantID]*Tenant, len(t.config.Tenants))
 	for i := range t.config.Tenants {
 		tenant := &t.config.Tenants[i]
-		if !isHeaderValue(string(tenant.Name)) {
-			return errors.Newf("the name of tenant %q is not a header value", tenant.Name)
+		if err := tenant.Validate(); err != nil {
+			return errors.Wrapf(err, "tenant %q", tenant.Name)
 		}
 		if t.tenants[tenant.Name] != nil {
 			return errors.Newf("tenant %q is listed twice", tenant.Name)
--- a/internal/ops/cmdln/check.go
+++ b/internal/ops/cmdln/check.go
@@ -1,6 +1,8 @@
 package cmdln
 
 import (
+	"context"
+	"io"
 	"os"
 
 	"github.com/cockroachdb/errors"
@@ -15,16 +17,31 @@
 )
 
 func (c *CLI) checkCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:     "check FILE",
-		Short:   "Check a document or the settings of a VM",
-		Long:    "Check a document without applying it, or the settings of a VM that serves or forwards without starting it. What the file is follows from its sections. All faults are listed at once. Nothing is read but the file.",
-		Example: "  samphirestair check agent-desk.ini\n  samphirestair check vm-3.ini",
-		Args:    cobra.ExactArgs(1),
-		RunE: func(_ *cobra.Command, args []string) error {
-			return classify(c.check(args[0]))
-		},
+	var against string
+	command := &cobra.Command{
+		Use:   "check FILE|-",
+		Short: "Check a document, the settings of a VM or a routing configuration",
+		Long: `Check a document without applying it, the settings of a VM that serves or
+forwards without starting it, or a routing configuration before it is sent. What the
+file is follows from its content; "-" reads standard input. All faults are listed at
+once.
+
+With --against, the version of a routing configuration that is in force is read from a
+file or from the admin address of a VM, and what differs is shown with its effect on
+requests under way. Keys of tenants are shown as fingerprints.
+
+The exit code is 0 if there are at most warnings, 1 if there are errors, 2 if the file
+can't be read, and 4 if the VM does not answer.`,
+		Example: `  samphirestair check agent-desk.ini
+  samphirestair check vm-3.ini
+  samphirestair check next.json --against 10.0.0.7:9140`,
+		Args: cobra.ExactArgs(1),
 	}
+	command.Flags().StringVar(&against, "against", "", "`FILE|ADDR` of the routing configuration in force")
+	command.RunE = c.withTimeout(func(ctx context.Context, args []string) error {
+		return c.check(ctx, args[0], against)
+	})
+	return command
 }
 
 // Sections that distinguish the kinds of files: documents have neither, the settings of
@@ -34,13 +51,27 @@
 	forwardingSection = "depot"
 )
 
-// check detects the kind of the file at path by its sections and checks it. It prints a
+// readInput reads the file at path, or standard input if path is "-".
+func readInput(path string) ([]byte, error) {
+	if path == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(path)
+}
+
+// check detects the kind of the file at path by its content and checks it. It prints a
 // summary of a valid file, and fails with all faults of an invalid one.
-func (c *CLI) check(path string) error {
-	data, err := os.ReadFile(path)
+func (c *CLI) check(ctx context.Context, path, against string) error {
+	data, err := readInput(path)
 	if err != nil {
 		return fail(ExitUsage, "cli: %v", err)
 	}
+	if isRouting(data) {
+		return c.checkRouting(ctx, path, data, against)
+	}
+	if against != "" {
+		return fail(ExitUsage, "cli: --against is for routing configurations, and %s is none", path)
+	}
 	switch file := strict.Parse(data); {
 	case file.Has(forwardingSection):
 		settings, err := fwconf.Parse(data)
--- a/internal/ops/cmdln/cmdln.go
+++ b/internal/ops/cmdln/cmdln.go
@@ -17,6 +17,7 @@
 	"github.com/samphirestair/samphirestair/internal/base/typos"
 	"github.com/samphirestair/samphirestair/internal/conf/change"
 	"github.com/samphirestair/samphirestair/internal/conf/fwconf"
+	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/conf/vmconf"
 	"github.com/samphirestair/samphirestair/internal/ops/fetch"
 	"github.com/samphirestair/samphirestair/internal/plat/store"
@@ -66,6 +67,8 @@
 	VMs func(url string) (vmlist.List, error)
 	// Fetch calls the admin listeners of VMs.
 	Fetch Fetcher
+	// Routing decodes a routing configuration as operators send it.
+	Routing func(data []byte) (*routes.Config, error)
 	// PolicyNames returns the registered policies of a kind.
 	PolicyNames func(kind string) []string
 	// ChangeOptions are the options of change.New. The zero value gives the defaults.
--- a/internal/ops/cmdln/cmdln_test.go
+++ b/internal/ops/cmdln/cmdln_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -23,6 +24,7 @@
 	"github.com/samphirestair/samphirestair/internal/ops/fetch"
 	"github.com/samphirestair/samphirestair/internal/plat/store"
 	"github.com/samphirestair/samphirestair/internal/plat/vmlist"
+	"github.com/samphirestair/samphirestair/platform"
 )
 
 type fixedList []vmlist.VM
@@ -98,6 +100,46 @@
 	goldie.New(s.t).Assert(s.t, name, []byte(s.text.String()))
 }
 
+// fixedState answers calls to the admin listeners of VMs.
+type fixedState map[string]string
+
+func (f fixedState) Get(_ context.Context, address, path string) ([]byte, error) {
+	body, ok := f[address+path]
+	if !ok {
+		return nil, errors.Wrapf(fetch.ErrUnavailable, "%s", address)
+	}
+	return []byte(body), nil
+}
+
+func (f fixedState) Post(ctx context.Context, address, path string) ([]byte, error) {
+	return f.Get(ctx, address, path)
+}
+
+// Guards against reports that show keys, miss mistakes or end with the wrong exit code.
+func TestRoutingConfigurations(t *testing.T) {
+	s := newSession(t)
+	s.deps.Routing = platform.Facts{}.Config
+	inForce, err := platform.Facts{}.Config([]byte(`{"version": 7, "routes": [{"name": "beds", "hostname": "desk.example", "pathPrefix": "/beds/", "timeoutMs": 3000, "backend": "b1"}]}`))
+	require.NoError(t, err)
+	state, err := json.Marshal(inForce)
+	require.NoError(t, err)
+	s.deps.Fetch = fixedState{"127.0.0.1:9140" + fetch.PathConfig: string(state), "127.0.0.2:9140" + fetch.PathConfig: "null"}
+	s.runAll(
+		"check testdata/routing.json",
+		"check testdata/routing.json --against testdata/routing.json",
+		"check testdata/routing2.json --against testdata/routing.json",
+		"check testdata/routing2.json --against 127.0.0.1:9140",
+		"check testdata/routing2.json --against 127.0.0.2:9140",
+		"check testdata/routing2.json --against 127.0.0.3:9140",
+		"check testdata/routing2.json --against testdata/absent.json",
+		"check testdata/badrouting.json",
+		"check testdata/badrouting2.json",
+		"check testdata/desk.ini --against testdata/routing.json",
+	)
+	require.NotContains(t, s.text.String(), "planted-key")
+	s.assertGolden("routing")
+}
+
 func TestDocuments(t *testing.T) {
 	s := newSession(t)
 	s.runAll(
--- a/internal/ops/fetch/client.go
+++ b/internal/ops/fetch/client.go
@@ -13,6 +13,9 @@
 const (
 	// PathState returns the state dump of the process.
 	PathState = "/state"
+	// PathConfig returns the routing configuration in force at a VM that forwards requests, or
+	// null if it knows none yet.
+	PathConfig = "/state/config"
 	// PathStatus returns the status of the VM.
 	PathStatus = "/status"
 	// PathFleet returns the status of the fleet, which the VM collects from all members;
