Bound the requests of tenants over all VMs

Cause: tenants have quotas in the configuration, which nothing enforced.

Change: each process of a serving VM leases its share of all quotas to the quota owners, which grant tokens (query/quota, link/grant). front/gate takes a token before a request runs, answers 429 with Retry-After without one, and gives it back if the request was refused with nothing sent; a detour says so in its answer. Settings section [quota], state dump section, metrics.

--- a/internal/base/boot/boot.go
+++ b/internal/base/boot/boot.go
@@ -14,6 +14,13 @@
 	return readClock(unix.CLOCK_BOOTTIME) - readClock(unix.CLOCK_MONOTONIC)
 }
 
+// Now returns the time since the machine booted, including the time for which it was
+// suspended. It never goes back, and the wall clock doesn't affect it. Now is safe for
+// concurrent use.
+func Now() time.Duration {
+	return readClock(unix.CLOCK_BOOTTIME)
+}
+
 // readClock returns the time of a clock. It panics on an error, which does not
 // occur: every kernel that runs Go programs has the clocks used here.
 func readClock(clock int32) time.Duration {
--- a/internal/conf/fwconf/settings.go
+++ b/internal/conf/fwconf/settings.go
@@ -25,6 +25,7 @@
 	Cost        Cost
 	Servers     Servers
 	Quarantine  Quarantine
+	Quota       Quota
 	Log         Log
 }
 
@@ -110,6 +111,14 @@
 	Hold time.Duration
 }
 
+// Quota says by how much the quotas of tenants may be exceeded: in any window a tenant may send
+// (rate x Window + burst) x (1 + Overage) + Slack requests over all VMs.
+type Quota struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+}
+
 // Log holds the settings of logging.
 type Log struct {
 	Level slog.Level
@@ -127,6 +136,9 @@
 	defaultStay         = 0.2
 	defaultQuiet        = 30 * time.Second
 	defaultHold         = 10 * time.Minute
+	defaultQuotaWindow  = 5 * time.Second
+	defaultOverage      = 0.1
+	defaultQuotaSlack   = 20
 	// maxCallerHeaders bounds Quarantine.Callers.
 	maxCallerHeaders = 16
 )
@@ -163,6 +175,7 @@
 		Cost:        readCost(file.Section("cost", false)),
 		Servers:     readServers(file.Section("servers", false)),
 		Quarantine:  readQuarantine(file.Section("quarantine", false)),
+		Quota:       readQuota(file.Section("quota", false)),
 		Log:         readLog(file.Section("log", false)),
 	}
 	if err := file.Err(); err != nil {
@@ -228,6 +241,14 @@
 	}
 }
 
+func readQuota(section *strict.Section) Quota {
+	return Quota{
+		Window:  section.Duration("window", coll.Some(defaultQuotaWindow), time.Second, time.Hour),
+		Overage: section.Float("overage", coll.Some(defaultOverage), 0, 1),
+		Slack:   section.Float("slack", coll.Some(float64(defaultQuotaSlack)), 0, 1e6),
+	}
+}
+
 func readLog(section *strict.Section) Log {
 	return Log{Level: section.Level("level")}
 }
--- a/internal/conf/fwconf/settings_test.go
+++ b/internal/conf/fwconf/settings_test.go
@@ -31,6 +31,17 @@
 	require.InDelta(t, 0.1, s.RetryBudget.Share, 0)
 }
 
+// Guards against a file from deploy/forward.ini that is refused where the platform names no
+// bounds of quotas, or names them as it does today.
+func TestQuotaSectionMayBeEmpty(t *testing.T) {
+	s, err := fwconf.Parse([]byte(requiredSettings + "[quota]\n\n"))
+	require.NoError(t, err)
+	require.Equal(t, fwconf.Quota{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, s.Quota)
+	s, err = fwconf.Parse([]byte(requiredSettings + "[quota]\n\nwindow = 4s\n\noverage = 0.2\nslack = 30\n"))
+	require.NoError(t, err)
+	require.Equal(t, fwconf.Quota{Window: 4 * time.Second, Overage: 0.2, Slack: 30}, s.Quota)
+}
+
 func TestFaultsNameLineAndKey(t *testing.T) {
 	_, err := fwconf.Parse([]byte(requiredSettings + "[extra]\nshare = 2\nslak = 3\n[log]\nlevel = loud\n"))
 	require.Error(t, err)
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -30,6 +30,7 @@
 	"github.com/samphirestair/samphirestair/internal/link/deleg"
 	"github.com/samphirestair/samphirestair/internal/link/detour"
 	"github.com/samphirestair/samphirestair/internal/link/gossip"
+	"github.com/samphirestair/samphirestair/internal/link/grant"
 	"github.com/samphirestair/samphirestair/internal/ops/admin"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
@@ -40,6 +41,7 @@
 	"github.com/samphirestair/samphirestair/internal/query/choose"
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
 	"github.com/samphirestair/samphirestair/internal/query/poison"
+	"github.com/samphirestair/samphirestair/internal/query/quota"
 	"github.com/samphirestair/samphirestair/internal/query/relay"
 	"github.com/samphirestair/samphirestair/internal/query/runner"
 )
@@ -109,6 +111,7 @@
 	identity           poison.Identity
 	ledger             *poison.Ledger
 	gossip             *gossip.Exchange
+	quota              *grant.Service
 	env                *relay.Env
 	admission          admit.QueuingPolicy
 	gate               *gate.Gate
@@ -159,6 +162,10 @@
 	t.gossip = gossip.New(gossip.Deps{
 		Ledger: t.ledger, Broadcaster: t.heartbeats, MaxBytes: beats.MaxMessageBytes, Serving: func() bool { return t.registrar.Serving() || t.hasCallers() }, Peers: t.otherVMs, Events: t.events,
 	})
+	t.quota = grant.New(grant.Deps{
+		Self: quota.Process{VM: self.VM, Boot: self.BootID}, Views: t.follower, Peers: t.heartbeats.Detector(), Serving: t.isServing,
+		Bounds: t.quotaBounds, Transport: grant.NewClient(), Events: t.events, Metrics: t.metrics,
+	})
 	t.notices = notice.NewTracker(notice.Options{MaxBackoff: settings.Servers.Quiet, Events: t.events})
 	t.pool = pool.New(t.metrics, pool.Options{Names: adapter.Names, Tracker: t.notices, Reach: t.reach})
 	if err = t.buildEnv(); err != nil {
@@ -188,7 +195,7 @@
 	t.gate = gate.New(gate.Deps{
 		Runner: t.detours, Local: local, Coverage: coverage, Views: t.follower, Self: self,
 		Serving: t.registrar.Serving, Usable: t.registrar.ViewUsable, Accepting: t.isAccepting, Peers: t.heartbeats.Detector(),
-		Names: adapter.Names, Events: t.events,
+		Quota: t.quota, Names: adapter.Names, Events: t.events,
 	})
 	t.ready = gate.NewServer(adapter.Ready(t.gate.Ready))
 	t.directory = gate.NewServer(adapter.Directory(t.gate.Addresses, t.addressListLifetime))
@@ -212,7 +219,7 @@
 
 // peerHandler returns the handler of the requests of other VMs that are not orders.
 func (t *Tier) peerHandler() fasthttp.RequestHandler {
-	others := t.gossip.Handler(seeds.Handler(t.follower))
+	others := t.quota.Handler(t.gossip.Handler(seeds.Handler(t.follower)))
 	return func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Path()) == detour.Path {
 			t.gate.RunDetour(ctx)
@@ -238,6 +245,12 @@
 	return t.follower.View().ShareCount
 }
 
+// quotaBounds returns by how much the quotas of tenants may be exceeded.
+func (t *Tier) quotaBounds() quota.Bounds {
+	settings := t.current.Load().Quota
+	return quota.Bounds{Window: settings.Window, Overage: settings.Overage, Slack: settings.Slack}
+}
+
 // buildEnv creates the policies and the state that all queries share.
 func (t *Tier) buildEnv() error {
 	newChoice, err := choose.Policies.Lookup("expect")
@@ -300,6 +313,7 @@
 		"limits":      func() any { return t.notices.Limits() },
 		"budget":      func() any { return t.budget() },
 		"quarantine":  func() any { return t.ledger.List(time.Now()) },
+		"quota":       func() any { return t.quota.State() },
 		"decisions":   func() any { return t.events.History() },
 		"listeners":   func() any { return t.ports.Load().stats() },
 	}
@@ -371,6 +385,7 @@
 	heartbeats.Go(func() { t.heartbeats.Run(ctx) })
 	running.Go(func() { t.maintain(ctx) })
 	running.Go(func() { t.gossip.Run(ctx) })
+	running.Go(func() { t.quota.Run(ctx) })
 	running.Go(func() { t.watchSettings(ctx, reload) })
 	t.serve(&running, "callers", t.gate.Serve, ports.callers)
 	t.serve(&running, "directory", t.directory.Serve, ports.directory)
--- a/internal/front/gate/detour.go
+++ b/internal/front/gate/detour.go
@@ -76,6 +76,7 @@
 		detour.Decline(ctx, detour.NotReady)
 		return
 	}
-	g.run(ctx, g.deps.Local, request)
-	detour.Wrap(ctx, table.Config().Version)
+	// The VM that read the request from the caller has charged the tenant's quota.
+	answer := g.run(ctx, g.deps.Local, request)
+	detour.Wrap(ctx, table.Config().Version, answer.IsUnsent())
 }
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -4,6 +4,7 @@
 package gate
 
 import (
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -20,6 +21,8 @@
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/fleet/beats"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
+	"github.com/samphirestair/samphirestair/internal/link/grant"
+	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/plat/header"
 	"github.com/samphirestair/samphirestair/internal/query/relay"
 	"github.com/samphirestair/samphirestair/internal/query/runner"
@@ -73,6 +76,14 @@
 	Reach(now time.Time, vm ident.VMID) beats.Reach
 }
 
+// Quota bounds the requests of tenants over all VMs. tenant may be nil.
+type Quota interface {
+	// Take decides whether a request may run, after a short wait at most.
+	Take(tenant *routes.Tenant) grant.Decision
+	// GiveBack undoes Take for a request that was refused with nothing sent.
+	GiveBack(tenant *routes.Tenant)
+}
+
 // Deps holds what a Gate depends on.
 type Deps struct {
 	// Runner runs the requests of callers, and Local those that another VM can't run.
@@ -87,7 +98,9 @@
 	// Accepting reports whether callers can open connections.
 	Accepting func() bool
 	// Peers reports which VMs are suspected.
-	Peers  Peers
+	Peers Peers
+	// Quota bounds the requests of tenants. nil lets all requests run.
+	Quota  Quota
 	Names  header.Names
 	Events *events.Recorder
 }
@@ -257,7 +270,7 @@
 		g.refuse(ctx, id, "the VM stops before the request can be answered", closeRetryDelay)
 		return
 	}
-	g.run(ctx, g.deps.Runner, request)
+	g.runCharged(ctx, request)
 }
 
 // pickService returns the service to which the next request on a route goes, or "" if it is
@@ -269,14 +282,34 @@
 	return route.PickService(rand.Float64())
 }
 
-// run runs a request and writes the answer. The request is cancelled when the sender closes
+// runCharged runs a request if its tenant's quota allows it.
+func (g *Gate) runCharged(ctx *fasthttp.RequestCtx, request runner.Request) {
+	if g.deps.Quota == nil {
+		g.run(ctx, g.deps.Runner, request)
+		return
+	}
+	if decision := g.deps.Quota.Take(request.Tenant); !decision.Granted {
+		g.deps.Events.Trace("request_over_quota", request.Message.ID, decision.Reason,
+			slog.String("tenant", string(request.Tenant.Name)), slog.Duration("retry_after", decision.RetryAfter))
+		setRetryAfter(ctx, decision.RetryAfter)
+		ctx.SetStatusCode(fasthttp.StatusTooManyRequests)
+		return
+	}
+	if answer := g.run(ctx, g.deps.Runner, request); answer.IsUnsent() {
+		g.deps.Quota.GiveBack(request.Tenant)
+	}
+}
+
+// run runs a request, writes the answer and returns it without its result. The request is cancelled when the sender closes
 // the connection, or is abandoned at the end of a planned stop.
-func (g *Gate) run(ctx *fasthttp.RequestCtx, r Runner, request runner.Request) {
+func (g *Gate) run(ctx *fasthttp.RequestCtx, r Runner, request runner.Request) runner.Answer {
 	gone, stopWatch := g.watcher.watch(ctx.Conn(), time.Now())
 	request.Gone = gone
 	answer := r.Run(request)
 	stopWatch()
 	g.write(ctx, answer)
+	answer.Result = pool.Result{}
+	return answer
 }
 
 // unknownRoute answers a request that no route matches: with 404, or with 503 and a
--- a/internal/link/detour/runner.go
+++ b/internal/link/detour/runner.go
@@ -135,7 +135,7 @@
 		}
 	}
 	if outdated {
-		return runner.Answer{Outcome: relay.Outcome{
+		return runner.Answer{Unsent: true, Outcome: relay.Outcome{
 			Verdict: relay.Refused, Reason: "the configuration of this VM is out of date", RetryAfter: refusalDelay + rand.N(refusalDelay),
 		}}
 	}
@@ -298,7 +298,7 @@
 
 // accept converts the answer of another VM.
 func (r *Runner) accept(request runner.Request, peer roster.Member, result pool.Result) runner.Answer {
-	version, err := unwrap(result.Response)
+	version, unsent, err := unwrap(result.Response)
 	if err != nil {
 		result.Release()
 		return runner.Answer{Outcome: relay.Outcome{Verdict: relay.Failed, Reason: err.Error()}}
@@ -308,7 +308,7 @@
 	r.mu.Unlock()
 	r.deps.Events.Trace("request_detoured", request.Message.ID, "backend servers out of reach", slog.String("vm", string(peer.VM)),
 		slog.Int("status", result.Response.StatusCode()), slog.Duration("took", time.Since(request.Arrived)), slog.String("route", request.Route.Name))
-	return runner.Answer{Outcome: relay.Outcome{Verdict: relay.Success, Reason: "answered by " + string(peer.VM)}, Result: result}
+	return runner.Answer{Outcome: relay.Outcome{Verdict: relay.Success, Reason: "answered by " + string(peer.VM)}, Result: result, Unsent: unsent}
 }
 
 // reject logs that another VM gave no answer, and avoids it for a while. One that reaches no more
--- a/internal/link/detour/runner_test.go
+++ b/internal/link/detour/runner_test.go
@@ -62,7 +62,7 @@
 	return func(ctx *fasthttp.RequestCtx, order *detour.Order) {
 		ctx.SetStatusCode(fasthttp.StatusCreated)
 		ctx.SetBodyString("for " + order.Request)
-		detour.Wrap(ctx, version)
+		detour.Wrap(ctx, version, false)
 	}
 }
 
--- a/internal/link/detour/server.go
+++ b/internal/link/detour/server.go
@@ -31,9 +31,10 @@
 }
 
 // Wrap turns the answer for the caller, which is in ctx, into the answer for the VM that
-// sent the order. version is that of the configuration with which the request ran.
-func Wrap(ctx *fasthttp.RequestCtx, version ident.Version) {
-	answer := Answer{Status: uint16(ctx.Response.StatusCode()), Version: uint64(version), Body: ctx.Response.Body()}
+// sent the order. version is that of the configuration with which the request ran, and unsent
+// is set if it was refused and no backend server received any part of it.
+func Wrap(ctx *fasthttp.RequestCtx, version ident.Version, unsent bool) {
+	answer := Answer{Status: uint16(ctx.Response.StatusCode()), Version: uint64(version), Unsent: unsent, Body: ctx.Response.Body()}
 	for name, value := range ctx.Response.Header.All() {
 		answer.Headers = append(answer.Headers, Header{Name: bytes.Clone(name), Value: bytes.Clone(value)})
 	}
@@ -46,11 +47,12 @@
 	ctx.SetBody(encoded)
 }
 
-// unwrap replaces the answer of another VM by that for the caller.
-func unwrap(response *fasthttp.Response) (ident.Version, error) {
+// unwrap replaces the answer of another VM by that for the caller, and returns the version of
+// the configuration with which the request ran, and Answer.Unsent.
+func unwrap(response *fasthttp.Response) (version ident.Version, unsent bool, err error) {
 	var answer Answer
 	if _, err := answer.UnmarshalMsg(response.Body()); err != nil {
-		return 0, errors.Wrap(err, "detour: decode answer")
+		return 0, false, errors.Wrap(err, "detour: decode answer")
 	}
 	response.Reset()
 	response.Header.DisableNormalizing()
@@ -59,5 +61,5 @@
 		response.Header.AddBytesKV(h.Name, h.Value)
 	}
 	response.SetBodyRaw(answer.Body)
-	return ident.Version(answer.Version), nil
+	return ident.Version(answer.Version), answer.Unsent, nil
 }
--- a/internal/link/detour/wire.go
+++ b/internal/link/detour/wire.go
@@ -57,6 +57,9 @@
 	Version uint64   `msg:"v"`
 	Headers []Header `msg:"h,limit=65536"`
 	Body    []byte   `msg:"b"`
+	// Unsent is set if the request was refused and no backend server received any part of it,
+	// so that the sender gives the charge of the tenant's quota back.
+	Unsent bool `msg:"u"`
 }
 
 //msgp:tuple Header
--- a/internal/link/detour/wire_gen.go
+++ b/internal/link/detour/wire_gen.go
@@ -84,6 +84,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "u":
+			z.Unsent, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Unsent")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -97,9 +103,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Answer) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "s"
-	err = en.Append(0x84, 0xa1, 0x73)
+	err = en.Append(0x85, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -155,15 +161,25 @@
 		err = msgp.WrapError(err, "Body")
 		return
 	}
+	// write "u"
+	err = en.Append(0xa1, 0x75)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Unsent)
+	if err != nil {
+		err = msgp.WrapError(err, "Unsent")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Answer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "s"
-	o = append(o, 0x84, 0xa1, 0x73)
+	o = append(o, 0x85, 0xa1, 0x73)
 	o = msgp.AppendUint16(o, z.Status)
 	// string "v"
 	o = append(o, 0xa1, 0x76)
@@ -180,6 +196,9 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendBytes(o, z.Body)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendBool(o, z.Unsent)
 	return
 }
 
@@ -257,6 +276,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "u":
+			z.Unsent, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unsent")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -275,7 +300,7 @@
 	for za0001 := range z.Headers {
 		s += 1 + msgp.BytesPrefixSize + len(z.Headers[za0001].Name) + msgp.BytesPrefixSize + len(z.Headers[za0001].Value)
 	}
-	s += 2 + msgp.BytesPrefixSize + len(z.Body)
+	s += 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize
 	return
 }
 
--- /dev/null
+++ b/internal/link/grant/grant.go
@@ -0,0 +1,293 @@
+// Package grant exchanges the orders and replies of package quota with other VMs, and takes
+// tokens of quotas for the requests of callers. It sends and runs nothing while no tenant has a
+// quota.
+package grant
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/samphirestair/samphirestair/internal/base/boot"
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/routes"
+	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/fleet/roster"
+	"github.com/samphirestair/samphirestair/internal/query/quota"
+)
+
+const (
+	// waitTimeout is how long a request waits for its token. It is far below all goals.
+	waitTimeout = 30 * time.Millisecond
+	// tickInterval is the time between two looks for orders that are due, and idleInterval that
+	// while no tenant has a quota.
+	tickInterval = 50 * time.Millisecond
+	idleInterval = 250 * time.Millisecond
+	// maxStateRows is the number of tenants in each part of the state dump.
+	maxStateRows = 200
+)
+
+// ViewSource provides this VM's current view of the fleet.
+type ViewSource interface {
+	View() *roster.View
+	// Age returns the time since the view was last known to be up to date. known is false if it
+	// never was.
+	Age(now time.Time) (age time.Duration, known bool)
+}
+
+// Peers reports which other VMs can be heard.
+type Peers interface {
+	// Silent reports whether a VM seems to be dead or cut off.
+	Silent(vm ident.VMID) bool
+}
+
+// Transport sends an order to another VM and returns the reply.
+type Transport interface {
+	Exchange(address string, order *quota.Order, timeout time.Duration) (*quota.Reply, error)
+	// Retain closes the connections to other addresses.
+	Retain(keep func(address string) bool)
+}
+
+// Deps holds the dependencies of a Service.
+type Deps struct {
+	Self  quota.Process
+	Views ViewSource
+	Peers Peers
+	// Serving reports whether this VM serves callers and will go on.
+	Serving   func() bool
+	Bounds    func() quota.Bounds
+	Transport Transport
+	Events    *events.Recorder
+	Metrics   *metrics.Set
+	// Now returns the time on a clock that includes suspension. nil stands for boot.Now.
+	Now func() time.Duration
+}
+
+// Service is the part of a process that deals with quotas. It is safe for concurrent use.
+type Service struct {
+	deps Deps
+	wake chan struct{}
+	// limited is the table for which isLimited was computed.
+	table     atomic.Pointer[routes.Table]
+	isLimited atomic.Bool
+
+	mu     sync.Mutex
+	owner  *quota.Owner
+	holder *quota.Holder
+}
+
+// New returns a service for a process that has just started.
+func New(deps Deps) *Service {
+	if deps.Now == nil {
+		deps.Now = boot.Now
+	}
+	s := &Service{deps: deps, wake: make(chan struct{}, 1)}
+	s.owner = quota.NewOwner(deps.Self.Boot, deps.Bounds)
+	s.holder = quota.NewHolder(deps.Now(), deps.Self, s.owner)
+	return s
+}
+
+// Decision says whether a request may run.
+type Decision struct {
+	Granted bool
+	// RetryAfter is the time until the tenant may have a token, if the request is refused.
+	RetryAfter time.Duration
+	// Reason says why the request is refused.
+	Reason string
+}
+
+// Take takes a token for a request of a tenant. It waits for at most 30 ms.
+func (s *Service) Take(tenant *routes.Tenant) Decision {
+	if tenant == nil || !tenant.IsLimited() {
+		return Decision{Granted: true}
+	}
+	limit := s.limit(tenant)
+	s.mu.Lock()
+	decision := s.holder.Take(s.deps.Now(), limit)
+	s.mu.Unlock()
+	if decision.Verdict == quota.Waiting {
+		decision = s.await(decision.Waiter)
+	}
+	s.deps.Metrics.GetOrCreateCounter("samphirestair_quota_requests_total{result=" + strconv.Quote(decision.Verdict.String()) + "}").Inc()
+	if decision.Verdict.IsGranted() {
+		return Decision{Granted: true}
+	}
+	reason := "the tenant is over its quota"
+	if decision.Verdict == quota.RefusedUnreachable {
+		reason = "the quota owner is out of reach, and this VM's share of the quota is used up"
+	}
+	return Decision{RetryAfter: decision.RetryAfter, Reason: reason}
+}
+
+// await waits for the decision of the quota owner.
+func (s *Service) await(waiter *quota.Waiter) quota.Decision {
+	s.wakeUp()
+	timer := time.NewTimer(waitTimeout)
+	defer timer.Stop()
+	select {
+	case decision := <-waiter.Done:
+		return decision
+	case <-timer.C:
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holder.EndWait(s.deps.Now(), waiter)
+}
+
+// GiveBack returns the token of a request that was refused with nothing sent.
+func (s *Service) GiveBack(tenant *routes.Tenant) {
+	if tenant == nil || !tenant.IsLimited() {
+		return
+	}
+	limit := s.limit(tenant)
+	s.mu.Lock()
+	s.holder.GiveBack(s.deps.Now(), limit)
+	s.mu.Unlock()
+	s.deps.Metrics.GetOrCreateCounter("samphirestair_quota_returned_total").Inc()
+}
+
+func (s *Service) limit(tenant *routes.Tenant) quota.Limit {
+	limit := quota.Limit{Tenant: tenant.Name, Rate: tenant.Rate, Burst: tenant.Burst}
+	if table := s.deps.Views.View().Table; table != nil {
+		limit.Version = table.Config().Version
+	}
+	return limit
+}
+
+// Handle answers the order of another VM.
+func (s *Service) Handle(order *quota.Order) *quota.Reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owner.Handle(s.deps.Now(), order)
+}
+
+func (s *Service) wakeUp() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends orders until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	var seen fleetState
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-s.wake:
+		}
+		pause := idleInterval
+		if view := s.deps.Views.View(); s.hasLimits(view.Table) {
+			pause = tickInterval
+			s.step(view, &seen)
+		}
+		timer.Reset(pause)
+	}
+}
+
+// hasLimits reports whether a tenant of the table has a quota.
+func (s *Service) hasLimits(table *routes.Table) bool {
+	if table == nil {
+		return false
+	}
+	if s.table.Swap(table) != table {
+		limited := false
+		for i := range table.Config().Tenants {
+			limited = limited || table.Config().Tenants[i].IsLimited()
+		}
+		s.isLimited.Store(limited)
+	}
+	return s.isLimited.Load()
+}
+
+// fleetState is what Run has seen of the fleet.
+type fleetState struct {
+	view      *roster.View
+	addresses map[ident.VMID]string
+}
+
+// step sends the orders that are due.
+func (s *Service) step(view *roster.View, seen *fleetState) {
+	if view != seen.view {
+		seen.view, seen.addresses = view, make(map[ident.VMID]string, len(view.Members))
+		known := map[string]bool{}
+		for _, m := range view.Members {
+			seen.addresses[m.VM] = m.PeerAddress
+			known[m.PeerAddress] = true
+		}
+		for _, m := range view.Leaving {
+			// Shares are moved from a VM that leaves with its consent.
+			seen.addresses[m.VM] = m.PeerAddress
+			known[m.PeerAddress] = true
+		}
+		s.deps.Transport.Retain(func(address string) bool { return known[address] })
+	}
+	situation := s.situation(view)
+	s.mu.Lock()
+	now := s.deps.Now()
+	s.holder.Update(now, situation)
+	due := s.holder.Due(now)
+	s.mu.Unlock()
+	for _, out := range due {
+		go s.exchange(seen.addresses[out.To], out)
+	}
+}
+
+// situation returns what the holder needs to know of the fleet.
+func (s *Service) situation(view *roster.View) quota.Situation {
+	situation := quota.Situation{Sharers: view.ShareCount, Serving: s.deps.Serving(), Version: view.Table.Config().Version}
+	if situation.Serving {
+		situation.Owners = append(situation.Owners, s.deps.Self.VM)
+	}
+	for _, m := range view.Members {
+		if m.Serving && m.VM != s.deps.Self.VM && !s.deps.Peers.Silent(m.VM) {
+			situation.Owners = append(situation.Owners, m.VM)
+		}
+	}
+	situation.ViewAge, _ = s.deps.Views.Age(time.Now())
+	return situation
+}
+
+// exchange sends one order and handles its reply.
+func (s *Service) exchange(address string, out quota.Outgoing) {
+	reply, err := s.deps.Transport.Exchange(address, out.Order, s.holder.Timeout())
+	s.mu.Lock()
+	now := s.deps.Now()
+	if err == nil {
+		s.holder.Answered(now, out.To, out.Order, reply)
+	} else {
+		s.holder.Failed(now, out.To, out.Order)
+	}
+	s.mu.Unlock()
+	result := "answered"
+	if err != nil {
+		result = "failed"
+		s.deps.Events.Sample("quota_owner_unreached", string(out.To), "no answer to an order for tokens")
+	}
+	s.deps.Metrics.GetOrCreateCounter("samphirestair_quota_orders_total{result=" + strconv.Quote(result) + "}").Inc()
+	// Requests may have come in meanwhile.
+	s.wakeUp()
+}
+
+// State is the section of the state dump.
+type State struct {
+	// Tenants are those in use at this VM, and Owned what this VM grants as quota owner.
+	Tenants []quota.AccountState `json:"tenants"`
+	Owned   quota.OwnerState     `json:"owned"`
+}
+
+// State returns the state for operators.
+func (s *Service) State() State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.deps.Now()
+	return State{Tenants: s.holder.State(now, maxStateRows), Owned: s.owner.State(now, maxStateRows)}
+}
--- /dev/null
+++ b/internal/query/quota/quota_test.go
@@ -0,0 +1,129 @@
+package quota_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/query/quota"
+)
+
+// Guards against a tenant that gets more than its bound, whatever happens to VMs and messages.
+func TestBoundHoldsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.SampledFrom([]int{1, 2, 3, 6, 12, 12, 20, 40}).Draw(t, "vms")
+		f := newFleet(rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), count)
+		limit := quota.Limit{Tenant: "north", Rate: rapid.SampledFrom([]float64{0.2, 2, 20}).Draw(t, "rate"), Burst: rapid.SampledFrom([]float64{0, 3, 30}).Draw(t, "burst")}
+		pressure := rapid.SampledFrom([]float64{0.5, 3, 10}).Draw(t, "pressure")
+		callers := rapid.IntRange(1, count).Draw(t, "callers")
+		perStep := pressure * (limit.Rate + 4) * step.Seconds()
+		each := func() {
+			for n := perStep + f.random.Float64(); n >= 1; n-- {
+				f.request(f.vms[f.random.IntN(callers)], limit)
+			}
+		}
+		f.run(2*time.Second, each)
+		for range rapid.IntRange(3, 12).Draw(t, "faults") {
+			victim := f.vms[rapid.IntRange(0, count-1).Draw(t, "vm")]
+			switch rapid.IntRange(0, 8).Draw(t, "fault") {
+			case 0:
+				f.kill(victim)
+			case 1:
+				f.start(victim)
+			case 2:
+				victim.frozenUntil = f.now + time.Duration(rapid.IntRange(100, 3000).Draw(t, "freeze"))*time.Millisecond
+			case 3:
+				for _, v := range f.vms {
+					f.side[v.id] = f.random.IntN(2)
+				}
+			case 4:
+				clear(f.side)
+			case 5:
+				f.loss, f.repeat = f.random.Float64()/2, f.random.Float64()/2
+				f.delay = time.Duration(1+f.random.IntN(800)) * time.Millisecond
+			case 6:
+				f.loss, f.repeat, f.delay = 0, 0, 3*time.Millisecond
+			case 7:
+				for _, v := range f.vms {
+					f.start(v)
+				}
+			default:
+			}
+			f.run(time.Duration(rapid.IntRange(50, 2500).Draw(t, "pause"))*time.Millisecond, each)
+		}
+		require.LessOrEqual(t, f.excess(limit), 0.0)
+	})
+}
+
+// tenants returns a number of tenants whose usual rates, at 1.6 times of which they are limited,
+// sum up to 48 requests per second, very unevenly.
+func tenants(count int) []quota.Limit {
+	sum := 0.0
+	for i := range count {
+		sum += 1 / float64(i+1)
+	}
+	limits := make([]quota.Limit, count)
+	for i := range limits {
+		limits[i] = quota.Limit{Tenant: ident.TenantID(strconv.Itoa(i)), Rate: 1.6 * 48 / sum / float64(i+1)}
+	}
+	return limits
+}
+
+// Guards against refusals of tenants within their quotas, while nothing happens and while VMs
+// restart or are lost.
+func TestTenantsWithinQuotaAreServed(t *testing.T) {
+	for name, test := range map[string]struct {
+		burst   float64
+		disturb func(f *fleet, second int)
+		// refused is the largest share of requests that may be refused, and settle is not counted.
+		refused float64
+	}{
+		"quiet":           {0, func(*fleet, int) {}, 0.002},
+		"start of all":    {0, func(f *fleet, second int) { restart(f, second == 5, 0, 12) }, 0.06},
+		"rolling restart": {0, func(f *fleet, second int) { restart(f, second%2 == 0, second/2%12, second/2%12+1) }, 0.02},
+		"third lost": {0, func(f *fleet, second int) {
+			for i := range 4 {
+				if second == 5 {
+					f.kill(f.vms[3*i])
+				}
+			}
+		}, 0.03},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(rand.New(rand.NewPCG(7, 7)), 12)
+			f.run(3*time.Second, nil)
+			limits, sent := tenants(86), 0
+			for i := range limits {
+				limits[i].Burst = test.burst
+			}
+			for second := range 30 {
+				test.disturb(f, second)
+				f.run(time.Second, func() {
+					for i, limit := range limits {
+						if f.random.Float64() < limit.Rate/1.6*step.Seconds() && f.request(f.vms[(i+f.random.IntN(3))%12], limit) {
+							sent++
+						}
+					}
+				})
+			}
+			t.Logf("%d sent, %d refused, %d failed, %.0f orders a second", sent, f.refused, f.failed, float64(f.orders)/33)
+			require.LessOrEqual(t, float64(f.refused+f.failed), test.refused*float64(sent))
+			for _, limit := range limits {
+				require.LessOrEqual(t, f.excess(limit), 0.0)
+			}
+		})
+	}
+}
+
+func restart(f *fleet, due bool, from, to int) {
+	for _, v := range f.vms[from:to] {
+		if due {
+			f.start(v)
+		}
+	}
+}
--- a/internal/query/runner/request.go
+++ b/internal/query/runner/request.go
@@ -54,4 +54,12 @@
 	Records []byte
 	// Signatures holds the signatures of the parts of a search.
 	Signatures []string
+	// Unsent is set if the request was refused before any attempt was sent. If another VM ran
+	// the request, it has said so.
+	Unsent bool
+}
+
+// IsUnsent reports whether the request was refused and no backend server received any part of it.
+func (a *Answer) IsUnsent() bool {
+	return a.Unsent || a.Verdict == relay.Refused && a.NothingSent
 }
--- a/internal/query/runner/runner.go
+++ b/internal/query/runner/runner.go
@@ -88,6 +88,7 @@
 	decision, refusal, refused := e.inspect()
 	if refused {
 		r.report(e, refusal)
+		refusal.Unsent = !refusal.Gone
 		return refusal
 	}
 	if decision.Verdict == poison.Try {
@@ -96,6 +97,7 @@
 	}
 	if refusal, refused := e.begin(); refused {
 		r.report(e, refusal)
+		refusal.Unsent = !refusal.Gone
 		return refusal
 	}
 	e.admittedAt = time.Now()
--- a/review/rig/vm.go
+++ b/review/rig/vm.go
@@ -30,6 +30,10 @@
 	"bounds.budgetSlack": "56", "bounds.budgetWindowS": "10", "limits.memoryMb": "284", "limits.cpuShare": "0.4",
 }
 
+// optional matches a section of the template that is rendered only if its value is present. The
+// rig gives none of these values.
+var optional = regexp.MustCompile(`(?s)\{\{#([a-zA-Z0-9_.]+)\}\}.*?\{\{/[a-zA-Z0-9_.]+\}\}\n?`)
+
 var placeholder = regexp.MustCompile(`\{\{([a-zA-Z0-9_.]+)\}\}`)
 
 // Ports of a machine: those of the pages' example, and the fixed one of the template.
@@ -49,7 +53,7 @@
 		return nil, err
 	}
 	var missing error
-	text := placeholder.ReplaceAllStringFunc(string(template), func(p string) string {
+	text := placeholder.ReplaceAllStringFunc(optional.ReplaceAllString(string(template), ""), func(p string) string {
 		key := strings.Trim(p, "{}")
 		for _, m := range []map[string]string{values, bounds} {
 			if value, ok := m[key]; ok {
