Teach the soak tenants, quotas and keys that are revoked

The referee checks that no backend server gets a caller's key or the name of another tenant, that no request runs with a key that is unknown or was removed, and that a tenant keeps to its quota in every window whatever fails meanwhile. Schedules of seeds without tenants stay the same.

Ran: the tests of lab/soak.

--- a/internal/lab/soak/answers.go
+++ b/internal/lab/soak/answers.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"net/http"
 	"slices"
 	"strings"
 
@@ -55,6 +56,9 @@
 			r.addFindingf(Mixed, q.ID, "status %d with signature %q", answer.Status, signature)
 		}
 	}
+	if answer.Status == http.StatusUnauthorized && r.mayBeUnauthorized(q) {
+		return
+	}
 	if !answer.Refused && len(answer.Signatures) == 0 && answer.Status/100 != 5 {
 		r.addFindingf(Denied, q.ID, "answered %d by %s", answer.Status, q.VM)
 	}
--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -28,7 +28,10 @@
 	Recover = "recover" // the fleet did not recover after the faults
 	Quiet   = "quiet"   // requests reached a server that had asked for none
 	Limit   = "limit"   // a server got more requests than the limit that it had named
-	Deadly  = "deadly"  // a request that ends servers was sent to servers again and again
+	Key     = "key"     // a request ran with a key that is not in force
+	// OverQuota: more requests of a tenant ran than its quota allows.
+	OverQuota = "quota"
+	Deadly    = "deadly" // a request that ends servers was sent to servers again and again
 )
 
 // Tolerances of promises that the users' rules let be missed a few times.
@@ -81,6 +84,7 @@
 	newestSeen map[process]observation
 	// deadly holds the requests that end backend servers, by name.
 	deadly     map[string]*deadlyState
+	tenants    map[ident.TenantID]*tenant
 	findings   []Finding
 	exceptions map[string]int
 	// overdue counts the requests that outlasted their timeout, unanswered those of
@@ -163,6 +167,7 @@
 		notices:      map[string]*noticeState{},
 		limits:       map[ident.ServerID]*limitState{},
 		deadly:       map[string]*deadlyState{},
+		tenants:      map[ident.TenantID]*tenant{},
 		exceptions:   map[string]int{},
 	}
 }
@@ -291,6 +296,7 @@
 		return
 	}
 	r.checkRuns(q, a)
+	r.checkTenant(q, a)
 	r.checkFallback(q, a)
 	r.checkNotices(q, a)
 	r.checkLimit(q, a)
@@ -347,12 +353,13 @@
 }
 
 // Served returns how many requests were sent in [from, to], and how many of them
-// succeeded. Requests whose callers left and deadly ones don't count.
+// succeeded. Requests whose callers left, deadly ones, those with an unknown key and those that a
+// quota refuses don't count.
 func (r *Checker) Served(from, to time.Time) (sent, served int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, q := range r.requests {
-		if q.SentAt.Before(from) || q.SentAt.After(to) || !q.leftAt.IsZero() || q.Deadly != "" {
+		if q.SentAt.Before(from) || q.SentAt.After(to) || !q.leftAt.IsZero() || q.Deadly != "" || q.KeyUnknown || r.isOverQuota(q) {
 			continue
 		}
 		sent++
--- a/internal/lab/soak/checker_test.go
+++ b/internal/lab/soak/checker_test.go
@@ -19,6 +19,7 @@
 	Rollback: 250 * time.Millisecond, Grace: 6 * time.Second, CloseRace: 200 * time.Millisecond, Gone: 500 * time.Millisecond,
 	Late: 500 * time.Millisecond, ExtraShare: 0.2, ExtraSlack: 5, ExtraWindow: 10 * time.Second, Recovery: 12 * time.Second,
 	LimitFactor: 1.5, LimitSlack: 5, LimitWindow: 4 * time.Second,
+	QuotaOverage: 0.1, QuotaSlack: 18.8, QuotaWindow: 5 * time.Second,
 }
 
 var (
@@ -65,6 +66,24 @@
 	w.Arrived(soak.Arrival{ID: id, Server: "i-1", Service: service, At: time.Now(), Ran: true, TimeLeft: 500 * time.Millisecond, HasTimeLeft: true})
 }
 
+// runAs reports that server i-1 runs a request of a tenant, with what it got of the tenant.
+func (w *scenario) runAs(tenant ident.TenantID, got soak.Arrival) {
+	w.next++
+	id := fmt.Sprint("r", w.next)
+	w.Sent(soak.Attempt{ID: id, Route: one, VM: "vm-1", SentAt: time.Now(), Deadline: time.Second, Tenant: tenant})
+	got.ID, got.Server, got.Service, got.At, got.Ran = id, "i-1", "desk", time.Now(), true
+	got.TimeLeft, got.HasTimeLeft = 500*time.Millisecond, true
+	w.Arrived(got)
+}
+
+// runOften reports that requests of a tenant run at an interval.
+func (w *scenario) runOften(tenant ident.TenantID, count int, interval time.Duration) {
+	for range count {
+		w.runAs(tenant, soak.Arrival{Tenant: tenant})
+		time.Sleep(interval)
+	}
+}
+
 // arriveEvery lets a number of requests arrive on a connection, spaced by interval.
 func (w *scenario) arriveEvery(interval time.Duration, count int, conn string) {
 	for range count {
@@ -147,6 +166,58 @@
 			id := w.send(all)
 			w.answer(id, soak.Answer{Status: 200, Signatures: []string{w.reply(id, "s1", true), w.reply(id, "s2", true)}, Body: record + record})
 		}},
+		{"the key of a caller", soak.Unasked, func(w *scenario) { w.runAs("north", soak.Arrival{Tenant: "north", KeySeen: true}) }},
+		{"another tenant", soak.Unasked, func(w *scenario) { w.runAs("north", soak.Arrival{Tenant: "south"}) }},
+		{"no tenant", soak.Unasked, func(w *scenario) { w.runAs("north", soak.Arrival{}) }},
+		{"a key in force", "", func(w *scenario) { w.runAs("north", soak.Arrival{Tenant: "north"}) }},
+		{"an unknown key", soak.Key, func(w *scenario) {
+			w.Sent(soak.Attempt{ID: "forged", Route: one, VM: "vm-1", SentAt: time.Now(), Deadline: time.Second, KeyUnknown: true})
+			w.run("forged", "desk")
+		}},
+		{"an unknown key that is rejected", "", func(w *scenario) {
+			w.Sent(soak.Attempt{ID: "forged", Route: one, VM: "vm-1", SentAt: time.Now(), Deadline: time.Second, KeyUnknown: true})
+			w.answer("forged", soak.Answer{Status: 401})
+		}},
+		{"a known key that is rejected", soak.Denied, func(w *scenario) {
+			w.Sent(soak.Attempt{ID: "proper", Route: one, VM: "vm-1", SentAt: time.Now(), Deadline: time.Second, Tenant: "north"})
+			w.answer("proper", soak.Answer{Status: 401})
+		}},
+		{"a removed key", soak.Key, func(w *scenario) {
+			time.Sleep(bounds.Contact)
+			w.SetKeyRemoved("north", time.Now())
+			time.Sleep(bounds.Config + time.Second)
+			w.runAs("north", soak.Arrival{Tenant: "north"})
+		}},
+		{"a key that was removed just now", "", func(w *scenario) {
+			w.SetKeyRemoved("north", time.Now())
+			time.Sleep(bounds.Config / 2)
+			w.runAs("north", soak.Arrival{Tenant: "north"})
+		}},
+		{"a tenant within its quota", "", func(w *scenario) {
+			w.SetQuota("north", soak.Quota{Rate: 2, Burst: 2}, time.Now())
+			w.runOften("north", 32, 10*time.Millisecond)
+		}},
+		{"a tenant over its quota", soak.OverQuota, func(w *scenario) {
+			w.SetQuota("north", soak.Quota{Rate: 2, Burst: 2}, time.Now())
+			w.runOften("north", 33, 10*time.Millisecond)
+		}},
+		{"a tenant over its quota in a longer time", "", func(w *scenario) {
+			w.SetQuota("north", soak.Quota{Rate: 2, Burst: 2}, time.Now())
+			w.runOften("north", 33, 200*time.Millisecond)
+		}},
+		{"a lower quota that does not bind yet", "", func(w *scenario) {
+			w.SetQuota("north", soak.Quota{Rate: 2, Burst: 2}, time.Now())
+			w.SetQuota("north", soak.Quota{Rate: 1, Burst: 0}, time.Now())
+			time.Sleep(bounds.Config)
+			w.runOften("north", 32, 10*time.Millisecond)
+		}},
+		{"a lower quota", soak.OverQuota, func(w *scenario) {
+			w.SetQuota("north", soak.Quota{Rate: 2, Burst: 2}, time.Now())
+			w.SetQuota("north", soak.Quota{Rate: 1, Burst: 0}, time.Now())
+			w.runAs("north", soak.Arrival{Tenant: "north"})
+			time.Sleep(bounds.Config + bounds.Contact + 2*bounds.QuotaWindow)
+			w.runOften("north", 32, 10*time.Millisecond)
+		}},
 		{"a request that nobody sent", soak.Unasked, func(w *scenario) { w.run("forged", "desk") }},
 		{"a request run twice", soak.Twice, func(w *scenario) {
 			id := w.serve()
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -46,6 +46,9 @@
 	Poison       Fault = "poison"
 	Crowd        Fault = "crowd"
 	SlowLinks    Fault = "slow-links"
+	HotTenant    Fault = "hot-tenant"
+	KeyRevoked   Fault = "key-revoked"
+	QuotaLowered Fault = "quota-lowered"
 )
 
 // Faults returns all kinds of faults. New kinds are appended: the order determines
@@ -59,6 +62,12 @@
 	}
 }
 
+// TenantFaults returns the kinds of faults that need tenants. They are apart from Faults, so that
+// the schedules of seeds without tenants stay the same.
+func TenantFaults() []Fault {
+	return []Fault{HotTenant, KeyRevoked, QuotaLowered}
+}
+
 // LinkFault is a kind of fault of a link.
 type LinkFault string
 
--- a/internal/lab/soak/types.go
+++ b/internal/lab/soak/types.go
@@ -40,6 +40,11 @@
 	LimitFactor float64
 	LimitSlack  float64
 	LimitWindow time.Duration
+	// QuotaOverage and QuotaSlack bound the requests of a tenant that run in every QuotaWindow:
+	// 1 + QuotaOverage times what its quota allows, plus QuotaSlack.
+	QuotaOverage float64
+	QuotaSlack   float64
+	QuotaWindow  time.Duration
 	// Recovery is the time after the faults within which the fleet has to serve as before.
 	Recovery time.Duration
 }
@@ -85,6 +90,10 @@
 	// Deadly names what is requested if it ends each backend server that runs it. Repeats
 	// of a request have the same name. It is empty for other requests.
 	Deadly string
+	// Tenant is the tenant that holds the key of the request, or empty if it has no key or
+	// KeyUnknown is set: then no configuration ever held its key.
+	Tenant     ident.TenantID
+	KeyUnknown bool
 }
 
 // Answer is what the caller got.
@@ -123,6 +132,10 @@
 	// Sender is the VM from which it arrived, which may have sent it on behalf of the VM
 	// that got it from the caller. It is empty if unknown.
 	Sender ident.VMID
+	// Tenant is the name of the tenant that the server got. KeySeen is set if the request
+	// contains the caller's key.
+	Tenant  ident.TenantID
+	KeySeen bool
 }
 
 // Notice is what a backend server states about itself in an answer on a connection.
