--- a/internal/lab/soak/checker_test.go
+++ b/internal/lab/soak/checker_test.go
@@ -66,11 +66,11 @@
 	w.Arrived(soak.Arrival{ID: id, Server: "i-1", Service: service, At: time.Now(), Ran: true, TimeLeft: 500 * time.Millisecond, HasTimeLeft: true})
 }
 
-// runAs reports that server i-1 runs a request of a tenant, with what it got of the tenant.
-func (w *scenario) runAs(tenant ident.TenantID, got soak.Arrival) {
+// runAs reports that server i-1 runs a request of the tenant "north", with what it got of the tenant.
+func (w *scenario) runAs(got soak.Arrival) {
 	w.next++
 	id := fmt.Sprint("r", w.next)
-	w.Sent(soak.Attempt{ID: id, Route: one, VM: "vm-1", SentAt: time.Now(), Deadline: time.Second, Tenant: tenant})
+	w.Sent(soak.Attempt{ID: id, Route: one, VM: "vm-1", SentAt: time.Now(), Deadline: time.Second, Tenant: "north"})
 	got.ID, got.Server, got.Service, got.At, got.Ran = id, "i-1", "desk", time.Now(), true
 	got.TimeLeft, got.HasTimeLeft = 500*time.Millisecond, true
 	w.Arrived(got)
@@ -79,7 +79,7 @@
 // runOften reports that requests of the tenant "north" run at an interval.
 func (w *scenario) runOften(count int, interval time.Duration) {
 	for range count {
-		w.runAs("north", soak.Arrival{Tenant: "north"})
+		w.runAs(soak.Arrival{Tenant: "north"})
 		time.Sleep(interval)
 	}
 }
@@ -166,10 +166,10 @@
 			id := w.send(all)
 			w.answer(id, soak.Answer{Status: 200, Signatures: []string{w.reply(id, "s1", true), w.reply(id, "s2", true)}, Body: record + record})
 		}},
-		{"the key of a caller", soak.Unasked, func(w *scenario) { w.runAs("north", soak.Arrival{Tenant: "north", KeySeen: true}) }},
-		{"another tenant", soak.Unasked, func(w *scenario) { w.runAs("north", soak.Arrival{Tenant: "south"}) }},
-		{"no tenant", soak.Unasked, func(w *scenario) { w.runAs("north", soak.Arrival{}) }},
-		{"a key in force", "", func(w *scenario) { w.runAs("north", soak.Arrival{Tenant: "north"}) }},
+		{"the key of a caller", soak.Unasked, func(w *scenario) { w.runAs(soak.Arrival{Tenant: "north", KeySeen: true}) }},
+		{"another tenant", soak.Unasked, func(w *scenario) { w.runAs(soak.Arrival{Tenant: "south"}) }},
+		{"no tenant", soak.Unasked, func(w *scenario) { w.runAs(soak.Arrival{}) }},
+		{"a key in force", "", func(w *scenario) { w.runAs(soak.Arrival{Tenant: "north"}) }},
 		{"an unknown key", soak.Key, func(w *scenario) {
 			w.Sent(soak.Attempt{ID: "forged", Route: one, VM: "vm-1", SentAt: time.Now(), Deadline: time.Second, KeyUnknown: true})
 			w.run("forged", "desk")
@@ -186,12 +186,12 @@
 			time.Sleep(bounds.Contact)
 			w.SetKeyRemoved("north", time.Now())
 			time.Sleep(bounds.Config + time.Second)
-			w.runAs("north", soak.Arrival{Tenant: "north"})
+			w.runAs(soak.Arrival{Tenant: "north"})
 		}},
 		{"a key that was removed just now", "", func(w *scenario) {
 			w.SetKeyRemoved("north", time.Now())
 			time.Sleep(bounds.Config / 2)
-			w.runAs("north", soak.Arrival{Tenant: "north"})
+			w.runAs(soak.Arrival{Tenant: "north"})
 		}},
 		{"a tenant within its quota", "", func(w *scenario) {
 			w.SetQuota("north", soak.Quota{Rate: 2, Burst: 2}, time.Now())
@@ -214,7 +214,7 @@
 		{"a lower quota", soak.OverQuota, func(w *scenario) {
 			w.SetQuota("north", soak.Quota{Rate: 2, Burst: 2}, time.Now())
 			w.SetQuota("north", soak.Quota{Rate: 1, Burst: 0}, time.Now())
-			w.runAs("north", soak.Arrival{Tenant: "north"})
+			w.runAs(soak.Arrival{Tenant: "north"})
 			time.Sleep(bounds.Config + bounds.Contact + 2*bounds.QuotaWindow)
 			w.runOften(32, 10*time.Millisecond)
 		}},
