Serve the first requests of tenants after a start of all VMs

Cause: after a start of all VMs no shares are leased for 0.6 s and more, and VMs learn up to a second later that the others serve, so that requests within the quota were refused.

Change: a new process grants up to a tenth of the slack for each tenant that it owns among all registered VMs. VMs that are about to serve count as owners in the first 10 s of a process.

--- a/internal/link/grant/grant.go
+++ b/internal/link/grant/grant.go
@@ -27,6 +27,9 @@
 	// while no tenant has a quota.
 	tickInterval = 50 * time.Millisecond
 	idleInterval = 250 * time.Millisecond
+	// startTime is the time after the start of the process in which VMs that are about to serve
+	// count as quota owners: those that start together learn only later that the others serve.
+	startTime = 10 * time.Second
 	// maxStateRows is the number of tenants in each part of the state dump.
 	maxStateRows = 200
 )
@@ -71,7 +74,9 @@
 type Service struct {
 	deps Deps
 	wake chan struct{}
-	// limited is the table for which isLimited was computed.
+	// started is when the process started.
+	started time.Duration
+	// table is the table for which isLimited was computed.
 	table     atomic.Pointer[routes.Table]
 	isLimited atomic.Bool
 
@@ -85,9 +90,9 @@
 	if deps.Now == nil {
 		deps.Now = boot.Now
 	}
-	s := &Service{deps: deps, wake: make(chan struct{}, 1)}
-	s.owner = quota.NewOwner(deps.Self.Boot, deps.Bounds)
-	s.holder = quota.NewHolder(deps.Now(), deps.Self, s.owner)
+	s := &Service{deps: deps, wake: make(chan struct{}, 1), started: deps.Now()}
+	s.owner = quota.NewOwner(s.started, deps.Self.Boot, deps.Bounds)
+	s.holder = quota.NewHolder(s.started, deps.Self, s.owner)
 	return s
 }
 
@@ -244,12 +249,20 @@
 // situation returns what the holder needs to know of the fleet.
 func (s *Service) situation(view *roster.View) quota.Situation {
 	situation := quota.Situation{Sharers: view.ShareCount, Serving: s.deps.Serving(), Version: view.Table.Config().Version}
-	if situation.Serving {
-		situation.Owners = append(situation.Owners, s.deps.Self.VM)
+	starting := s.deps.Now()-s.started < startTime
+	consider := func(vm ident.VMID, isServing, isSilent bool) {
+		if !isServing && (!starting || !view.TargetServing().Has(vm)) {
+			return
+		}
+		situation.Registered = append(situation.Registered, vm)
+		if !isSilent {
+			situation.Owners = append(situation.Owners, vm)
+		}
 	}
+	consider(s.deps.Self.VM, situation.Serving, false)
 	for _, m := range view.Members {
-		if m.Serving && m.VM != s.deps.Self.VM && !s.deps.Peers.Silent(m.VM) {
-			situation.Owners = append(situation.Owners, m.VM)
+		if m.VM != s.deps.Self.VM {
+			consider(m.VM, m.Serving, s.deps.Peers.Silent(m.VM))
 		}
 	}
 	situation.ViewAge, _ = s.deps.Views.Age(time.Now())
--- a/internal/query/quota/fleet_test.go
+++ b/internal/query/quota/fleet_test.go
@@ -89,9 +89,9 @@
 // start starts a new process on a VM, which serves some time later.
 func (f *fleet) start(v *vm) {
 	p := &process{vm: v, boot: f.random.Uint64(), started: f.now, serving: f.now + time.Duration(200+f.random.IntN(300))*time.Millisecond}
-	p.owner = quota.NewOwner(p.boot, func() quota.Bounds { return bounds })
-	p.holder = quota.NewHolder(p.local(f.now), quota.Process{VM: v.id, Boot: p.boot}, p.owner)
 	v.process, v.frozenUntil = p, 0
+	p.owner = quota.NewOwner(p.local(f.now), p.boot, func() quota.Bounds { return bounds })
+	p.holder = quota.NewHolder(p.local(f.now), quota.Process{VM: v.id, Boot: p.boot}, p.owner)
 }
 
 func (f *fleet) kill(v *vm) {
@@ -167,6 +167,7 @@
 	now := p.local(f.now)
 	situation := quota.Situation{Sharers: f.sharers, Serving: f.now >= p.serving, Version: f.version}
 	for _, v := range f.vms {
+		situation.Registered = append(situation.Registered, v.id)
 		at, known := p.vm.heard[v.id]
 		if v == p.vm && situation.Serving || v != p.vm && known && f.now-at < silentAfter {
 			situation.Owners = append(situation.Owners, v.id)
--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -90,6 +90,8 @@
 type Situation struct {
 	// Owners are the VMs that may own quotas: those that serve and are not silent.
 	Owners []ident.VMID
+	// Registered are the VMs that serve or are about to, also those that are silent.
+	Registered []ident.VMID
 	// Sharers is the number of shares into which each quota is divided, and Serving is set if
 	// this process owns one of them.
 	Sharers int
@@ -184,6 +186,7 @@
 		h.desired = assign(s.Owners)
 	}
 	h.situation = s
+	h.owner.setBootSlots(h.bootSlots())
 	if first {
 		// The process before this one on the same VM may have leased its share.
 		for i := range h.slots {
@@ -197,6 +200,22 @@
 	}
 }
 
+// bootSlots returns the slots that this process owns among all registered VMs, also the silent
+// ones. Which VMs are silent differs between processes and in time, so that many of them would
+// grant boot tokens of the same tenant otherwise, as would those that know few others.
+func (h *Holder) bootSlots() slotSet {
+	slots := slotSet(0)
+	if h.now-h.started >= bootTime || 2*len(h.situation.Registered) < h.situation.Sharers {
+		return slots
+	}
+	for i, owner := range assign(h.situation.Registered) {
+		if owner == h.self.VM {
+			slots |= 1 << i
+		}
+	}
+	return slots
+}
+
 func (h *Holder) advance(now time.Duration) {
 	h.now = max(h.now, now)
 }
@@ -274,7 +293,7 @@
 		return a.count(Decision{Verdict: GrantedOwn})
 	}
 	if owner == "" {
-		return a.refuse(h.now, RefusedUnreachable, failedWait)
+		return a.refuse(h.now, RefusedUnreachable, max(failedWait, h.slots[a.slot].until-h.now))
 	}
 	w := &Waiter{Done: make(chan Decision, 1), account: a}
 	a.waiters = append(a.waiters, w)
--- a/internal/query/quota/owner.go
+++ b/internal/query/quota/owner.go
@@ -25,8 +25,11 @@
 // Owner grants tokens of the quotas whose shares were leased to this process. It is not safe for
 // concurrent use.
 type Owner struct {
-	boot   uint64
-	bounds func() Bounds
+	boot    uint64
+	bounds  func() Bounds
+	started time.Duration
+	// bootSlots are the slots of which this process may grant boot tokens.
+	bootSlots slotSet
 	// now is the latest time.
 	now    time.Duration
 	leases map[Process]*lease
@@ -54,6 +57,8 @@
 	tokens float64
 	// at is the time up to which the bucket was refilled.
 	at time.Duration
+	// boot is the number of tokens left that need no share.
+	boot uint32
 	// holds are the tokens that processes hold in advance.
 	holds map[Process]hold
 	// granted and refused count tokens since the bucket was created.
@@ -67,8 +72,8 @@
 }
 
 // NewOwner returns an owner without leases. boot identifies its process.
-func NewOwner(boot uint64, bounds func() Bounds) *Owner {
-	return &Owner{boot: boot, bounds: bounds, leases: map[Process]*lease{}, nextEnd: forever}
+func NewOwner(now time.Duration, boot uint64, bounds func() Bounds) *Owner {
+	return &Owner{boot: boot, bounds: bounds, started: now, now: now, leases: map[Process]*lease{}, nextEnd: forever}
 }
 
 // Handle handles the order of another process.
@@ -112,6 +117,11 @@
 	o.setLease(l, slots, share)
 }
 
+// setBootSlots sets the slots of which this process may grant boot tokens.
+func (o *Owner) setBootSlots(slots slotSet) {
+	o.bootSlots = slots
+}
+
 // LeaseOwn replaces what this process leases to itself.
 func (o *Owner) LeaseOwn(now time.Duration, process Process, slots slotSet, share float64) {
 	o.advance(now)
@@ -217,6 +227,9 @@
 			o.buckets[slot] = map[ident.TenantID]*bucket{}
 		}
 		b = &bucket{limit: limit, tokens: o.unused(limit), at: o.now, holds: map[Process]hold{}}
+		if o.now-o.started < bootTime {
+			b.boot = uint32(bootSlack * bounds.Slack)
+		}
 		o.buckets[slot][limit.Tenant] = b
 		return b
 	}
@@ -276,7 +289,7 @@
 	b, bounds, share := o.bucket(limit), o.bounds(), o.shares[slotOf(limit.Tenant)]
 	capacity := bounds.capacity(b.limit, share)
 	b.tokens = min(b.tokens+float64(ask.Returned), capacity)
-	granted := b.take(ask.Need)
+	granted := o.take(b, ask.Need)
 	delete(b.holds, process)
 	held := ask.Held
 	if granted == ask.Need {
@@ -300,6 +313,17 @@
 	return l.Rate > 0 && l.Rate < math.MaxInt32 && l.Burst >= 0 && l.Burst < math.MaxInt32
 }
 
+// take takes up to count tokens for requests that wait, also boot tokens.
+func (o *Owner) take(b *bucket, count uint32) uint32 {
+	taken := b.take(count)
+	if taken < count && o.bootSlots.has(slotOf(b.limit.Tenant)) && o.now-o.started < bootTime {
+		extra := min(count-taken, b.boot)
+		b.boot -= extra
+		taken += extra
+	}
+	return taken
+}
+
 // take takes up to count whole tokens.
 func (b *bucket) take(count uint32) uint32 {
 	// The tolerance makes up for rounding, which would otherwise delay each token.
@@ -327,7 +351,7 @@
 func (o *Owner) Take(now time.Duration, limit Limit) (wait time.Duration, ok bool) {
 	o.advance(now)
 	b := o.bucket(limit)
-	if b.take(1) == 1 {
+	if o.take(b, 1) == 1 {
 		b.granted++
 		return 0, true
 	}
--- a/internal/query/quota/quota.go
+++ b/internal/query/quota/quota.go
@@ -54,6 +54,10 @@
 	holdOverage = 2
 	// startSlack is the part with which a share begins at a new owner.
 	startSlack = 0.1
+	// bootSlack is the part that a new process may grant as the owner of a tenant before it has
+	// any share, and while it has been running for less than bootTime.
+	bootSlack = 0.1
+	bootTime  = 3 * time.Second
 )
 
 // Process identifies a process of a VM.
