--- a/internal/link/grant/grant.go
+++ b/internal/link/grant/grant.go
@@ -110,8 +110,13 @@
 	if tenant == nil || !tenant.IsLimited() {
 		return Decision{Granted: true}
 	}
-	limit := s.limit(tenant)
+	view := s.deps.Views.View()
+	limit := newLimit(tenant, view)
 	s.mu.Lock()
+	if !s.holder.IsReady() && view.Table != nil {
+		// The first request comes before Run has seen that there are quotas.
+		s.holder.Update(s.deps.Now(), s.situation(view))
+	}
 	decision := s.holder.Take(s.deps.Now(), limit)
 	s.mu.Unlock()
 	if decision.Verdict == quota.Waiting {
@@ -148,17 +153,17 @@
 	if tenant == nil || !tenant.IsLimited() {
 		return
 	}
-	limit := s.limit(tenant)
+	limit := newLimit(tenant, s.deps.Views.View())
 	s.mu.Lock()
 	s.holder.GiveBack(s.deps.Now(), limit)
 	s.mu.Unlock()
 	s.deps.Metrics.GetOrCreateCounter("samphirestair_quota_returned_total").Inc()
 }
 
-func (s *Service) limit(tenant *routes.Tenant) quota.Limit {
+func newLimit(tenant *routes.Tenant, view *roster.View) quota.Limit {
 	limit := quota.Limit{Tenant: tenant.Name, Rate: tenant.Rate, Burst: tenant.Burst}
-	if table := s.deps.Views.View().Table; table != nil {
-		limit.Version = table.Config().Version
+	if view.Table != nil {
+		limit.Version = view.Table.Config().Version
 	}
 	return limit
 }
--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -55,6 +55,7 @@
 	Refused
 	// RefusedUnreachable: the owner is out of reach, and the share of this process is used up.
 	RefusedUnreachable
+	verdictCount
 )
 
 // IsGranted reports whether the request may run.
@@ -164,7 +165,7 @@
 	refusedUntil time.Duration
 	// retryAt is the time for which the last refused request was told to retry.
 	retryAt time.Duration
-	counts  map[Verdict]uint64
+	counts  [verdictCount]uint64
 }
 
 // NewHolder returns a holder for a process that has just started. owner grants the tokens of the
@@ -216,6 +217,11 @@
 	return slots
 }
 
+// IsReady reports whether Update was called.
+func (h *Holder) IsReady() bool {
+	return h.situation.Sharers > 0
+}
+
 func (h *Holder) advance(now time.Duration) {
 	h.now = max(h.now, now)
 }
@@ -341,7 +347,7 @@
 func (h *Holder) account(limit Limit) *account {
 	a := h.accounts[limit.Tenant]
 	if a == nil {
-		a = &account{slot: slotOf(limit.Tenant), counts: map[Verdict]uint64{}}
+		a = &account{slot: slotOf(limit.Tenant)}
 		h.accounts[limit.Tenant] = a
 	}
 	if limit.Version >= a.limit.Version {
@@ -672,7 +678,9 @@
 	for tenant, a := range h.accounts {
 		results := map[string]uint64{}
 		for verdict, count := range a.counts {
-			results[verdict.String()] = count
+			if count > 0 {
+				results[Verdict(verdict).String()] = count
+			}
 		}
 		states = append(states, AccountState{
 			Tenant: tenant, Rate: a.limit.Rate, Burst: a.limit.Burst, Owner: h.slots[a.slot].owner,
--- a/internal/query/quota/owner.go
+++ b/internal/query/quota/owner.go
@@ -226,7 +226,7 @@
 		if o.buckets[slot] == nil {
 			o.buckets[slot] = map[ident.TenantID]*bucket{}
 		}
-		b = &bucket{limit: limit, tokens: o.unused(limit), at: o.now, holds: map[Process]hold{}}
+		b = &bucket{limit: limit, tokens: o.unused(limit), at: o.now}
 		if o.now-o.started < bootTime {
 			b.boot = uint32(bootSlack * bounds.Slack)
 		}
@@ -302,6 +302,9 @@
 		b.refused += uint64(ask.Need - granted)
 	}
 	if held > 0 {
+		if b.holds == nil {
+			b.holds = map[Process]hold{}
+		}
 		b.holds[process] = hold{held, o.now + holdTime}
 	}
 	b.granted += uint64(granted)
