--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -391,7 +391,7 @@
 	h.advance(now)
 	h.placeShares()
 	var due []Outgoing
-	for vm := range h.dueOwners() {
+	for _, vm := range coll.Sorted(h.dueOwners()) {
 		due = append(due, Outgoing{To: vm, Order: h.newOrder(vm)})
 	}
 	return due
