--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -55,6 +55,7 @@
 	Refused
 	// RefusedUnreachable: the owner is out of reach, and the share of this process is used up.
 	RefusedUnreachable
+	verdictCount
 )
 
 // IsGranted reports whether the request may run.
@@ -90,6 +91,8 @@
 type Situation struct {
 	// Owners are the VMs that may own quotas: those that serve and are not silent.
 	Owners []ident.VMID
+	// Registered are the VMs that serve or are about to, also those that are silent.
+	Registered []ident.VMID
 	// Sharers is the number of shares into which each quota is divided, and Serving is set if
 	// this process owns one of them.
 	Sharers int
@@ -162,7 +165,7 @@
 	refusedUntil time.Duration
 	// retryAt is the time for which the last refused request was told to retry.
 	retryAt time.Duration
-	counts  map[Verdict]uint64
+	counts  [verdictCount]uint64
 }
 
 // NewHolder returns a holder for a process that has just started. owner grants the tokens of the
@@ -184,6 +187,7 @@
 		h.desired = assign(s.Owners)
 	}
 	h.situation = s
+	h.owner.setBootSlots(h.bootSlots())
 	if first {
 		// The process before this one on the same VM may have leased its share.
 		for i := range h.slots {
@@ -197,6 +201,27 @@
 	}
 }
 
+// bootSlots returns the slots that this process owns among all registered VMs, also the silent
+// ones. Which VMs are silent differs between processes and in time, so that many of them would
+// grant boot tokens of the same tenant otherwise, as would those that know few others.
+func (h *Holder) bootSlots() slotSet {
+	slots := slotSet(0)
+	if h.now-h.started >= bootTime || 2*len(h.situation.Registered) < h.situation.Sharers {
+		return slots
+	}
+	for i, owner := range assign(h.situation.Registered) {
+		if owner == h.self.VM {
+			slots |= 1 << i
+		}
+	}
+	return slots
+}
+
+// IsReady reports whether Update was called.
+func (h *Holder) IsReady() bool {
+	return h.situation.Sharers > 0
+}
+
 func (h *Holder) advance(now time.Duration) {
 	h.now = max(h.now, now)
 }
@@ -274,7 +299,7 @@
 		return a.count(Decision{Verdict: GrantedOwn})
 	}
 	if owner == "" {
-		return a.refuse(h.now, RefusedUnreachable, failedWait)
+		return a.refuse(h.now, RefusedUnreachable, max(failedWait, h.slots[a.slot].until-h.now))
 	}
 	w := &Waiter{Done: make(chan Decision, 1), account: a}
 	a.waiters = append(a.waiters, w)
@@ -322,7 +347,7 @@
 func (h *Holder) account(limit Limit) *account {
 	a := h.accounts[limit.Tenant]
 	if a == nil {
-		a = &account{slot: slotOf(limit.Tenant), counts: map[Verdict]uint64{}}
+		a = &account{slot: slotOf(limit.Tenant)}
 		h.accounts[limit.Tenant] = a
 	}
 	if limit.Version >= a.limit.Version {
@@ -366,7 +391,7 @@
 	h.advance(now)
 	h.placeShares()
 	var due []Outgoing
-	for vm := range h.dueOwners() {
+	for _, vm := range coll.Sorted(h.dueOwners()) {
 		due = append(due, Outgoing{To: vm, Order: h.newOrder(vm)})
 	}
 	return due
@@ -653,7 +678,9 @@
 	for tenant, a := range h.accounts {
 		results := map[string]uint64{}
 		for verdict, count := range a.counts {
-			results[verdict.String()] = count
+			if count > 0 {
+				results[Verdict(verdict).String()] = count
+			}
 		}
 		states = append(states, AccountState{
 			Tenant: tenant, Rate: a.limit.Rate, Burst: a.limit.Burst, Owner: h.slots[a.slot].owner,
