Read the slowdown that backend servers report and pass it on from delegates

Cause: some backend servers add a fourth figure to their load header: how long work takes on the machine now, in percent of the usual. The pool ignored such a header as a whole, so that even the three known figures were lost.

Change: the pool reads three or four figures. A fourth one that is not a possible slowdown is dropped alone. A delegate reports the slowdowns beside the outcomes: an Outcome is a tuple, of which VMs of earlier versions reject another length, whereas they skip unknown fields of a report. The field is left out if no server tells a slowdown.

--- a/internal/link/deleg/deleg_test.go
+++ b/internal/link/deleg/deleg_test.go
@@ -27,6 +27,8 @@
 
 	delays map[string]time.Duration
 	limits map[string]notice.Limit
+	// slowdowns holds the slowdowns that servers tell.
+	slowdowns map[string]int
 	// ended holds how many requests the servers had that ended, and maybe the same for those that
 	// may have ended before.
 	ended, maybe map[string]int
@@ -58,7 +60,7 @@
 	if named, ok := b.limits[server]; ok {
 		limit = named
 	}
-	return pool.Result{Status: 200, Signature: "of " + server, Response: response, Running: 1, Slots: 2, Limit: coll.Some(limit)}
+	return pool.Result{Status: 200, Signature: "of " + server, Response: response, Running: 1, Slots: 2, Limit: coll.Some(limit), Slowdown: b.slowdowns[server]}
 }
 
 func record(text string) []byte {
--- a/internal/link/deleg/server.go
+++ b/internal/link/deleg/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"math"
 	"net"
 	"time"
 
@@ -216,6 +217,7 @@
 				report.MayHaveEnded = append(report.MayHaveEnded, end)
 			default:
 			}
+			report.setSlowdown(len(report.Outcomes), r.result.Slowdown)
 			report.Outcomes = append(report.Outcomes, e.newOutcome(&r, records, !first))
 			switch {
 			case !first && len(report.Outcomes) == 1:
@@ -235,6 +237,17 @@
 	return report
 }
 
+// setSlowdown stores the slowdown that belongs to an outcome, by its index, unless it is 0.
+func (r *Report) setSlowdown(outcome, percent int) {
+	if percent <= 0 {
+		return
+	}
+	for len(r.Slowdowns) <= outcome {
+		r.Slowdowns = append(r.Slowdowns, 0)
+	}
+	r.Slowdowns[outcome] = uint16(min(percent, math.MaxUint16))
+}
+
 // newOutcome converts a result to an Outcome and releases it. The records of its answer
 // are merged into records, or put into the outcome if separately is set.
 func (e *execution) newOutcome(r *attemptResult, records *merge.Records, separately bool) Outcome {
--- a/internal/link/deleg/wire.go
+++ b/internal/link/deleg/wire.go
@@ -54,6 +54,19 @@
 	// MayHaveEnded those of which that is not known.
 	Ended        []Ended `msg:"e,limit=65536"`
 	MayHaveEnded []Ended `msg:"m,limit=65536"`
+	// Slowdowns holds, for each of Outcomes, how long work takes on the backend server in percent
+	// of the usual, or 0 if its answer did not tell. It is empty if none did. It is not a field of
+	// Outcome because VMs of earlier versions reject a tuple of another length, but ignore
+	// unknown fields of a report.
+	Slowdowns []uint16 `msg:"w,omitempty,limit=65536"`
+}
+
+// Slowdown returns the slowdown that belongs to an outcome, by its index, or 0 if it is not known.
+func (r *Report) Slowdown(outcome int) int {
+	if outcome >= len(r.Slowdowns) {
+		return 0
+	}
+	return int(r.Slowdowns[outcome])
 }
 
 //msgp:tuple Ended
--- a/internal/link/deleg/wire_gen.go
+++ b/internal/link/deleg/wire_gen.go
@@ -967,6 +967,29 @@
 					return
 				}
 			}
+		case "w":
+			var zb0009 uint32
+			zb0009, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Slowdowns")
+				return
+			}
+			if zb0009 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Slowdowns) >= int(zb0009) {
+				z.Slowdowns = (z.Slowdowns)[:zb0009]
+			} else {
+				z.Slowdowns = make([]uint16, zb0009)
+			}
+			for za0005 := range z.Slowdowns {
+				z.Slowdowns[za0005], err = dc.ReadUint16()
+				if err != nil {
+					err = msgp.WrapError(err, "Slowdowns", za0005)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -980,124 +1003,159 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Report) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
-	// write "o"
-	err = en.Append(0x86, 0xa1, 0x6f)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Slowdowns == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Outcomes)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Outcomes")
 		return
 	}
-	for za0001 := range z.Outcomes {
-		err = z.Outcomes[za0001].EncodeMsg(en)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "o"
+		err = en.Append(0xa1, 0x6f)
 		if err != nil {
-			err = msgp.WrapError(err, "Outcomes", za0001)
 			return
 		}
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Records)
-	if err != nil {
-		err = msgp.WrapError(err, "Records")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Limits)))
-	if err != nil {
-		err = msgp.WrapError(err, "Limits")
-		return
-	}
-	for za0002 := range z.Limits {
-		// array header, size 2
-		err = en.Append(0x92)
+		err = en.WriteArrayHeader(uint32(len(z.Outcomes)))
 		if err != nil {
+			err = msgp.WrapError(err, "Outcomes")
 			return
 		}
-		err = en.WriteUint32(z.Limits[za0002].Seq)
+		for za0001 := range z.Outcomes {
+			err = z.Outcomes[za0001].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Outcomes", za0001)
+				return
+			}
+		}
+		// write "r"
+		err = en.Append(0xa1, 0x72)
 		if err != nil {
-			err = msgp.WrapError(err, "Limits", za0002, "Seq")
 			return
 		}
-		err = en.WriteFloat64(z.Limits[za0002].PerSecond)
+		err = en.WriteBytes(z.Records)
 		if err != nil {
-			err = msgp.WrapError(err, "Limits", za0002, "PerSecond")
+			err = msgp.WrapError(err, "Records")
 			return
 		}
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.HasLimits)
-	if err != nil {
-		err = msgp.WrapError(err, "HasLimits")
-		return
-	}
-	// write "e"
-	err = en.Append(0xa1, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Ended)))
-	if err != nil {
-		err = msgp.WrapError(err, "Ended")
-		return
-	}
-	for za0003 := range z.Ended {
-		// array header, size 2
-		err = en.Append(0x92)
+		// write "l"
+		err = en.Append(0xa1, 0x6c)
 		if err != nil {
 			return
 		}
-		err = en.WriteUint32(z.Ended[za0003].Seq)
+		err = en.WriteArrayHeader(uint32(len(z.Limits)))
 		if err != nil {
-			err = msgp.WrapError(err, "Ended", za0003, "Seq")
+			err = msgp.WrapError(err, "Limits")
 			return
 		}
-		err = en.WriteUint32(z.Ended[za0003].Shared)
+		for za0002 := range z.Limits {
+			// array header, size 2
+			err = en.Append(0x92)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint32(z.Limits[za0002].Seq)
+			if err != nil {
+				err = msgp.WrapError(err, "Limits", za0002, "Seq")
+				return
+			}
+			err = en.WriteFloat64(z.Limits[za0002].PerSecond)
+			if err != nil {
+				err = msgp.WrapError(err, "Limits", za0002, "PerSecond")
+				return
+			}
+		}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
 		if err != nil {
-			err = msgp.WrapError(err, "Ended", za0003, "Shared")
 			return
 		}
-	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.MayHaveEnded)))
-	if err != nil {
-		err = msgp.WrapError(err, "MayHaveEnded")
-		return
-	}
-	for za0004 := range z.MayHaveEnded {
-		// array header, size 2
-		err = en.Append(0x92)
+		err = en.WriteBool(z.HasLimits)
 		if err != nil {
+			err = msgp.WrapError(err, "HasLimits")
 			return
 		}
-		err = en.WriteUint32(z.MayHaveEnded[za0004].Seq)
+		// write "e"
+		err = en.Append(0xa1, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Ended)))
+		if err != nil {
+			err = msgp.WrapError(err, "Ended")
+			return
+		}
+		for za0003 := range z.Ended {
+			// array header, size 2
+			err = en.Append(0x92)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint32(z.Ended[za0003].Seq)
+			if err != nil {
+				err = msgp.WrapError(err, "Ended", za0003, "Seq")
+				return
+			}
+			err = en.WriteUint32(z.Ended[za0003].Shared)
+			if err != nil {
+				err = msgp.WrapError(err, "Ended", za0003, "Shared")
+				return
+			}
+		}
+		// write "m"
+		err = en.Append(0xa1, 0x6d)
 		if err != nil {
-			err = msgp.WrapError(err, "MayHaveEnded", za0004, "Seq")
 			return
 		}
-		err = en.WriteUint32(z.MayHaveEnded[za0004].Shared)
+		err = en.WriteArrayHeader(uint32(len(z.MayHaveEnded)))
 		if err != nil {
-			err = msgp.WrapError(err, "MayHaveEnded", za0004, "Shared")
+			err = msgp.WrapError(err, "MayHaveEnded")
 			return
 		}
+		for za0004 := range z.MayHaveEnded {
+			// array header, size 2
+			err = en.Append(0x92)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint32(z.MayHaveEnded[za0004].Seq)
+			if err != nil {
+				err = msgp.WrapError(err, "MayHaveEnded", za0004, "Seq")
+				return
+			}
+			err = en.WriteUint32(z.MayHaveEnded[za0004].Shared)
+			if err != nil {
+				err = msgp.WrapError(err, "MayHaveEnded", za0004, "Shared")
+				return
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// write "w"
+			err = en.Append(0xa1, 0x77)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Slowdowns)))
+			if err != nil {
+				err = msgp.WrapError(err, "Slowdowns")
+				return
+			}
+			for za0005 := range z.Slowdowns {
+				err = en.WriteUint16(z.Slowdowns[za0005])
+				if err != nil {
+					err = msgp.WrapError(err, "Slowdowns", za0005)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -1105,49 +1163,70 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "o"
-	o = append(o, 0x86, 0xa1, 0x6f)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Outcomes)))
-	for za0001 := range z.Outcomes {
-		o, err = z.Outcomes[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Outcomes", za0001)
-			return
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Slowdowns == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "o"
+		o = append(o, 0xa1, 0x6f)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Outcomes)))
+		for za0001 := range z.Outcomes {
+			o, err = z.Outcomes[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Outcomes", za0001)
+				return
+			}
+		}
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendBytes(o, z.Records)
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
+		for za0002 := range z.Limits {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendUint32(o, z.Limits[za0002].Seq)
+			o = msgp.AppendFloat64(o, z.Limits[za0002].PerSecond)
+		}
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendBool(o, z.HasLimits)
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Ended)))
+		for za0003 := range z.Ended {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendUint32(o, z.Ended[za0003].Seq)
+			o = msgp.AppendUint32(o, z.Ended[za0003].Shared)
+		}
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.MayHaveEnded)))
+		for za0004 := range z.MayHaveEnded {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendUint32(o, z.MayHaveEnded[za0004].Seq)
+			o = msgp.AppendUint32(o, z.MayHaveEnded[za0004].Shared)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "w"
+			o = append(o, 0xa1, 0x77)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Slowdowns)))
+			for za0005 := range z.Slowdowns {
+				o = msgp.AppendUint16(o, z.Slowdowns[za0005])
+			}
 		}
-	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendBytes(o, z.Records)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Limits)))
-	for za0002 := range z.Limits {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendUint32(o, z.Limits[za0002].Seq)
-		o = msgp.AppendFloat64(o, z.Limits[za0002].PerSecond)
-	}
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendBool(o, z.HasLimits)
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Ended)))
-	for za0003 := range z.Ended {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendUint32(o, z.Ended[za0003].Seq)
-		o = msgp.AppendUint32(o, z.Ended[za0003].Shared)
-	}
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.MayHaveEnded)))
-	for za0004 := range z.MayHaveEnded {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendUint32(o, z.MayHaveEnded[za0004].Seq)
-		o = msgp.AppendUint32(o, z.MayHaveEnded[za0004].Shared)
 	}
 	return
 }
@@ -1319,6 +1398,29 @@
 					return
 				}
 			}
+		case "w":
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Slowdowns")
+				return
+			}
+			if zb0009 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Slowdowns) >= int(zb0009) {
+				z.Slowdowns = (z.Slowdowns)[:zb0009]
+			} else {
+				z.Slowdowns = make([]uint16, zb0009)
+			}
+			for za0005 := range z.Slowdowns {
+				z.Slowdowns[za0005], bts, err = msgp.ReadUint16Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Slowdowns", za0005)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1337,7 +1439,7 @@
 	for za0001 := range z.Outcomes {
 		s += z.Outcomes[za0001].Msgsize()
 	}
-	s += 2 + msgp.BytesPrefixSize + len(z.Records) + 2 + msgp.ArrayHeaderSize + (len(z.Limits) * (15 + msgp.Uint32Size + msgp.Float64Size)) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Ended) * (12 + msgp.Uint32Size + msgp.Uint32Size)) + 2 + msgp.ArrayHeaderSize + (len(z.MayHaveEnded) * (12 + msgp.Uint32Size + msgp.Uint32Size))
+	s += 2 + msgp.BytesPrefixSize + len(z.Records) + 2 + msgp.ArrayHeaderSize + (len(z.Limits) * (15 + msgp.Uint32Size + msgp.Float64Size)) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Ended) * (12 + msgp.Uint32Size + msgp.Uint32Size)) + 2 + msgp.ArrayHeaderSize + (len(z.MayHaveEnded) * (12 + msgp.Uint32Size + msgp.Uint32Size)) + 2 + msgp.ArrayHeaderSize + (len(z.Slowdowns) * (msgp.Uint16Size))
 	return
 }
 
--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -335,14 +335,19 @@
 	c.pool.options.Tracker.Observe(time.Now(), c.server.target.process(), n)
 }
 
-// parseLoad parses "running,waiting,slots" and ignores text of any other form.
+// maxSlowdown bounds the slowdown that is taken for one, in percent. Servers are known to
+// report up to 300.
+const maxSlowdown = 10_000
+
+// parseLoad parses "running,waiting,slots" or "running,waiting,slots,slowdown", and ignores
+// text of any other form.
 func (r *Result) parseLoad(text string) {
 	fields := strings.Split(text, ",")
-	if len(fields) != 3 {
+	if len(fields) != 3 && len(fields) != 4 {
 		return
 	}
 	var numbers [3]int
-	for i, field := range fields {
+	for i, field := range fields[:3] {
 		n, err := strconv.Atoi(strings.TrimSpace(field))
 		if err != nil || n < 0 {
 			return
@@ -350,6 +355,18 @@
 		numbers[i] = n
 	}
 	r.Running, r.Waiting, r.Slots = numbers[0], numbers[1], numbers[2]
+	if len(fields) == 4 {
+		r.Slowdown = parseSlowdown(fields[3])
+	}
+}
+
+// parseSlowdown returns a slowdown in percent, or 0 if the text is not a possible one.
+func parseSlowdown(text string) int {
+	percent, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(percent >= 1 && percent <= maxSlowdown) {
+		return 0
+	}
+	return int(math.Round(percent))
 }
 
 // parseLimit parses a limit. Invalid text stands for the limit in force.
--- a/internal/owner/pool/notice_test.go
+++ b/internal/owner/pool/notice_test.go
@@ -191,7 +191,7 @@
 	for _, seed := range []string{
 		reply("r1", "body"), reply("r2", "body"), "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nRetry-After: 1e300\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab",
-		"HTTP/1.1 200 OK\r\nX-Load: 9,,-1\r\nKeep-Alive: timeout=-7\r\nContent-Length: 0\r\n\r\n", "\x00\xff", "HTTP/1.1 100 Continue\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Load: 9,,-1\r\nX-Load: 1,1,2,1e999\r\nKeep-Alive: timeout=-7\r\nContent-Length: 0\r\n\r\n", "\x00\xff", "HTTP/1.1 100 Continue\r\n\r\n",
 	} {
 		f.Add([]byte(seed))
 	}
--- a/internal/owner/pool/pool_test.go
+++ b/internal/owner/pool/pool_test.go
@@ -129,6 +129,31 @@
 	require.Contains(t, head, "X-Expect-Server: i-1\r\n")
 }
 
+// Guards against a load header with or without the fourth figure that is not read, and against
+// a malformed figure that hides the other three.
+func TestLoadHeader(t *testing.T) {
+	for text, want := range map[string][]int{
+		"1,2,4":         {1, 2, 4, 0},
+		"1,2,4,150":     {1, 2, 4, 150},
+		"1, 2, 4, 87.6": {1, 2, 4, 88},
+		"1,2,4,":        {1, 2, 4, 0},
+		"1,2,4,NaN":     {1, 2, 4, 0},
+		"1,2,4,-50":     {1, 2, 4, 0},
+		"1,2,4,1e300":   {1, 2, 4, 0},
+		"1,2,x,150":     {0, 0, 0, 0},
+		"1,2":           {0, 0, 0, 0},
+		"1,2,4,150,7":   {0, 0, 0, 0},
+	} {
+		t.Run(text, func(t *testing.T) {
+			answer := strings.Replace(reply("r1", "x"), "X-Load: 1,2,4", "X-Load: "+text, 1)
+			b := newBackend(t, func(conn net.Conn, _ int, _ string) { say(conn, answer) })
+			r := send(t, newPool(t), b.target(), "r1", nil)
+			require.Equal(t, pool.Answered, r.Outcome)
+			require.Equal(t, want, []int{r.Running, r.Waiting, r.Slots, r.Slowdown})
+		})
+	}
+}
+
 func TestConnectionIsReused(t *testing.T) {
 	b := newBackend(t, func(conn net.Conn, n int, _ string) { say(conn, reply(fmt.Sprint("r", n), "x")) })
 	p := newPool(t)
--- a/internal/owner/pool/types.go
+++ b/internal/owner/pool/types.go
@@ -98,6 +98,9 @@
 	// Running and Waiting count the requests of the backend server, and Slots those
 	// that it can run at a time. Slots is 0 if the answer did not report the load.
 	Running, Waiting, Slots int
+	// Slowdown is how long work takes on the backend server, in percent of the usual, or 0 if
+	// the answer did not tell.
+	Slowdown int
 }
 
 // Size returns the length of the body in bytes.
