Choose backend servers by likely cost and work left

Cause: expect estimates one time per server. It knows neither that requests differ in cost nor how fast a machine is at the moment, although servers tell the latter.

--- a/internal/query/choose/policy.go
+++ b/internal/query/choose/policy.go
@@ -8,6 +8,7 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/core/plugin"
+	"github.com/samphirestair/samphirestair/internal/query/cost"
 )
 
 // Policy chooses among the replicas of a service and learns from their answers.
@@ -50,6 +51,28 @@
 	// how many it can run at a time. Slots is 0 if the server reported neither.
 	Queued int
 	Slots  int
+	// Slowdown is how long work takes at the server, in percent of the usual, or 0 if it
+	// didn't report that. Age is the time since the server reported its load.
+	Slowdown int
+	Age      time.Duration
+}
+
+// CostPolicy is a Policy that tells requests apart by their likely cost. A sub-request that
+// was recorded by SentFor is also ended by AnsweredFor or AbandonedFor, with the same time
+// of sending.
+type CostPolicy interface {
+	Policy
+	// ChooseFor is Choose for a request.
+	ChooseFor(now time.Time, request cost.Request, candidates []Candidate) int
+	SentFor(now time.Time, request cost.Request, server ident.ServerID)
+	AnsweredFor(now time.Time, request cost.Request, server ident.ServerID, sentAt time.Time, sample Sample)
+	AbandonedFor(now time.Time, request cost.Request, server ident.ServerID, sentAt time.Time)
+	// CostFactors returns the ratio of the likely cost of a request to that of its route,
+	// and the part of it that is due to the shard. Both are 1 while the server doesn't
+	// report its slowdown.
+	CostFactors(now time.Time, request cost.Request, server ident.ServerID) (total, shard float64)
+	// CostState returns what is believed of servers and routes, for state dumps.
+	CostState(now time.Time) CostState
 }
 
 // Options configures policies. The zero value gives the defaults.
--- a/internal/query/choose/server.go
+++ b/internal/query/choose/server.go
@@ -149,6 +149,23 @@
 	return s.expectedFailureShare(now, options) > unreliableShare
 }
 
+// forecast is what past answers say about one more sub-request.
+type forecast struct {
+	inBackoff bool
+	// success is the probability that it is answered, and expectedTime the time until then.
+	// It doesn't contain failures.
+	success      float64
+	expectedTime time.Duration
+}
+
+func (s *server) forecast(now time.Time, average time.Duration, options Options) forecast {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := forecast{inBackoff: now.Before(s.backoffUntil), success: max(1-s.expectedFailureShare(now, options), minSuccessShare)}
+	f.expectedTime = time.Duration(s.expectedTimeOfSuccess(now, average, options))
+	return f
+}
+
 func (s *server) stale(now time.Time, after time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -160,6 +177,12 @@
 func (s *server) expectedTime(now time.Time, average time.Duration, options Options) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	success := max(1-s.expectedFailureShare(now, options), minSuccessShare)
+	return time.Duration(s.expectedTimeOfSuccess(now, average, options) / success)
+}
+
+// expectedTimeOfSuccess is expectedTime without failures, in nanoseconds. The caller holds mu.
+func (s *server) expectedTimeOfSuccess(now time.Time, average time.Duration, options Options) float64 {
 	serviceTime, queuedByOthers := float64(average), 0.0
 	if !s.updatedAt.IsZero() {
 		age := now.Sub(s.updatedAt)
@@ -170,8 +193,7 @@
 		serviceTime = max(serviceTime, float64(now.Sub(s.silentSince)))
 	}
 	queueLength := (float64(s.inFlight) + queuedByOthers) / float64(max(s.slots, 1))
-	success := max(1-s.expectedFailureShare(now, options), minSuccessShare)
-	return time.Duration(serviceTime * (1 + queueLength) / success)
+	return serviceTime * (1 + queueLength)
 }
 
 func decay(age, scale time.Duration) float64 {
