Pass route, tenant, kind and shard of a request to the choice of servers

Cause: the choice of servers learned nothing of the request, so that all requests to a server counted alike.

Change: relay passes them to a policy that tells requests apart, and runner fills in tenant and kind. The load figures carry their age, since a delegate reports some time after the answer. An attempt whose request is long by nature is hedged later, up to 0.7 of the goal.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -240,7 +240,7 @@
 
 // buildEnv creates the policies and the state that all queries share.
 func (t *Tier) buildEnv() error {
-	newChoice, err := choose.Policies.Lookup("expect")
+	newChoice, err := choose.Policies.Lookup("cost")
 	if err != nil {
 		return errors.Wrap(err, "tier: policies")
 	}
--- a/internal/query/relay/candidates.go
+++ b/internal/query/relay/candidates.go
@@ -59,5 +59,5 @@
 	}
 	q.penalizeOtherZones(s, replicas, candidates)
 	q.penalizeBusy(candidates)
-	return replicas[q.env.Choose.Choose(now, candidates)]
+	return replicas[q.costs.choose(now, s, candidates)]
 }
--- a/internal/query/relay/overdue.go
+++ b/internal/query/relay/overdue.go
@@ -19,11 +19,16 @@
 	// delegationSlack is added to the hedge delay of an attempt that another VM sends,
 	// for the round trip to that VM and the time for which it collects answers.
 	delegationSlack = 6 * time.Millisecond
+	// maxProlongedShare is the share of the goal up to which the hedge of a request that is
+	// long by nature is put off. A hedge sent later could hardly be answered by the goal, and
+	// a server that has failed must still be noticed.
+	maxProlongedShare = 0.7
 )
 
 // hedgeAt returns the time at which an attempt sent at now is hedged, or zero if it is
-// not hedged.
-func (q *Query) hedgeAt(now time.Time) time.Time {
+// not hedged. costFactor is the ratio of its likely cost to that of the route: a request that
+// is long by nature is hedged later.
+func (q *Query) hedgeAt(now time.Time, costFactor float64) time.Time {
 	delay, ok := q.hedgeDelay()
 	if !ok {
 		return time.Time{}
@@ -31,7 +36,19 @@
 	if longest := q.maxHedgeDelay(); longest > 0 {
 		delay = min(delay, longest)
 	}
-	return now.Add(delay)
+	return now.Add(q.prolong(delay, costFactor))
+}
+
+// prolong returns the delay before the hedge of an attempt that is long by nature. It stays
+// below maxProlongedShare of the goal, unless the delay is already longer. The delay of a short
+// request stays as it is: answers that are late by the route's measure are few enough for the
+// budget of hedges.
+func (q *Query) prolong(delay time.Duration, costFactor float64) time.Duration {
+	longer := time.Duration(float64(delay) * max(costFactor, 1))
+	if goal := q.request.Route.Goal; goal > 0 {
+		longer = min(longer, time.Duration(maxProlongedShare*float64(goal)))
+	}
+	return max(longer, delay)
 }
 
 // hedgeDelay returns the time within which most attempts of the route are answered.
@@ -55,11 +72,11 @@
 		return
 	}
 	q.hedgesAdvanced = true
-	overdue := q.start.Add(hedge.OverdueAfter(now.Sub(q.start)))
+	overdueAfter := hedge.OverdueAfter(now.Sub(q.start))
 	for i := range q.shards {
 		for j := range q.shards[i].attempts {
 			a := &q.shards[i].attempts[j]
-			newHedgeAt := overdue
+			newHedgeAt := q.start.Add(q.prolong(overdueAfter, a.shardFactor))
 			if a.delegated {
 				newHedgeAt = newHedgeAt.Add(delegationSlack)
 			}
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -42,12 +42,13 @@
 	crossZone [crossZoneReasonCount]int
 	// denied collects what the budget denied since the last call of Denied.
 	denied []Denial
+	costs  costs
 	probation
 }
 
 // New starts a query at now. It returns the query and the first attempts to send.
 func New(env *Env, request RequestInfo, now time.Time) (*Query, []Send) {
-	q := &Query{env: env, request: request, required: 1, start: now}
+	q := &Query{env: env, request: request, required: 1, start: now, costs: newCosts(env.Choose)}
 	q.probationEnd = now.Add(q.usualDelay())
 	q.hedgesFrom = now.Add(q.silentAfter())
 	if request.Route.IsSearch() {
@@ -59,6 +60,10 @@
 	} else {
 		q.shards = []shard{{service: request.Service}}
 	}
+	whole := q.costs.request(&q.request)
+	for i := range q.shards {
+		q.shards[i].cost = whole.WithShard(q.shards[i].service)
+	}
 	if env.Options.Partial && request.Route.IsSearch() && request.Route.Goal > 0 {
 		left := request.Route.Goal - request.Overhead - env.Options.GoalMargin
 		q.goal = request.Arrived.Add(max(left, request.Route.Goal/2))
@@ -186,7 +191,7 @@
 		return nil, false
 	}
 	a.pending = false
-	q.updatePolicies(now, a, reply)
+	q.updatePolicies(now, s, a, reply)
 	switch reply.Kind {
 	case NotRun:
 		a.mayHaveRun = false
@@ -247,13 +252,14 @@
 // Abandon records that an attempt ended without an answer after the query was
 // answered. cancelled is set if this VM cancelled it because the server was silent.
 func (q *Query) Abandon(now time.Time, shardIndex, attemptIndex int, cancelled bool) {
-	a := &q.shards[shardIndex].attempts[attemptIndex]
+	s := &q.shards[shardIndex]
+	a := &s.attempts[attemptIndex]
 	if !a.pending {
 		return
 	}
 	a.pending = false
 	elapsed := now.Sub(a.sentAt)
-	q.env.Choose.Abandoned(now, a.server, elapsed)
+	q.costs.abandoned(now, s, a)
 	if cancelled && elapsed >= q.silentAfter() {
 		q.env.Health.Failed(a.server)
 	}
@@ -261,8 +267,8 @@
 
 // updatePolicies passes a reply on to the choice of servers, the latency estimate
 // and the health state.
-func (q *Query) updatePolicies(now time.Time, a *attempt, reply Reply) {
-	q.env.Choose.Answered(now, a.server, reply.Sample)
+func (q *Query) updatePolicies(now time.Time, s *shard, a *attempt, reply Reply) {
+	q.costs.answered(now, s, a, reply.Sample)
 	switch reply.Kind {
 	case Served:
 		q.env.Latency.Observe(ident.ServiceID(q.request.Route.Name), now.Sub(a.sentAt), reply.Sample.Queued, reply.Sample.Slots)
@@ -397,8 +403,10 @@
 	a := attempt{server: replica.ID, sentAt: now, pending: true, mayHaveRun: true, maybeReceived: true}
 	isOtherZone := q.env.isOtherZone(replica.Zone)
 	a.delegated = reason == "first" && (!q.request.Trial || q.answeredOnce) && q.zoneInfo(replica.Zone).canDelegate
+	total, shardFactor := q.costs.factors(now, s, replica)
+	a.shardFactor = max(shardFactor, 1)
 	if q.request.Route.Idempotent {
-		a.hedgeAt = q.hedgeAt(now)
+		a.hedgeAt = q.hedgeAt(now, total)
 	}
 	if a.delegated && !a.hedgeAt.IsZero() {
 		a.hedgeAt = a.hedgeAt.Add(delegationSlack)
@@ -407,7 +415,7 @@
 	if isOtherZone {
 		q.crossZone[s.crossZoneReason]++
 	}
-	q.env.Choose.Sent(now, replica.ID)
+	q.costs.sent(now, s, replica)
 	timeout := q.request.Deadline.Sub(now)
 	hedgeAfter := timeout
 	if !a.hedgeAt.IsZero() {
--- a/internal/query/relay/shard.go
+++ b/internal/query/relay/shard.go
@@ -5,6 +5,7 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
+	"github.com/samphirestair/samphirestair/internal/query/cost"
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
 )
 
@@ -15,7 +16,9 @@
 // shard is the state of one shard of a query. Each shard is served by a service of
 // its own.
 type shard struct {
-	service  ident.ServiceID
+	service ident.ServiceID
+	// cost is what the cost of the sub-requests is learned by.
+	cost     cost.Request
 	attempts []attempt
 	state    shardState
 	// retryAt is the time of the scheduled retry, or zero if there is none.
@@ -49,6 +52,8 @@
 	sentAt time.Time
 	// hedgeAt is the time at which the attempt is hedged, or zero if it is not.
 	hedgeAt time.Time
+	// shardFactor is the ratio of the likely cost to that of other shards.
+	shardFactor float64
 	// delegated is set if a VM in another zone may send it on behalf of this one.
 	delegated bool
 	// pending is set until a reply arrives.
--- a/internal/query/relay/types.go
+++ b/internal/query/relay/types.go
@@ -103,6 +103,9 @@
 	Route *routes.Route
 	// Service is the service chosen for a request that is not a search.
 	Service ident.ServiceID
+	// Tenant and Kind are what the cost of the request is learned by, beside its route.
+	Tenant  ident.TenantID
+	Kind    uint64
 	Arrived time.Time
 	// Overhead is the time, out of the goal, that the caller needs outside this VM.
 	Overhead time.Duration
--- a/internal/query/runner/delegate.go
+++ b/internal/query/runner/delegate.go
@@ -198,6 +198,7 @@
 		d.reported[o.Seq] = true
 		d.unreported--
 		r := reply{shard: d.ordered[o.Seq].shard, attempt: d.ordered[o.Seq].attempt, process: d.ordered[o.Seq].process, result: resultOf(o), sentAt: d.sentAt}
+		r.result.Slowdown = report.Slowdown(i)
 		r.result.Limit = limitOf(report, o)
 		if shared, ended := findEnd(report.Ended, o); ended {
 			r.result.Shared, r.result.Gone, r.result.Ended = shared, true, true
--- a/internal/query/runner/reply.go
+++ b/internal/query/runner/reply.go
@@ -28,7 +28,10 @@
 		interpreted.Sample.Refused = true
 		return interpreted
 	}
-	sample := choose.Sample{Queued: result.Running + result.Waiting, Slots: result.Slots, RetryAfter: result.RetryAfter}
+	sample := choose.Sample{
+		Queued: result.Running + result.Waiting, Slots: result.Slots, RetryAfter: result.RetryAfter, Slowdown: result.Slowdown,
+		Age: max(now.Sub(r.sentAt)-r.elapsed(now), 0),
+	}
 	interpreted := relay.Reply{Reason: result.Reason, Misdirected: result.Misdirected, Gone: result.Gone, Ended: result.Ended}
 	switch result.Outcome {
 	case pool.Answered:
--- a/internal/query/runner/request.go
+++ b/internal/query/runner/request.go
@@ -1,6 +1,10 @@
 package runner
 
 import (
+	"bytes"
+	"math"
+	"math/bits"
+	"strings"
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
@@ -41,6 +45,27 @@
 	return r.Arrived.Add(wait - min(r.Overhead+responseMargin, wait/4))
 }
 
+// tenantID returns the tenant of the caller, or an empty ID if there is none.
+func (r *Request) tenantID() ident.TenantID {
+	if r.Tenant == nil {
+		return ""
+	}
+	return r.Tenant.Name
+}
+
+// kind tells requests of a route apart that probably differ in cost: by method, size of the
+// body to a factor of 4, and number of path segments. These have few values, unlike
+// the path itself.
+func (r *Request) kind() uint64 {
+	method, _, _ := bytes.Cut(r.Message.Head, []byte(" "))
+	kind := uint64(len(method))
+	if len(method) > 0 {
+		kind = kind<<8 | uint64(method[0])
+	}
+	size := uint64(bits.Len(uint(len(r.Message.Body)))+1) / 2
+	return kind<<16 | size<<8 | uint64(min(strings.Count(r.Path, "/"), math.MaxUint8))
+}
+
 // Answer is the answer to a request.
 type Answer struct {
 	relay.Outcome
