Put off hedges of requests that are long by nature

Cause: a request that is long by nature was hedged after the usual time of its route. The second attempt takes as long and costs budget and work.

A delegate reports before the first hedge of its attempts, whose delays differ now. The choice keeps what it expected of each attempt and compares it with the time of the answer.

--- a/internal/query/choose/cost.go
+++ b/internal/query/choose/cost.go
@@ -52,6 +52,10 @@
 	work cost.Server
 	// history holds the refusals and failures.
 	history *server
+	// outlook is the last one, as of outlookAt. It is what a request that is sent at that time
+	// was chosen by.
+	outlook   cost.Outlook
+	outlookAt time.Time
 }
 
 // Choose, Sent, Answered and Abandoned are for callers that don't tell requests apart, which
@@ -97,6 +101,7 @@
 			continue
 		}
 		outlook := s.work.Outlook(p.fleet, p.model, now, &estimate)
+		s.outlook, s.outlookAt = outlook, now
 		expected := (1-pastShare)*float64(outlook.Completion) + pastShare*float64(past.expectedTime)
 		expected += sampleSpread * p.random() * float64(outlook.Spread)
 		expected = max(expected, 0)/past.success + float64(candidates[i].Penalty)
@@ -117,12 +122,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.server(id)
-	wait := time.Duration(0)
-	if s.work.Reports(now) {
+	var outlook cost.Outlook
+	switch {
+	case s.outlookAt.Equal(now):
+		outlook = s.outlook
+	case s.work.Reports(now):
 		estimate := p.model.Estimate(now, request)
-		wait = s.work.Outlook(p.fleet, p.model, now, &estimate).Wait
+		outlook = s.work.Outlook(p.fleet, p.model, now, &estimate)
+	default:
 	}
-	s.work.Sent(now, request, wait)
+	s.work.Sent(now, request, outlook)
 }
 
 func (p *costPolicy) AnsweredFor(now time.Time, request cost.Request, id ident.ServerID, sentAt time.Time, sample Sample) {
@@ -130,13 +139,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.server(id)
-	wait := s.work.Ended(request, sentAt)
+	outlook := s.work.Ended(request, sentAt)
 	s.work.Report(p.fleet, now, cost.Report{Queued: sample.Queued, Slots: sample.Slots, Slowdown: sample.Slowdown, Age: sample.Age})
 	if sample.Completed && sample.Slowdown > 0 {
-		work, weight := s.work.Work(p.fleet, now.Add(-sample.Age), sample.ServiceTime, wait)
+		work, weight := s.work.Work(p.fleet, now.Add(-sample.Age), sample.ServiceTime, outlook.Wait)
 		likely := p.model.Estimate(now, request).Work
 		p.model.Observe(now, request, work, weight)
-		s.work.Pace(p.fleet, sample.ServiceTime, wait, likely)
+		s.work.Answered(p.fleet, sample.ServiceTime, outlook, likely)
 	}
 }
 
@@ -146,11 +155,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.server(id)
-	wait := s.work.Ended(request, sentAt)
+	outlook := s.work.Ended(request, sentAt)
 	if !s.work.Reports(now) {
 		return
 	}
-	if work, weight := s.work.Work(p.fleet, now, now.Sub(sentAt), wait); work > p.model.Estimate(now, request).Work {
+	if work, weight := s.work.Work(p.fleet, now, now.Sub(sentAt), outlook.Wait); work > p.model.Estimate(now, request).Work {
 		p.model.Observe(now, request, work, weight)
 	}
 }
@@ -188,15 +197,32 @@
 	// don't report their slowdown.
 	ByCost   uint64 `json:"by_cost"`
 	ByExpect uint64 `json:"by_expect"`
-	// Servers holds the servers that report their slowdown.
-	Servers map[ident.ServerID]cost.ServerState `json:"servers"`
-	Routes  []cost.RouteState                   `json:"routes"`
+	// Reporting is the number of servers that report their slowdown.
+	Reporting int             `json:"reporting"`
+	Fleet     cost.FleetState `json:"fleet"`
+	// Servers holds the servers that report their slowdown, and Routes those whose cost is
+	// learned. Both are absent from a summary.
+	Servers map[ident.ServerID]cost.ServerState `json:"servers,omitempty"`
+	Routes  []cost.RouteState                   `json:"routes,omitempty"`
+}
+
+func (p *costPolicy) CostSummary(now time.Time) CostState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := CostState{ByCost: p.byCost, ByExpect: p.byExpect, Fleet: p.fleet.State()}
+	for _, s := range p.servers {
+		if s.work.Reports(now) {
+			state.Reporting++
+		}
+	}
+	return state
 }
 
 func (p *costPolicy) CostState(now time.Time) CostState {
+	state := p.CostSummary(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	state := CostState{ByCost: p.byCost, ByExpect: p.byExpect, Servers: map[ident.ServerID]cost.ServerState{}, Routes: p.model.Routes()}
+	state.Servers, state.Routes = map[ident.ServerID]cost.ServerState{}, p.model.Routes()
 	for id, s := range p.servers {
 		if s.work.Reports(now) {
 			state.Servers[id] = s.work.State(p.fleet, p.model, now)
--- a/internal/query/choose/policy.go
+++ b/internal/query/choose/policy.go
@@ -71,8 +71,10 @@
 	// and the part of it that is due to the shard. Both are 1 while the server doesn't
 	// report its slowdown.
 	CostFactors(now time.Time, request cost.Request, server ident.ServerID) (total, shard float64)
-	// CostState returns what is believed of servers and routes, for state dumps.
+	// CostState returns what is believed of servers and routes, for state dumps, and
+	// CostSummary the part of it that metrics show.
 	CostState(now time.Time) CostState
+	CostSummary(now time.Time) CostState
 }
 
 // Options configures policies. The zero value gives the defaults.
--- a/internal/query/cost/server.go
+++ b/internal/query/cost/server.go
@@ -39,11 +39,14 @@
 	// paceError is the mean squared difference of the slowdown that the time of an answer
 	// suggests and the reported one.
 	paceError float64
+	// timeRatio is the mean ratio of the time of answers to what was expected when they were
+	// sent. It is 1 if expectations are right on average.
+	timeRatio float64
 }
 
 // NewFleet returns a Fleet that assumes a usual load.
 func NewFleet() *Fleet {
-	return &Fleet{slowdown: newFade(1, 0.1), queue: newFade(1, 1), paceError: 1}
+	return &Fleet{slowdown: newFade(1, 0.1), queue: newFade(1, 1), paceError: 1, timeRatio: 1}
 }
 
 // Server is what this VM knows about the work of one backend server.
@@ -59,8 +62,14 @@
 
 // attempt is a sub-request of this VM without an answer.
 type attempt struct {
-	request          Request
-	sentAt, startsAt time.Time
+	request Request
+	sentAt  time.Time
+	outlook Outlook
+}
+
+// startsAt returns when the attempt probably starts to run.
+func (a *attempt) startsAt() time.Time {
+	return a.sentAt.Add(a.outlook.Wait)
 }
 
 // Report is what a server's answer says about its load. Age is the time since it was sent.
@@ -85,30 +94,30 @@
 	return s.slowdown.known() && now.Sub(s.slowdown.at) < reportLifetime
 }
 
-// Sent records an attempt, and when it probably starts to run.
-func (s *Server) Sent(now time.Time, r Request, wait time.Duration) {
+// Sent records an attempt and what was expected of it.
+func (s *Server) Sent(now time.Time, r Request, outlook Outlook) {
 	if len(s.own) == 0 {
 		s.silentSince = now
 	}
 	if len(s.own) < maxOwn {
-		s.own = append(s.own, attempt{request: r, sentAt: now, startsAt: now.Add(wait)})
+		s.own = append(s.own, attempt{request: r, sentAt: now, outlook: outlook})
 	}
 }
 
-// Ended removes an attempt that was answered or given up, and returns how long it probably
-// waited before it ran. sentAt identifies the attempt.
-func (s *Server) Ended(r Request, sentAt time.Time) (wait time.Duration) {
+// Ended removes an attempt that was answered or given up, and returns what was expected of it.
+// sentAt identifies the attempt.
+func (s *Server) Ended(r Request, sentAt time.Time) (outlook Outlook) {
 	for i := range s.own {
 		if a := &s.own[i]; a.sentAt.Equal(sentAt) && a.request.shard == r.shard && a.request.kind == r.kind {
-			wait = a.startsAt.Sub(a.sentAt)
+			outlook = a.outlook
 			last := len(s.own) - 1
 			s.own[i] = s.own[last]
 			s.own[last] = attempt{}
 			s.own = s.own[:last]
-			return wait
+			return outlook
 		}
 	}
-	return 0
+	return Outlook{}
 }
 
 // Report records the load that an answer told.
@@ -124,12 +133,18 @@
 	}
 }
 
-// Pace corrects the expected slowdown by the time that a request took: the figure may be old,
-// and the time tells how long work took in fact. likely is the estimated work of the request.
-func (s *Server) Pace(f *Fleet, elapsed, wait, likely time.Duration) {
+// Answered corrects the expected slowdown by the time that a request took: the figure may be
+// old, and the time tells how long work took in fact. likely is the estimated work of the
+// request, and outlook what was expected of it.
+func (s *Server) Answered(f *Fleet, elapsed time.Duration, outlook Outlook, likely time.Duration) {
 	if !s.slowdown.known() {
 		return
 	}
+	if outlook.Completion > 0 {
+		ratio := min(float64(elapsed)/float64(outlook.Completion), maxRatio)
+		f.timeRatio += commonWeight * (ratio - f.timeRatio)
+	}
+	wait := outlook.Wait
 	pace := min(max(float64(max(elapsed-wait, elapsed/minRunShare))/float64(likely), minSlowdown), maxPace)
 	difference := pace - s.slowdown.reported
 	f.paceError += commonWeight * (difference*difference - f.paceError)
@@ -157,7 +172,7 @@
 		a := &s.own[i]
 		estimate := m.Estimate(now, a.request)
 		longest = max(longest, estimate.Work)
-		done := max(time.Duration(float64(now.Sub(a.startsAt))/slowdown), 0)
+		done := max(time.Duration(float64(now.Sub(a.startsAt()))/slowdown), 0)
 		backlog += float64(estimate.remaining(done))
 	}
 	count := others + float64(len(s.own))
@@ -182,6 +197,26 @@
 	return Outlook{Completion: time.Duration(completion), Wait: time.Duration(slowdown * wait), Spread: time.Duration(spread)}
 }
 
+// FleetState is what the figures of all servers have in common, for state dumps.
+type FleetState struct {
+	// Slowdown is the mean of the reported slowdowns, in percent.
+	Slowdown int `json:"slowdown"`
+	// SlowdownFade and QueueFade are the times in which a report of the slowdown or the queue
+	// loses most of its meaning.
+	SlowdownFade time.Duration `json:"slowdown_fade"`
+	QueueFade    time.Duration `json:"queue_fade"`
+	// TimeRatio is the mean ratio of the times of answers to the expected ones.
+	TimeRatio float64 `json:"time_ratio"`
+}
+
+// State returns what the figures of all servers have in common.
+func (f *Fleet) State() FleetState {
+	return FleetState{
+		Slowdown: int(math.Round(f.slowdown.mean * usualSlowdown)), SlowdownFade: time.Duration(f.slowdown.tau),
+		QueueFade: time.Duration(f.queue.tau), TimeRatio: math.Round(100*f.timeRatio) / 100,
+	}
+}
+
 // ServerState is what is believed of a server, for state dumps.
 type ServerState struct {
 	// Reported is the last slowdown that the server told, in percent, Age the time since,
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -260,7 +260,7 @@
 	a.pending = false
 	elapsed := now.Sub(a.sentAt)
 	q.costs.abandoned(now, s, a)
-	if cancelled && elapsed >= q.silentAfter() {
+	if cancelled && elapsed >= time.Duration(max(a.costFactor, 1)*float64(q.silentAfter())) {
 		q.env.Health.Failed(a.server)
 	}
 }
@@ -403,10 +403,9 @@
 	a := attempt{server: replica.ID, sentAt: now, pending: true, mayHaveRun: true, maybeReceived: true}
 	isOtherZone := q.env.isOtherZone(replica.Zone)
 	a.delegated = reason == "first" && (!q.request.Trial || q.answeredOnce) && q.zoneInfo(replica.Zone).canDelegate
-	total, shardFactor := q.costs.factors(now, s, replica)
-	a.shardFactor = max(shardFactor, 1)
+	a.costFactor, a.shardFactor = q.costs.factors(now, s, replica)
 	if q.request.Route.Idempotent {
-		a.hedgeAt = q.hedgeAt(now, total)
+		a.hedgeAt = q.hedgeAt(now, a.costFactor)
 	}
 	if a.delegated && !a.hedgeAt.IsZero() {
 		a.hedgeAt = a.hedgeAt.Add(delegationSlack)
--- a/internal/query/relay/shard.go
+++ b/internal/query/relay/shard.go
@@ -52,8 +52,9 @@
 	sentAt time.Time
 	// hedgeAt is the time at which the attempt is hedged, or zero if it is not.
 	hedgeAt time.Time
-	// shardFactor is the ratio of the likely cost to that of other shards.
-	shardFactor float64
+	// costFactor is the ratio of the likely cost to that of the route, and shardFactor the
+	// part of it that is due to the shard.
+	costFactor, shardFactor float64
 	// delegated is set if a VM in another zone may send it on behalf of this one.
 	delegated bool
 	// pending is set until a reply arrives.
--- a/internal/query/runner/delegate.go
+++ b/internal/query/runner/delegate.go
@@ -1,8 +1,10 @@
 package runner
 
 import (
+	"cmp"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -126,10 +128,11 @@
 	now := time.Now()
 	view := e.runner.deps.Views.View()
 	message := e.request.Message
+	hedgeAfter := slices.MinFunc(group, func(a, b relay.Send) int { return cmp.Compare(a.HedgeAfter, b.HedgeAfter) }).HedgeAfter
 	order := &deleg.Order{
 		Request: message.ID, Head: message.Head, Body: message.Body, NoBody: message.NoBody,
 		Limit: uint32(max(e.request.Route.Limit, 0)), LeftMicros: group[0].Timeout.Microseconds(),
-		PatienceMicros: int64(reportShare * float64(group[0].HedgeAfter.Microseconds())),
+		PatienceMicros: int64(reportShare * float64(hedgeAfter.Microseconds())),
 	}
 	ordered := make([]orderedAttempt, len(group))
 	for i, s := range group {
