Show operators what is believed of servers and routes

Cause: the choice by likely cost could not be understood from outside.

Run: go test -run 'TestSlowdownReaches|TestEndToEnd' ./platform: passed.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -110,11 +110,13 @@
 	ledger             *poison.Ledger
 	gossip             *gossip.Exchange
 	env                *relay.Env
-	admission          admit.QueuingPolicy
-	gate               *gate.Gate
-	ready              *fasthttp.Server
-	directory          *fasthttp.Server
-	admin              *admin.Server
+	// cost is the choice of servers of env.
+	cost      choose.CostPolicy
+	admission admit.QueuingPolicy
+	gate      *gate.Gate
+	ready     *fasthttp.Server
+	directory *fasthttp.Server
+	admin     *admin.Server
 	// ports holds the listeners from Run on.
 	ports atomic.Pointer[listeners]
 }
@@ -256,9 +258,14 @@
 		},
 		Members: t.budgetMembers,
 	}
+	var ok bool
+	if t.cost, ok = newChoice(choose.Options{}).(choose.CostPolicy); !ok {
+		return errors.New("tier: the choice of servers doesn't tell requests apart by cost")
+	}
+	t.registerCostMetrics()
 	t.env = &relay.Env{
 		Replicas: func() relay.Replicas { return t.follower.View() },
-		Choose:   newChoice(choose.Options{}),
+		Choose:   t.cost,
 		Zone:     t.settings.VM.Zone,
 		Budget:   newBudget(options),
 		Latency:  newBudget(hedge.Options{Quantile: hedgeQuantile, InitialDelay: initialHedgeDelay}),
@@ -299,6 +306,7 @@
 		"admission":   func() any { return t.admission.State() },
 		"limits":      func() any { return t.notices.Limits() },
 		"budget":      func() any { return t.budget() },
+		"cost":        func() any { return t.cost.CostState(time.Now()) },
 		"quarantine":  func() any { return t.ledger.List(time.Now()) },
 		"decisions":   func() any { return t.events.History() },
 		"listeners":   func() any { return t.ports.Load().stats() },
