Keep estimates of figures finite and possible

Cause: a filtered figure could become negative if the mean of all servers moved away from that of one, and the fit undefined after some 100,000 equal figures.

Change: expected figures have a least value, and sums a floor.

--- a/internal/query/choose/cost_test.go
+++ b/internal/query/choose/cost_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
@@ -119,6 +120,31 @@
 	require.Equal(t, []float64{1, 1}, []float64{total, shard})
 }
 
+// Guards against data races: requests of a VM use the policy at the same time.
+func TestCostIsSafeForConcurrentUse(t *testing.T) {
+	policy, now := newCostPolicy(t, 300, 60)
+	var users conc.WaitGroup
+	for range 4 {
+		users.Go(func() {
+			for i := range 200 {
+				at := now.Add(time.Duration(i) * time.Millisecond)
+				server := replicas[policy.ChooseFor(at, request, replicas)].Server
+				policy.SentFor(at, request, server)
+				policy.CostFactors(at, request, server)
+				if i%10 == 0 {
+					policy.AbandonedFor(at.Add(time.Millisecond), request, server, at)
+					policy.Retain(func(id ident.ServerID) bool { return id != server })
+					policy.CostState(at)
+					continue
+				}
+				policy.AnsweredFor(at.Add(time.Millisecond), request, server, at, choose.Sample{Completed: true, ServiceTime: time.Millisecond, Slots: 2, Slowdown: 100})
+			}
+		})
+	}
+	users.Wait()
+	require.NotEmpty(t, policy.CostState(now).Servers)
+}
+
 // Guards against a server under a reused name that is judged by the history of another one.
 func TestCostForgetsRemovedServers(t *testing.T) {
 	policy, now := newCostPolicy(t, 300, 60)
--- a/internal/query/cost/figure.go
+++ b/internal/query/cost/figure.go
@@ -39,13 +39,15 @@
 type fade struct {
 	products, squares [fadeBuckets]float64
 	mean, variance    float64
-	signal, tau       float64
-	added             int
+	// least is the least value that is expected.
+	least       float64
+	signal, tau float64
+	added       int
 }
 
-// newFade returns a fade that assumes a figure with this mean and variance.
-func newFade(mean, variance float64) fade {
-	f := fade{mean: mean, variance: variance}
+// newFade returns a fade that assumes a figure with a mean of 1 and this variance.
+func newFade(variance, least float64) fade {
+	f := fade{mean: 1, variance: variance, least: least}
 	for i := range fadeBuckets {
 		f.squares[i] = fadePrior * variance
 		f.products[i] = f.squares[i] * math.Exp(-fadeAge(i)/float64(priorFade))
@@ -67,7 +69,7 @@
 func (f *fade) add(age time.Duration, older, newer float64) {
 	i := fadeBucket(age)
 	f.products[i] = fadeDecay*f.products[i] + older*newer
-	f.squares[i] = fadeDecay*f.squares[i] + (older*older+newer*newer)/2
+	f.squares[i] = max(fadeDecay*f.squares[i]+(older*older+newer*newer)/2, minVariance)
 	if f.added++; f.added%fadeRefresh == 0 {
 		f.fit()
 	}
@@ -165,5 +167,5 @@
 // expect returns the expected value at a time, and its variance.
 func (g *figure) expect(f *fade, at time.Time) (value, variance float64) {
 	deviation, uncertainty := g.predict(f, at)
-	return g.meanAt(f, at) + deviation, uncertainty * f.signal * f.variance
+	return max(g.meanAt(f, at)+deviation, f.least), uncertainty * f.signal * f.variance
 }
--- a/internal/query/cost/server.go
+++ b/internal/query/cost/server.go
@@ -46,7 +46,7 @@
 
 // NewFleet returns a Fleet that assumes a usual load.
 func NewFleet() *Fleet {
-	return &Fleet{slowdown: newFade(1, 0.1), queue: newFade(1, 1), paceError: 1, timeRatio: 1}
+	return &Fleet{slowdown: newFade(0.1, minSlowdown), queue: newFade(1, 0), paceError: 1, timeRatio: 1}
 }
 
 // Server is what this VM knows about the work of one backend server.
