Learn the mean of reported figures from the first reports

Cause: the mean slowdown of all servers followed each report by one hundredth, so that a VM that sees few answers believed in the initial value for minutes.

Change: the first reports weigh as in a plain mean, and the fit is repeated every 16 pairs with precomputed curves.

Run: go test ./internal/query/cost ./internal/query/choose, golangci-lint: passed.

--- a/internal/query/cost/figure.go
+++ b/internal/query/cost/figure.go
@@ -20,7 +20,7 @@
 	shortestFade = 10 * time.Millisecond
 	fadeSteps    = 16
 	// fadeRefresh is the number of figures between two fits.
-	fadeRefresh = 64
+	fadeRefresh = 16
 	// minSignal is the least part of the variance that is taken for lasting differences.
 	minSignal = 0.05
 	// meanWeight is the weight of one figure in the mean of a server, and commonWeight that
@@ -42,7 +42,8 @@
 	// least is the least value that is expected.
 	least       float64
 	signal, tau float64
-	added       int
+	// reports and pairs count what was recorded.
+	reports, pairs int
 }
 
 // newFade returns a fade that assumes a figure with a mean of 1 and this variance.
@@ -65,12 +66,32 @@
 	return 0.75 * float64(minFadeAge<<bucket)
 }
 
+// fadeTau returns a time constant that is tried, in nanoseconds.
+func fadeTau(step int) float64 {
+	return float64(shortestFade) * math.Exp2(float64(step)/2)
+}
+
+// fadeCurves holds exp(-age/tau) by time constant and age.
+var fadeCurves = func() (curves [fadeSteps][fadeBuckets]float64) {
+	for step := range fadeSteps {
+		for i := range fadeBuckets {
+			curves[step][i] = math.Exp(-fadeAge(i) / fadeTau(step))
+		}
+	}
+	return curves
+}()
+
+// weight returns the weight of the latest report in the mean and variance of all.
+func (f *fade) weight() float64 {
+	return max(commonWeight, 1/float64(1+f.reports))
+}
+
 // add records the deviations from the mean of two reports that are age apart.
 func (f *fade) add(age time.Duration, older, newer float64) {
 	i := fadeBucket(age)
 	f.products[i] = fadeDecay*f.products[i] + older*newer
 	f.squares[i] = max(fadeDecay*f.squares[i]+(older*older+newer*newer)/2, minVariance)
-	if f.added++; f.added%fadeRefresh == 0 {
+	if f.pairs++; f.pairs%fadeRefresh == 0 {
 		f.fit()
 	}
 }
@@ -79,11 +100,9 @@
 func (f *fade) fit() {
 	best := math.Inf(1)
 	for step := range fadeSteps {
-		tau := float64(shortestFade) * math.Exp2(float64(step)/2)
+		curve := &fadeCurves[step]
 		var cross, norm float64
-		var curve [fadeBuckets]float64
 		for i := range fadeBuckets {
-			curve[i] = math.Exp(-fadeAge(i) / tau)
 			cross += f.products[i] * curve[i]
 			norm += f.squares[i] * curve[i] * curve[i]
 		}
@@ -94,7 +113,7 @@
 			failure += f.squares[i] * residual * residual
 		}
 		if failure < best {
-			best, f.signal, f.tau = failure, signal, tau
+			best, f.signal, f.tau = failure, signal, fadeTau(step)
 		}
 	}
 }
@@ -121,10 +140,11 @@
 	if g.known() && !at.After(g.at) {
 		return
 	}
-	f.mean += commonWeight * (value - f.mean)
+	f.reports++
+	f.mean += f.weight() * (value - f.mean)
 	mean := g.meanAt(f, at)
 	deviation := value - mean
-	f.variance += commonWeight * (deviation*deviation - f.variance)
+	f.variance += f.weight() * (deviation*deviation - f.variance)
 	if g.known() {
 		f.add(at.Sub(g.at), g.reported-mean, deviation)
 	}
--- a/internal/query/cost/server.go
+++ b/internal/query/cost/server.go
@@ -142,12 +142,12 @@
 	}
 	if outlook.Completion > 0 {
 		ratio := min(float64(elapsed)/float64(outlook.Completion), maxRatio)
-		f.timeRatio += commonWeight * (ratio - f.timeRatio)
+		f.timeRatio += f.slowdown.weight() * (ratio - f.timeRatio)
 	}
 	wait := outlook.Wait
 	pace := min(max(float64(max(elapsed-wait, elapsed/minRunShare))/float64(likely), minSlowdown), maxPace)
 	difference := pace - s.slowdown.reported
-	f.paceError += commonWeight * (difference*difference - f.paceError)
+	f.paceError += f.slowdown.weight() * (difference*difference - f.paceError)
 	s.slowdown.measure(pace-s.slowdown.mean, paceNoise*f.paceError/max(f.slowdown.signal*f.slowdown.variance, minVariance))
 }
 
