Measure all that the choice of servers does for a request

Cause: the benchmark of the choice leaves out the record and the answer, where the model learns.

Change: a benchmark of choice, record and answer, for cost and expect.

--- a/internal/query/choose/cost_test.go
+++ b/internal/query/choose/cost_test.go
@@ -54,6 +54,32 @@
 func BenchmarkChoiceByCost(b *testing.B)              { benchmarkChoice(b, "cost", 140) }
 func BenchmarkChoiceByCostWithoutFigure(b *testing.B) { benchmarkChoice(b, "cost", 0) }
 
+// benchmarkRequest measures all that a policy does for one request: choice, record and answer.
+func benchmarkRequest(b *testing.B, name string) {
+	construct, err := choose.Policies.Lookup(name)
+	require.NoError(b, err)
+	policy, now := construct(choose.Options{}), time.Unix(1000, 0)
+	byCost, _ := policy.(choose.CostPolicy)
+	sample := choose.Sample{Completed: true, ServiceTime: 5 * time.Millisecond, Queued: 1, Slots: 2, Slowdown: 140}
+	b.ReportAllocs()
+	for b.Loop() {
+		end := now.Add(5 * time.Millisecond)
+		if byCost == nil {
+			id := replicas[policy.Choose(now, replicas)].Server
+			policy.Sent(now, id)
+			policy.Answered(end, id, sample)
+		} else {
+			id := replicas[byCost.ChooseFor(now, request, replicas)].Server
+			byCost.SentFor(now, request, id)
+			byCost.AnsweredFor(end, request, id, now, sample)
+		}
+		now = end
+	}
+}
+
+func BenchmarkRequestByExpect(b *testing.B) { benchmarkRequest(b, "expect") }
+func BenchmarkRequestByCost(b *testing.B)   { benchmarkRequest(b, "cost") }
+
 // Guards against garbage for each of the 135 choices of a search.
 func TestChoiceByCostAllocatesNothing(t *testing.T) {
 	require.Zero(t, testing.AllocsPerRun(100, newChoice(t, "cost", 140)))
