--- a/internal/query/runner/delegate.go
+++ b/internal/query/runner/delegate.go
@@ -1,8 +1,10 @@
 package runner
 
 import (
+	"cmp"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -126,10 +128,11 @@
 	now := time.Now()
 	view := e.runner.deps.Views.View()
 	message := e.request.Message
+	hedgeAfter := slices.MinFunc(group, func(a, b relay.Send) int { return cmp.Compare(a.HedgeAfter, b.HedgeAfter) }).HedgeAfter
 	order := &deleg.Order{
 		Request: message.ID, Head: message.Head, Body: message.Body, NoBody: message.NoBody,
 		Limit: uint32(max(e.request.Route.Limit, 0)), LeftMicros: group[0].Timeout.Microseconds(),
-		PatienceMicros: int64(reportShare * float64(group[0].HedgeAfter.Microseconds())),
+		PatienceMicros: int64(reportShare * float64(hedgeAfter.Microseconds())),
 	}
 	ordered := make([]orderedAttempt, len(group))
 	for i, s := range group {
@@ -198,6 +201,7 @@
 		d.reported[o.Seq] = true
 		d.unreported--
 		r := reply{shard: d.ordered[o.Seq].shard, attempt: d.ordered[o.Seq].attempt, process: d.ordered[o.Seq].process, result: resultOf(o), sentAt: d.sentAt}
+		r.result.Slowdown = report.Slowdown(i)
 		r.result.Limit = limitOf(report, o)
 		if shared, ended := findEnd(report.Ended, o); ended {
 			r.result.Shared, r.result.Gone, r.result.Ended = shared, true, true
