Let a server's own report bound the slowdown that its times suggest

Cause: the times of answers suggest a slowdown of at most 350 %, which pulled down the estimate of a server that reports more.

Change: the bound is the reported slowdown if that is greater. Names and comments are clearer.

Run: go test ./internal/query/cost ./internal/query/choose ./internal/query/relay, golangci-lint: passed.

--- a/internal/query/cost/figure.go
+++ b/internal/query/cost/figure.go
@@ -158,10 +158,10 @@
 // measure corrects the estimate by a measured deviation whose noise has this variance,
 // relative to that of the signal.
 func (g *figure) measure(deviation, noise float64) {
-	gain := g.uncertainty / (g.uncertainty + noise)
-	if g.uncertainty == 0 {
+	if g.uncertainty <= 0 {
 		return
 	}
+	gain := g.uncertainty / (g.uncertainty + noise)
 	g.deviation += gain * (deviation - g.deviation)
 	g.uncertainty *= 1 - gain
 }
--- a/internal/query/cost/server.go
+++ b/internal/query/cost/server.go
@@ -11,8 +11,8 @@
 	// minSlowdown and maxSlowdown bound the effect of one figure, as factors. They leave
 	// room around the range that servers are known to report, 0.5 to 3.
 	minSlowdown, maxSlowdown = 0.2, 10
-	// maxPace bounds the slowdown that the time of an answer suggests: requests with much more
-	// work than usual say nothing about the server.
+	// maxPace bounds the slowdown that the time of an answer suggests, unless the server reports
+	// a greater one: requests with much more work than usual say nothing about the server.
 	maxPace = 3.5
 	// paceNoise is the part of the mean squared difference between that slowdown and the
 	// reported one that is taken for noise of the former. The rest is that the reported one is
@@ -145,14 +145,15 @@
 		f.timeRatio += f.slowdown.weight() * (ratio - f.timeRatio)
 	}
 	wait := outlook.Wait
-	pace := min(max(float64(max(elapsed-wait, elapsed/minRunShare))/float64(likely), minSlowdown), maxPace)
+	pace := min(max(float64(max(elapsed-wait, elapsed/minRunShare))/float64(likely), minSlowdown), max(maxPace, s.slowdown.reported))
 	difference := pace - s.slowdown.reported
 	f.paceError += f.slowdown.weight() * (difference*difference - f.paceError)
 	s.slowdown.measure(pace-s.slowdown.mean, paceNoise*f.paceError/max(f.slowdown.signal*f.slowdown.variance, minVariance))
 }
 
 // Work returns the work of a request that ended at now, and how certain that is. It took
-// elapsed, of which it probably waited for wait.
+// elapsed, of which it probably waited for wait. The slowdown in the middle of the run is taken
+// to be as far from the reported one as that of half a run later.
 func (s *Server) Work(f *Fleet, now time.Time, elapsed, wait time.Duration) (work time.Duration, weight float64) {
 	run := max(elapsed-wait, elapsed/minRunShare)
 	slowdown, _ := s.slowdown.expect(&f.slowdown, now.Add(run/2))
@@ -165,8 +166,8 @@
 	others, queueVariance := s.queue.expect(&f.queue, now)
 	slots := float64(max(s.slots, 1))
 	typical := float64(m.all.work)
-	// Requests of others that run have done a part of their work.
 	longest := time.Duration(0)
+	// Requests of others that run have done a part of their work.
 	backlog := typical * (others - (1-runningResidual)*min(others, slots))
 	for i := range s.own {
 		a := &s.own[i]
