Admit requests fairly by tenant

A tenant at 7 times its rate took the place of the others, rank hardly decided, and refused callers came back in vain more often than not. The policy "fair" orders requests by class, by what their tenant got lately relative to its quota, and by deadline; it promises room to refused callers who come back while the answer can still be in time. Requests under a configuration without tenants are left to "room".

The random part of the time to retry moved from the runner into the policies, since "fair" has to know the time that a caller is told. The tests of the loads use a simulation of VMs and servers by events.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -164,7 +164,7 @@
 	if err = t.buildEnv(); err != nil {
 		return nil, err
 	}
-	newAdmit, err := admit.Policies.Lookup("room")
+	newAdmit, err := admit.Policies.Lookup("fair")
 	if err != nil {
 		return nil, errors.Wrap(err, "tier: policies")
 	}
--- /dev/null
+++ b/internal/query/admit/fairshare.go
@@ -0,0 +1,513 @@
+package admit
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+)
+
+func init() {
+	Policies.Register("fair", func(Options) Policy { return newFairShare() })
+}
+
+const (
+	// leastClassFactor is the least served share that a class is entitled to, relative to that
+	// of the most important one. It has to stay above the quarter of the mean that each class
+	// gets at least, with a margin for the small numbers of requests that one VM sees.
+	leastClassFactor = 0.4
+	// classFactorDecay is the factor per class by which the part above that falls.
+	classFactorDecay = 0.35
+	// overdraft is the part of the limit by which requests that go before those that run may
+	// exceed it, and minOverdraft the least number of such requests.
+	overdraft    = 0.5
+	minOverdraft = 1
+	// fairQueueShare is the part of the limit up to which requests of a class may wait. Twice
+	// as many as with sharedLimit: requests of other tenants displace those that wait longest,
+	// and with a shorter queue tenants are refused by the chance of who came first.
+	fairQueueShare = 0.5
+	// defaultRunTime is the assumed run time of requests before the first one has ended.
+	defaultRunTime = 50 * time.Millisecond
+	// maxHeaviest bounds the tenants of a class in the state.
+	maxHeaviest = 10
+)
+
+// fairShare limits the running requests of each service like sharedLimit, and orders those
+// that wait by class, then by what their tenant got lately relative to its weight, then by
+// deadline. It keeps room for refused callers at the time for which they were told to come
+// back. Requests under a configuration without tenants are left to sharedLimit.
+type fairShare struct {
+	plain *sharedLimit
+
+	mu       sync.Mutex
+	services map[ident.ServiceID]*fairService
+	// flows is the number of tenants in all classes of all services.
+	flows int
+}
+
+// fairService is the state of one service.
+type fairService struct {
+	running  int
+	limit    adaptiveBound
+	wait     quantileEstimate
+	runs     runTimes
+	fullWait fullWait
+	// classes are ordered by class.
+	classes []*fairClass
+}
+
+func newFairShare() *fairShare {
+	return &fairShare{plain: newSharedLimit(), services: map[ident.ServiceID]*fairService{}}
+}
+
+func (p *fairShare) Admit(now time.Time, request Request) Decision {
+	if !request.ByTenant {
+		return p.plain.Admit(now, request)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.service(request.Service)
+	c := s.class(request.Class)
+	f := p.flow(now, c, request)
+	c.decay(now, fairDecay)
+	f.decay(now, fairDecay)
+	c.requested++
+	f.requested++
+	spent := s.spent(now, f, &request)
+	deadline := request.Deadline.Add(-spent)
+	if s.isLate(now, deadline) && (spent == 0 || s.isSaturated(now)) {
+		return refuse(reasonLate, s.comeBack(now, c, f, request))
+	}
+	returned := s.hasReturned(now, c, f, &request, spent)
+	if s.goesFirst(now, c, f, returned) && s.hasRoom(now, c, f, returned) {
+		s.running++
+		c.admit(now, f)
+		return Decision{Admitted: true}
+	}
+	s.limit.saturatedAt = now
+	if s.running == 0 {
+		return refuse(reasonFull, s.comeBack(now, c, f, request))
+	}
+	if c.waiting-len(c.returned) >= max(minWaiting, int(fairQueueShare*s.limit.value)) && !returned {
+		displaced := c.last(now, f)
+		if displaced == nil {
+			return refuse(reasonFull, s.comeBack(now, c, f, request))
+		}
+		c.end(displaced, reasonDisplaced)
+	}
+	return Decision{Waiter: c.newWaiter(now, f, request, deadline, returned)}
+}
+
+// hasReturned reports whether a request may be from a caller that was refused and comes back at
+// the time it was told. spent is the time for which its caller had waited before.
+func (s *fairService) hasReturned(now time.Time, c *fairClass, f *flow, request *Request, spent time.Duration) bool {
+	if spent == 0 && request.Wait > 0 {
+		return false
+	}
+	if c.promises.take(now, f.tenant, func(tenant ident.TenantID) bool {
+		other := c.flows[tenant]
+		return other == nil || c.load(now, f, 0) <= c.load(now, other, 0)
+	}) {
+		return true
+	}
+	asTold := spent > 0 && float64(spent) <= maxToldShare*float64(request.Deadline.Sub(now))
+	return asTold && c.promises.takeForeign(now, s.promiseInterval(now, c))
+}
+
+// EndWait implements QueuingPolicy.
+func (p *fairShare) EndWait(waiter *Waiter) bool {
+	if waiter.fair == nil {
+		return p.plain.EndWait(waiter)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if waiter.fair.ended {
+		return false
+	}
+	return !p.service(waiter.service).class(waiter.class).dequeue(waiter)
+}
+
+// RefuseWaiter implements QueuingPolicy.
+func (p *fairShare) RefuseWaiter(now time.Time, waiter *Waiter) Decision {
+	if waiter.fair == nil {
+		return p.plain.RefuseWaiter(now, waiter)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.service(waiter.service)
+	return refuse(waiter.fair.reason, s.comeBack(now, s.class(waiter.class), waiter.fair.flow, waiter.fair.request))
+}
+
+// RetryAfter implements QueuingPolicy.
+func (p *fairShare) RetryAfter(now time.Time, request Request) time.Duration {
+	if !request.ByTenant {
+		return p.plain.RetryAfter(now, request)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.service(request.Service)
+	c := s.class(request.Class)
+	return s.comeBack(now, c, p.flow(now, c, request), request)
+}
+
+func (p *fairShare) Observe(now time.Time, id ident.ServiceID, class ident.Class, wait, run time.Duration) {
+	p.plain.Observe(now, id, class, wait, run)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.services[id]; s != nil {
+		s.wait.add(now, wait)
+	}
+}
+
+func (p *fairShare) Done(now time.Time, request Request, outcome Outcome) {
+	if !request.ByTenant {
+		p.plain.Done(now, request, outcome)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.service(request.Service)
+	s.limit.adapt(now, s.cutLoad(now, outcome), request, outcome, s.wait.value(now))
+	if !outcome.Overloaded && outcome.Took > 0 {
+		s.runs.add(now, outcome.Took)
+	}
+	s.running--
+	s.class(request.Class).done(request.Tenant)
+	s.grantAll(now)
+}
+
+func (p *fairShare) State() map[ident.ServiceID]ServiceState {
+	states := p.plain.State()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, s := range p.services {
+		state := s.state()
+		plain := states[id]
+		state.Running += plain.Running
+		state.Waiting += plain.Waiting
+		states[id] = state
+	}
+	return states
+}
+
+func (p *fairShare) Retain(keep func(ident.ServiceID) bool) {
+	p.plain.Retain(keep)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.services, func(id ident.ServiceID, s *fairService) bool {
+		if keep(id) || s.running > 0 || s.anyWaiting() {
+			return false
+		}
+		for _, c := range s.classes {
+			p.flows -= len(c.flows)
+		}
+		return true
+	})
+}
+
+// service returns the state of a service, which it creates on first use with the limit that
+// was learned before the configuration had tenants.
+func (p *fairShare) service(id ident.ServiceID) *fairService {
+	s := p.services[id]
+	if s == nil {
+		s = &fairService{limit: adaptiveBound{value: p.plain.bound(id), canShed: true}}
+		p.services[id] = s
+	}
+	return s
+}
+
+// flow returns the state of the tenant of a request, which it creates on first use. While
+// there are too many tenants, it returns that of the requests without a tenant.
+func (p *fairShare) flow(now time.Time, c *fairClass, request Request) *flow {
+	if now.Sub(c.sweptAt) >= flowSweepInterval {
+		p.flows -= c.sweep(now)
+	}
+	tenant := request.Tenant
+	f := c.flows[tenant]
+	if f == nil && p.flows >= maxFlows {
+		tenant = ""
+		f = c.flows[tenant]
+	}
+	if f == nil {
+		f = &flow{tenant: tenant}
+		c.flows[tenant] = f
+		p.flows++
+	}
+	if weight := request.weight(); tenant != "" && f.weight != weight {
+		c.weights += weight - f.weight
+		f.weight = weight
+	}
+	return f
+}
+
+func (r *Request) weight() float64 {
+	if r.Weight > 0 {
+		return r.Weight
+	}
+	return 1
+}
+
+// class returns the state of a class, which it creates on first use.
+func (s *fairService) class(class ident.Class) *fairClass {
+	at, known := slices.BinarySearchFunc(s.classes, class, func(c *fairClass, wanted ident.Class) int { return cmp.Compare(c.class, wanted) })
+	if !known {
+		s.classes = slices.Insert(s.classes, at, &fairClass{class: class, flows: map[ident.TenantID]*flow{}})
+	}
+	return s.classes[at]
+}
+
+// isLate reports whether a request that starts now certainly ends after its deadline.
+func (s *fairService) isLate(now, deadline time.Time) bool {
+	return now.Add(s.runs.fastest(now)).After(deadline)
+}
+
+// cutLoad returns the load from which the limit is adapted. A VM whose requests don't wait is
+// hardly the cause of full servers: its limit stays above its load, so that its tenants don't
+// pay for those of other VMs.
+func (s *fairService) cutLoad(now time.Time, outcome Outcome) int {
+	if outcome.Overloaded && !s.isSaturated(now) {
+		return 2*s.running + 1
+	}
+	return s.running
+}
+
+// isSaturated reports whether requests had to wait or were refused lately.
+func (s *fairService) isSaturated(now time.Time) bool {
+	return now.Sub(s.limit.saturatedAt) < shareDecay
+}
+
+func (s *fairService) anyWaiting() bool {
+	return slices.ContainsFunc(s.classes, func(c *fairClass) bool { return c.waiting > 0 })
+}
+
+// turn returns the share by which classes take turns: the smallest one goes first. Each class
+// is entitled to a smaller served share than a more important one with recent requests.
+func (s *fairService) turn(now time.Time, c *fairClass) float64 {
+	factor := 1.0
+	for _, other := range s.classes {
+		if other == c {
+			break
+		}
+		if other.decay(now, fairDecay); other.requested > idleDemand {
+			factor *= classFactorDecay
+		}
+	}
+	c.decay(now, fairDecay)
+	return c.share() / (leastClassFactor + (1-leastClassFactor)*factor)
+}
+
+// next returns the class whose waiting request goes first, or nil if none waits. Callers who
+// came back as they were told go before other classes, which is only a small part of all.
+func (s *fairService) next(now time.Time) *fairClass {
+	var first *fairClass
+	least := math.Inf(1)
+	for _, c := range s.classes {
+		if len(c.returned) > 0 {
+			return c
+		}
+		if c.waiting == 0 {
+			continue
+		}
+		if turn := s.turn(now, c); turn < least {
+			first, least = c, turn
+		}
+	}
+	return first
+}
+
+// goesFirst reports whether a new request goes before all that wait.
+func (s *fairService) goesFirst(now time.Time, c *fairClass, f *flow, returned bool) bool {
+	first := s.next(now)
+	switch {
+	case first == nil || returned && len(first.returned) == 0:
+		return true
+	case len(first.returned) > 0:
+		return false
+	case first != c:
+		return s.turn(now, c) < s.turn(now, first)
+	default:
+		return c.load(now, f, 0) < c.load(now, c.next(now).fair.flow, 0)
+	}
+}
+
+// hasRoom reports whether one more request may run: the running and the promised requests stay
+// below the limit. A request of a class or a tenant that is behind others may exceed the limit
+// by the overdraft, since servers may have room, or get it sooner than this VM does.
+func (s *fairService) hasRoom(now time.Time, c *fairClass, f *flow, returned bool) bool {
+	value := s.limit.current(now)
+	draw := rand.Float64()
+	below := func(running int) bool { return float64(running)+draw <= value }
+	kept := 0
+	if !returned {
+		kept = s.kept(now, c)
+	}
+	if below(s.running + kept) {
+		return true
+	}
+	if float64(s.running)+draw > value+max(minOverdraft, overdraft*value) {
+		return false
+	}
+	return returned || s.isBehind(now, c) || c.isLight(now, f)
+}
+
+// kept returns the number of places that are kept for callers of the class, and of more
+// important ones, who will come back while a request that starts now still runs. One place
+// is left to newcomers.
+func (s *fairService) kept(now time.Time, c *fairClass) int {
+	by, kept := now.Add(time.Duration(s.runs.mean)), 0
+	for _, other := range s.classes {
+		if other.class <= c.class {
+			other.promises.expire(now)
+			kept += other.promises.due(by)
+		}
+	}
+	return min(kept, max(int(s.limit.value)-1, 0))
+}
+
+// isBehind reports whether the class got less of what it is entitled to than all others with
+// recent requests.
+func (s *fairService) isBehind(now time.Time, c *fairClass) bool {
+	others := false
+	own := s.turn(now, c)
+	for _, other := range s.classes {
+		if other == c || other.requested < idleDemand {
+			continue
+		}
+		if others = true; s.turn(now, other) < own {
+			return false
+		}
+	}
+	return others
+}
+
+// grantAll admits waiting requests while there is room, and ends the wait of those that can't
+// meet their goal any more.
+func (s *fairService) grantAll(now time.Time) {
+	for {
+		c := s.next(now)
+		if c == nil {
+			return
+		}
+		waiter := c.next(now)
+		if s.isLate(now, waiter.fair.deadline) {
+			c.end(waiter, reasonLate)
+			continue
+		}
+		if !s.hasRoom(now, c, waiter.fair.flow, waiter.fair.returned) {
+			return
+		}
+		c.dequeue(waiter)
+		s.running++
+		c.admit(now, waiter.fair.flow)
+		close(waiter.granted)
+	}
+}
+
+// newWaiter lets a request wait.
+func (c *fairClass) newWaiter(now time.Time, f *flow, request Request, deadline time.Time, returned bool) *Waiter {
+	granted, refused := make(chan struct{}), make(chan struct{})
+	waiter := &Waiter{
+		Granted: granted, Refused: refused, Until: now.Add(time.Duration(maxWaitShare * float64(request.Deadline.Sub(now)))),
+		granted: granted, class: request.Class, service: request.Service,
+		fair: &fairWaiter{flow: f, request: request, deadline: deadline, refused: refused, reason: reasonWaited, returned: returned},
+	}
+	c.enqueue(waiter)
+	return waiter
+}
+
+// end ends the wait of a request with a refusal.
+func (c *fairClass) end(waiter *Waiter, reason string) {
+	c.dequeue(waiter)
+	waiter.fair.ended, waiter.fair.reason = true, reason
+	close(waiter.fair.refused)
+}
+
+// comeBack returns the time after which a refused caller may retry. If there will be room
+// while the answer can still be in time, the room is kept for it. Otherwise it is the time
+// until the queue has room for the tenant.
+func (s *fairService) comeBack(now time.Time, c *fairClass, f *flow, request Request) time.Duration {
+	soon := retryAfter(request.Deadline.Sub(now))
+	interval := s.promiseInterval(now, c)
+	drain := time.Duration(float64(s.waitingUpTo(c)) * promisedShare * float64(interval))
+	earliest := now.Add(max(soon, drain))
+	at := latest(earliest, c.promises.next, f.nextPromise)
+	wait := at.Sub(now)
+	if wait > 2*soon || len(c.promises.kept) >= maxPromises {
+		if request.Wait <= 0 {
+			return spread(soon)
+		}
+		return min(spread(max(wait, request.Wait/3+soon)), maxRetryAfter)
+	}
+	ownPart := min(c.weightOf(f)/max(c.weights, c.weightOf(f)), 1)
+	c.promises.next = at.Add(interval)
+	f.nextPromise = at.Add(min(time.Duration(float64(interval)/ownPart), maxRetryAfter))
+	at = at.Add(rand.N(max(min(interval, soon), 1)))
+	c.promises.add(promise{at: at, tenant: f.tenant})
+	return at.Sub(now)
+}
+
+// promiseInterval returns the mean time between two promises to callers of a class: they get
+// the promised part of the capacity, by what the classes were admitted lately.
+func (s *fairService) promiseInterval(now time.Time, c *fairClass) time.Duration {
+	run := s.runs.mean
+	if run <= 0 {
+		run = float64(defaultRunTime)
+	}
+	admitted := 0.0
+	for _, other := range s.classes {
+		other.decay(now, fairDecay)
+		admitted += other.admitted
+	}
+	part := 1.0
+	if admitted > 0 {
+		part = max(c.admitted/admitted, 0.1)
+	}
+	return time.Duration(run / (promisedShare * part * s.limit.value))
+}
+
+// waitingUpTo returns the number of waiting requests of a class and of more important ones.
+func (s *fairService) waitingUpTo(c *fairClass) int {
+	waiting := 0
+	for _, other := range s.classes {
+		if other.class <= c.class {
+			waiting += other.waiting
+		}
+	}
+	return waiting
+}
+
+// state returns the state for operators. Loads are as of the last request of each tenant.
+func (s *fairService) state() ServiceState {
+	state := ServiceState{Bound: s.limit.value, Running: s.running}
+	for _, c := range s.classes {
+		state.Waiting += c.waiting
+		state.Classes = append(state.Classes, ClassState{
+			Class: c.class, Running: c.running, Waiting: c.waiting, Share: c.share(), Promises: len(c.promises.kept), Tenants: len(c.flows), Heaviest: c.heaviestStates(),
+		})
+	}
+	return state
+}
+
+// heaviestStates returns the state of the tenants with the largest use relative to their weight.
+func (c *fairClass) heaviestStates() []TenantState {
+	flows := slices.SortedFunc(maps.Values(c.flows), func(a, b *flow) int {
+		return cmp.Or(cmp.Compare(b.admitted/c.weightOf(b), a.admitted/c.weightOf(a)), cmp.Compare(a.tenant, b.tenant))
+	})
+	states := make([]TenantState, 0, min(len(flows), maxHeaviest))
+	for _, f := range flows[:min(len(flows), maxHeaviest)] {
+		states = append(states, TenantState{
+			Tenant: f.tenant, Weight: c.weightOf(f), Running: f.running, Waiting: len(f.waiting), Requested: f.requested, Admitted: f.admitted,
+		})
+	}
+	return states
+}
+
+// latest returns the latest of the given times.
+func latest(times ...time.Time) time.Time {
+	return slices.MaxFunc(times, time.Time.Compare)
+}
--- /dev/null
+++ b/internal/query/admit/fairshare_test.go
@@ -0,0 +1,270 @@
+package admit_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/query/admit"
+)
+
+// steady is a constant rate.
+func steady(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// burst is a rate that is multiplied for 6 s, from 4 s on.
+func burst(rate, factor float64) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at >= burstBegin && at < burstEnd {
+			return factor * rate
+		}
+		return rate
+	}
+}
+
+const (
+	burstBegin = 4 * time.Second
+	burstEnd   = 10 * time.Second
+)
+
+var duringBurst = [2]time.Duration{burstBegin, burstEnd}
+
+// zipf returns n sources whose rates are in proportion to 1/rank and add up to total.
+func zipf(n int, total float64) []*source {
+	norm := 0.0
+	for i := range n {
+		norm += 1 / float64(i+2)
+	}
+	sources := make([]*source, n)
+	for i := range sources {
+		rate := total / norm / float64(i+2)
+		sources[i] = &source{tenant: ident.TenantID(fmt.Sprint("t", i)), weight: 1.6 * rate, rate: steady(rate), homes: 3}
+	}
+	return sources
+}
+
+// Bounds of the requirements, in shares: how much smaller the share of its requests that a kind
+// is served may be than that of a less urgent one, or because of the load of others; how much
+// smaller its share of the value; the least share relative to the mean; and the part of the goal
+// within which a request has to be refused.
+const (
+	servedSlack    = 0.05
+	valueSlack     = 0.15
+	leastOfMean    = 0.25
+	maxRefusalPart = 0.25
+)
+
+// trial is a load on a fleet, whose sources fall into groups that are counted together.
+type trial struct {
+	vms     int
+	silent  bool
+	measure [2]time.Duration
+	sources func() [][]*source
+}
+
+// run offers the load several times, and returns the counts of each group, and of each source by
+// number. Callers come back to any of the VMs that they use.
+func (l trial) run(t *testing.T, policy string) (groups []sourceStats, single []sourceStats) {
+	t.Helper()
+	const runs = 5
+	for seed := range uint64(runs) {
+		f := newFleet(t, policy, l.vms, seed, l.measure)
+		f.leave, f.silent = true, l.silent
+		sources := l.sources()
+		all := slices.Concat(sources...)
+		f.run(l.measure[1]+2*time.Second, all)
+		if groups == nil {
+			groups, single = make([]sourceStats, len(sources)), make([]sourceStats, len(all))
+		}
+		for i, group := range sources {
+			groups[i].add(sum(group))
+		}
+		for i, s := range all {
+			single[i].add(s.stats)
+		}
+	}
+	for i, g := range groups {
+		t.Logf("%d VMs, %s, group %d: of %d served %.3f, at once %.3f, in the goal %.3f, value %.3f; of %d that came back as told %d were refused again; slowest refusal %v",
+			l.vms, policy, i, g.sent, g.share(), g.firstShare(), float64(g.inGoal)/float64(g.sent), g.value(), g.returned, g.refusedTwice, g.slowestRefusal)
+	}
+	return groups, single
+}
+
+// requireFair checks what holds for each load: no source is served less than a quarter as often
+// as all, and refusals are fast. Sources with few requests are left out, since chance rules them.
+func requireFair(t *testing.T, single []sourceStats) {
+	t.Helper()
+	var all sourceStats
+	for _, s := range single {
+		all.add(s)
+	}
+	for i, s := range single {
+		if s.sent >= 20 {
+			require.GreaterOrEqual(t, s.share(), leastOfMean*all.share(), "source %d", i)
+		}
+	}
+	require.LessOrEqual(t, all.slowestRefusal, time.Duration(maxRefusalPart*float64(fleetGoal)))
+}
+
+// Load: 86 tenants at 0.8 of the capacity, the largest of which sends an eighth of that and 7 times
+// as much for 6 s. Guards against a tenant that takes the capacity of others, on its own VMs
+// or on all of them.
+func TestTenantOverItsRateTakesNothingFromOthers(t *testing.T) {
+	load := func(vms int, factor float64) trial {
+		return trial{vms: vms, measure: duringBurst, sources: func() [][]*source {
+			sources := zipf(86, 0.8*fleetCapacity)
+			sources[0].rate = burst(sources[0].rate(0), factor)
+			return [][]*source{sources[:1], sources[1:]}
+		}}
+	}
+	for _, vms := range []int{1, 9, 63} {
+		quiet, _ := load(vms, 1).run(t, "fair")
+		_, _ = load(vms, 7).run(t, "room")
+		groups, single := load(vms, 7).run(t, "fair")
+		requireFair(t, single)
+		require.GreaterOrEqual(t, groups[1].share(), quiet[1].share()-servedSlack, "%d VMs", vms)
+	}
+}
+
+// Load: two kinds of requests of different rank, each half of 1.5 times the capacity. Guards
+// against an order that rank doesn't decide, and one that starves.
+func TestRankDecidesUnderOverload(t *testing.T) {
+	for _, vms := range []int{1, 9, 63} {
+		load := trial{vms: vms, measure: [2]time.Duration{2 * time.Second, 10 * time.Second}, sources: func() [][]*source {
+			rate := steady(1.5 / 2 * fleetCapacity)
+			return [][]*source{{{tenant: "a", weight: 1, class: 1, rate: rate}}, {{tenant: "b", weight: 1, class: 2, rate: rate}}}
+		}}
+		baseline, _ := load.run(t, "room")
+		groups, single := load.run(t, "fair")
+		requireFair(t, single)
+		urgent, other := groups[0], groups[1]
+		require.GreaterOrEqual(t, urgent.share(), other.share()-servedSlack)
+		require.GreaterOrEqual(t, urgent.value(), other.value()-valueSlack)
+		require.GreaterOrEqual(t, (urgent.credit+other.credit)/float64(urgent.sent+other.sent),
+			(baseline[0].credit+baseline[1].credit)/float64(baseline[0].sent+baseline[1].sent), "the order costs value")
+	}
+}
+
+// Load: 400 small tenants that together send 0.4 of the capacity beside one that sends 1.2, all
+// with the same weight. Guards against small tenants that are served by the luck of large ones,
+// and against a large one that gets nothing.
+func TestSmallTenantsBesideALargeOne(t *testing.T) {
+	for _, vms := range []int{1, 9, 63} {
+		load := trial{vms: vms, measure: [2]time.Duration{2 * time.Second, 10 * time.Second}, sources: func() [][]*source {
+			large := &source{tenant: "large", weight: 1, rate: steady(1.2 * fleetCapacity)}
+			var small []*source
+			for i := range 400 {
+				small = append(small, &source{tenant: ident.TenantID(fmt.Sprint("t", i)), weight: 1, rate: steady(0.001 * fleetCapacity), homes: 1})
+			}
+			return [][]*source{{large}, small}
+		}}
+		_, _ = load.run(t, "room")
+		groups, _ := load.run(t, "fair")
+		requireFair(t, groups)
+		require.GreaterOrEqual(t, groups[1].share(), groups[0].share()-servedSlack, "%d VMs", vms)
+		if vms < 63 {
+			// The small tenants ask for less than their part. Each of 63 VMs sees too little of
+			// the large one to refuse enough of it.
+			require.GreaterOrEqual(t, groups[1].share(), 1-servedSlack, "%d VMs", vms)
+		}
+	}
+}
+
+// Guards against a change for deployments without tenants: requests under their configuration
+// get the decisions of "room".
+func TestWithoutTenantsFairIsRoom(t *testing.T) {
+	for _, vms := range []int{1, 9} {
+		load := trial{vms: vms, silent: true, measure: duringBurst, sources: func() [][]*source {
+			rate := steady(1.5 / 2 * fleetCapacity)
+			return [][]*source{{{plain: true, class: 1, rate: rate}}, {{plain: true, class: 2, rate: rate}}}
+		}}
+		room, _ := load.run(t, "room")
+		fair, _ := load.run(t, "fair")
+		for i := range room {
+			// Both draw at random.
+			require.InDelta(t, room[i].share(), fair[i].share(), servedSlack)
+			require.InDelta(t, room[i].value(), fair[i].value(), servedSlack)
+		}
+	}
+}
+
+// newFair returns the policy "fair".
+func newFair(t testing.TB) admit.QueuingPolicy {
+	t.Helper()
+	construct, err := admit.Policies.Lookup("fair")
+	require.NoError(t, err)
+	return construct(admit.Options{}).(admit.QueuingPolicy)
+}
+
+func tenantRequest(now time.Time, tenant string) admit.Request {
+	return admit.Request{Service: "s", ByTenant: true, Tenant: ident.TenantID(tenant), Weight: 1, Deadline: now.Add(200 * time.Millisecond)}
+}
+
+// Guards against memory that grows with the number of tenants ever seen.
+func TestTenantsAreBoundedAndForgotten(t *testing.T) {
+	queue, now := newFair(t), time.Unix(1000, 0)
+	serve := func(tenant string) {
+		now = now.Add(10 * time.Microsecond)
+		r := tenantRequest(now, tenant)
+		require.True(t, queue.Admit(now, r).Admitted)
+		queue.Done(now, r, admit.Outcome{Took: time.Millisecond})
+	}
+	tenants := func() int { return queue.State()["s"].Classes[0].Tenants }
+	for i := range 12_000 {
+		serve(fmt.Sprint("t", i))
+	}
+	require.LessOrEqual(t, tenants(), 10_001)
+	now = now.Add(time.Minute)
+	serve("t1")
+	require.Equal(t, 1, tenants())
+	queue.Retain(func(ident.ServiceID) bool { return false })
+	require.Empty(t, queue.State())
+}
+
+// Guards against requests that wait, or run, although their goal has passed: all of a service's
+// requests take 150 ms, and one has 100 ms left.
+func TestRequestThatCertainlyEndsLateIsRefusedAtOnce(t *testing.T) {
+	queue, now := newFair(t), time.Unix(1000, 0)
+	for range 20 {
+		r := tenantRequest(now, "t")
+		require.True(t, queue.Admit(now, r).Admitted)
+		now = now.Add(150 * time.Millisecond)
+		queue.Done(now, r, admit.Outcome{Took: 150 * time.Millisecond})
+	}
+	r := tenantRequest(now, "t")
+	r.Deadline = now.Add(100 * time.Millisecond)
+	decision := queue.Admit(now, r)
+	require.False(t, decision.Admitted)
+	require.Nil(t, decision.Waiter)
+	require.Equal(t, "the goal can't be met", decision.Reason)
+	// Refusals prevent measurements, and must end by themselves.
+	now = now.Add(3 * time.Second)
+	r.Deadline = now.Add(100 * time.Millisecond)
+	require.True(t, queue.Admit(now, r).Admitted)
+}
+
+// Guards against a decision whose cost grows with the number of tenants.
+func BenchmarkFairAdmit(b *testing.B) {
+	for _, tenants := range []int{1, 86, 10_000} {
+		b.Run(fmt.Sprint(tenants), func(b *testing.B) {
+			queue, now := newFair(b), time.Unix(1000, 0)
+			requests := make([]admit.Request, tenants)
+			for i := range requests {
+				requests[i] = tenantRequest(now, fmt.Sprint("t", i))
+			}
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(10 * time.Millisecond)
+				r := requests[i%tenants]
+				r.Deadline = now.Add(200 * time.Millisecond)
+				if queue.Admit(now, r).Admitted {
+					queue.Done(now, r, admit.Outcome{Took: time.Millisecond})
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/query/admit/flow.go
@@ -0,0 +1,248 @@
+package admit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+)
+
+const (
+	// fairDecay is the time constant of the counts by which tenants and classes share. VMs see
+	// less than a request per second of most tenants, so that counts have to last longer than
+	// a queue does, and bursts last 6 s.
+	fairDecay = 3 * time.Second
+	// idleDemand is the count of requests below which a tenant without requests is forgotten,
+	// 9 s after a single request.
+	idleDemand = 0.05
+	// flowSweepInterval is the time between two searches for idle tenants in a class.
+	flowSweepInterval = 5 * time.Second
+	// maxFlows bounds the tenants of all classes and services of a VM. Further tenants are
+	// served as one.
+	maxFlows = 10_000
+	// lightRatio is the ratio of a tenant's load to that of the heaviest one below which it
+	// counts as light.
+	lightRatio = 0.8
+)
+
+// flow holds the recent demand and the waiting requests of one tenant in a class, or those of
+// all requests of the class without a tenant.
+type flow struct {
+	demand
+	tenant  ident.TenantID
+	weight  float64
+	running int
+	// waiting holds the waiting requests, the one with the earliest deadline first.
+	waiting []*Waiter
+	// returned is the number of waiting requests in fairClass.returned.
+	returned int
+	fullWait fullWait
+	// calm is the number of requests that arrived while none was refused.
+	calm int
+	// nextPromise is the earliest time for which another promise may be given.
+	nextPromise time.Time
+}
+
+// fairWaiter is the part of a Waiter that belongs to the policy fair.
+type fairWaiter struct {
+	flow    *flow
+	request Request
+	// deadline is the time of the goal, counted from the caller's first attempt.
+	deadline time.Time
+	refused  chan struct{}
+	reason   string
+	returned bool
+	// ended is set once the wait is over for another reason than a grant.
+	ended bool
+}
+
+// fairClass is the state of one class of a service.
+type fairClass struct {
+	demand
+	class   ident.Class
+	running int
+	waiting int
+	flows   map[ident.TenantID]*flow
+	// active holds the flows with requests that run or wait.
+	active []*flow
+	// heaviest is the flow with the largest load when it last got a request, or nil.
+	heaviest *flow
+	// returned holds the waiting requests of callers who came back as they were told, the
+	// oldest first. They are in no flow.
+	returned []*Waiter
+	// weights is the sum of the weights of all flows with a tenant.
+	weights  float64
+	promises promises
+	sweptAt  time.Time
+}
+
+// weightOf returns the weight of a flow. Requests without a tenant weigh as much as they would
+// as requests of average tenants, so that their served share is that of the class.
+func (c *fairClass) weightOf(f *flow) float64 {
+	if f.tenant != "" {
+		return f.weight
+	}
+	others := c.requested - f.requested
+	if others < idleDemand || c.weights <= 0 {
+		return 1
+	}
+	return max(f.requested, idleDemand) * c.weights / others
+}
+
+// load returns what a flow got lately and has pending, relative to its weight.
+func (c *fairClass) load(now time.Time, f *flow, pending int) float64 {
+	f.decay(now, fairDecay)
+	return max(f.admitted+float64(pending)-1, 0) / c.weightOf(f)
+}
+
+// isLight reports whether a tenant uses much less of its part than another one lately.
+func (c *fairClass) isLight(now time.Time, f *flow) bool {
+	return c.heaviest != nil && c.heaviest != f && c.load(now, f, 1) < lightRatio*c.load(now, c.heaviest, 0)
+}
+
+// next returns the waiting request that goes first, or nil: callers who came back, then the
+// earliest deadline of the tenant that got least relative to its weight.
+func (c *fairClass) next(now time.Time) *Waiter {
+	if len(c.returned) > 0 {
+		return c.returned[0]
+	}
+	var first *flow
+	least := 0.0
+	for _, f := range c.active {
+		if len(f.waiting) == 0 {
+			continue
+		}
+		if load := c.load(now, f, 0); first == nil || load < least {
+			first, least = f, load
+		}
+	}
+	if first == nil {
+		return nil
+	}
+	return first.waiting[0]
+}
+
+// last returns the waiting request that a request of the given flow displaces, or nil: the
+// latest deadline of the tenant with the largest load, if that exceeds the flow's.
+func (c *fairClass) last(now time.Time, f *flow) *Waiter {
+	var heaviest *flow
+	most := c.load(now, f, len(f.waiting)+1)
+	for _, other := range c.active {
+		if other == f || len(other.waiting) == 0 {
+			continue
+		}
+		if load := c.load(now, other, len(other.waiting)); load > most {
+			heaviest, most = other, load
+		}
+	}
+	if heaviest == nil {
+		return nil
+	}
+	return heaviest.waiting[len(heaviest.waiting)-1]
+}
+
+// enqueue lets a request wait.
+func (c *fairClass) enqueue(w *Waiter) {
+	c.waiting++
+	f := w.fair.flow
+	if w.fair.returned {
+		c.returned = append(c.returned, w)
+		f.returned++
+		return
+	}
+	at, _ := slices.BinarySearchFunc(f.waiting, w, func(a, b *Waiter) int {
+		// A request with the same deadline goes behind those that wait already.
+		return cmp.Or(a.fair.deadline.Compare(b.fair.deadline), -1)
+	})
+	f.waiting = slices.Insert(f.waiting, at, w)
+	c.setActive(f)
+}
+
+// dequeue ends the wait of a request. It reports whether the request was waiting.
+func (c *fairClass) dequeue(w *Waiter) bool {
+	f := w.fair.flow
+	queue := &f.waiting
+	if w.fair.returned {
+		queue = &c.returned
+	}
+	at := slices.Index(*queue, w)
+	if at < 0 {
+		return false
+	}
+	if w.fair.returned {
+		f.returned--
+	}
+	*queue = slices.Delete(*queue, at, at+1)
+	c.waiting--
+	c.setActive(f)
+	return true
+}
+
+// setActive keeps active in step with what runs and waits.
+func (c *fairClass) setActive(f *flow) {
+	at := slices.Index(c.active, f)
+	switch busy := f.running > 0 || len(f.waiting) > 0; {
+	case busy && at < 0:
+		c.active = append(c.active, f)
+	case !busy && at >= 0:
+		c.active = slices.Delete(c.active, at, at+1)
+	default:
+	}
+}
+
+func (c *fairClass) admit(now time.Time, f *flow) {
+	c.decay(now, fairDecay)
+	f.decay(now, fairDecay)
+	c.admitted++
+	f.admitted++
+	c.running++
+	f.running++
+	c.setActive(f)
+	if c.heaviest == nil || c.load(now, f, 0) > c.load(now, c.heaviest, 0) {
+		c.heaviest = f
+	}
+}
+
+// done ends an admitted request of a tenant. A tenant that was served with others because
+// there were too many may have got a flow of its own since.
+func (c *fairClass) done(tenant ident.TenantID) {
+	c.running--
+	f := c.flows[tenant]
+	if f == nil || f.running == 0 {
+		f = c.flows[""]
+	}
+	if f != nil && f.running > 0 {
+		f.running--
+		c.setActive(f)
+	}
+}
+
+// idle reports whether a flow can be forgotten.
+func (c *fairClass) idle(now time.Time, f *flow) bool {
+	if f.running > 0 || len(f.waiting) > 0 || f.returned > 0 || now.Before(f.nextPromise) {
+		return false
+	}
+	f.decay(now, fairDecay)
+	return f.requested < idleDemand
+}
+
+// sweep forgets idle flows and returns their number.
+func (c *fairClass) sweep(now time.Time) int {
+	forgotten := 0
+	c.sweptAt = now
+	for tenant, f := range c.flows {
+		if !c.idle(now, f) {
+			continue
+		}
+		if c.heaviest == f {
+			c.heaviest = nil
+		}
+		delete(c.flows, tenant)
+		forgotten++
+		if tenant != "" {
+			c.weights -= f.weight
+		}
+	}
+	return forgotten
+}
--- a/internal/query/admit/policy.go
+++ b/internal/query/admit/policy.go
@@ -25,6 +25,17 @@
 	Service  ident.ServiceID
 	Class    ident.Class
 	Deadline time.Time
+	// ByTenant is set if the configuration has tenants. Policies that treat tenants fairly
+	// behave like "room" towards requests without it.
+	ByTenant bool
+	// Tenant is the tenant of the caller, or empty if it has none.
+	Tenant ident.TenantID
+	// Wait is how long the caller still waits, and Timeout how long callers of the route wait
+	// at most. Wait is 0 if the caller didn't say.
+	Wait, Timeout time.Duration
+	// Weight is the tenant's share of the capacity relative to other tenants: the rate of
+	// its quota, or 1 if that is 0.
+	Weight float64
 }
 
 // Outcome says how an admitted request ended.
@@ -43,8 +54,7 @@
 	// Waiter is set if the request may wait for admission. EndWait must then be called
 	// once the wait is over.
 	Waiter *Waiter
-	// Reason and RetryAfter are set unless the request is admitted. While it may wait,
-	// they apply to a refusal after the wait.
+	// Reason and RetryAfter are set if the request is refused.
 	Reason     string
 	RetryAfter time.Duration
 }
@@ -54,6 +64,12 @@
 	Policy
 	// EndWait ends a wait and reports whether the request was admitted in the meantime.
 	EndWait(waiter *Waiter) bool
+	// RefuseWaiter returns the refusal of a request that was not admitted during its wait. It
+	// must be called after EndWait, and only if the caller gets the refusal.
+	RefuseWaiter(now time.Time, waiter *Waiter) Decision
+	// RetryAfter returns the time after which the caller of an admitted request may retry that
+	// full servers refused, or 0 if the policy has no estimate.
+	RetryAfter(now time.Time, request Request) time.Duration
 	// State returns the load of each service.
 	State() map[ident.ServiceID]ServiceState
 	// Retain removes the services for which keep is false, except for those with
@@ -67,6 +83,35 @@
 	Bound   float64 `json:"bound"`
 	Running int     `json:"running"`
 	Waiting int     `json:"waiting"`
+	// Classes holds the state by rank if the configuration has tenants, the most important
+	// class first.
+	Classes []ClassState `json:"classes,omitempty"`
+}
+
+// ClassState is the load of one class of a service.
+type ClassState struct {
+	Class   ident.Class `json:"class"`
+	Running int         `json:"running"`
+	Waiting int         `json:"waiting"`
+	// Share is the share of the class's requests that were admitted lately.
+	Share float64 `json:"share"`
+	// Promises is the number of refused callers for whom room is kept.
+	Promises int `json:"promises"`
+	// Tenants is the number of tenants with a state.
+	Tenants int `json:"tenants"`
+	// Heaviest lists the tenants with the largest use relative to their weight.
+	Heaviest []TenantState `json:"heaviest,omitempty"`
+}
+
+// TenantState is the load of one tenant in one class of a service.
+type TenantState struct {
+	Tenant  ident.TenantID `json:"tenant"`
+	Weight  float64        `json:"weight"`
+	Running int            `json:"running"`
+	Waiting int            `json:"waiting"`
+	// Requested and Admitted are decaying counts of requests.
+	Requested float64 `json:"requested"`
+	Admitted  float64 `json:"admitted"`
 }
 
 // Options configures policies. The zero value gives the defaults.
@@ -91,6 +136,14 @@
 	return o
 }
 
+// Reasons of refusals.
+const (
+	reasonFull      = "backend servers are at capacity"
+	reasonWaited    = "not admitted in time"
+	reasonLate      = "the goal can't be met"
+	reasonDisplaced = "requests that go first need the room"
+)
+
 func refuse(reason string, retryAfter time.Duration) Decision {
 	return Decision{Reason: reason, RetryAfter: retryAfter}
 }
--- /dev/null
+++ b/internal/query/admit/promise.go
@@ -0,0 +1,93 @@
+package admit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+)
+
+const (
+	// promisedShare is the part of the capacity that is promised to callers who come back.
+	// The rest is left to newcomers, who would otherwise be served only on their second
+	// attempt, which is worth less.
+	promisedShare = 0.1
+	// returnGrace is how long room is kept after the time that a caller was told. It covers a
+	// round trip to the caller and a late timer.
+	returnGrace = 60 * time.Millisecond
+	// maxToldShare is the part of the time to the goal that has passed at most when a caller
+	// comes back as it was told: the longest wait, the longest time of a promise, and a margin.
+	maxToldShare = 0.6
+	// foreignBurst is the number of promises of other VMs that may come due together.
+	foreignBurst = 3
+	// maxPromises bounds the promises of a class that are kept at a time.
+	maxPromises = 256
+)
+
+// promise is room that is kept for one refused caller.
+type promise struct {
+	at     time.Time
+	tenant ident.TenantID
+}
+
+// promises holds the room that is kept for the refused callers of one class, the earliest
+// first. Callers can't be recognised: a promise is used by the next request that may be from
+// the caller it was given to.
+type promises struct {
+	kept []promise
+	// next is the earliest time for which another promise may be given.
+	next time.Time
+	// nextForeign is the earliest time at which a promise of another VM is honoured.
+	nextForeign time.Time
+}
+
+// add keeps room from the given time on.
+func (p *promises) add(given promise) {
+	at, _ := slices.BinarySearchFunc(p.kept, given, func(a, b promise) int { return a.at.Compare(b.at) })
+	p.kept = slices.Insert(p.kept, at, given)
+}
+
+// expire drops the promises whose callers didn't come.
+func (p *promises) expire(now time.Time) {
+	expired := 0
+	for expired < len(p.kept) && now.Sub(p.kept[expired].at) > returnGrace {
+		expired++
+	}
+	p.kept = slices.Delete(p.kept, 0, expired)
+}
+
+// take uses the earliest promise that is due and was given to the tenant, or to another one
+// for which mayUse is true: refused callers may come back to another VM, so that this VM gets
+// those of others. It reports whether there is one.
+func (p *promises) take(now time.Time, tenant ident.TenantID, mayUse func(ident.TenantID) bool) bool {
+	p.expire(now)
+	due := p.due(now)
+	at := slices.IndexFunc(p.kept[:due], func(kept promise) bool { return kept.tenant == tenant })
+	if at < 0 {
+		at = slices.IndexFunc(p.kept[:due], func(kept promise) bool { return mayUse(kept.tenant) })
+	}
+	if at < 0 {
+		return false
+	}
+	p.kept = slices.Delete(p.kept, at, at+1)
+	return true
+}
+
+// takeForeign reports whether a promise that another VM may have given is honoured. Since callers
+// move both ways, it honours about as many as this VM gives.
+func (p *promises) takeForeign(now time.Time, interval time.Duration) bool {
+	if now.Before(p.nextForeign) {
+		return false
+	}
+	p.nextForeign = latest(p.nextForeign, now.Add(-foreignBurst*interval)).Add(interval)
+	return true
+}
+
+// due returns the number of promises for a time up to the given one.
+func (p *promises) due(by time.Time) int {
+	due := 0
+	for due < len(p.kept) && !p.kept[due].at.After(by) {
+		due++
+	}
+	return due
+}
--- a/internal/query/admit/sharedlimit.go
+++ b/internal/query/admit/sharedlimit.go
@@ -12,7 +12,7 @@
 )
 
 func init() {
-	Policies.Register("room", func(Options) Policy { return &sharedLimit{services: map[ident.ServiceID]*serviceQueue{}} })
+	Policies.Register("room", func(Options) Policy { return newSharedLimit() })
 }
 
 const (
@@ -50,23 +50,30 @@
 
 // classQueue holds the recent demand and the waiting requests of one class.
 type classQueue struct {
-	class               ident.Class
-	requested, admitted float64
-	updatedAt           time.Time
+	demand
+	class ident.Class
 	// waiting holds the requests that wait for admission, the oldest first.
 	waiting []*Waiter
 }
 
 // Waiter is a request that waits for admission.
 type Waiter struct {
-	// Granted is closed when the request is admitted.
-	Granted <-chan struct{}
+	// Granted is closed when the request is admitted, and Refused when its wait ends without
+	// that. Refused is nil if the policy ends no wait early.
+	Granted, Refused <-chan struct{}
 	// Until is the time at which the wait has to end.
 	Until time.Time
 
-	granted chan struct{}
-	class   ident.Class
-	service ident.ServiceID
+	granted    chan struct{}
+	class      ident.Class
+	service    ident.ServiceID
+	retryAfter time.Duration
+	// fair holds what only the policy fair needs. It is nil for waiters of other policies.
+	fair *fairWaiter
+}
+
+func newSharedLimit() *sharedLimit {
+	return &sharedLimit{services: map[ident.ServiceID]*serviceQueue{}}
 }
 
 func (l *sharedLimit) Admit(now time.Time, request Request) Decision {
@@ -74,7 +81,7 @@
 	defer l.mu.Unlock()
 	s := l.serviceQueue(request.Service)
 	own := s.classQueue(request.Class)
-	own.decay(now)
+	own.decay(now, shareDecay)
 	own.requested++
 	left := request.Deadline.Sub(now)
 	if !s.anyWaiting() && s.belowLimit() {
@@ -83,15 +90,20 @@
 	}
 	s.limit.saturatedAt = now
 	if len(own.waiting) >= max(minWaiting, int(maxWaitShare*s.limit.value)) {
-		return refuse("backend servers are at capacity", retryAfter(left))
+		return refuse(reasonFull, spread(retryAfter(left)))
 	}
 	granted := make(chan struct{})
 	waiter := &Waiter{
 		Granted: granted, Until: now.Add(time.Duration(maxWaitShare * float64(left))),
-		granted: granted, class: request.Class, service: request.Service,
+		granted: granted, class: request.Class, service: request.Service, retryAfter: retryAfter(left),
 	}
 	own.waiting = append(own.waiting, waiter)
-	return Decision{Waiter: waiter, Reason: "not admitted in time", RetryAfter: retryAfter(left)}
+	return Decision{Waiter: waiter}
+}
+
+// RefuseWaiter implements QueuingPolicy.
+func (*sharedLimit) RefuseWaiter(_ time.Time, waiter *Waiter) Decision {
+	return refuse(reasonWaited, spread(waiter.retryAfter))
 }
 
 // EndWait implements QueuingPolicy.
@@ -106,6 +118,11 @@
 	return true
 }
 
+// RetryAfter implements QueuingPolicy.
+func (*sharedLimit) RetryAfter(time.Time, Request) time.Duration {
+	return 0
+}
+
 func (l *sharedLimit) Observe(now time.Time, id ident.ServiceID, _ ident.Class, wait, _ time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -116,15 +133,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.serviceQueue(request.Service)
-	admitted := now.Add(-outcome.Took)
-	budget := request.Deadline.Sub(admitted)
-	// Requests that are slow without being refused are no reason to lower the limit:
-	// servers that are slow or unreachable don't recover by it.
-	if outcome.Overloaded {
-		s.limit.cut(now, admitted, s.running)
-	} else {
-		s.limit.grow(now, s.running, float64(s.wait.value(now)) < shortWaitShare*float64(budget))
-	}
+	s.limit.adapt(now, s.running, request, outcome, s.wait.value(now))
 	s.running--
 	for s.anyWaiting() && s.belowLimit() {
 		s.grant(now)
@@ -153,6 +162,16 @@
 	})
 }
 
+// bound returns the limit of a service.
+func (l *sharedLimit) bound(id ident.ServiceID) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.services[id]; s != nil {
+		return s.limit.value
+	}
+	return initialBound
+}
+
 // serviceQueue returns the state of a service, which it creates on first use.
 func (l *sharedLimit) serviceQueue(id ident.ServiceID) *serviceQueue {
 	s := l.services[id]
@@ -198,7 +217,7 @@
 		if len(q.waiting) == 0 {
 			continue
 		}
-		q.decay(now)
+		q.decay(now, shareDecay)
 		if share := q.share() + handicap; share < least {
 			next, least = q, share
 		}
@@ -210,21 +229,17 @@
 	close(waiter.granted)
 }
 
-func (q *classQueue) decay(now time.Time) {
-	factor := math.Exp(-float64(now.Sub(q.updatedAt)) / float64(shareDecay))
-	q.requested, q.admitted, q.updatedAt = q.requested*factor, q.admitted*factor, now
-}
-
-// share returns the share of its requests that were admitted recently.
-func (q *classQueue) share() float64 {
-	return q.admitted / max(q.requested, 1)
-}
-
 // retryAfter returns the time after which a refused caller may retry while its answer
 // can still be in time. Such a retry costs the servers nothing if it is refused again.
 func retryAfter(left time.Duration) time.Duration {
 	return min(max(time.Duration(maxWaitShare*float64(left)), minWaitRetryAfter), maxRetryAfter)
 }
 
+// spread returns a random duration from one to two times the given one, so that callers that
+// were refused together don't retry together.
+func spread(after time.Duration) time.Duration {
+	return after + rand.N(max(after, 1))
+}
+
 // minWaitRetryAfter is the shortest time after which a refused caller may retry.
 const minWaitRetryAfter = 10 * time.Millisecond
--- a/internal/query/runner/admission.go
+++ b/internal/query/runner/admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
@@ -11,11 +10,20 @@
 )
 
 // newAdmitRequest returns what admission is decided on: the service (for a search that
-// of its first shard, since searches over the same shards share servers), the rank, and
-// the goal, since an answer after the goal is worth little.
+// of its first shard, since searches over the same shards share servers), the rank of the
+// tenant or else that of the route, the tenant, and the goal, since an answer after the goal
+// is worth little.
 func (e *execution) newAdmitRequest() admit.Request {
-	route := e.request.Route
-	admitRequest := admit.Request{Service: e.request.Service, Class: ident.Class(min(max(route.Rank, 0), math.MaxUint8))}
+	route, rank := e.request.Route, e.request.Route.Rank
+	admitRequest := admit.Request{Service: e.request.Service, Wait: e.request.Wait, Timeout: route.Timeout}
+	if table := e.runner.deps.Views.View().Table; table != nil {
+		admitRequest.ByTenant = table.HasTenants()
+	}
+	if tenant := e.request.Tenant; tenant != nil {
+		rank = tenant.Rank
+		admitRequest.Tenant, admitRequest.Weight = tenant.Name, tenant.Rate
+	}
+	admitRequest.Class = ident.Class(min(max(rank, 0), math.MaxUint8))
 	if route.IsSearch() {
 		admitRequest.Service = route.Shards[0]
 	}
@@ -38,6 +46,7 @@
 		callerGone := false
 		select {
 		case <-waiter.Granted:
+		case <-waiter.Refused:
 		case <-timer.C:
 		case <-e.request.Gone:
 			callerGone = true
@@ -49,15 +58,29 @@
 			}
 			return Answer{Gone: true}, true
 		}
+		if !decision.Admitted {
+			decision = admission.RefuseWaiter(time.Now(), waiter)
+		}
 	}
 	if decision.Admitted {
 		return Answer{}, false
 	}
 	return Answer{Outcome: relay.Outcome{
-		Verdict: relay.Refused, Reason: decision.Reason, RetryAfter: decision.RetryAfter + rand.N(decision.RetryAfter),
+		Verdict: relay.Refused, Reason: decision.Reason, RetryAfter: decision.RetryAfter,
 	}}, true
 }
 
+// setRetryAfter replaces the time after which the caller of a request may retry that full
+// servers refused, unless the servers themselves name a time.
+func (e *execution) setRetryAfter(answer *Answer) {
+	if answer.Verdict != relay.Refused || e.fullRefusals == 0 || e.serversNamedTime {
+		return
+	}
+	if after := e.runner.deps.Admit.RetryAfter(time.Now(), e.admitRequest); after > 0 {
+		answer.RetryAfter = after
+	}
+}
+
 // overloadShare is the share of its attempts that full servers have to refuse before a
 // request counts as a sign of overload. A few of the servers of a search may be full
 // while the others have free slots.
--- a/internal/query/runner/runner.go
+++ b/internal/query/runner/runner.go
@@ -107,6 +107,7 @@
 	e.query = query
 	e.send(sends)
 	answer := e.awaitOutcome()
+	e.setRetryAfter(&answer)
 	e.finishAdmission(answer)
 	r.report(e, answer)
 	return answer
@@ -133,6 +134,8 @@
 	// fullRefusals counts the attempts that backend servers refused because all their
 	// slots were busy.
 	fullRefusals int
+	// serversNamedTime is set once a backend server has named a time to retry.
+	serversNamedTime bool
 	// retryDenied is set once the retry budget has denied a retry after a refusal by a
 	// full backend server.
 	retryDenied bool
@@ -341,6 +344,7 @@
 	if result.Outcome == pool.NotRun && !result.Misdirected && result.Running >= result.Slots {
 		e.fullRefusals++
 	}
+	e.serversNamedTime = e.serversNamedTime || result.RetryAfter > 0
 	perSlot := float64(result.Waiting) / float64(result.Slots)
 	wait := time.Duration(perSlot * float64(now.Sub(r.sentAt)) / (1 + perSlot))
 	e.runner.deps.Admit.Observe(now, e.admitRequest.Service, e.admitRequest.Class, wait, 0)
