Refuse late requests only while capacity is short

A slow backend server without load made admission refuse requests whose answer would have been late, which saves nothing. Tenants in a class that gets no more requests used up the bound on tenants; idle ones of all classes are now forgotten when it is reached.

--- a/internal/query/admit/fairshare_test.go
+++ b/internal/query/admit/fairshare_test.go
@@ -282,6 +282,17 @@
 	now = now.Add(time.Minute)
 	serve("t1")
 	require.Equal(t, 1, tenants())
+	// Tenants of a class that gets no requests any more must not use up the bound.
+	for i := range 12_000 {
+		serve(fmt.Sprint("t", i))
+	}
+	now = now.Add(time.Minute)
+	r := tenantRequest(now, "moved")
+	r.Class = 1
+	require.True(t, queue.Admit(now, r).Admitted)
+	queue.Done(now, r, admit.Outcome{})
+	require.Equal(t, 0, tenants())
+	require.Equal(t, ident.TenantID("moved"), queue.State()["s"].Classes[1].Heaviest[0].Tenant)
 	queue.Retain(func(ident.ServiceID) bool { return false })
 	require.Empty(t, queue.State())
 }
@@ -296,6 +307,10 @@
 		now = now.Add(150 * time.Millisecond)
 		queue.Done(now, r, admit.Outcome{Took: 150 * time.Millisecond})
 	}
+	// Requests have to wait, so that capacity is short.
+	for queue.Admit(now, tenantRequest(now, "t")).Waiter == nil {
+		continue
+	}
 	r := tenantRequest(now, "t")
 	r.Deadline = now.Add(100 * time.Millisecond)
 	decision := queue.Admit(now, r)
@@ -304,8 +319,9 @@
 	require.Equal(t, "the goal can't be met", decision.Reason)
 	// Refusals prevent measurements, and must end by themselves.
 	now = now.Add(3 * time.Second)
+	require.False(t, queue.Admit(now, tenantRequest(now, "t")).Admitted, "capacity is still short")
 	r.Deadline = now.Add(100 * time.Millisecond)
-	require.True(t, queue.Admit(now, r).Admitted)
+	require.NotEqual(t, "the goal can't be met", queue.Admit(now, r).Reason)
 }
 
 // Guards against a decision whose cost grows with the number of tenants.
