Count refusals by admission and their reasons

Operators saw refusals by route only. Counters by rank and reason, and gauges of waiting requests and of tenants with a state, show what admission does.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -172,6 +172,8 @@
 	if t.admission, ok = newAdmit(admit.Options{}).(admit.QueuingPolicy); !ok {
 		return nil, errors.New("tier: the admission policy has no queue")
 	}
+	t.metrics.NewGauge("samphirestair_admission_waiting", func() float64 { return t.sumAdmission(func(s admit.ServiceState) int { return s.Waiting }) })
+	t.metrics.NewGauge("samphirestair_admission_tenants", func() float64 { return t.sumAdmission(countTenants) })
 	t.peerClient = deleg.NewClient()
 	t.peerServer = deleg.NewServer(runner.NewLocalSender(t.follower, t.pool), t.refusesOrder, t.peerHandler(), t.events)
 	t.delegates = runner.NewDelegates(t.follower, t.heartbeats.Detector())
@@ -305,6 +307,24 @@
 	}
 }
 
+// sumAdmission returns the sum of a figure of admission over all services.
+func (t *Tier) sumAdmission(figure func(admit.ServiceState) int) float64 {
+	sum := 0
+	for _, state := range t.admission.State() {
+		sum += figure(state)
+	}
+	return float64(sum)
+}
+
+// countTenants returns the number of tenants in all classes of a service.
+func countTenants(state admit.ServiceState) int {
+	tenants := 0
+	for _, class := range state.Classes {
+		tenants += class.Tenants
+	}
+	return tenants
+}
+
 // config returns the configuration in force, or nil.
 func (t *Tier) config() any {
 	table := t.follower.View().Table
--- a/internal/query/runner/admission.go
+++ b/internal/query/runner/admission.go
@@ -65,6 +65,7 @@
 	if decision.Admitted {
 		return Answer{}, false
 	}
+	e.runner.requestMetrics.countRefusal(e.admitRequest.Class, decision.Reason)
 	return Answer{Outcome: relay.Outcome{
 		Verdict: relay.Refused, Reason: decision.Reason, RetryAfter: decision.RetryAfter,
 	}}, true
--- a/internal/query/runner/meters.go
+++ b/internal/query/runner/meters.go
@@ -19,6 +19,8 @@
 	// outcomes holds the counters used so far by outcomeKey, and durations the
 	// histograms used so far by the name of the route.
 	outcomes, durations sync.Map
+	// refusals holds the counters of refusals by admission, by refusalKey.
+	refusals sync.Map
 	// repeats holds the counters of attempts beyond the first, by repeatKey.
 	repeats sync.Map
 	// ownZone and otherZones count the traffic to backend servers in this VM's zone and
@@ -37,6 +39,12 @@
 	outcome string
 }
 
+// refusalKey identifies a counter of refusals by admission.
+type refusalKey struct {
+	class  ident.Class
+	reason string
+}
+
 // Outcomes of attempts beyond the first.
 const (
 	repeatSent   = "sent"
@@ -92,6 +100,13 @@
 	}).Inc()
 }
 
+// countRefusal counts a request that admission refused.
+func (m *requestMetrics) countRefusal(class ident.Class, reason string) {
+	getOrCreate(&m.refusals, refusalKey{class, reason}, func() *metrics.Counter {
+		return m.set.GetOrCreateCounter(fmt.Sprintf(`samphirestair_admission_refusals_total{class="%d",reason=%q}`, class, reason))
+	}).Inc()
+}
+
 // getOrCreate returns the value of a key, which create makes on first use.
 func getOrCreate[K comparable, V any](values *sync.Map, key K, create func() V) V {
 	if value, ok := values.Load(key); ok {
