Bound the memory that callers, backend servers and other VMs can take

Cause: bodies were limited by a constant of 16 MB, not by the configuration, and the HTTP library allocates what is announced; bodies without end, answers in flight and responses that nobody reads were bounded by the number of connections only; the ports for other VMs and operators had no time limits.

Change: base/budget holds a quarter of the memory in the settings. core/guard reads bodies within the limit and the budget, for the listeners of callers, address list, readiness, other VMs and operators (of `serve` too); base/accept accounts for each connection and gives back when it becomes idle or is closed; base/reply reads answers of owner/pool into memory that is reserved first. When memory is short, the connection that has held most for longest is closed.

--- a/internal/base/accept/listener.go
+++ b/internal/base/accept/listener.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 )
 
 const (
@@ -21,6 +23,8 @@
 	// evictBatch is the number of idle connections that are closed after a failure for lack
 	// of resources.
 	evictBatch = 16
+	// writePiece is the number of bytes that are written under one deadline.
+	writePiece = 64 << 10
 )
 
 // Options holds what a Listener depends on.
@@ -33,6 +37,14 @@
 	// Failed is called when accepting fails, and for each new connection that is closed
 	// because none is idle.
 	Failed func(err error)
+	// WriteStall is the time within which the other side has to take each writePiece bytes
+	// that are written, or 0 if the user of the connections sets deadlines for writing.
+	WriteStall time.Duration
+	// Budget bounds the memory that is held for all connections. It may be nil.
+	Budget *budget.Budget
+	// Closed is called for each connection that is closed because it has held most memory for
+	// longest. It may be nil.
+	Closed func()
 }
 
 // ErrTooMany is reported for a new connection that is closed because all others are in use.
@@ -132,6 +144,7 @@
 	}
 	l.open++
 	conn := &Conn{TCPConn: tcp, listener: l, idleSince: now}
+	conn.holder = l.options.Budget.NewHolder(conn.closeForMemory)
 	if !l.options.Pinned {
 		conn.element = l.idle.PushBack(conn)
 	}
--- /dev/null
+++ b/internal/base/reply/reply.go
@@ -0,0 +1,115 @@
+// Package reply reads HTTP responses of backend servers and of other VMs.
+package reply
+
+import (
+	"bufio"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/samphirestair/samphirestair/internal/base/budget"
+)
+
+// maxInterim bounds the interim responses before a response.
+const maxInterim = 8
+
+// ErrNoMemory is returned if there is no memory for the body of a response.
+var ErrNoMemory = errors.New("reply: no memory for the body")
+
+// Options holds the limits of a response.
+type Options struct {
+	// MaxBody is the maximum size of the body in bytes.
+	MaxBody int
+	// NoBody is set if the response has no body, as to a HEAD request.
+	NoBody bool
+	// Reserve reserves memory for size bytes of the body in total, before they are read. It
+	// is called only for bodies of more than budget.SmallSize.
+	Reserve func(size int) bool
+}
+
+// Read reads a response into an empty one. Bodies of more than budget.SmallSize are in memory
+// of their own, which stays valid after the response was released.
+func Read(response *fasthttp.Response, r *bufio.Reader, options Options) error {
+	header := &response.Header
+	if err := header.Read(r); err != nil {
+		return err
+	}
+	for interim := 0; header.StatusCode() < 200 && header.StatusCode() != fasthttp.StatusSwitchingProtocols; interim++ {
+		if interim == maxInterim {
+			return errors.New("reply: too many interim responses")
+		}
+		if err := header.Read(r); err != nil {
+			return err
+		}
+	}
+	if options.NoBody || isBodiless(header.StatusCode()) {
+		response.SkipBody = true
+		return nil
+	}
+	length := header.ContentLength()
+	if length >= 0 && length <= budget.SmallSize {
+		return response.ReadBody(r, options.MaxBody)
+	}
+	if length > options.MaxBody {
+		return fasthttp.ErrBodyTooLarge
+	}
+	body, err := readLong(response, r, options)
+	if err != nil {
+		return err
+	}
+	response.SetBodyRaw(body)
+	if length < -1 {
+		header.SetContentLength(len(body))
+	}
+	return nil
+}
+
+// isBodiless reports whether responses with a status have no body.
+func isBodiless(status int) bool {
+	return status < 200 || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+// readLong reads a body of more than budget.SmallSize or of unknown length into memory that is
+// reserved first.
+func readLong(response *fasthttp.Response, r *bufio.Reader, options Options) ([]byte, error) {
+	length := response.Header.ContentLength()
+	if length >= 0 {
+		if !options.Reserve(length) {
+			return nil, ErrNoMemory
+		}
+		body := make([]byte, length)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	response.StreamBody = true
+	if err := response.ReadBody(r, 0); err != nil {
+		return nil, err
+	}
+	stream := response.BodyStream()
+	body := make([]byte, 0, budget.SmallSize)
+	for {
+		if len(body) == cap(body) {
+			if len(body) > options.MaxBody {
+				return nil, fasthttp.ErrBodyTooLarge
+			}
+			size := min(2*len(body), options.MaxBody+1)
+			if size > budget.SmallSize && !options.Reserve(size) {
+				return nil, ErrNoMemory
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := stream.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			response.StreamBody = false
+			if len(body) > options.MaxBody {
+				return nil, fasthttp.ErrBodyTooLarge
+			}
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
--- a/internal/core/tier/listen.go
+++ b/internal/core/tier/listen.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/samphirestair/samphirestair/internal/base/accept"
+	"github.com/samphirestair/samphirestair/internal/core/guard"
 )
 
 const (
@@ -20,10 +21,20 @@
 	// for the address list, and of the platform's readiness probes.
 	maxListConnections  = 512
 	maxProbeConnections = 64
+	// maxAdminConnections bounds the connections of operators and metrics collectors.
+	maxAdminConnections = 128
+	// peerStall is the time within which another VM has to take some of a response. It exceeds
+	// the time for which VMs are frozen.
+	peerStall = 10 * time.Second
 	// defaultDescriptors is the limit of descriptors if the system doesn't tell it.
 	defaultDescriptors = 1024
 )
 
+// Names of the listeners.
+const (
+	callersPort, directoryPort, readyPort, peersPort, adminPort = "callers", "directory", "ready", "peers", "admin"
+)
+
 // listeners are the listeners of a running process.
 type listeners struct {
 	callers, directory, ready, peers, admin *accept.Listener
@@ -39,17 +50,19 @@
 		address  string
 		options  accept.Options
 	}{
-		{"callers", &l.callers, t.settings.Listen.Callers, accept.Options{Limit: maxCallers}},
-		{"directory", &l.directory, t.settings.Listen.Directory, accept.Options{Limit: fixed(maxListConnections)}},
-		{"ready", &l.ready, t.settings.Listen.Ready, accept.Options{Limit: fixed(maxProbeConnections)}},
-		{"peers", &l.peers, t.settings.Listen.Peers, accept.Options{Limit: descriptors, Pinned: true}},
-		{"admin", &l.admin, t.settings.Listen.Admin, accept.Options{Limit: descriptors, Pinned: true}},
+		{callersPort, &l.callers, t.settings.Listen.Callers, accept.Options{Limit: maxCallers}},
+		{directoryPort, &l.directory, t.settings.Listen.Directory, accept.Options{Limit: fixed(maxListConnections)}},
+		{readyPort, &l.ready, t.settings.Listen.Ready, accept.Options{Limit: fixed(maxProbeConnections)}},
+		{peersPort, &l.peers, t.settings.Listen.Peers, accept.Options{Limit: maxPeers, Pinned: true, WriteStall: peerStall}},
+		{adminPort, &l.admin, t.settings.Listen.Admin, accept.Options{Limit: fixed(maxAdminConnections)}},
 	} {
 		listener, err := net.Listen("tcp", port.address)
 		if err != nil {
 			return nil, errors.CombineErrors(errors.Wrapf(err, "tier: listen on %s", port.address), l.close())
 		}
 		port.options.Failed = func(err error) { t.events.Sample("accept_failed", port.name, err.Error()) }
+		port.options.Budget = t.memory
+		port.options.Closed = func() { t.reporters[port.name].Closed(guard.HoldsMost) }
 		// net.Listen returns this type for all TCP addresses.
 		*port.listener = accept.NewListener(listener.(*net.TCPListener), port.options)
 	}
@@ -60,7 +73,7 @@
 func (l *listeners) all() map[string]*accept.Listener {
 	open := map[string]*accept.Listener{}
 	for name, listener := range map[string]*accept.Listener{
-		"callers": l.callers, "directory": l.directory, "ready": l.ready, "peers": l.peers, "admin": l.admin,
+		callersPort: l.callers, directoryPort: l.directory, readyPort: l.ready, peersPort: l.peers, adminPort: l.admin,
 	} {
 		if listener != nil {
 			open[name] = listener
@@ -113,6 +126,12 @@
 	return int(min(limit.Cur, 1<<30)) - reservedDescriptors
 }
 
+// maxPeers returns the maximum number of connections of other VMs. The rest is left to the
+// process's own connections, whoever connects to the port.
+func maxPeers() int {
+	return max(descriptors()/2, 1)
+}
+
 // maxCallers returns the maximum number of connections of callers.
 func maxCallers() int {
 	usable := descriptors()
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -20,9 +20,11 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/fwconf"
 	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/core/guard"
 	"github.com/samphirestair/samphirestair/internal/fleet/beats"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/fleet/seeds"
@@ -115,6 +117,9 @@
 	ready              *fasthttp.Server
 	directory          *fasthttp.Server
 	admin              *admin.Server
+	// memory bounds what is held for callers, backend servers and other VMs.
+	memory    *budget.Budget
+	reporters map[string]*guard.Reporter
 	// ports holds the listeners from Run on.
 	ports atomic.Pointer[listeners]
 }
@@ -129,9 +134,11 @@
 	debug.SetGCPercent(garbagePercent)
 	t := &Tier{settings: settings, loadSettings: load, adapter: adapter, metrics: metrics.NewSet()}
 	t.current.Store(settings)
+	t.memory = budget.New(int(memoryShare * float64(settings.VM.Memory)))
 	logger = logger.With(slog.String("vm", string(settings.VM.ID)))
 	t.events = events.New(logger, t.metrics)
 	adapter.Eras.LogTo(t.events)
+	t.reportMemory()
 	t.metrics.NewGauge("samphirestair_servers_unreached", func() float64 { return float64(t.reach.State().Unreached) })
 	for _, state := range []poison.State{poison.Suspect, poison.Quarantined} {
 		t.metrics.NewGauge(fmt.Sprintf("samphirestair_requests_held{state=%q}", state), func() float64 { return float64(t.ledger.Counts(time.Now())[state]) })
@@ -160,7 +167,7 @@
 		Ledger: t.ledger, Broadcaster: t.heartbeats, MaxBytes: beats.MaxMessageBytes, Serving: func() bool { return t.registrar.Serving() || t.hasCallers() }, Peers: t.otherVMs, Events: t.events,
 	})
 	t.notices = notice.NewTracker(notice.Options{MaxBackoff: settings.Servers.Quiet, Events: t.events})
-	t.pool = pool.New(t.metrics, pool.Options{Names: adapter.Names, Tracker: t.notices, Reach: t.reach})
+	t.pool = pool.New(t.metrics, pool.Options{Names: adapter.Names, Tracker: t.notices, Reach: t.reach, Budget: t.memory})
 	if err = t.buildEnv(); err != nil {
 		return nil, err
 	}
@@ -173,7 +180,7 @@
 		return nil, errors.New("tier: the admission policy has no queue")
 	}
 	t.peerClient = deleg.NewClient()
-	t.peerServer = deleg.NewServer(runner.NewLocalSender(t.follower, t.pool), t.refusesOrder, t.peerHandler(), t.events)
+	t.peerServer = deleg.NewServer(runner.NewLocalSender(t.follower, t.pool), t.refusesOrder, t.peerHandler(), t.events, t.reporters[peersPort])
 	t.delegates = runner.NewDelegates(t.follower, t.heartbeats.Detector())
 	t.env.CanDelegate = t.delegates.Has
 	local := runner.New(runner.Deps{
@@ -183,15 +190,15 @@
 	coverage := detour.NewCoverage(t.follower, t.reach, t.env.Health)
 	t.detours = detour.New(detour.Deps{
 		Self: self.VM, Inner: local, Coverage: coverage, Views: t.follower, Peers: t.heartbeats.Detector(),
-		RequestID: adapter.Names.RequestID, Events: t.events, Metrics: t.metrics,
+		RequestID: adapter.Names.RequestID, Events: t.events, Metrics: t.metrics, Budget: t.memory,
 	})
 	t.gate = gate.New(gate.Deps{
 		Runner: t.detours, Local: local, Coverage: coverage, Views: t.follower, Self: self,
 		Serving: t.registrar.Serving, Usable: t.registrar.ViewUsable, Accepting: t.isAccepting, Peers: t.heartbeats.Detector(),
-		Names: adapter.Names, Events: t.events,
+		Names: adapter.Names, Events: t.events, Reporter: t.reporters[callersPort],
 	})
-	t.ready = gate.NewServer(adapter.Ready(t.gate.Ready))
-	t.directory = gate.NewServer(adapter.Directory(t.gate.Addresses, t.addressListLifetime))
+	t.ready = gate.NewServer(adapter.Ready(t.gate.Ready), t.smallBodies(readyPort))
+	t.directory = gate.NewServer(adapter.Directory(t.gate.Addresses, t.addressListLifetime), t.smallBodies(directoryPort))
 	t.admin = admin.New(admin.Deps{
 		Logger:   logger,
 		Metrics:  t.metrics,
@@ -200,6 +207,7 @@
 		Fleet:    func(context.Context) any { return t.follower.View().Members },
 
 		Quarantine: operatorOrders{t.ledger},
+		Reporter:   t.reporters[adminPort],
 	})
 	return t, nil
 }
@@ -302,6 +310,7 @@
 		"quarantine":  func() any { return t.ledger.List(time.Now()) },
 		"decisions":   func() any { return t.events.History() },
 		"listeners":   func() any { return t.ports.Load().stats() },
+		"memory":      func() any { return t.memoryState() },
 	}
 }
 
--- a/internal/front/gate/detour.go
+++ b/internal/front/gate/detour.go
@@ -5,6 +5,8 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/accept"
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/base/socket"
 	"github.com/samphirestair/samphirestair/internal/conf/routes"
@@ -77,5 +79,7 @@
 		return
 	}
 	g.run(ctx, g.deps.Local, request)
+	// The answer and its encoded form are in memory at a time.
+	accept.Holder(ctx.Conn()).Set(budget.Response, 2*len(ctx.Response.Body()))
 	detour.Wrap(ctx, table.Config().Version)
 }
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -14,10 +14,12 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirestair/samphirestair/internal/base/accept"
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/core/guard"
 	"github.com/samphirestair/samphirestair/internal/fleet/beats"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/plat/header"
@@ -90,6 +92,8 @@
 	Peers  Peers
 	Names  header.Names
 	Events *events.Recorder
+	// Reporter records the connections that are closed. It may be nil.
+	Reporter *guard.Reporter
 }
 
 // Gate is the HTTP server for callers. It is safe for concurrent use.
@@ -106,17 +110,16 @@
 // New returns a gate that does not listen yet.
 func New(deps Deps) *Gate {
 	g := &Gate{deps: deps, watcher: newWatcher()}
-	g.server = NewServer(g.Handle)
+	g.server = NewServer(g.Handle, guard.Options{MaxBody: g.maxBody, Reporter: deps.Reporter})
 	return g
 }
 
 // NewServer returns an HTTP server that adds no headers of its own to answers, and tells the
-// listener which connections are idle.
-func NewServer(handler fasthttp.RequestHandler) *fasthttp.Server {
-	return &fasthttp.Server{
+// listener which connections are idle and what they hold.
+func NewServer(handler fasthttp.RequestHandler, options guard.Options) *fasthttp.Server {
+	return guard.Protect(&fasthttp.Server{
 		Handler:                       handler,
 		ReadBufferSize:                maxHeaderBytes,
-		MaxRequestBodySize:            maxBodyBytes,
 		ReadTimeout:                   readTimeout,
 		WriteTimeout:                  writeTimeout,
 		IdleTimeout:                   idleTimeout,
@@ -124,21 +127,16 @@
 		NoDefaultContentType:          true,
 		NoDefaultDate:                 true,
 		DisableHeaderNamesNormalizing: true,
-		DisablePreParseMultipartForm:  true,
 		Logger:                        events.DiscardLogger{},
-		ConnState:                     trackConnection,
-	}
+	}, options)
 }
 
-// trackConnection marks a connection as idle or in use.
-func trackConnection(conn net.Conn, state fasthttp.ConnState) {
-	switch state {
-	case fasthttp.StateActive:
-		accept.SetActive(conn)
-	case fasthttp.StateIdle:
-		accept.SetIdle(conn, time.Now())
-	default:
+// maxBody returns the maximum size of the body of a request.
+func (g *Gate) maxBody() int {
+	if table := g.deps.Views.View().Table; table != nil {
+		return coll.Positive(table.Config().Limits.BodyBytes, maxBodyBytes)
 	}
+	return maxBodyBytes
 }
 
 // Serve answers requests from l. It blocks until Shutdown.
@@ -317,7 +315,10 @@
 	switch answer.Verdict {
 	case relay.Success:
 		if answer.Result.Response != nil {
-			copyResponse(ctx, answer.Result.Response)
+			copyResponse(ctx, &answer.Result)
+			// The memory is accounted for as that of the response before it no longer is as that
+			// of the answer, so that no other answer takes its place meanwhile.
+			accept.Holder(ctx.Conn()).Set(budget.Response, len(ctx.Response.Body()))
 			answer.Result.Release()
 			return
 		}
--- a/internal/front/gate/message.go
+++ b/internal/front/gate/message.go
@@ -194,7 +194,8 @@
 
 // copyResponse copies a backend server's response, except its hop-by-hop headers, into
 // the answer.
-func copyResponse(ctx *fasthttp.RequestCtx, from *fasthttp.Response) {
+func copyResponse(ctx *fasthttp.RequestCtx, result *pool.Result) {
+	from := result.Response
 	ctx.SetStatusCode(from.StatusCode())
 	drop := splitNames(string(from.Header.Peek(fasthttp.HeaderConnection)))
 	for key, value := range from.Header.All() {
@@ -204,5 +205,9 @@
 		}
 		ctx.Response.Header.AddBytesKV(key, value)
 	}
+	if result.IsBodyOwned() {
+		ctx.Response.SetBodyRaw(from.Body())
+		return
+	}
 	ctx.Response.SetBody(from.Body())
 }
--- a/internal/link/deleg/deleg_test.go
+++ b/internal/link/deleg/deleg_test.go
@@ -90,7 +90,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := deleg.NewServer(b, func(*deleg.Order) bool { return b.partitioned }, notFound, nil)
+	server := deleg.NewServer(b, func(*deleg.Order) bool { return b.partitioned }, notFound, nil, nil)
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve(listener) })
 	t.Cleanup(func() {
@@ -247,7 +247,7 @@
 	require.NoError(t, err)
 	require.NoError(t, conn.Close())
 	b := &backend{}
-	server := deleg.NewServer(b, func(*deleg.Order) bool { return false }, notFound, nil)
+	server := deleg.NewServer(b, func(*deleg.Order) bool { return false }, notFound, nil, nil)
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve(listener) })
 	time.Sleep(200 * time.Millisecond)
--- a/internal/link/deleg/server.go
+++ b/internal/link/deleg/server.go
@@ -12,6 +12,7 @@
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/base/socket"
 	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/core/guard"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/query/hedge"
@@ -24,6 +25,10 @@
 	// caller's request, and maxOrderAttempts the maximum number of its attempts.
 	maxOrderBytes    = 17 << 20
 	maxOrderAttempts = 4096
+	// readTimeout bounds the time in which an order has to arrive, and serverIdleTimeout the time for
+	// which a connection stays open without one. Other VMs close theirs much sooner.
+	readTimeout       = 10 * time.Second
+	serverIdleTimeout = 2 * time.Minute
 	// maxLimit is the maximum Order.Limit.
 	maxLimit = 1 << 16
 	// heartbeatInterval is the time after which an empty report is sent if no attempt
@@ -56,19 +61,21 @@
 }
 
 // NewServer returns a server that sends attempts through sender, and refuses orders for which
-// refuse returns true. fallback handles requests to paths other than that of orders.
-func NewServer(sender Sender, refuse func(order *Order) bool, fallback fasthttp.RequestHandler, recorder *events.Recorder) *Server {
+// refuse returns true. fallback handles requests to paths other than that of orders. reporter
+// may be nil.
+func NewServer(sender Sender, refuse func(order *Order) bool, fallback fasthttp.RequestHandler, recorder *events.Recorder, reporter *guard.Reporter) *Server {
 	s := &Server{sender: sender, refuse: refuse, fallback: fallback, events: recorder}
-	s.http = &fasthttp.Server{
+	s.http = guard.Protect(&fasthttp.Server{
 		Handler:                       s.serve,
-		MaxRequestBodySize:            maxOrderBytes,
+		ReadTimeout:                   readTimeout,
+		IdleTimeout:                   serverIdleTimeout,
 		NoDefaultServerHeader:         true,
 		NoDefaultDate:                 true,
 		NoDefaultContentType:          true,
 		DisableHeaderNamesNormalizing: true,
 		CloseOnShutdown:               true,
 		Logger:                        events.DiscardLogger{},
-	}
+	}, guard.Options{MaxBody: func() int { return maxOrderBytes }, Reporter: reporter})
 	return s
 }
 
--- a/internal/link/detour/runner.go
+++ b/internal/link/detour/runner.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/core/events"
@@ -71,6 +72,8 @@
 	RequestID string
 	Events    *events.Recorder
 	Metrics   *metrics.Set
+	// Budget bounds the memory of long answers. It may be nil.
+	Budget *budget.Budget
 }
 
 // Runner runs requests on this VM, or on another one while this VM can't reach the backend
@@ -119,7 +122,7 @@
 	names.Signature, names.Load, names.Leaving, names.Limit = "", "", "", ""
 	return &Runner{
 		deps:       deps,
-		pool:       pool.New(metrics.NewSet(), pool.Options{DialTimeout: dialTimeout, MaxBody: maxAnswerBytes, Names: names, AllowAnonymous: true}),
+		pool:       pool.New(metrics.NewSet(), pool.Options{DialTimeout: dialTimeout, MaxBody: maxAnswerBytes, Names: names, AllowAnonymous: true, Budget: deps.Budget}),
 		avoidUntil: map[avoidance]time.Time{},
 	}
 }
--- a/internal/link/detour/server.go
+++ b/internal/link/detour/server.go
@@ -43,7 +43,7 @@
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return
 	}
-	ctx.SetBody(encoded)
+	ctx.Response.SetBodyRaw(encoded)
 }
 
 // unwrap replaces the answer of another VM by that for the caller.
--- a/internal/ops/admin/server.go
+++ b/internal/ops/admin/server.go
@@ -11,13 +11,25 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
+	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/pprofhandler"
 
+	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/core/guard"
 	"github.com/samphirestair/samphirestair/internal/link/block"
 )
 
-// fleetTimeout limits how long the status of the fleet is collected.
-const fleetTimeout = 3 * time.Second
+const (
+	// fleetTimeout limits how long the status of the fleet is collected.
+	fleetTimeout = 3 * time.Second
+	// maxBodyBytes is the maximum size of the body of a request, which lists IP addresses at
+	// most.
+	maxBodyBytes = 64 << 10
+	// readTimeout and writeTimeout bound the time in which a request has to arrive and a
+	// response has to be read, and idleTimeout the time for which a connection stays open
+	// without a request.
+	readTimeout, writeTimeout, idleTimeout = 10 * time.Second, 30 * time.Second, 2 * time.Minute
+)
 
 // Section returns one section of the state dump as a value that encodes to JSON. It is
 // called concurrently.
@@ -38,6 +50,8 @@
 	Quarantine Quarantine
 	// LinkCuts is set if tests may inject link failures, and nil otherwise.
 	LinkCuts *block.Blocklist
+	// Reporter records the connections that are closed. It may be nil.
+	Reporter *guard.Reporter
 }
 
 // Quarantine lets operators decide about requests that end backend servers. Requests are given
@@ -53,6 +67,7 @@
 type Server struct {
 	deps Deps
 	app  *fiber.App
+	http *fasthttp.Server
 }
 
 // New returns a server that does not listen yet.
@@ -71,6 +86,9 @@
 	if deps.LinkCuts != nil {
 		s.app.Post("/test/cut", s.setLinkCuts)
 	}
+	s.http = guard.Protect(&fasthttp.Server{
+		Handler: s.app.Handler(), ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, Logger: events.DiscardLogger{},
+	}, guard.Options{MaxBody: func() int { return maxBodyBytes }, Reporter: deps.Reporter})
 	return s
 }
 
@@ -82,13 +100,12 @@
 
 // Serve answers requests that arrive at l until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	config := fiber.ListenConfig{DisableStartupMessage: true}
-	return errors.Wrap(s.app.Listener(l, config), "admin: serve")
+	return errors.Wrap(s.http.Serve(l), "admin: serve")
 }
 
 // Shutdown stops the server after the requests in flight are answered, or when ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return errors.Wrap(s.app.ShutdownWithContext(ctx), "admin: shutdown")
+	return errors.Wrap(s.http.ShutdownWithContext(ctx), "admin: shutdown")
 }
 
 func (s *Server) state(c fiber.Ctx) error {
--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -12,7 +12,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/base/reply"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
 )
 
@@ -218,16 +220,25 @@
 func (c *conn) readAnswer(call *Call) (isOpen bool, err error) {
 	response := fasthttp.AcquireResponse()
 	response.Header.DisableNormalizing()
-	response.SkipBody = call.message.NoBody
-	if err := response.ReadLimitBody(c.br, c.pool.options.MaxBody); err != nil {
+	var held *budget.Holder
+	err = reply.Read(response, c.br, reply.Options{MaxBody: c.pool.options.MaxBody, NoBody: call.message.NoBody, Reserve: func(size int) bool {
+		if held == nil {
+			held = c.pool.options.Budget.NewHolder(nil)
+		}
+		return held.Reserve(budget.Answer, size, call.deadline)
+	}})
+	if err != nil {
+		held.Release()
 		fasthttp.ReleaseResponse(response)
 		return false, errors.Wrap(err, "unusable answer")
 	}
 	result, keepFor, err := c.parseHeaders(call, response)
 	if err != nil {
+		held.Release()
 		fasthttp.ReleaseResponse(response)
 		return false, err
 	}
+	result.held = held
 	c.server.countRequest(-1)
 	if !result.Misdirected {
 		c.server.countAnswer(!c.answered)
--- a/internal/owner/pool/pool.go
+++ b/internal/owner/pool/pool.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
@@ -60,6 +61,8 @@
 	Tracker *notice.Tracker
 	// Reach is told which servers can be reached. If it is nil, the pool creates one.
 	Reach *reach.Tracker
+	// Budget bounds the memory of long answers. It may be nil.
+	Budget *budget.Budget
 }
 
 // Pool holds the connections to all backend servers. It is safe for concurrent
--- a/internal/owner/pool/types.go
+++ b/internal/owner/pool/types.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
@@ -98,6 +99,8 @@
 	// Running and Waiting count the requests of the backend server, and Slots those
 	// that it can run at a time. Slots is 0 if the answer did not report the load.
 	Running, Waiting, Slots int
+	// held accounts for the memory of a long response. It is nil for others.
+	held *budget.Holder
 }
 
 // Size returns the length of the body in bytes.
@@ -119,9 +122,15 @@
 	return r.Status >= 200 && r.Status < 300
 }
 
-// Release returns the response to its pool. The result must not be used
-// afterwards.
+// IsBodyOwned reports whether the body of the response stays valid after Release.
+func (r *Result) IsBodyOwned() bool {
+	return r.held != nil
+}
+
+// Release returns the response to its pool and gives back its memory. The result must not be
+// used afterwards.
 func (r *Result) Release() {
+	r.held.Release()
 	if r.Response != nil {
 		fasthttp.ReleaseResponse(r.Response)
 		r.Response = nil
--- a/internal/query/runner/runner.go
+++ b/internal/query/runner/runner.go
@@ -404,7 +404,7 @@
 			answer.Missing = len(e.request.Route.Shards) - len(answer.Signatures)
 		} else {
 			answer.Result = e.results[outcome.Attempt]
-			e.results[outcome.Attempt].Response = nil
+			e.results[outcome.Attempt] = pool.Result{}
 		}
 	}
 	for i := range e.results {
