Don't count a backend server as silent whose answer waits for memory

Cause: an answer that waits for memory of this process is cancelled by its request, which counted as a failure of the backend server; callers that don't read long responses could so take servers out of use for all others.

Change: an attempt whose answer had to wait doesn't count as cancelled.

--- a/internal/owner/pool/call.go
+++ b/internal/owner/pool/call.go
@@ -15,6 +15,8 @@
 	mu        sync.Mutex
 	finished  bool
 	cancelled bool
+	// heldUp is set if the answer had to wait for memory of this process.
+	heldUp bool
 	// cancelDial stops opening a connection.
 	cancelDial context.CancelFunc
 	// waitingOn is the server in whose queue the attempt may be. It leaves the queue at
@@ -131,6 +133,12 @@
 	c.written = true
 }
 
+func (c *Call) setHeldUp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heldUp = true
+}
+
 func (c *Call) isWritten() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -146,7 +154,8 @@
 		return
 	}
 	c.finished = true
-	r.Cancelled = c.cancelled
+	// The backend server wasn't silent if its answer had to wait here.
+	r.Cancelled = c.cancelled && !c.heldUp
 	c.mu.Unlock()
 	c.done(r)
 }
--- a/internal/owner/pool/types.go
+++ b/internal/owner/pool/types.go
@@ -80,7 +80,8 @@
 	Status int
 	// Signature is the value of the backend server's signature header.
 	Signature string
-	// Cancelled is set if the attempt was cancelled before it ended.
+	// Cancelled is set if the attempt was cancelled before it ended, while it waited for the
+	// backend server.
 	Cancelled bool
 	// Gone is set if the process of the backend server has ended, and Ended if it did so while
 	// it had the request, rather than before. MayHaveEnded is set if that is not known. Shared is
