--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -20,9 +20,11 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/fwconf"
 	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/core/guard"
 	"github.com/samphirestair/samphirestair/internal/fleet/beats"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/fleet/seeds"
@@ -120,6 +122,9 @@
 	ready     *fasthttp.Server
 	directory *fasthttp.Server
 	admin     *admin.Server
+	// memory bounds what is held for callers, backend servers and other VMs.
+	memory    *budget.Budget
+	reporters map[string]*guard.Reporter
 	// ports holds the listeners from Run on.
 	ports atomic.Pointer[listeners]
 }
@@ -134,9 +139,11 @@
 	debug.SetGCPercent(garbagePercent)
 	t := &Tier{settings: settings, loadSettings: load, adapter: adapter, metrics: metrics.NewSet()}
 	t.current.Store(settings)
+	t.memory = budget.New(int(memoryShare * float64(settings.VM.Memory)))
 	logger = logger.With(slog.String("vm", string(settings.VM.ID)))
 	t.events = events.New(logger, t.metrics)
 	adapter.Eras.LogTo(t.events)
+	t.reportMemory()
 	t.metrics.NewGauge("samphirestair_servers_unreached", func() float64 { return float64(t.reach.State().Unreached) })
 	for _, state := range []poison.State{poison.Suspect, poison.Quarantined} {
 		t.metrics.NewGauge(fmt.Sprintf("samphirestair_requests_held{state=%q}", state), func() float64 { return float64(t.ledger.Counts(time.Now())[state]) })
@@ -169,7 +176,7 @@
 		Bounds: t.quotaBounds, Transport: grant.NewClient(), Events: t.events, Metrics: t.metrics,
 	})
 	t.notices = notice.NewTracker(notice.Options{MaxBackoff: settings.Servers.Quiet, Events: t.events})
-	t.pool = pool.New(t.metrics, pool.Options{Names: adapter.Names, Tracker: t.notices, Reach: t.reach})
+	t.pool = pool.New(t.metrics, pool.Options{Names: adapter.Names, Tracker: t.notices, Reach: t.reach, Budget: t.memory})
 	if err = t.buildEnv(); err != nil {
 		return nil, err
 	}
@@ -184,7 +191,7 @@
 	t.metrics.NewGauge("samphirestair_admission_waiting", func() float64 { return t.sumAdmission(func(s admit.ServiceState) int { return s.Waiting }) })
 	t.metrics.NewGauge("samphirestair_admission_tenants", func() float64 { return t.sumAdmission(countTenants) })
 	t.peerClient = deleg.NewClient()
-	t.peerServer = deleg.NewServer(runner.NewLocalSender(t.follower, t.pool), t.refusesOrder, t.peerHandler(), t.events)
+	t.peerServer = deleg.NewServer(runner.NewLocalSender(t.follower, t.pool), t.refusesOrder, t.peerHandler(), t.events, t.reporters[peersPort])
 	t.delegates = runner.NewDelegates(t.follower, t.heartbeats.Detector())
 	t.env.CanDelegate = t.delegates.Has
 	local := runner.New(runner.Deps{
@@ -194,15 +201,15 @@
 	coverage := detour.NewCoverage(t.follower, t.reach, t.env.Health)
 	t.detours = detour.New(detour.Deps{
 		Self: self.VM, Inner: local, Coverage: coverage, Views: t.follower, Peers: t.heartbeats.Detector(),
-		RequestID: adapter.Names.RequestID, Events: t.events, Metrics: t.metrics,
+		RequestID: adapter.Names.RequestID, Events: t.events, Metrics: t.metrics, Budget: t.memory,
 	})
 	t.gate = gate.New(gate.Deps{
 		Runner: t.detours, Local: local, Coverage: coverage, Views: t.follower, Self: self,
 		Serving: t.registrar.Serving, Usable: t.registrar.ViewUsable, Accepting: t.isAccepting, Peers: t.heartbeats.Detector(),
-		Quota: t.quota, Names: adapter.Names, Events: t.events,
+		Quota: t.quota, Names: adapter.Names, Events: t.events, Reporter: t.reporters[callersPort],
 	})
-	t.ready = gate.NewServer(adapter.Ready(t.gate.Ready))
-	t.directory = gate.NewServer(adapter.Directory(t.gate.Addresses, t.addressListLifetime))
+	t.ready = gate.NewServer(adapter.Ready(t.gate.Ready), t.smallBodies(readyPort))
+	t.directory = gate.NewServer(adapter.Directory(t.gate.Addresses, t.addressListLifetime), t.smallBodies(directoryPort))
 	t.admin = admin.New(admin.Deps{
 		Logger:   logger,
 		Metrics:  t.metrics,
@@ -211,6 +218,7 @@
 		Fleet:    func(context.Context) any { return t.follower.View().Members },
 
 		Quarantine: operatorOrders{t.ledger},
+		Reporter:   t.reporters[adminPort],
 	})
 	return t, nil
 }
@@ -326,6 +334,7 @@
 		"quota":       func() any { return t.quota.State() },
 		"decisions":   func() any { return t.events.History() },
 		"listeners":   func() any { return t.ports.Load().stats() },
+		"memory":      func() any { return t.memoryState() },
 	}
 }
 
--- a/internal/link/detour/server.go
+++ b/internal/link/detour/server.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/base/reply"
 )
 
 // ReadOrder decodes the order of another VM.
@@ -44,7 +45,7 @@
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return
 	}
-	ctx.SetBody(encoded)
+	ctx.Response.SetBodyRaw(encoded)
 }
 
 // unwrap replaces the answer of another VM by that for the caller, and returns the version of
@@ -54,6 +55,9 @@
 	if _, err := answer.UnmarshalMsg(response.Body()); err != nil {
 		return 0, false, errors.Wrap(err, "detour: decode answer")
 	}
+	if !reply.IsValidStatus(int(answer.Status)) {
+		return 0, errors.Newf("detour: answer with status %d", answer.Status)
+	}
 	response.Reset()
 	response.Header.DisableNormalizing()
 	response.SetStatusCode(int(answer.Status))
--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -12,7 +12,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/base/reply"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
 )
 
@@ -27,6 +29,9 @@
 	// writeTimeout bounds the time to write a short request, which a healthy connection
 	// accepts immediately.
 	writeTimeout = 500 * time.Millisecond
+	// maxReserveTime is the time within which memory for an answer is reserved unless it is
+	// short.
+	maxReserveTime = 5 * time.Millisecond
 	// leavingValue is the header value with which a backend server announces that it leaves.
 	leavingValue = "1"
 	// idleMargin is how long before the backend server's idle timeout a connection is
@@ -218,16 +223,30 @@
 func (c *conn) readAnswer(call *Call) (isOpen bool, err error) {
 	response := fasthttp.AcquireResponse()
 	response.Header.DisableNormalizing()
-	response.SkipBody = call.message.NoBody
-	if err := response.ReadLimitBody(c.br, c.pool.options.MaxBody); err != nil {
+	var held *budget.Holder
+	err = reply.Read(response, c.br, reply.Options{MaxBody: c.pool.options.MaxBody, NoBody: call.message.NoBody, Reserve: func(size int) bool {
+		if held == nil {
+			held = c.pool.options.Budget.NewHolder(nil)
+		}
+		began := time.Now()
+		ok := held.Reserve(budget.Answer, size, call.deadline)
+		if time.Since(began) > maxReserveTime {
+			call.setHeldUp()
+		}
+		return ok
+	}})
+	if err != nil {
+		held.Release()
 		fasthttp.ReleaseResponse(response)
 		return false, errors.Wrap(err, "unusable answer")
 	}
 	result, keepFor, err := c.parseHeaders(call, response)
 	if err != nil {
+		held.Release()
 		fasthttp.ReleaseResponse(response)
 		return false, err
 	}
+	result.held = held
 	c.server.countRequest(-1)
 	if !result.Misdirected {
 		c.server.countAnswer(!c.answered)
--- a/internal/owner/pool/types.go
+++ b/internal/owner/pool/types.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
@@ -79,7 +80,8 @@
 	Status int
 	// Signature is the value of the backend server's signature header.
 	Signature string
-	// Cancelled is set if the attempt was cancelled before it ended.
+	// Cancelled is set if the attempt was cancelled before it ended, while it waited for the
+	// backend server.
 	Cancelled bool
 	// Gone is set if the process of the backend server has ended, and Ended if it did so while
 	// it had the request, rather than before. MayHaveEnded is set if that is not known. Shared is
@@ -101,6 +103,8 @@
 	// Slowdown is how long work takes on the backend server, in percent of the usual, or 0 if
 	// the answer did not tell.
 	Slowdown int
+	// held accounts for the memory of a long response. It is nil for others.
+	held *budget.Holder
 }
 
 // Size returns the length of the body in bytes.
@@ -122,9 +126,15 @@
 	return r.Status >= 200 && r.Status < 300
 }
 
-// Release returns the response to its pool. The result must not be used
-// afterwards.
+// IsBodyOwned reports whether the body of the response stays valid after Release.
+func (r *Result) IsBodyOwned() bool {
+	return r.held != nil
+}
+
+// Release returns the response to its pool and gives back its memory. The result must not be
+// used afterwards.
 func (r *Result) Release() {
+	r.held.Release()
 	if r.Response != nil {
 		fasthttp.ReleaseResponse(r.Response)
 		r.Response = nil
