Grant spare tokens while a quota owner does not answer

Cause: for about a second after the last answer of an owner, tenants without tokens in advance were refused although they were within their quotas.

Change: a request that has waited for 12 ms asks the deputy of the owner, too. Owner and deputy, the first two of all registered VMs for a slot, each grant a tenth of the slack without shares; this replaces the tokens of new processes.

--- a/internal/link/grant/grant.go
+++ b/internal/link/grant/grant.go
@@ -23,6 +23,8 @@
 const (
 	// waitTimeout is how long a request waits for its token. It is far below all goals.
 	waitTimeout = 30 * time.Millisecond
+	// hurryTimeout is how long it waits for the quota owner alone.
+	hurryTimeout = 12 * time.Millisecond
 	// tickInterval is the time between two looks for orders that are due, and idleInterval that
 	// while no tenant has a quota.
 	tickInterval = 50 * time.Millisecond
@@ -136,7 +138,7 @@
 // await waits for the decision of the quota owner.
 func (s *Service) await(waiter *quota.Waiter) quota.Decision {
 	s.wakeUp()
-	timer := time.NewTimer(waitTimeout)
+	timer := time.NewTimer(hurryTimeout)
 	defer timer.Stop()
 	select {
 	case decision := <-waiter.Done:
@@ -144,6 +146,16 @@
 	case <-timer.C:
 	}
 	s.mu.Lock()
+	s.holder.Hurry(s.deps.Now(), waiter)
+	s.mu.Unlock()
+	s.wakeUp()
+	timer.Reset(waitTimeout - hurryTimeout)
+	select {
+	case decision := <-waiter.Done:
+		return decision
+	case <-timer.C:
+	}
+	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.holder.EndWait(s.deps.Now(), waiter)
 }
--- a/internal/query/quota/fleet_test.go
+++ b/internal/query/quota/fleet_test.go
@@ -216,6 +216,9 @@
 		case decision := <-w.waiter.Done:
 			f.count(w.limit, decision)
 		default:
+			if f.now == w.until-15*time.Millisecond {
+				p.holder.Hurry(p.local(f.now), w.waiter)
+			}
 			if f.now < w.until {
 				return false
 			}
--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -15,6 +15,8 @@
 	// replyTimeout is the time after which an order has failed. It covers an owner that has used
 	// up its processor time of a period of 100 ms.
 	replyTimeout = 250 * time.Millisecond
+	// slowTime is the time without an answer after which the deputy is asked.
+	slowTime = 50 * time.Millisecond
 	// isolationTime is the time without an answer from any owner, and the age of the view, from
 	// which this VM may have been replaced and no longer uses its share.
 	isolationTime = 4 * time.Second
@@ -82,9 +84,10 @@
 	// Done receives the decision. It has room for it.
 	Done    chan Decision
 	account *account
-	// order is the number of the order that asks for the token, or 0.
-	order uint64
-	ended bool
+	// order is the number of the order that asks the owner for the token, and spare that of the
+	// one that asks its deputy, or 0.
+	order, spare uint64
+	ended        bool
 }
 
 // Situation is what a Holder knows of the fleet.
@@ -110,6 +113,7 @@
 	now       time.Duration
 	situation Situation
 	desired   [slotCount]ident.VMID
+	deputies  [slotCount]ident.VMID
 	slots     [slotCount]slot
 	peers     map[ident.VMID]*peer
 	accounts  map[ident.TenantID]*account
@@ -141,6 +145,8 @@
 	sentAt time.Duration
 	// failed is set from an order without an answer to the next answer.
 	failed bool
+	// slow is set from an order that is not answered in time to the next answer.
+	slow bool
 	// urgent is set if a request waits for an order that has not been sent.
 	urgent bool
 	// dirty holds the tenants about which the next order says something.
@@ -182,10 +188,10 @@
 	first := h.situation.Sharers == 0
 	slices.Sort(s.Owners)
 	if !slices.Equal(s.Owners, h.situation.Owners) || first {
-		h.desired = assign(s.Owners)
+		h.desired, _ = assign(s.Owners)
 	}
 	h.situation = s
-	h.owner.setBootSlots(h.bootSlots())
+	h.placeSpares()
 	if first {
 		// The process before this one on the same VM may have leased its share.
 		for i := range h.slots {
@@ -199,20 +205,35 @@
 	}
 }
 
-// bootSlots returns the slots that this process owns among all registered VMs, also the silent
-// ones. Which VMs are silent differs between processes and in time, so that many of them would
-// grant boot tokens of the same tenant otherwise, as would those that know few others.
-func (h *Holder) bootSlots() slotSet {
-	slots := slotSet(0)
-	if h.now-h.started >= bootTime || 2*len(h.situation.Registered) < h.situation.Sharers {
-		return slots
+// placeSpares determines the deputies, and the slots of which this process may grant spare
+// tokens: those of which it is owner or deputy among all registered VMs, also the silent ones.
+// Which VMs are silent differs between processes and in time, so that many of them would grant
+// spare tokens of the same tenant otherwise, as would those that know few others.
+func (h *Holder) placeSpares() {
+	spares := slotSet(0)
+	if 2*len(h.situation.Registered) < h.situation.Sharers {
+		h.deputies = [slotCount]ident.VMID{}
+		h.owner.setSpareSlots(spares)
+		return
 	}
-	for i, owner := range assign(h.situation.Registered) {
-		if owner == h.self.VM {
-			slots |= 1 << i
+	owners, deputies := assign(h.situation.Registered)
+	for i := range owners {
+		if owners[i] == h.self.VM || deputies[i] == h.self.VM {
+			spares |= 1 << i
 		}
 	}
-	return slots
+	h.deputies = deputies
+	h.owner.setSpareSlots(spares)
+}
+
+// deputy returns the VM to ask for spare tokens of a slot, or "" while the owner answers or if
+// there is none.
+func (h *Holder) deputy(i int) ident.VMID {
+	owner, deputy := h.slots[i].owner, h.deputies[i]
+	if p := h.peers[owner]; p == nil || !p.slow || deputy == h.self.VM || deputy == owner {
+		return ""
+	}
+	return deputy
 }
 
 // IsReady reports whether Update was called.
@@ -284,7 +305,7 @@
 		return a.count(Decision{Verdict: Granted})
 	}
 	if owner == h.self.VM {
-		wait, ok := h.owner.Take(h.now, limit)
+		wait, ok := h.owner.Take(h.now, limit, true)
 		if ok {
 			return a.count(Decision{Verdict: Granted})
 		}
@@ -293,7 +314,7 @@
 	if h.now < a.refusedUntil {
 		return a.refuse(h.now, Refused, a.refusedUntil-h.now)
 	}
-	if p := h.peers[owner]; (owner == "" || p != nil && p.failed) && h.takeOwn(a) {
+	if p := h.peers[owner]; (owner == "" || p != nil && p.slow) && h.takeOwn(a, true) {
 		return a.count(Decision{Verdict: GrantedOwn})
 	}
 	if owner == "" {
@@ -305,6 +326,15 @@
 	return Decision{Verdict: Waiting, Waiter: w}
 }
 
+// Hurry makes a request that has no answer of the owner yet ask its deputy, too.
+func (h *Holder) Hurry(now time.Duration, w *Waiter) {
+	h.advance(now)
+	if p := h.peers[h.slots[w.account.slot].owner]; !w.ended && p != nil {
+		p.slow = true
+		h.markDirty(w.account)
+	}
+}
+
 // EndWait ends the wait of a request that got no decision in time, and decides without the owner.
 func (h *Holder) EndWait(now time.Duration, w *Waiter) Decision {
 	h.advance(now)
@@ -314,18 +344,19 @@
 	}
 	w.ended = true
 	a.waiters = slices.DeleteFunc(a.waiters, func(other *Waiter) bool { return other == w })
-	if h.takeOwn(a) {
+	if h.takeOwn(a, true) {
 		return a.count(Decision{Verdict: GrantedOwn})
 	}
 	return a.refuse(h.now, RefusedUnreachable, failedWait)
 }
 
-// takeOwn takes a token of the share of this process, if no other one has it.
-func (h *Holder) takeOwn(a *account) bool {
-	if h.owner.shares[a.slot] == 0 {
+// takeOwn takes a token of the share of this process, if no other one has it, or a spare one if
+// the owner doesn't answer.
+func (h *Holder) takeOwn(a *account, withSpare bool) bool {
+	if !h.owner.mayGrant(a.slot) {
 		return false
 	}
-	_, ok := h.owner.Take(h.now, a.limit)
+	_, ok := h.owner.Take(h.now, a.limit, withSpare)
 	return ok
 }
 
@@ -372,8 +403,13 @@
 	}
 	p := h.peer(owner)
 	p.dirty.Add(a.limit.Tenant)
+	deputy := h.deputy(a.slot)
 	for _, w := range a.waiters {
 		p.urgent = p.urgent || w.order == 0
+		if deputy != "" && w.spare == 0 {
+			h.peer(deputy).dirty.Add(a.limit.Tenant)
+			h.peer(deputy).urgent = true
+		}
 	}
 }
 
@@ -404,10 +440,11 @@
 			return
 		}
 		p := h.peer(vm)
+		elapsed := h.now - p.sentAt
 		if p.order != nil {
+			p.slow = p.slow || elapsed >= slowTime
 			return
 		}
-		elapsed := h.now - p.sentAt
 		if p.urgent && !p.failed || (regular || len(p.dirty) > 0) && (elapsed >= every || p.sentAt == 0) {
 			due.Add(vm)
 		}
@@ -416,6 +453,9 @@
 		consider(h.slots[i].owner, h.situation.Serving)
 		consider(h.desired[i], h.situation.Serving)
 	}
+	for vm := range h.peers {
+		consider(vm, false)
+	}
 	return due
 }
 
@@ -434,7 +474,7 @@
 		}
 		h.placeShares()
 	}
-	order.Asks = h.asks(p)
+	order.Asks = h.asks(vm, p)
 	p.order, p.sentAt, p.urgent = order, h.now, false
 	return order
 }
@@ -456,7 +496,7 @@
 }
 
 // asks returns what an order says of tenants.
-func (h *Holder) asks(p *peer) []Ask {
+func (h *Holder) asks(vm ident.VMID, p *peer) []Ask {
 	var asks []Ask
 	for tenant := range p.dirty {
 		if len(asks) >= maxAsks {
@@ -467,6 +507,12 @@
 		if a == nil {
 			continue
 		}
+		if h.slots[a.slot].owner != vm {
+			if ask := h.askDeputy(a); ask.Need > 0 {
+				asks = append(asks, ask)
+			}
+			continue
+		}
 		a.expire(h.now)
 		ask := Ask{Tenant: string(tenant), Held: uint32(len(a.tokens)), Returned: a.returned, Rate: a.limit.Rate, Burst: a.limit.Burst, Version: uint64(a.limit.Version)}
 		a.returned = 0
@@ -484,6 +530,18 @@
 	return asks
 }
 
+// askDeputy asks for spare tokens for the requests that wait.
+func (h *Holder) askDeputy(a *account) Ask {
+	ask := Ask{Tenant: string(a.limit.Tenant), Rate: a.limit.Rate, Burst: a.limit.Burst, Version: uint64(a.limit.Version)}
+	for _, w := range a.waiters {
+		if w.spare == 0 {
+			w.spare = h.seq
+			ask.Need++
+		}
+	}
+	return ask
+}
+
 // Answered handles the answer to an order that was sent at sentAt.
 func (h *Holder) Answered(now time.Duration, vm ident.VMID, order *Order, reply *Reply) {
 	h.advance(now)
@@ -496,7 +554,7 @@
 		return
 	}
 	sentAt := p.sentAt
-	p.order, p.failed, h.heardAt = nil, false, h.now
+	p.order, p.failed, p.slow, h.heardAt = nil, false, false, h.now
 	// The first stamp of an owner makes it possible to lease shares to it.
 	p.urgent = p.urgent || p.boot != reply.Boot && h.situation.Serving
 	p.boot, p.stamp, p.stampAt = reply.Boot, reply.Stamp, h.now
@@ -526,7 +584,7 @@
 	if p == nil || p.order != order {
 		return
 	}
-	p.order, p.failed = nil, true
+	p.order, p.failed, p.slow = nil, true, true
 	for _, ask := range order.Asks {
 		a := h.accounts[ident.TenantID(ask.Tenant)]
 		if a == nil {
@@ -565,6 +623,7 @@
 	for i := range h.slots {
 		owners.Add(h.slots[i].owner)
 		owners.Add(h.desired[i])
+		owners.Add(h.deputies[i])
 	}
 	maps.DeleteFunc(h.peers, func(vm ident.VMID, p *peer) bool { return !owners.Has(vm) && p.order == nil })
 }
@@ -616,7 +675,7 @@
 		case left > 0:
 			left--
 			w.end(a.count(Decision{Verdict: GrantedAsked}))
-		case w.order == order.Seq && h.takeOwn(a):
+		case w.order == order.Seq && h.takeOwn(a, false):
 			w.end(a.count(Decision{Verdict: GrantedOwn}))
 		case w.order == order.Seq:
 			wait := time.Duration(grant.WaitMicros) * time.Microsecond
--- a/internal/query/quota/owner.go
+++ b/internal/query/quota/owner.go
@@ -25,11 +25,10 @@
 // Owner grants tokens of the quotas whose shares were leased to this process. It is not safe for
 // concurrent use.
 type Owner struct {
-	boot    uint64
-	bounds  func() Bounds
-	started time.Duration
-	// bootSlots are the slots of which this process may grant boot tokens.
-	bootSlots slotSet
+	boot   uint64
+	bounds func() Bounds
+	// spareSlots are the slots of which this process may grant spare tokens.
+	spareSlots slotSet
 	// now is the latest time.
 	now    time.Duration
 	leases map[Process]*lease
@@ -57,8 +56,8 @@
 	tokens float64
 	// at is the time up to which the bucket was refilled.
 	at time.Duration
-	// boot is the number of tokens left that need no share.
-	boot uint32
+	// spare is the number of tokens left that need no share.
+	spare float64
 	// holds are the tokens that processes hold in advance.
 	holds map[Process]hold
 	// granted and refused count tokens since the bucket was created.
@@ -73,7 +72,7 @@
 
 // NewOwner returns an owner without leases. boot identifies its process.
 func NewOwner(now time.Duration, boot uint64, bounds func() Bounds) *Owner {
-	return &Owner{boot: boot, bounds: bounds, started: now, now: now, leases: map[Process]*lease{}, nextEnd: forever}
+	return &Owner{boot: boot, bounds: bounds, now: now, leases: map[Process]*lease{}, nextEnd: forever}
 }
 
 // Handle handles the order of another process.
@@ -117,9 +116,14 @@
 	o.setLease(l, slots, share)
 }
 
-// setBootSlots sets the slots of which this process may grant boot tokens.
-func (o *Owner) setBootSlots(slots slotSet) {
-	o.bootSlots = slots
+// setSpareSlots sets the slots of which this process may grant spare tokens.
+func (o *Owner) setSpareSlots(slots slotSet) {
+	o.spareSlots = slots
+}
+
+// mayGrant reports whether this process may have a token of a slot.
+func (o *Owner) mayGrant(slot int) bool {
+	return o.shares[slot] > 0 || o.spareSlots.has(slot)
 }
 
 // LeaseOwn replaces what this process leases to itself.
@@ -213,7 +217,7 @@
 	for slot := range o.buckets {
 		maps.DeleteFunc(o.buckets[slot], func(_ ident.TenantID, b *bucket) bool {
 			b.refill(bounds, o.now, o.shares[slot])
-			return b.held(o.now) == 0 && b.tokens >= bounds.capacity(b.limit, o.shares[slot])
+			return b.held(o.now) == 0 && b.spare >= bounds.spare(b.limit) && b.tokens >= bounds.capacity(b.limit, o.shares[slot])
 		})
 	}
 }
@@ -226,10 +230,7 @@
 		if o.buckets[slot] == nil {
 			o.buckets[slot] = map[ident.TenantID]*bucket{}
 		}
-		b = &bucket{limit: limit, tokens: o.unused(limit), at: o.now}
-		if o.now-o.started < bootTime {
-			b.boot = bounds.bootTokens(limit)
-		}
+		b = &bucket{limit: limit, tokens: o.unused(limit), at: o.now, spare: bounds.spare(limit)}
 		o.buckets[slot][limit.Tenant] = b
 		return b
 	}
@@ -263,6 +264,8 @@
 func (b *bucket) refill(bounds Bounds, now time.Duration, share float64) {
 	b.tokens += bounds.rate(b.limit, share) * max(now-b.at, 0).Seconds()
 	b.tokens = min(b.tokens, bounds.capacity(b.limit, share))
+	spare := bounds.spare(b.limit)
+	b.spare = min(b.spare+spareRefill*spare*max(now-b.at, 0).Seconds()/bounds.Window.Seconds(), spare)
 	b.at = max(now, b.at)
 }
 
@@ -289,7 +292,8 @@
 	b, bounds, share := o.bucket(limit), o.bounds(), o.shares[slotOf(limit.Tenant)]
 	capacity := bounds.capacity(b.limit, share)
 	b.tokens = min(b.tokens+float64(ask.Returned), capacity)
-	granted := o.take(b, ask.Need)
+	granted := b.take(ask.Need)
+	granted += o.takeSpare(b, ask.Need-granted)
 	delete(b.holds, process)
 	held := ask.Held
 	if granted == ask.Need {
@@ -316,14 +320,14 @@
 	return l.Rate > 0 && l.Rate < math.MaxInt32 && l.Burst >= 0 && l.Burst < math.MaxInt32
 }
 
-// take takes up to count tokens for requests that wait, also boot tokens.
-func (o *Owner) take(b *bucket, count uint32) uint32 {
-	taken := b.take(count)
-	if taken < count && o.bootSlots.has(slotOf(b.limit.Tenant)) && o.now-o.started < bootTime {
-		extra := min(count-taken, b.boot)
-		b.boot -= extra
-		taken += extra
+// takeSpare takes up to count spare tokens, if few shares are leased to this owner.
+func (o *Owner) takeSpare(b *bucket, count uint32) uint32 {
+	slot := slotOf(b.limit.Tenant)
+	if !o.spareSlots.has(slot) || o.shares[slot] >= maxSpareShare {
+		return 0
 	}
+	taken := min(count, uint32(b.spare))
+	b.spare -= float64(taken)
 	return taken
 }
 
@@ -349,12 +353,12 @@
 	return time.Duration(min(missing/rate, bounds.Window.Seconds()) * float64(time.Second))
 }
 
-// Take takes a token for a request of this process. If there is none, it returns the time until
-// there may be one.
-func (o *Owner) Take(now time.Duration, limit Limit) (wait time.Duration, ok bool) {
+// Take takes a token for a request of this process, also a spare one if withSpare is set. If there
+// is none, it returns the time until there may be one.
+func (o *Owner) Take(now time.Duration, limit Limit, withSpare bool) (wait time.Duration, ok bool) {
 	o.advance(now)
 	b := o.bucket(limit)
-	if o.take(b, 1) == 1 {
+	if b.take(1) == 1 || withSpare && o.takeSpare(b, 1) == 1 {
 		b.granted++
 		return 0, true
 	}
--- a/internal/query/quota/quota.go
+++ b/internal/query/quota/quota.go
@@ -54,12 +54,14 @@
 	holdOverage = 2
 	// startSlack is the part with which a share begins at a new owner.
 	startSlack = 0.1
-	// bootSlack is the part that a new process may grant as the owner of a tenant before it has
-	// any share, while it has been running for less than bootTime, beside bootOverage times the
-	// rate of one second for each 1 of Bounds.Overage.
-	bootSlack   = 0.15
-	bootOverage = 1
-	bootTime    = 3 * time.Second
+	// spareSlack is the part that an owner without shares and its deputy may each grant, beside
+	// spareOverage times the rate of one second for each 1 of Bounds.Overage. They may grant half
+	// as much again in each further window.
+	spareSlack   = 0.1
+	spareOverage = 0.5
+	spareRefill  = 0.5
+	// maxSpareShare is the sum of shares from which an owner needs no spare tokens.
+	maxSpareShare = 0.5
 )
 
 // Process identifies a process of a VM.
@@ -107,9 +109,9 @@
 	return share * (holdSlack*b.Slack + holdOverage*b.Overage*limit.Rate)
 }
 
-// bootTokens returns the number of tokens that a new owner grants without a share.
-func (b Bounds) bootTokens(limit Limit) uint32 {
-	return uint32(bootSlack*b.Slack + bootOverage*b.Overage*limit.Rate)
+// spare returns the most tokens that an owner without shares, or a deputy, grants.
+func (b Bounds) spare(limit Limit) float64 {
+	return spareSlack*b.Slack + spareOverage*b.Overage*limit.Rate
 }
 
 // interval returns the time between two messages to an owner.
@@ -147,24 +149,30 @@
 	}
 }
 
-// assign returns the owner of each slot, or "" if there are no members. The loss of a member
-// changes the owners of its own slots only, except that another member may take its place among
-// the maxOwners.
-func assign(members []ident.VMID) (owners [slotCount]ident.VMID) {
+// assign returns the owner and the deputy of each slot, or "" if there are too few members. The
+// loss of a member changes the owners of its own slots only, except that another member may take
+// its place among the maxOwners.
+func assign(members []ident.VMID) (owners, deputies [slotCount]ident.VMID) {
 	ranked := slices.Clone(members)
 	slices.SortFunc(ranked, func(a, b ident.VMID) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))), cmp.Compare(a, b))
 	})
 	ranked = ranked[:min(len(ranked), maxOwners)]
-	var best [slotCount]uint64
+	var first, second [slotCount]uint64
 	for _, vm := range ranked {
 		for slot := range owners {
-			if weight := slotWeight(vm, slot); owners[slot] == "" || weight > best[slot] {
-				owners[slot], best[slot] = vm, weight
+			weight := slotWeight(vm, slot)
+			switch {
+			case owners[slot] == "" || weight > first[slot]:
+				deputies[slot], second[slot] = owners[slot], first[slot]
+				owners[slot], first[slot] = vm, weight
+			case deputies[slot] == "" || weight > second[slot]:
+				deputies[slot], second[slot] = vm, weight
+			default:
 			}
 		}
 	}
-	return owners
+	return owners, deputies
 }
 
 // slotWeight returns the weight of a VM for a slot: the greatest one owns it.
