Promise nothing to callers that can't be served in time

Second attempts that were refused got a promise although callers retry at most once, and first ones got some for times after which the answer is late. Twice as many promises of other VMs are honoured as this VM gives.

--- a/internal/query/admit/fairservice.go
+++ b/internal/query/admit/fairservice.go
@@ -73,7 +73,9 @@
 		return true
 	}
 	asTold := spent > 0 && float64(spent) <= maxToldShare*float64(request.Deadline.Sub(now))
-	return asTold && c.promises.takeForeign(now, s.promiseInterval(now, c))
+	// Callers move both ways, so that about as many come with a promise of another VM as this one
+	// gives; twice as many are honoured, since they come at random.
+	return asTold && c.promises.takeForeign(now, s.promiseInterval(now, c)/2)
 }
 
 // isLate reports whether a request that starts now certainly ends after its deadline.
@@ -252,14 +254,16 @@
 // comeBack returns the time after which a refused caller may retry. If there will be room
 // while the answer can still be in time, the room is kept for it. Otherwise it is the time
 // until the queue has room for the tenant.
-func (s *fairService) comeBack(now time.Time, c *fairClass, f *flow, request Request) time.Duration {
+func (s *fairService) comeBack(now time.Time, c *fairClass, f *flow, request Request, deadline time.Time) time.Duration {
 	soon := retryAfter(request.Deadline.Sub(now))
 	interval := s.promiseInterval(now, c)
 	drain := time.Duration(float64(s.waitingUpTo(c)) * s.runTime() / s.limit.value)
 	earliest := now.Add(max(soon, drain))
 	at := latest(earliest, c.promises.next, f.nextPromise)
 	wait := at.Sub(now)
-	if wait > 2*soon || len(c.promises.kept) >= maxPromises {
+	jitter := rand.N(max(min(interval, soon), 1))
+	inTime := !at.Add(jitter + time.Duration(s.runTime())).After(deadline)
+	if wait > 2*soon || !inTime || len(c.promises.kept) >= maxPromises {
 		if request.Wait <= 0 {
 			return spread(soon)
 		}
@@ -268,7 +272,7 @@
 	ownPart := min(c.weightOf(f)/max(c.weights, c.weightOf(f)), 1)
 	c.promises.next = at.Add(interval)
 	f.nextPromise = at.Add(min(time.Duration(float64(interval)/ownPart), maxRetryAfter))
-	at = at.Add(rand.N(max(min(interval, soon), 1)))
+	at = at.Add(jitter)
 	c.promises.add(promise{at: at, tenant: f.tenant})
 	return at.Sub(now)
 }
--- a/internal/query/admit/fairshare.go
+++ b/internal/query/admit/fairshare.go
@@ -45,7 +45,7 @@
 	spent := s.spent(now, f, &request)
 	deadline := request.Deadline.Add(-spent)
 	if s.isSaturated(now) && s.isLate(now, deadline) {
-		return refuse(reasonLate, s.comeBack(now, c, f, request))
+		return refuse(reasonLate, s.comeBack(now, c, f, request, deadline))
 	}
 	c.requested++
 	f.requested++
@@ -57,12 +57,12 @@
 	}
 	s.limit.saturatedAt = now
 	if s.running == 0 {
-		return refuse(reasonFull, s.comeBack(now, c, f, request))
+		return refuse(reasonFull, s.comeBack(now, c, f, request, deadline))
 	}
 	if c.waiting-len(c.returned) >= max(minWaiting, int(fairQueueShare*s.limit.value)) && !k.returned {
 		displaced := c.last(now, k)
 		if displaced == nil {
-			return refuse(reasonFull, s.comeBack(now, c, f, request))
+			return refuse(reasonFull, s.comeBack(now, c, f, request, deadline))
 		}
 		c.end(displaced, reasonDisplaced)
 	}
@@ -90,7 +90,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.service(waiter.service)
-	return refuse(waiter.fair.reason, s.comeBack(now, s.class(waiter.class), waiter.fair.flow, waiter.fair.request))
+	return refuse(waiter.fair.reason, s.comeBack(now, s.class(waiter.class), waiter.fair.flow, waiter.fair.request, waiter.fair.deadline))
 }
 
 // RetryAfter implements QueuingPolicy.
@@ -102,7 +102,8 @@
 	defer p.mu.Unlock()
 	s := p.service(request.Service)
 	c := s.class(request.Class)
-	return s.comeBack(now, c, p.flow(now, c, request), request)
+	f := p.flow(now, c, request)
+	return s.comeBack(now, c, f, request, request.Deadline.Add(-s.spentBefore(f, &request)))
 }
 
 func (p *fairShare) Observe(now time.Time, id ident.ServiceID, class ident.Class, wait, run time.Duration) {
--- a/internal/query/admit/fullwait.go
+++ b/internal/query/admit/fullwait.go
@@ -43,8 +43,17 @@
 	if !s.isSaturated(now) {
 		f.calm++
 	}
-	if f.calm >= minCalm {
-		return f.fullWait.spent(part, request.Timeout)
+	return s.spentBefore(f, request)
+}
+
+// spentBefore is spent without learning from the request.
+func (s *fairService) spentBefore(f *flow, request *Request) time.Duration {
+	if request.Wait <= 0 || request.Timeout <= 0 {
+		return 0
+	}
+	full := f.fullWait
+	if f.calm < minCalm {
+		full = max(full, s.fullWait)
 	}
-	return max(f.fullWait, s.fullWait).spent(part, request.Timeout)
+	return full.spent(float64(request.Wait)/float64(request.Timeout), request.Timeout)
 }
--- a/internal/query/admit/promise.go
+++ b/internal/query/admit/promise.go
@@ -22,7 +22,7 @@
 	// comes back as it was told: the longest wait, the longest time of a promise, and a margin.
 	maxToldShare = 0.6
 	// foreignBurst is the number of promises of other VMs that may come due together.
-	foreignBurst = 3
+	foreignBurst = 6
 	// maxPromises bounds the promises of a class that are kept at a time.
 	maxPromises = 256
 )
@@ -76,8 +76,8 @@
 	return true
 }
 
-// takeForeign reports whether a promise that another VM may have given is honoured. Since callers
-// move both ways, it honours about as many as this VM gives.
+// takeForeign reports whether a promise that another VM may have given is honoured: at most one
+// per interval in the long run.
 func (p *promises) takeForeign(now time.Time, interval time.Duration) bool {
 	if now.Before(p.nextForeign) {
 		return false
