--- a/internal/link/detour/server.go
+++ b/internal/link/detour/server.go
@@ -56,7 +56,7 @@
 		return 0, false, errors.Wrap(err, "detour: decode answer")
 	}
 	if !reply.IsValidStatus(int(answer.Status)) {
-		return 0, errors.Newf("detour: answer with status %d", answer.Status)
+		return 0, false, errors.Newf("detour: answer with status %d", answer.Status)
 	}
 	response.Reset()
 	response.Header.DisableNormalizing()
