Promise no room to tenants that get more than their part

The heaviest tenant gets no promise from 1.3 times the mean load on, and at most a quarter of the capacity is promised.

--- a/internal/query/admit/fairservice.go
+++ b/internal/query/admit/fairservice.go
@@ -27,7 +27,7 @@
 	largeOverdraft = 1.2
 	largeShare     = 0.1
 	// surgeShare is the part of the limit that a kind that surges may use up.
-	surgeShare = 0.85
+	surgeShare = 0.8
 	// returnOverdraft is the least excess for callers who come back as they were told.
 	returnOverdraft = 1
 	// fairQueueShare is the part of the limit up to which requests of a class may wait. Twice
@@ -263,7 +263,7 @@
 	wait := at.Sub(now)
 	jitter := rand.N(max(min(interval, soon), 1))
 	inTime := !at.Add(jitter + time.Duration(s.runTime())).After(deadline)
-	if wait > 2*soon || !inTime || len(c.promises.kept) >= maxPromises {
+	if wait > 2*soon || !inTime || c.isHeavy(now, f) || len(c.promises.kept) >= maxPromises {
 		if request.Wait <= 0 {
 			return spread(soon)
 		}
--- a/internal/query/admit/kind.go
+++ b/internal/query/admit/kind.go
@@ -18,9 +18,9 @@
 	// deviations. A wrong alarm only changes an order.
 	surgeNoise = 1
 	leastSurge = 1.2
-	// manyTimesMean is the ratio of the heaviest tenant's load to the mean from which on its
-	// requests don't count as demand for a kind: the surge is the tenant's, not the kind's.
-	manyTimesMean = 2
+	// manyTimesMean is the ratio of the heaviest tenant's load to the mean from which on the
+	// tenant counts as heavy.
+	manyTimesMean = 1.3
 	// surgePenalty is the multiple of the mean load by which a kind at twice its usual rate goes
 	// behind others. It outweighs the differences between most tenants.
 	surgePenalty = 8
@@ -69,10 +69,13 @@
 		c.kinds[name] = k
 	}
 	k.decay(now)
-	if f != c.heaviest || c.load(now, f, 0) < manyTimesMean*c.meanLoad() {
+	if !c.isHeavy(now, f) {
 		k.recent++
 		k.usual++
 	}
+	if len(c.kinds) == 1 {
+		return 1
+	}
 	surge := k.surge(now)
 	if surge > 1 {
 		c.surgedAt = now
@@ -80,6 +83,12 @@
 	return surge
 }
 
+// isHeavy reports whether a tenant gets much more than its part. Its requests don't count as
+// demand for a kind, since the surge is the tenant's, and it is promised no room.
+func (c *fairClass) isHeavy(now time.Time, f *flow) bool {
+	return f == c.heaviest && c.load(now, f, 0) >= manyTimesMean*c.meanLoad()
+}
+
 // meanLoad returns the load of all tenants together.
 func (c *fairClass) meanLoad() float64 {
 	if c.weights <= 0 {
--- a/internal/query/admit/promise.go
+++ b/internal/query/admit/promise.go
@@ -13,7 +13,7 @@
 	// nearly all are. Under a lasting overload second attempts, which are worth half, take the
 	// place of first ones; in a short one there will be room for them.
 	leastPromised = 0.1
-	mostPromised  = 0.5
+	mostPromised  = 0.25
 	fewAdmitted   = 0.55
 	// returnGrace is how long room is kept after the time that a caller was told. It covers a
 	// round trip to the caller and a late timer.
