Let writes to the store have a precondition

A stage of a roll-out may be written only by the VM that read the last one. A write may now require the revision of a key, and set further keys in its transaction. The stand-ins of the store check it.

--- a/internal/lab/depsrv/store.go
+++ b/internal/lab/depsrv/store.go
@@ -253,9 +253,15 @@
 	if write.Lease != (depot.Lease{}) && !s.hasLease(write.Lease) {
 		return 0, depot.ErrNoLease
 	}
+	if required, ok := write.Require.Get(); ok && s.items[required.Key].item.Revision != required.Revision {
+		return 0, depot.ErrConflict
+	}
 	if write.Delete != "" {
 		s.remove(write.Delete)
 	}
+	for _, other := range write.Others {
+		s.write(depot.Write{Key: other.Key, Value: other.Value})
+	}
 	return s.write(write), s.writeError()
 }
 
--- a/internal/plat/depot/depot.go
+++ b/internal/plat/depot/depot.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 )
 
 var (
@@ -16,6 +18,9 @@
 	// ErrCompacted means that the store no longer has all changes after a revision;
 	// the keys have to be read again.
 	ErrCompacted = errors.New("depot: history is compacted")
+	// ErrConflict means that the precondition of a write does not hold. The write has no
+	// effect.
+	ErrConflict = errors.New("depot: precondition does not hold")
 	// ErrUnavailable means that the store did not execute the call.
 	ErrUnavailable = errors.New("depot: unavailable")
 	// ErrUnknown means that a write may or may not have taken effect.
@@ -40,12 +45,28 @@
 
 // Write sets a key. The key is deleted when Lease ends; without a lease it stays until it
 // is deleted. Delete, if not empty, is another key that is deleted in the same
-// transaction.
+// transaction, and Others are keys that are set in it, without a lease.
 type Write struct {
 	Key    string
 	Value  []byte
 	Lease  Lease
 	Delete string
+	Others []KeyValue
+	// Require is a precondition. It is absent if the write is unconditional.
+	Require coll.Option[Condition]
+}
+
+// KeyValue is a key and its value.
+type KeyValue struct {
+	Key   string
+	Value []byte
+}
+
+// Condition requires that the last change of a key was at a revision. Revision 0 requires that
+// there is no such key.
+type Condition struct {
+	Key      string
+	Revision Position
 }
 
 // Depot is the store. Implementations are safe for concurrent use; every call
@@ -60,9 +81,9 @@
 	// within wait. It fails with ErrCompacted, also if the store is in a later era than
 	// after, or ErrUnavailable.
 	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) (Batch, error)
-	// Put executes write unconditionally and returns its revision. It fails with
-	// ErrNoLease, also if the store is in a later era than the lease, ErrUnavailable or
-	// ErrUnknown.
+	// Put executes write and returns its revision. It fails with ErrConflict, ErrNoLease, also
+	// if the store is in a later era than the lease, ErrUnavailable or ErrUnknown. A write that
+	// requires a revision of an earlier era fails with ErrConflict.
 	Put(ctx context.Context, write Write) (Position, error)
 	// Delete deletes a key. It fails with ErrUnavailable or ErrUnknown.
 	Delete(ctx context.Context, key string) error
