Decide about roll-outs by version

Decider compares the responses of a new version with those of the others by route and zone, and moves a service to it or back in fenced stages.

--- /dev/null
+++ b/internal/fleet/roll/decider.go
@@ -0,0 +1,400 @@
+package roll
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/plat/depot"
+)
+
+const (
+	// exposingShare is the part of the exposure bound that is used. The rest covers requests
+	// that VMs send before they know of the order.
+	exposingShare = 0.75
+	// moveAfter is the part of the duration from which on the share may grow: a version may
+	// turn bad late. unprovenAfter is when it grows although some routes had few requests, and
+	// giveUpAfter when a version without servers or without responses is rolled back.
+	moveAfter, unprovenAfter, giveUpAfter = 0.7, 0.77, 0.87
+	// A version that might be bad has time to prove good until drainShare of the duration is left,
+	// or the time that the roll-back may take if that is longer: drainTime, and drainTimePerVM for
+	// each VM, since many VMs report less often.
+	drainShare     = 0.07
+	drainTime      = 4 * time.Second
+	drainTimePerVM = 6 * time.Millisecond
+	// stepPart is the part of the duration for which each share of movingShares lasts, and
+	// minStep its minimum, which is a few times the interval between reports.
+	stepPart = 0.04
+	minStep  = 700 * time.Millisecond
+	// windowTime is the time after which the responses begin to count as recent anew. Recent
+	// ones are 1 to 2 times as old. A version that turns bad late is noticed by them.
+	windowTime = 5 * time.Second
+	// settleTime is the time between the last acknowledgement and the final status. Backend
+	// servers notice within half a second that a cancelled request has no caller.
+	settleTime = 600 * time.Millisecond
+	// ackPatience is the time after which a VM without reports holds no roll-out up: by then
+	// its permit and its view of the store are too old to be used.
+	ackPatience = 8 * time.Second
+	// gonePatience replaces ackPatience for a VM without a registration: it has no contact with
+	// the store, either. It is longer than any permit.
+	gonePatience = 4 * time.Second
+	// writeRetry is the time after which a write whose outcome is unknown is decided anew.
+	writeRetry = 700 * time.Millisecond
+)
+
+// movingShares are the shares of the requests that the new version gets while it is moving.
+var movingShares = [...]float64{0.3, 0.6, 1}
+
+// Input is what a decision depends on beside the reports.
+type Input struct {
+	Now time.Duration
+	// WallMillis is the wall clock in Unix milliseconds.
+	WallMillis int64
+	Rollout    Rollout
+	// Members are the VMs that serve callers.
+	Members []ident.VMID
+	// Targets is the number of servers of the new version that may get requests.
+	Targets int
+}
+
+// Write asks to store a record, if the one in the store is at position Require, and, in the
+// same transaction, the status for the operator.
+type Write struct {
+	Service ident.ServiceID
+	Record  Record
+	Require depot.Position
+	// HasStatus is set if the status changes, too.
+	HasStatus bool
+}
+
+// Decision is the outcome of one step. Write is nil if nothing is to be written.
+type Decision struct {
+	// Share is the part of the requests that the new version may get.
+	Share float64
+	Write *Write
+}
+
+// source is what one process of a VM has reported.
+type source struct {
+	report Report
+	at     time.Duration
+	// older and newer are the counts at the last two marks.
+	older, newer map[Bucket]Counts
+}
+
+// Decider decides about the roll-out of one service. It is not safe for concurrent use.
+type Decider struct {
+	service ident.ServiceID
+	// share is the bound on the share of a version that is not proven.
+	share float64
+
+	order   Order
+	started bool
+	// began is when the order was written, as far as is known.
+	began time.Duration
+	// seq is the number of the last record seen, and phaseSince when it was first seen.
+	seq        uint64
+	phaseSince time.Duration
+	sources    map[processID]*source
+	markedAt   time.Duration
+	// halted is why the new version may not get requests any more, before that is stored.
+	halted string
+	// idleSince is when all VMs were first known to have acknowledged, or negative.
+	idleSince time.Duration
+	// written is the record that was last asked to be stored, at writtenAt.
+	written   *Write
+	writtenAt time.Duration
+}
+
+type processID struct {
+	vm   ident.VMID
+	boot uint64
+}
+
+// NewDecider returns a decider for a service. share is the bound on the share of a version
+// that is not proven.
+func NewDecider(service ident.ServiceID, share float64) *Decider {
+	return &Decider{service: service, share: share, idleSince: -1}
+}
+
+// Observe adds the report of a VM, unless it is older than the last one.
+func (d *Decider) Observe(now time.Duration, r Report) {
+	if !d.started || r.Position != d.order.Position {
+		return
+	}
+	id := processID{r.VM, r.Boot}
+	s := d.sources[id]
+	if s == nil {
+		s = &source{}
+		d.sources[id] = s
+	}
+	if s.report.Number >= r.Number && s.at > 0 {
+		return
+	}
+	s.report, s.at = r, now
+}
+
+// start begins anew if the order is another one.
+func (d *Decider) start(now time.Duration, order Order) {
+	if d.started && d.order == order {
+		return
+	}
+	*d = Decider{
+		service: d.service, share: d.share, order: order, started: true,
+		began: now, markedAt: now, idleSince: -1, sources: map[processID]*source{},
+	}
+}
+
+// Decide returns what is to be done now.
+func (d *Decider) Decide(in Input) Decision {
+	d.enter(in)
+	d.mark(in.Now)
+	record := in.Rollout.current()
+	next, reason := d.next(in, record)
+	if next == DrainingNew && record.Phase != DrainingNew {
+		d.halted = reason
+	}
+	decision := Decision{Share: d.currentShare(in.Now, record)}
+	if next != "" && (record == nil || next != record.Phase) {
+		decision.Write = d.write(in, record, next, reason)
+	}
+	return decision
+}
+
+// enter notes when the phase changed.
+func (d *Decider) enter(in Input) {
+	d.start(in.Now, in.Rollout.Order)
+	record := in.Rollout.current()
+	if record == nil || record.Seq == d.seq {
+		return
+	}
+	d.seq, d.phaseSince, d.idleSince = record.Seq, in.Now, -1
+	// The wall clock counts only when the record is first seen: later it may jump.
+	elapsed := time.Duration(max(record.ElapsedMillis, in.WallMillis-record.BeganMillis)) * time.Millisecond
+	if d.written == nil || d.written.Record.Seq != record.Seq {
+		d.began = min(d.began, in.Now-elapsed)
+	}
+	d.written = nil
+}
+
+// mark begins a new window of recent responses if the last one is complete.
+func (d *Decider) mark(now time.Duration) {
+	if now-d.markedAt < windowTime {
+		return
+	}
+	d.markedAt = now
+	for _, s := range d.sources {
+		s.older, s.newer = s.newer, s.report.Counts
+	}
+}
+
+// currentShare returns the share of the requests that the new version may get.
+func (d *Decider) currentShare(now time.Duration, record *Record) float64 {
+	switch {
+	case record == nil || d.halted != "" || record.Phase.usesOthersOnly():
+		return 0
+	case record.Phase.usesTargetOnly():
+		return 1
+	case record.Phase == Exposing:
+		return exposingShare * d.share
+	default:
+		return movingShares[min(d.step(now), len(movingShares)-1)]
+	}
+}
+
+// step returns the number of steps since the share began to grow.
+func (d *Decider) step(now time.Duration) int {
+	length := max(time.Duration(stepPart*float64(d.order.Duration)), minStep)
+	return int((now - d.phaseSince) / length)
+}
+
+// next returns the phase that the roll-out should be in and why, or "" if it stays.
+func (d *Decider) next(in Input, record *Record) (Phase, string) {
+	if record == nil {
+		return Exposing, "the order was read"
+	}
+	switch record.Phase {
+	case DrainingOld, DrainingNew:
+		if !d.isDrained(in, record) {
+			return "", ""
+		}
+		if record.Phase == DrainingOld {
+			return Completed, record.Reason
+		}
+		return RolledBack, record.Reason
+	case Exposing, Moving:
+		if d.halted != "" {
+			return DrainingNew, d.halted
+		}
+		return d.judgeVersion(in, record.Phase)
+	default:
+		return "", ""
+	}
+}
+
+// judgeVersion decides from the responses whether the share of the new version grows or ends.
+func (d *Decider) judgeVersion(in Input, phase Phase) (Phase, string) {
+	all, recent := d.collect()
+	whole, late := judge(all, d.share*exposingShare), judge(recent, 0)
+	for _, v := range []*verdict{&whole, &late} {
+		if v.bad {
+			return DrainingNew, v.describe()
+		}
+	}
+	elapsed := float64(in.Now-d.began) / float64(max(d.order.Duration, 1))
+	if elapsed < moveAfter {
+		return "", ""
+	}
+	doubtful := whole.doubtful || late.doubtful
+	switch {
+	case doubtful && in.Now-d.began >= d.order.Duration-d.drainTime(len(in.Members)):
+		return DrainingNew, "more bad responses than of the other versions, and no time left to be sure"
+	case phase == Moving:
+		if !doubtful && d.step(in.Now) >= len(movingShares) {
+			return DrainingOld, "as good as the other versions on each route"
+		}
+		return "", ""
+	case doubtful:
+		return "", ""
+	default:
+		return beginMoving(elapsed, in.Targets > 0 && whole.responded, whole.sufficient)
+	}
+}
+
+// drainTime returns the time before the deadline at which a roll-back has to begin.
+func (d *Decider) drainTime(members int) time.Duration {
+	return max(time.Duration(drainShare*float64(d.order.Duration)), drainTime+time.Duration(members)*drainTimePerVM)
+}
+
+// beginMoving decides about an exposed version without doubt. elapsed is the part of the duration,
+// responds is set if the version has servers that respond, and sufficient if it has responded often
+// enough on each route.
+func beginMoving(elapsed float64, responds, sufficient bool) (Phase, string) {
+	switch {
+	case !responds && elapsed >= giveUpAfter:
+		return DrainingNew, "no responses of the new version"
+	case !responds:
+		return "", ""
+	case sufficient:
+		return Moving, "as good as the other versions on each route"
+	case elapsed >= unprovenAfter:
+		return Moving, "no bad responses, but few on some routes"
+	default:
+		return "", ""
+	}
+}
+
+// describe explains a bad version to operators.
+func (v *verdict) describe() string {
+	c := v.comparison
+	return fmt.Sprintf("route %s: %d of %d responses were bad, %.1f expected from the %d of %d of the other versions",
+		v.route, c.target.Bad, c.target.Total, c.expected, c.others.Bad, c.others.Total)
+}
+
+// collect returns the responses by VM: all, and the recent ones.
+func (d *Decider) collect() (all, recent map[ident.VMID]evidence) {
+	all, recent = map[ident.VMID]evidence{}, map[ident.VMID]evidence{}
+	for id, s := range d.sources {
+		if all[id.vm] == nil {
+			all[id.vm], recent[id.vm] = evidence{}, evidence{}
+		}
+		all[id.vm].add(s.report.Counts)
+		window := make(map[Bucket]Counts, len(s.report.Counts))
+		for bucket, c := range s.report.Counts {
+			base := s.older[bucket]
+			window[bucket] = Counts{Target: c.Target.since(&base.Target), Others: c.Others.since(&base.Others)}
+		}
+		recent[id.vm].add(window)
+	}
+	return all, recent
+}
+
+// isDrained reports whether the losing servers have no requests and get none, and have not for
+// settleTime.
+func (d *Decider) isDrained(in Input, record *Record) bool {
+	if !d.isAcknowledged(in, record) {
+		d.idleSince = -1
+		return false
+	}
+	if d.idleSince < 0 {
+		d.idleSince = in.Now
+	}
+	return in.Now-d.idleSince >= settleTime
+}
+
+// isAcknowledged reports whether all VMs act on the record and have no requests at the losing
+// servers. VMs that have not reported for ackPatience are not waited for.
+func (d *Decider) isAcknowledged(in Input, record *Record) bool {
+	latest := map[ident.VMID]*source{}
+	for id, s := range d.sources {
+		if known := latest[id.vm]; known == nil || s.at > known.at {
+			latest[id.vm] = s
+		}
+	}
+	members := coll.NewSet(in.Members...)
+	for vm := range members {
+		if latest[vm] == nil && in.Now-d.phaseSince < ackPatience {
+			return false
+		}
+	}
+	for vm, s := range latest {
+		running, patience := s.report.OthersRunning, gonePatience
+		if record.Phase == DrainingNew {
+			running = s.report.TargetRunning
+		}
+		if members.Has(vm) {
+			patience = ackPatience
+		}
+		if (s.report.Seq < record.Seq || running > 0) && in.Now-s.at < patience {
+			return false
+		}
+	}
+	return true
+}
+
+// write returns the request to store the next phase, or nil while an earlier one may still
+// take effect.
+func (d *Decider) write(in Input, record *Record, phase Phase, reason string) *Write {
+	if d.written != nil && in.Now-d.writtenAt < writeRetry {
+		return nil
+	}
+	next := Record{
+		Order: d.order, Phase: phase, Seq: 1, Reason: reason,
+		BeganMillis: in.WallMillis, ElapsedMillis: (in.Now - d.began).Milliseconds(),
+	}
+	if former := in.Rollout.Record; former != nil {
+		next.Seq = former.Seq + 1
+	}
+	if record != nil {
+		next.BeganMillis = record.BeganMillis
+	}
+	d.written = &Write{Service: d.service, Record: next, Require: in.Rollout.Revision, HasStatus: record == nil || phase.IsFinal()}
+	d.writtenAt = in.Now
+	return d.written
+}
+
+// RouteStatus says how the versions compare on a route, for the state dump.
+type RouteStatus struct {
+	// Target and TargetBad count the responses of the new version, Others and OthersBad those of
+	// the others. Expected is the number of bad ones that the new version would have given if it
+	// was like the others.
+	Target    uint32  `json:"target"`
+	TargetBad uint32  `json:"target_bad"`
+	Others    uint32  `json:"others"`
+	OthersBad uint32  `json:"others_bad"`
+	Expected  float64 `json:"expected"`
+}
+
+// routes returns how the versions compare on each route.
+func (d *Decider) routes() map[string]RouteStatus {
+	all := evidence{}
+	for _, s := range d.sources {
+		all.add(s.report.Counts)
+	}
+	routes := map[string]RouteStatus{}
+	for name, c := range all.compare() {
+		routes[name] = RouteStatus{Target: c.target.Total, TargetBad: c.target.Bad, Others: c.others.Total, OthersBad: c.others.Bad, Expected: c.expected}
+	}
+	return routes
+}
--- /dev/null
+++ b/internal/fleet/roll/evidence.go
@@ -0,0 +1,159 @@
+package roll
+
+import (
+	"math"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+)
+
+const (
+	// haltDeviations is the number of standard deviations by which the bad responses of the new
+	// version have to exceed those expected from the others, and haltMargin what is added. The
+	// test is repeated several times a second on each route. Without any bad responses of the
+	// others, seven bad ones suffice, far fewer than the 50 after which none may be sent.
+	haltDeviations, haltMargin = 4.5, 2.5
+	// doubtDeviations and doubtMargin apply to doubt, which delays a roll-out.
+	doubtDeviations, doubtMargin = 2.0, 1.0
+	// clusterFactor is the factor on the variance of independent responses: pauses and
+	// overload make several responses bad at once.
+	clusterFactor = 2
+	// minReference is the number of responses of the other versions in a zone from which on
+	// they are compared with those of the new one there. With fewer, all zones are.
+	minReference = 20
+	// minElsewhere is the number of responses that the other VMs must have got before bad ones
+	// of a single VM are put down to its links, and maxAlone the excess that is not.
+	minElsewhere, maxAlone = 10, 30
+	// minSample is the number of responses on a route that suffice as evidence. A route with few
+	// requests has to have got half of its share.
+	minSample, shareOfSample = 30, 0.5
+	// maxBadRate bounds the expected rate of bad responses.
+	maxBadRate = 0.95
+)
+
+// evidence holds the responses of all VMs or of some.
+type evidence map[Bucket]Counts
+
+func (e evidence) add(counts map[Bucket]Counts) {
+	for bucket, c := range counts {
+		sum := e[bucket]
+		sum.Target.add(&c.Target)
+		sum.Others.add(&c.Others)
+		e[bucket] = sum
+	}
+}
+
+// comparison is what the responses on one route say about the new version.
+type comparison struct {
+	// target and others are the numbers of responses on the route.
+	target, others responses
+	// expected is the number of bad responses that the new version would have given if it was
+	// like the others, and variance that of the difference.
+	expected, variance float64
+}
+
+// responses are the numbers of all responses and of the bad ones.
+type responses struct {
+	Total, Bad uint32
+}
+
+func (r *responses) add(t *Tally, slow int) {
+	r.Total += t.total()
+	r.Bad += t.bad(slow)
+}
+
+// exceeds reports whether the new version gave more bad responses than expected.
+func (c *comparison) exceeds(deviations, margin float64) bool {
+	return c.excess() > deviations*math.Sqrt(clusterFactor*c.variance+1)+margin
+}
+
+func (c *comparison) excess() float64 {
+	return float64(c.target.Bad) - c.expected
+}
+
+// isSufficient reports whether the new version has given enough responses on the route, given
+// its share of the requests.
+func (c *comparison) isSufficient(share float64) bool {
+	all := float64(c.target.Total + c.others.Total)
+	return float64(c.target.Total) >= min(minSample, shareOfSample*share*all)
+}
+
+// compare compares the versions by route. Each zone is compared with itself, so that a slow
+// zone is not put down to the version.
+func (e evidence) compare() map[string]*comparison {
+	routes, pooled := map[string]*comparison{}, map[string]*Tally{}
+	for bucket, c := range e {
+		if routes[bucket.Route] == nil {
+			routes[bucket.Route], pooled[bucket.Route] = &comparison{}, &Tally{}
+		}
+		pooled[bucket.Route].add(&c.Others)
+	}
+	for bucket, c := range e {
+		route, reference := routes[bucket.Route], &c.Others
+		if reference.total() < minReference {
+			reference = pooled[bucket.Route]
+		}
+		slow := reference.slowClass()
+		route.target.add(&c.Target, slow)
+		route.others.add(&c.Others, slow)
+		n, of := float64(c.Target.total()), float64(reference.total())
+		rate := min((float64(reference.bad(slow))+0.5)/(of+minReference/2), maxBadRate)
+		route.expected += n * rate
+		route.variance += n * rate * (1 - rate) * (1 + n/(of+1))
+	}
+	return routes
+}
+
+// verdict is a judgement of the new version.
+type verdict struct {
+	// bad is set if the version is bad on route, and doubtful if it might be.
+	bad, doubtful bool
+	route         string
+	comparison    comparison
+	// sufficient is set if each route has enough responses, and responded if the new version
+	// has given any, or no version has.
+	sufficient, responded bool
+}
+
+// judge compares the versions on each route. byVM holds the responses of each VM. What only one
+// VM sees may be its link.
+func judge(byVM map[ident.VMID]evidence, share float64) verdict {
+	total := evidence{}
+	for _, counts := range byVM {
+		total.add(counts)
+	}
+	v := verdict{sufficient: true}
+	var target, others uint32
+	for route, c := range total.compare() {
+		target, others = target+c.target.Total, others+c.others.Total
+		v.sufficient = v.sufficient && c.isSufficient(share)
+		v.doubtful = v.doubtful || c.exceeds(doubtDeviations, doubtMargin)
+		if !v.bad && c.exceeds(haltDeviations, haltMargin) && !isOneLink(byVM, route, c) {
+			v.bad, v.route, v.comparison = true, route, *c
+		}
+	}
+	v.responded = target > 0 || others == 0
+	return v
+}
+
+// isOneLink reports whether the excess of bad responses on a route comes from a single VM while
+// others had responses there.
+func isOneLink(byVM map[ident.VMID]evidence, route string, all *comparison) bool {
+	var worst ident.VMID
+	highest := 0.0
+	for vm, counts := range byVM {
+		if c := counts.compare()[route]; c != nil && c.excess() > highest {
+			worst, highest = vm, c.excess()
+		}
+	}
+	rest := evidence{}
+	for vm, counts := range byVM {
+		if vm != worst {
+			rest.add(counts)
+		}
+	}
+	elsewhere := rest.compare()[route]
+	if elsewhere == nil || elsewhere.target.Total < minElsewhere {
+		return elsewhere != nil && elsewhere.target.Total > 0 && all.excess() < maxAlone
+	}
+	return !elsewhere.exceeds(0, doubtMargin)
+}
