Read the orders and stages of roll-outs from the store

The view holds the roll-outs that operators ordered, their stage, and the version of each backend server. The stages are under fleet/roll/, which is not the registration of a VM.

--- a/internal/fleet/roll/decider.go
+++ b/internal/fleet/roll/decider.go
@@ -20,13 +20,14 @@
 	// A version that might be bad has time to prove good until drainShare of the duration is left,
 	// or the time that the roll-back may take if that is longer: drainTime, and drainTimePerVM for
 	// each VM, since many VMs report less often.
-	drainShare     = 0.07
+	drainShare     = 0.1
 	drainTime      = 4 * time.Second
 	drainTimePerVM = 6 * time.Millisecond
 	// stepPart is the part of the duration for which each share of movingShares lasts, and
-	// minStep its minimum, which is a few times the interval between reports.
-	stepPart = 0.04
-	minStep  = 700 * time.Millisecond
+	// minStep and stepPerVM for each VM its minimum, which is above the interval between reports.
+	stepPart  = 0.04
+	minStep   = 700 * time.Millisecond
+	stepPerVM = 3 * time.Millisecond
 	// windowTime is the time after which the responses begin to count as recent anew. Recent
 	// ones are 1 to 2 times as old. A version that turns bad late is noticed by them.
 	windowTime = 5 * time.Second
@@ -94,7 +95,9 @@
 	// began is when the order was written, as far as is known.
 	began time.Duration
 	// seq is the number of the last record seen, and phaseSince when it was first seen.
-	seq        uint64
+	seq uint64
+	// members is the number of VMs that serve.
+	members    int
 	phaseSince time.Duration
 	sources    map[processID]*source
 	markedAt   time.Duration
@@ -165,6 +168,7 @@
 // enter notes when the phase changed.
 func (d *Decider) enter(in Input) {
 	d.start(in.Now, in.Rollout.Order)
+	d.members = len(in.Members)
 	record := in.Rollout.current()
 	if record == nil || record.Seq == d.seq {
 		return
@@ -205,7 +209,7 @@
 
 // step returns the number of steps since the share began to grow.
 func (d *Decider) step(now time.Duration) int {
-	length := max(time.Duration(stepPart*float64(d.order.Duration)), minStep)
+	length := max(time.Duration(stepPart*float64(d.order.Duration)), minStep, time.Duration(d.members)*stepPerVM)
 	return int((now - d.phaseSince) / length)
 }
 
@@ -248,7 +252,7 @@
 	}
 	doubtful := whole.doubtful || late.doubtful
 	switch {
-	case doubtful && in.Now-d.began >= d.order.Duration-d.drainTime(len(in.Members)):
+	case doubtful && in.Now-d.began >= d.order.Duration-d.drainTime():
 		return DrainingNew, "more bad responses than of the other versions, and no time left to be sure"
 	case phase == Moving:
 		if !doubtful && d.step(in.Now) >= len(movingShares) {
@@ -263,8 +267,8 @@
 }
 
 // drainTime returns the time before the deadline at which a roll-back has to begin.
-func (d *Decider) drainTime(members int) time.Duration {
-	return max(time.Duration(drainShare*float64(d.order.Duration)), drainTime+time.Duration(members)*drainTimePerVM)
+func (d *Decider) drainTime() time.Duration {
+	return max(time.Duration(drainShare*float64(d.order.Duration)), drainTime+time.Duration(d.members)*drainTimePerVM)
 }
 
 // beginMoving decides about an exposed version without doubt. elapsed is the part of the duration,
--- a/internal/fleet/roster/decoder_test.go
+++ b/internal/fleet/roster/decoder_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/routes"
+	"github.com/samphirestair/samphirestair/internal/fleet/roll"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 )
 
@@ -22,6 +23,8 @@
 		return roster.KindServer, name
 	case "out":
 		return roster.KindZoneOut, name
+	case "rollout":
+		return roster.KindRollout, name
 	default:
 		return roster.KindOther, name
 	}
@@ -45,6 +48,12 @@
 	}}}, nil
 }
 
+func (jsonDecoder) Rollout(_ string, value []byte) (roll.Order, error) {
+	var o roll.Order
+	err := json.Unmarshal(value, &o)
+	return o, err
+}
+
 func encode(v any) []byte {
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/internal/fleet/roster/follower.go
+++ b/internal/fleet/roster/follower.go
@@ -82,6 +82,8 @@
 	// Peers provide a snapshot while the store hasn't answered since the start. nil means
 	// that there are none.
 	Peers Peers
+	// BeforePublish is called with each view before others see it. nil means that nothing is.
+	BeforePublish func(*View)
 	// Suspended returns for how long the machine has been suspended in total. nil means
 	// boot.Suspended.
 	Suspended func() time.Duration
@@ -332,7 +334,11 @@
 }
 
 func (f *Follower) publish() {
-	f.view.Store(f.state.View())
+	view := f.state.View()
+	if f.options.BeforePublish != nil && view != f.view.Load() {
+		f.options.BeforePublish(view)
+	}
+	f.view.Store(view)
 	f.ownRegistration.Store(f.state.OwnRegistration())
 	f.storeDown.Store(f.state.IsStoreDown())
 }
--- /dev/null
+++ b/internal/fleet/roster/rollouts_test.go
@@ -0,0 +1,74 @@
+package roster_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirestair/samphirestair/internal/fleet/roll"
+	"github.com/samphirestair/samphirestair/internal/fleet/roster"
+	"github.com/samphirestair/samphirestair/internal/plat/depot"
+)
+
+const orderKey = "rollout:desk"
+
+var order = roll.Order{Version: "v2", Duration: time.Minute}
+
+// rolloutOf returns what the view says about the roll-out of service "desk".
+func (state *stateUnderTest) rolloutOf() (roll.Rollout, bool) {
+	r, ok := state.View().Rollouts["desk"]
+	return r, ok
+}
+
+// A stage must not be taken for the registration of a VM, nor survive its order.
+func TestRolloutFollowsItsOrderAndStage(t *testing.T) {
+	state := newStateUnderTest()
+	record := roll.Record{Order: order, Phase: roll.Exposing, Seq: 1}
+	state.apply(start, state.put(roster.RollKey("desk"), record))
+	require.Nil(t, state.View().Rollouts, "there is no order")
+	require.Empty(t, state.View().Members)
+	state.apply(start, state.put(orderKey, order))
+	r, ok := state.rolloutOf()
+	require.True(t, ok)
+	require.Equal(t, depot.Position(2), r.Order.Position)
+	require.Equal(t, roll.Exposing, r.Record.Phase)
+	require.Equal(t, depot.Position(1), r.Revision)
+
+	state.apply(start, state.put(orderKey, "unreadable"))
+	_, ok = state.rolloutOf()
+	require.True(t, ok, "an order that can't be read changes nothing")
+	state.apply(start, state.put(orderKey, order))
+	r, _ = state.rolloutOf()
+	require.Equal(t, depot.Position(4), r.Order.Position, "the operator repeats the order")
+	state.apply(start, state.del(orderKey))
+	_, ok = state.rolloutOf()
+	require.False(t, ok)
+}
+
+// An older copy of the store without the order must not end a roll-out that operators write
+// again.
+func TestOrderMissingInAnOlderCopyIsKept(t *testing.T) {
+	state := newLoadedState(start)
+	state.apply(start, state.put(orderKey, order))
+	state.loadCopy(t, start)
+	_, ok := state.rolloutOf()
+	require.True(t, ok)
+	state.RemoveExpired(start.Add(time.Minute))
+	_, ok = state.rolloutOf()
+	require.False(t, ok)
+}
+
+// A VM that starts without the store must not use all versions alike.
+func TestSnapshotHoldsRollouts(t *testing.T) {
+	state := newStateUnderTest()
+	state.apply(start, state.put("config:", 1), state.put(orderKey, order), state.put(roster.RollKey("desk"), roll.Record{Order: order, Phase: roll.DrainingOld, Seq: 2}))
+	var snapshot roster.Snapshot
+	require.NoError(t, json.Unmarshal(encode(state.View().Snapshot(start)), &snapshot))
+	other := newStateUnderTest()
+	require.True(t, other.AdoptSnapshot(start, &snapshot))
+	r, ok := other.rolloutOf()
+	require.True(t, ok)
+	require.Equal(t, roll.DrainingOld, r.Record.Phase)
+}
--- a/internal/fleet/roster/snapshot.go
+++ b/internal/fleet/roster/snapshot.go
@@ -7,6 +7,7 @@
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/routes"
+	"github.com/samphirestair/samphirestair/internal/fleet/roll"
 )
 
 // Snapshot is what a VM sends to one that starts while the store is down.
@@ -15,6 +16,8 @@
 	Servers  []Server       `json:"servers"`
 	Members  []Member       `json:"members"`
 	ZonesOut []ident.Zone   `json:"out"`
+	// Rollouts are the roll-outs that are ordered.
+	Rollouts map[ident.ServiceID]roll.Rollout `json:"rolls,omitempty"`
 }
 
 // Snapshot returns the content of the view, or nil while there is no configuration.
@@ -22,7 +25,7 @@
 	if v.Table == nil {
 		return nil
 	}
-	snapshot := &Snapshot{Config: v.Table.Config(), Members: v.Members, ZonesOut: coll.Sorted(v.ZonesOut)}
+	snapshot := &Snapshot{Config: v.Table.Config(), Members: v.Members, ZonesOut: coll.Sorted(v.ZonesOut), Rollouts: v.Rollouts}
 	for _, r := range v.servers {
 		server := r.Server
 		server.ColdFor = max(r.ColdUntil.Sub(now), 0)
@@ -61,6 +64,11 @@
 	for _, zone := range snapshot.ZonesOut {
 		s.zonesOut[zone] = &zoneMark{}
 	}
+	for service, adopted := range snapshot.Rollouts {
+		// The position in the store is not known, so that this VM decides nothing before it has
+		// read the store.
+		*s.rolloutOf(service) = rollout{order: &adopted.Order, record: adopted.Record}
+	}
 	s.events.Record("beliefs_adopted", string(s.self), "the store does not answer",
 		slog.Uint64("version", uint64(snapshot.Config.Version)), slog.Int("servers", len(snapshot.Servers)), slog.Int("vms", len(snapshot.Members)))
 	return true
--- a/internal/fleet/roster/state.go
+++ b/internal/fleet/roster/state.go
@@ -60,6 +60,7 @@
 	members map[ident.VMID]*registration[Member]
 	// zonesOut holds the zones that are out of service.
 	zonesOut map[ident.Zone]*zoneMark
+	rollouts map[ident.ServiceID]*rollout
 	// departures holds the backend servers and VMs that left, since an older copy of the
 	// store may still hold their registrations.
 	departures departures
@@ -100,6 +101,7 @@
 		servers:    map[ident.ServerID]*registration[Replica]{},
 		members:    map[ident.VMID]*registration[Member]{},
 		zonesOut:   map[ident.Zone]*zoneMark{},
+		rollouts:   map[ident.ServiceID]*rollout{},
 		departures: newDepartures(),
 		changed:    true,
 	}
@@ -159,6 +161,7 @@
 			s.handleMissingZoneMark(now, zone, mark)
 		}
 	}
+	s.handleMissingRollouts(now, missing, batch.Revision)
 	if !s.allKeysRead && prefix == allKeys {
 		s.allKeysRead = true
 		s.events.Record("store_read", string(s.self), "first reading",
@@ -201,6 +204,7 @@
 // RemoveExpired removes the registrations and zone marks whose grace period is over.
 func (s *State) RemoveExpired(now time.Time) {
 	s.departures.removeOld(now)
+	s.removeExpiredOrders(now)
 	for zone, mark := range s.zonesOut {
 		if !mark.removeAt.IsZero() && !now.Before(mark.removeAt) {
 			s.markZoneIn(zone)
@@ -244,11 +248,15 @@
 	}
 	slices.SortFunc(members, func(x, y Member) int { return cmp.Compare(x.VM, y.VM) })
 	s.view = NewView(s.table, replicas, members, coll.NewSet(slices.Collect(maps.Keys(s.zonesOut))...))
-	s.view.Leaving = leaving
+	s.view.Leaving, s.view.Rollouts = leaving, s.viewRollouts()
 	return s.view
 }
 
 func (s *State) applyItem(now time.Time, item depot.Item) {
+	if strings.HasPrefix(item.Key, prefixRolls) {
+		s.applyRecord(item)
+		return
+	}
 	if strings.HasPrefix(item.Key, PrefixMembers) {
 		s.applyMember(item)
 		return
@@ -260,6 +268,8 @@
 		s.applyServer(now, name, item)
 	case KindZoneOut:
 		s.markZoneOut(ident.Zone(name), item.Key)
+	case KindRollout:
+		s.applyOrder(ident.ServiceID(name), item)
 	default:
 	}
 }
@@ -341,6 +351,10 @@
 }
 
 func (s *State) applyDelete(now time.Time, item depot.Item) {
+	if service, ok := strings.CutPrefix(item.Key, prefixRolls); ok {
+		s.removeRecord(ident.ServiceID(service))
+		return
+	}
 	if strings.HasPrefix(item.Key, PrefixMembers) {
 		// A VM that changes between serving and standing by registers under the other key
 		// before or after this key is deleted.
@@ -357,6 +371,8 @@
 		}
 	case KindZoneOut:
 		s.markZoneIn(ident.Zone(name))
+	case KindRollout:
+		s.withdrawOrder(ident.ServiceID(name))
 	default:
 	}
 }
--- a/internal/fleet/roster/types.go
+++ b/internal/fleet/roster/types.go
@@ -14,6 +14,7 @@
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/routes"
+	"github.com/samphirestair/samphirestair/internal/fleet/roll"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
 )
 
@@ -27,16 +28,20 @@
 	// KindZoneOut keys mark a zone whose backend servers get no requests.
 	KindZoneOut
 	KindServer
+	// KindRollout keys hold the orders of operators to shift a service to a version.
+	KindRollout
 )
 
 // Decoder reads keys and values that other software wrote to the store. Values that can't
 // be decoded give an error.
 type Decoder interface {
-	// ParseKey returns the kind of a key, and the name of the zone or backend server in
-	// it.
+	// ParseKey returns the kind of a key, and the name of the zone, backend server or service
+	// in it.
 	ParseKey(key string) (kind Kind, name string)
 	Server(id string, value []byte) (Server, error)
 	Config(value []byte) (*routes.Config, error)
+	// Rollout returns the order for a service. Its position is not set.
+	Rollout(service string, value []byte) (roll.Order, error)
 }
 
 // Server is the registration of a backend server.
@@ -45,6 +50,8 @@
 	Service ident.ServiceID
 	Address string
 	Zone    ident.Zone
+	// Version is the version of the server's software.
+	Version string
 	Slots   int
 	// Draining servers get no new requests.
 	Draining bool
@@ -111,6 +118,8 @@
 	ShareCount int
 	// ZonesOut are the zones that are out of service.
 	ZonesOut coll.Set[ident.Zone]
+	// Rollouts are the roll-outs that are ordered. It must not be changed.
+	Rollouts map[ident.ServiceID]roll.Rollout
 
 	replicas map[ident.ServiceID][]*Replica
 	servers  map[ident.ServerID]*Replica
