Bound and count what a new version of a service gets

Exposures filters the candidates of an attempt by version during a roll-out. A balance per VM that requests fill up pays for those to the new version, so that its share holds without messages; retries and hedges go to the other versions until it is proven. It counts responses by route, zone and version. The end of a server of a new version is not put down to the request. Without a roll-out nothing changes but one atomic load per attempt.

--- a/internal/query/relay/backoff.go
+++ b/internal/query/relay/backoff.go
@@ -17,7 +17,7 @@
 // time until then. It returns nil if there is none, apart from servers that are down or
 // leaving or whose answer is pending.
 func (q *Query) firstAvailable(now time.Time, s *shard) (first *roster.Replica, shortest time.Duration) {
-	for _, r := range q.env.Replicas().Replicas(s.service) {
+	for _, r := range q.replicas(s) {
 		announced := q.env.Notices.Get(now, r.Process())
 		wait, ok := q.env.Pace.Wait(now, r)
 		if !ok || q.env.Health.IsDown(r.ID) || announced.Leaving || s.tried(now, r.ID) && !s.allRefused() {
@@ -33,7 +33,7 @@
 // mayResend reports whether a shard whose attempts did not run may soon be sent again. It
 // may not if all its servers want no requests for a time that is known.
 func (q *Query) mayResend(now time.Time, s *shard) bool {
-	for _, r := range q.env.Replicas().Replicas(s.service) {
+	for _, r := range q.replicas(s) {
 		if q.accepts(now, r) {
 			return true
 		}
@@ -92,7 +92,7 @@
 func (q *Query) takeReserved(now time.Time, s *shard) *roster.Replica {
 	r := s.reserved
 	s.reserved = nil
-	if r == nil || q.env.Health.IsDown(r.ID) || q.env.Notices.Get(now, r.Process()).BlocksRequests() {
+	if r == nil || !q.mayUse(s, r) || q.env.Health.IsDown(r.ID) || q.env.Notices.Get(now, r.Process()).BlocksRequests() {
 		return nil
 	}
 	return r
--- a/internal/query/relay/candidates.go
+++ b/internal/query/relay/candidates.go
@@ -34,30 +34,77 @@
 	var candidateBuffer [4]choose.Candidate
 	candidates := candidateBuffer[:0]
 	var replicaBuffer [4]*roster.Replica
-	replicas := replicaBuffer[:0]
+	replicas := q.warmest(now, s, replicaBuffer[:0])
+	if len(replicas) == 0 {
+		return nil
+	}
+	for _, r := range replicas {
+		candidates = append(candidates, choose.Candidate{Server: r.ID})
+	}
+	q.penalizeOtherZones(s, replicas, candidates)
+	q.penalizeBusy(candidates)
+	return replicas[q.env.Choose.Choose(now, candidates)]
+}
+
+// replicas returns the servers of a shard's service that may get its next attempt. During a
+// roll-out these are the ones of some versions only.
+func (q *Query) replicas(s *shard) []*roster.Replica {
+	all := q.env.Replicas().Replicas(s.service)
+	x := q.env.Exposures.account(s.service)
+	if x == nil {
+		return all
+	}
+	sides := x.sides(len(s.attempts) == 0)
+	allowed := make([]*roster.Replica, 0, len(all))
+	for _, r := range all {
+		if sides.allows(r) {
+			allowed = append(allowed, r)
+		}
+	}
+	return allowed
+}
+
+// warmest appends to replicas the servers that accept the next attempt of a shard: if possible
+// warm ones of the version that a roll-out prefers.
+func (q *Query) warmest(now time.Time, s *shard, replicas []*roster.Replica) []*roster.Replica {
+	x := q.env.Exposures.account(s.service)
+	if x == nil {
+		return q.accepting(now, s, replicas, func(*roster.Replica) bool { return true })
+	}
+	sides := x.sides(len(s.attempts) == 0)
+	if preferred := q.accepting(now, s, replicas, sides.prefers); len(preferred) > 0 && !now.Before(preferred[0].ColdUntil) {
+		return preferred
+	}
+	return q.accepting(now, s, replicas, sides.allows)
+}
+
+// accepting appends to replicas the servers that are allowed and accept the next attempt of a
+// shard, without those in cold start if there are others.
+func (q *Query) accepting(now time.Time, s *shard, replicas []*roster.Replica, allowed func(*roster.Replica) bool) []*roster.Replica {
 	warm := 0
 	for _, r := range q.env.Replicas().Replicas(s.service) {
-		if !q.accepts(now, r) || s.tried(now, r.ID) {
+		if !allowed(r) || !q.accepts(now, r) || s.tried(now, r.ID) {
 			continue
 		}
+		replicas = append(replicas, r)
 		if !now.Before(r.ColdUntil) {
-			replicas = append(replicas, r)
-			replicas[warm], replicas[len(replicas)-1] = replicas[len(replicas)-1], replicas[warm]
+			last := len(replicas) - 1
+			replicas[warm], replicas[last] = replicas[last], replicas[warm]
 			warm++
-			continue
 		}
-		replicas = append(replicas, r)
 	}
 	if warm > 0 {
-		replicas = replicas[:warm]
-	}
-	if len(replicas) == 0 {
-		return nil
+		return replicas[:warm]
 	}
-	for _, r := range replicas {
-		candidates = append(candidates, choose.Candidate{Server: r.ID})
+	return replicas
+}
+
+// mayUse reports whether a server may get the next attempt of a shard during a roll-out.
+func (q *Query) mayUse(s *shard, r *roster.Replica) bool {
+	x := q.env.Exposures.account(s.service)
+	if x == nil {
+		return true
 	}
-	q.penalizeOtherZones(s, replicas, candidates)
-	q.penalizeBusy(candidates)
-	return replicas[q.env.Choose.Choose(now, candidates)]
+	sides := x.sides(len(s.attempts) == 0)
+	return sides.allows(r)
 }
--- a/internal/query/relay/probation.go
+++ b/internal/query/relay/probation.go
@@ -126,7 +126,7 @@
 // trialServers returns the number of servers that could get the next attempt of a shard, and
 // whether the end of one of them could be put down to it.
 func (q *Query) trialServers(now time.Time, s *shard) (usable int, certain bool) {
-	for _, r := range q.env.Replicas().Replicas(s.service) {
+	for _, r := range q.replicas(s) {
 		if q.accepts(now, r) && !s.tried(now, r.ID) {
 			usable++
 			certain = certain || q.isCertain(r.ID)
--- a/internal/query/relay/query.go
+++ b/internal/query/relay/query.go
@@ -186,6 +186,11 @@
 		return nil, false
 	}
 	a.pending = false
+	a.exposed.answered(now, now.Sub(a.sentAt), &reply)
+	if a.exposed.isOfTarget() {
+		// The end of a server of an unproven version is not put down to the request.
+		reply.Ended = false
+	}
 	q.updatePolicies(now, a, reply)
 	switch reply.Kind {
 	case NotRun:
@@ -253,12 +258,18 @@
 	}
 	a.pending = false
 	elapsed := now.Sub(a.sentAt)
+	a.exposed.abandoned(now, elapsed)
 	q.env.Choose.Abandoned(now, a.server, elapsed)
 	if cancelled && elapsed >= q.silentAfter() {
 		q.env.Health.Failed(a.server)
 	}
 }
 
+// IsExposed reports whether an attempt went to a server of a version that is being rolled out.
+func (q *Query) IsExposed(shardIndex, attemptIndex int) bool {
+	return q.shards[shardIndex].attempts[attemptIndex].exposed.isOfTarget()
+}
+
 // updatePolicies passes a reply on to the choice of servers, the latency estimate
 // and the health state.
 func (q *Query) updatePolicies(now time.Time, a *attempt, reply Reply) {
@@ -403,6 +414,9 @@
 	if a.delegated && !a.hedgeAt.IsZero() {
 		a.hedgeAt = a.hedgeAt.Add(delegationSlack)
 	}
+	if x := q.env.Exposures.account(s.service); x != nil {
+		a.exposed = x.sent(replica, q.request.Route.Name, reason == "first")
+	}
 	s.attempts = append(s.attempts, a)
 	if isOtherZone {
 		q.crossZone[s.crossZoneReason]++
--- a/internal/query/relay/shard.go
+++ b/internal/query/relay/shard.go
@@ -51,6 +51,8 @@
 	hedgeAt time.Time
 	// delegated is set if a VM in another zone may send it on behalf of this one.
 	delegated bool
+	// exposed is set during a roll-out of the service.
+	exposed *exposedAttempt
 	// pending is set until a reply arrives.
 	pending bool
 	// mayHaveRun is cleared once it is certain that the server neither runs nor ran it.
--- a/internal/query/relay/types.go
+++ b/internal/query/relay/types.go
@@ -49,6 +49,9 @@
 	// Notices holds what backend servers announced: that they are leaving, or want
 	// no requests for a while.
 	Notices *notice.Tracker
+	// Exposures limits the requests to new versions of services. nil means that there are no
+	// roll-outs.
+	Exposures *Exposures
 	// Pace limits the rate of requests to servers that are in cold start or name a limit.
 	Pace    *Pacer
 	Options Options
--- a/internal/query/runner/evidence.go
+++ b/internal/query/runner/evidence.go
@@ -72,14 +72,15 @@
 }
 
 // observeEnd records that the process of a backend server ended while it had the request,
-// unless a server has answered it.
+// unless a server has answered it. The end of a server of a version that is being rolled out is
+// put down to the version.
 func (e *execution) observeEnd(now time.Time, r *reply) {
 	if !r.result.Ended && !r.result.MayHaveEnded {
 		return
 	}
 	end := e.endOf(r.process, r.result.Shared, r.result.Ended)
 	e.traceEnd(end, e.query.Cleared(), slog.Int("shard", r.shard), slog.Duration("after", now.Sub(r.sentAt)))
-	if !e.query.Cleared() {
+	if !e.query.Cleared() && !e.query.IsExposed(r.shard, r.attempt) {
 		e.recordEnd(now, end)
 	}
 }
@@ -91,7 +92,9 @@
 	end := e.endOf(process, shared, certain)
 	answered := e.runner.deps.Ledger.AnsweredSince(e.request.Arrived, e.fingerprint())
 	e.traceEnd(end, answered, slog.Bool("late", true))
-	if !answered {
+	replica := e.runner.deps.Views.View().Replica(process.ID)
+	exposed := replica != nil && e.runner.deps.Env.Exposures.IsTarget(replica)
+	if !answered && !exposed {
 		e.recordEnd(time.Now(), end)
 	}
 }
