Run roll-outs on VMs that forward requests

VMs exchange reports and permits on the port for other VMs (link/tally), and the deciding VM stores the stage and the status for the operator in one transaction, under the precondition that nobody wrote in between. Without an order there are no calls to the store or to other VMs. go test -race -run 'RolloutEndToEnd|NoOrder|WireNames|Precondition' ./platform and go test -race ./internal/link/tally ./internal/conf/fwconf: ok.

--- a/cmd/samphirestair/main.go
+++ b/cmd/samphirestair/main.go
@@ -101,12 +101,13 @@
 	}
 	eras := &depot.EraTracker{}
 	process, err := tier.New(settings, load, tier.Adapter{
-		Depot:     platform.NewDepot(client, eras),
-		Eras:      eras,
-		Reader:    platform.Facts{},
-		Names:     platform.Headers(),
-		Ready:     platform.Ready,
-		Directory: platform.Directory,
+		Depot:         platform.NewDepot(client, eras),
+		Eras:          eras,
+		Reader:        platform.Facts{},
+		RolloutStatus: platform.Facts{}.RolloutStatus,
+		Names:         platform.Headers(),
+		Ready:         platform.Ready,
+		Directory:     platform.Directory,
 	}, logger)
 	if err != nil {
 		return err
--- a/internal/conf/fwconf/settings.go
+++ b/internal/conf/fwconf/settings.go
@@ -25,6 +25,7 @@
 	Cost        Cost
 	Servers     Servers
 	Quarantine  Quarantine
+	Rollout     Rollout
 	Log         Log
 }
 
@@ -110,6 +111,15 @@
 	Hold time.Duration
 }
 
+// Rollout limits what a new version of a service gets before it is proven.
+type Rollout struct {
+	// Share is the part of the requests to the service, over all VMs together, and Slack the
+	// number of requests beside that.
+	Share, Slack float64
+	// Back is the time after which a version that is known to be bad gets no requests.
+	Back time.Duration
+}
+
 // Log holds the settings of logging.
 type Log struct {
 	Level slog.Level
@@ -127,6 +137,9 @@
 	defaultStay         = 0.2
 	defaultQuiet        = 30 * time.Second
 	defaultHold         = 10 * time.Minute
+	defaultExposure     = 0.1
+	defaultExposed      = 50
+	defaultBack         = 5 * time.Second
 	// maxCallerHeaders bounds Quarantine.Callers.
 	maxCallerHeaders = 16
 )
@@ -163,6 +176,7 @@
 		Cost:        readCost(file.Section("cost", false)),
 		Servers:     readServers(file.Section("servers", false)),
 		Quarantine:  readQuarantine(file.Section("quarantine", false)),
+		Rollout:     readRollout(file.Section("rollout", false)),
 		Log:         readLog(file.Section("log", false)),
 	}
 	if err := file.Err(); err != nil {
@@ -228,6 +242,14 @@
 	}
 }
 
+func readRollout(section *strict.Section) Rollout {
+	return Rollout{
+		Share: section.Float("share", coll.Some(defaultExposure), 0, 1),
+		Slack: section.Float("slack", coll.Some(float64(defaultExposed)), 0, 1e6),
+		Back:  section.Duration("back", coll.Some(defaultBack), time.Second, time.Hour),
+	}
+}
+
 func readLog(section *strict.Section) Log {
 	return Log{Level: section.Level("level")}
 }
--- a/internal/conf/fwconf/settings_test.go
+++ b/internal/conf/fwconf/settings_test.go
@@ -29,6 +29,7 @@
 	require.Equal(t, 6*time.Second, s.VM.StopBound)
 	require.False(t, s.Answers.Partial)
 	require.InDelta(t, 0.1, s.RetryBudget.Share, 0)
+	require.Equal(t, fwconf.Rollout{Share: 0.1, Slack: 50, Back: 5 * time.Second}, s.Rollout)
 }
 
 func TestFaultsNameLineAndKey(t *testing.T) {
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -24,12 +24,14 @@
 	"github.com/samphirestair/samphirestair/internal/conf/fwconf"
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/fleet/beats"
+	"github.com/samphirestair/samphirestair/internal/fleet/roll"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/fleet/seeds"
 	"github.com/samphirestair/samphirestair/internal/front/gate"
 	"github.com/samphirestair/samphirestair/internal/link/deleg"
 	"github.com/samphirestair/samphirestair/internal/link/detour"
 	"github.com/samphirestair/samphirestair/internal/link/gossip"
+	"github.com/samphirestair/samphirestair/internal/link/tally"
 	"github.com/samphirestair/samphirestair/internal/ops/admin"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
@@ -75,7 +77,9 @@
 	// Eras tracks the era of the store for Depot.
 	Eras   *depot.EraTracker
 	Reader roster.Decoder
-	Names  header.Names
+	// RolloutStatus returns the key and the value that tell operators of a roll-out.
+	RolloutStatus func(service ident.ServiceID, record *roll.Record) (key string, value []byte, err error)
+	Names         header.Names
 	// Ready and Directory return the handlers of the readiness port and of the
 	// port that serves the address list.
 	Ready     func(ready func() bool) fasthttp.RequestHandler
@@ -109,12 +113,15 @@
 	identity           poison.Identity
 	ledger             *poison.Ledger
 	gossip             *gossip.Exchange
-	env                *relay.Env
-	admission          admit.QueuingPolicy
-	gate               *gate.Gate
-	ready              *fasthttp.Server
-	directory          *fasthttp.Server
-	admin              *admin.Server
+	// clock includes the time in suspension.
+	clock     func() time.Duration
+	rollouts  *tally.Exchange
+	env       *relay.Env
+	admission admit.QueuingPolicy
+	gate      *gate.Gate
+	ready     *fasthttp.Server
+	directory *fasthttp.Server
+	admin     *admin.Server
 	// ports holds the listeners from Run on.
 	ports atomic.Pointer[listeners]
 }
@@ -127,7 +134,7 @@
 func New(settings *fwconf.Settings, load Loader, adapter Adapter, logger *slog.Logger) (*Tier, error) {
 	debug.SetMemoryLimit(int64(memoryFraction * float64(settings.VM.Memory)))
 	debug.SetGCPercent(garbagePercent)
-	t := &Tier{settings: settings, loadSettings: load, adapter: adapter, metrics: metrics.NewSet()}
+	t := &Tier{settings: settings, loadSettings: load, adapter: adapter, metrics: metrics.NewSet(), clock: newClock()}
 	t.current.Store(settings)
 	logger = logger.With(slog.String("vm", string(settings.VM.ID)))
 	t.events = events.New(logger, t.metrics)
@@ -143,7 +150,7 @@
 	}
 	fleetState := roster.NewState(self.VM, adapter.Reader, t.events)
 	peers := seeds.NewClient(func() []string { return t.heartbeats.RecentSenders() })
-	t.follower = roster.NewFollower(adapter.Depot, fleetState, roster.FollowerOptions{CatchUpTime: settings.Depot.Touch, Peers: peers})
+	t.follower = roster.NewFollower(adapter.Depot, fleetState, roster.FollowerOptions{CatchUpTime: settings.Depot.Touch, Peers: peers, BeforePublish: t.announceRollouts})
 	t.registrar = roster.NewRegistrar(adapter.Depot, t.follower, self, t.events)
 	t.reach = reach.NewTracker()
 	var err error
@@ -172,6 +179,7 @@
 	if t.admission, ok = newAdmit(admit.Options{}).(admit.QueuingPolicy); !ok {
 		return nil, errors.New("tier: the admission policy has no queue")
 	}
+	t.buildRollouts(self)
 	t.peerClient = deleg.NewClient()
 	t.peerServer = deleg.NewServer(runner.NewLocalSender(t.follower, t.pool), t.refusesOrder, t.peerHandler(), t.events)
 	t.delegates = runner.NewDelegates(t.follower, t.heartbeats.Detector())
@@ -212,7 +220,7 @@
 
 // peerHandler returns the handler of the requests of other VMs that are not orders.
 func (t *Tier) peerHandler() fasthttp.RequestHandler {
-	others := t.gossip.Handler(seeds.Handler(t.follower))
+	others := t.rollouts.Handler(t.gossip.Handler(seeds.Handler(t.follower)))
 	return func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Path()) == detour.Path {
 			t.gate.RunDetour(ctx)
@@ -266,9 +274,10 @@
 		TrialLoad: func(server ident.ServerID) (requests int, certain bool) {
 			return t.pool.TrialLoad(server)
 		},
-		Notices: t.notices,
-		Pace:    relay.NewPacer(t.pace, time.Now()),
-		Options: relay.Options{Partial: t.settings.Answers.Partial, CrossZonePenalty: t.settings.Cost.Stay}.WithDefaults(),
+		Notices:   t.notices,
+		Exposures: relay.NewExposures(t.clock, t.exposureSlack),
+		Pace:      relay.NewPacer(t.pace, time.Now()),
+		Options:   relay.Options{Partial: t.settings.Answers.Partial, CrossZonePenalty: t.settings.Cost.Stay}.WithDefaults(),
 	}
 	return nil
 }
@@ -300,6 +309,7 @@
 		"limits":      func() any { return t.notices.Limits() },
 		"budget":      func() any { return t.budget() },
 		"quarantine":  func() any { return t.ledger.List(time.Now()) },
+		"rollouts":    func() any { return t.rollouts.Status() },
 		"decisions":   func() any { return t.events.History() },
 		"listeners":   func() any { return t.ports.Load().stats() },
 	}
@@ -371,6 +381,7 @@
 	heartbeats.Go(func() { t.heartbeats.Run(ctx) })
 	running.Go(func() { t.maintain(ctx) })
 	running.Go(func() { t.gossip.Run(ctx) })
+	running.Go(func() { t.rollouts.Run(ctx) })
 	running.Go(func() { t.watchSettings(ctx, reload) })
 	t.serve(&running, "callers", t.gate.Serve, ports.callers)
 	t.serve(&running, "directory", t.directory.Serve, ports.directory)
--- a/internal/fleet/roll/evidence.go
+++ b/internal/fleet/roll/evidence.go
@@ -11,7 +11,7 @@
 	// version have to exceed those expected from the others, and haltMargin what is added. The
 	// test is repeated several times a second on each route. Without any bad responses of the
 	// others, seven bad ones suffice, far fewer than the 50 after which none may be sent.
-	haltDeviations, haltMargin = 4.5, 2.5
+	haltDeviations, haltMargin = 3.8, 2.5
 	// doubtDeviations and doubtMargin apply to doubt, which delays a roll-out.
 	doubtDeviations, doubtMargin = 2.0, 1.0
 	// clusterFactor is the factor on the variance of independent responses: pauses and
