review: render the sections of the settings template

deploy/forward.ini has a section that is rendered only if the platform gives a value. The rig left its markers in the settings, which would be refused. go vet ./rig: ok; the rig was not run.

--- a/review/rig/vm.go
+++ b/review/rig/vm.go
@@ -32,6 +32,9 @@
 
 var placeholder = regexp.MustCompile(`\{\{([a-zA-Z0-9_.]+)\}\}`)
 
+// section is a part of the template that is rendered only if there is a value for its name.
+var section = regexp.MustCompile(`(?s)\{\{#([a-zA-Z0-9_.]+)\}\}\n(.*?)\{\{/[a-zA-Z0-9_.]+\}\}\n`)
+
 // Ports of a machine: those of the pages' example, and the fixed one of the template.
 const (
 	frontPort, directoryPort, readyPort, peersPort, adminPort = "8104", "8100", "8108", "7380", "9140"
@@ -49,7 +52,13 @@
 		return nil, err
 	}
 	var missing error
-	text := placeholder.ReplaceAllStringFunc(string(template), func(p string) string {
+	present := section.ReplaceAllStringFunc(string(template), func(s string) string {
+		if parts := section.FindStringSubmatch(s); bounds[parts[1]] != "" {
+			return parts[2]
+		}
+		return ""
+	})
+	text := placeholder.ReplaceAllStringFunc(present, func(p string) string {
 		key := strings.Trim(p, "{}")
 		for _, m := range []map[string]string{values, bounds} {
 			if value, ok := m[key]; ok {
