Count each response that may be lost as a failure of its version

An attempt whose server may have ended had no count, since only certain ends had one. Whether the process ended is not always known, and the rule is the same for all versions. go test ./internal/query/relay: ok.

--- a/internal/query/relay/exposure.go
+++ b/internal/query/relay/exposure.go
@@ -244,7 +244,7 @@
 	case reply.Misdirected:
 	case reply.Kind == Served:
 		a.addTime(now, elapsed)
-	case reply.Kind == ServerError || reply.Kind == Ambiguous && (!reply.Gone || reply.Ended):
+	case reply.Kind == ServerError || reply.Kind == Ambiguous:
 		a.tally().AddFailure()
 	default:
 	}
