Let only VMs that follow the store take part in roll-outs

A VM that stands by may hold orders that are long over, and would report on them for ever. The gauge of roll-outs no longer compares all responses for each scrape.

--- a/internal/core/tier/rollout.go
+++ b/internal/core/tier/rollout.go
@@ -40,23 +40,25 @@
 	}
 	t.rollouts = tally.New(tally.Deps{
 		Member: roll.NewMember(self.VM, self.BootID, bounds), Clock: t.clock,
-		Rollouts:  func() map[ident.ServiceID]roll.Rollout { return t.follower.View().Rollouts },
-		Situation: t.rolloutSituation, Permit: t.env.Exposures.SetPermits, Store: t.storeRollout,
+		Rollouts: t.followedRollouts, Situation: t.rolloutSituation, Permit: t.env.Exposures.SetPermits, Store: t.storeRollout,
 		Address: t.peerAddress, Events: t.events,
 	})
 	for _, phase := range roll.Phases() {
 		t.metrics.NewGauge(fmt.Sprintf("samphirestair_rollouts{stage=%q}", phase), func() float64 {
-			count := 0
-			for _, status := range t.rollouts.Status() {
-				if status.Record != nil && status.Record.Phase == phase {
-					count++
-				}
-			}
-			return float64(count)
+			return float64(t.rollouts.CountIn(phase))
 		})
 	}
 }
 
+// followedRollouts returns the roll-outs that this VM takes part in. A VM that stands by and
+// doesn't follow all keys may hold orders that are long over.
+func (t *Tier) followedRollouts() map[ident.ServiceID]roll.Rollout {
+	if !t.registrar.Serving() && !t.follower.UpToDate() {
+		return nil
+	}
+	return t.follower.View().Rollouts
+}
+
 // announceRollouts puts the roll-outs of a view into force before requests see it.
 func (t *Tier) announceRollouts(view *roster.View) {
 	t.env.Exposures.Announce(view.Rollouts)
--- a/internal/fleet/roll/member.go
+++ b/internal/fleet/roll/member.go
@@ -391,6 +391,17 @@
 	m.avoided[to] = now + avoidTime
 }
 
+// CountIn returns the number of roll-outs in a phase.
+func (m *Member) CountIn(phase Phase) int {
+	count := 0
+	for _, k := range m.known {
+		if record := k.rollout.current(); record != nil && record.Phase == phase {
+			count++
+		}
+	}
+	return count
+}
+
 // Status is what is known of one roll-out, for the state dump.
 type Status struct {
 	Version  string        `json:"version"`
--- /dev/null
+++ b/internal/fleet/roll/member_test.go
@@ -0,0 +1,159 @@
+package roll_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/fleet/roll"
+	"github.com/samphirestair/samphirestair/internal/plat/depot"
+)
+
+// soleVM is a single VM. The test stands in for its store.
+type soleVM struct {
+	member   *roll.Member
+	now      time.Duration
+	rollouts map[ident.ServiceID]roll.Rollout
+	counts   map[roll.Bucket]roll.Counts
+	fresh    bool
+	// writes are those that the store has not executed.
+	writes []roll.Write
+}
+
+func newSoleVM() *soleVM {
+	return &soleVM{
+		member:   roll.NewMember("vm-1", 1, func() roll.Bounds { return roll.Bounds{Share: exposureShare, Back: rollback} }),
+		rollouts: map[ident.ServiceID]roll.Rollout{}, fresh: true,
+	}
+}
+
+func (v *soleVM) order(version string, position depot.Position) {
+	r := v.rollouts[service]
+	r.Order = roll.Order{Version: version, Duration: time.Minute, Position: position}
+	v.rollouts[service] = r
+}
+
+// step lets some time pass, and returns the permit. Writes are collected.
+func (v *soleVM) step(d time.Duration) (permit roll.Permit, known bool) {
+	for end := v.now + d; v.now < end; v.now += 50 * time.Millisecond {
+		step := v.member.Update(roll.Situation{
+			Now: v.now, Rollouts: v.rollouts, Serving: []ident.VMID{"vm-1"}, Silent: func(ident.VMID) bool { return false },
+			Fresh: v.fresh, Targets: func(ident.ServiceID, string) int { return 1 },
+			Count: func(r *roll.Report) { r.Counts = v.counts },
+		})
+		v.writes = append(v.writes, step.Writes...)
+		permit, known = step.Permits[service]
+	}
+	return permit, known
+}
+
+// apply lets the store execute the first write.
+func (v *soleVM) apply() {
+	r := v.rollouts[service]
+	record := v.writes[0].Record
+	r.Record, r.Revision = &record, r.Revision+1
+	v.rollouts[service], v.writes = r, nil
+}
+
+// A second order must begin a new roll-out with a higher sequence number, so that no VM takes
+// the stage of the first one for it; a withdrawn one must end it.
+func TestOrdersThatChange(t *testing.T) {
+	v := newSoleVM()
+	v.order("v2", 1)
+	v.step(100 * time.Millisecond)
+	require.Len(t, v.writes, 1)
+	require.Equal(t, roll.Exposing, v.writes[0].Record.Phase)
+	require.True(t, v.writes[0].HasStatus)
+	v.apply()
+	p, _ := v.step(time.Second)
+	require.Equal(t, roll.Shared, p.Mode)
+	for position, version := range []string{"v3", "v3"} {
+		v.order(version, depot.Position(position+2))
+		p, _ = v.step(100 * time.Millisecond)
+		require.Equal(t, roll.OthersOnly, p.Mode)
+		require.Equal(t, version, v.writes[0].Record.Version)
+		require.EqualValues(t, position+2, v.writes[0].Record.Seq)
+		require.Equal(t, v.rollouts[service].Revision, v.writes[0].Require)
+		v.apply()
+	}
+	delete(v.rollouts, service)
+	_, known := v.step(time.Second)
+	require.False(t, known)
+	require.Empty(t, v.writes)
+}
+
+// A write whose answer is lost must not be repeated at once, and a VM whose view may be old must
+// not decide.
+func TestWritesWaitForTheirOutcome(t *testing.T) {
+	v := newSoleVM()
+	v.fresh = false
+	v.order("v2", 1)
+	v.step(time.Second)
+	require.Empty(t, v.writes)
+	v.fresh = true
+	v.step(500 * time.Millisecond)
+	require.Len(t, v.writes, 1)
+	v.step(500 * time.Millisecond)
+	require.Len(t, v.writes, 2, "it is decided anew")
+	require.Equal(t, v.writes[0].Require, v.writes[1].Require)
+	v.apply()
+	v.step(2 * time.Second)
+	require.Empty(t, v.writes)
+}
+
+// The permit of a VM that decides no more must end in time.
+func TestPermitsEnd(t *testing.T) {
+	v := newSoleVM()
+	v.order("v2", 1)
+	v.step(100 * time.Millisecond)
+	v.apply()
+	p, _ := v.step(500 * time.Millisecond)
+	require.Equal(t, roll.Shared, p.Mode)
+	require.InDelta(t, 0.075, p.Share, 1e-9)
+	v.fresh = false
+	p, _ = v.step(2 * time.Second)
+	require.Equal(t, roll.OthersOnly, p.Mode)
+}
+
+// tallyOf returns a tally of responses that take some time, and of failures.
+func tallyOf(count int, took time.Duration, failed int) (t roll.Tally) {
+	for range count {
+		t.AddTime(took)
+	}
+	for range failed {
+		t.AddFailure()
+	}
+	return t
+}
+
+// What is not the version's fault must not end a roll-out, and what is must: failures, and
+// responses slower than those of the other versions in the same zone on the same route.
+func TestWhatCountsAsBad(t *testing.T) {
+	const ms = time.Millisecond
+	usual := tallyOf(300, 10*ms, 1)
+	for name, test := range map[string]struct {
+		counts map[roll.Bucket]roll.Counts
+		bad    bool
+	}{
+		"like the others": {map[roll.Bucket]roll.Counts{{Route: "a"}: {Target: tallyOf(60, 11*ms, 1), Others: usual}}, false},
+		"failures":        {map[roll.Bucket]roll.Counts{{Route: "a"}: {Target: tallyOf(20, 10*ms, 9), Others: usual}}, true},
+		"slow":            {map[roll.Bucket]roll.Counts{{Route: "a"}: {Target: tallyOf(12, 60*ms, 0), Others: usual}}, true},
+		"slow zone":       {map[roll.Bucket]roll.Counts{{Route: "a", Zone: "x"}: {Target: tallyOf(60, 90*ms, 0), Others: tallyOf(300, 80*ms, 0)}, {Route: "a", Zone: "y"}: {Others: usual}}, false},
+		"one route": {map[roll.Bucket]roll.Counts{
+			{Route: "a"}: {Target: tallyOf(500, 10*ms, 0), Others: usual}, {Route: "b"}: {Target: tallyOf(2, 10*ms, 12), Others: usual},
+		}, true},
+		"failing service": {map[roll.Bucket]roll.Counts{{Route: "a"}: {Target: tallyOf(10, 10*ms, 20), Others: tallyOf(100, 10*ms, 200)}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := newSoleVM()
+			v.order("v2", 1)
+			v.step(100 * time.Millisecond)
+			v.apply()
+			v.counts = test.counts
+			v.step(time.Second)
+			require.Equal(t, test.bad, len(v.writes) > 0 && v.writes[0].Record.Phase == roll.DrainingNew)
+		})
+	}
+}
--- a/internal/fleet/roll/sim_test.go
+++ b/internal/fleet/roll/sim_test.go
@@ -78,6 +78,9 @@
 	lostMessage fault = "loss"
 	slowZone    fault = "slow-zone"
 	garbledLink fault = "garbled-link"
+	restartAll  fault = "restart-all"
+	// frozen is a pause of the deciding VM, after which it acts on what it knew before.
+	frozen fault = "freeze"
 )
 
 // simulation runs one scenario. Its clock is simulated.
@@ -119,6 +122,7 @@
 	seesOrder        bool
 	deadAt           time.Duration
 	cutOff, storeCut bool
+	frozenUntil      time.Duration
 	confirmedAt      time.Duration
 	exposures        *relay.Exposures
 	watchDelay       time.Duration
@@ -233,7 +237,7 @@
 func (s *simulation) LocalRequestShare(ident.ServiceID, ident.Zone) float64 { return 1 }
 
 func (v *simVM) isAlive() bool {
-	return v.sim.now < v.deadAt
+	return v.sim.now < v.deadAt && v.sim.now >= v.frozenUntil
 }
 
 // reaches reports whether messages pass between two VMs.
@@ -244,7 +248,7 @@
 // isSilent reports whether a VM has not been heard for some time.
 func (v *simVM) isSilent(vm ident.VMID) bool {
 	o := v.sim.byID[vm]
-	return v.cutOff != o.cutOff || !o.isAlive() && v.sim.now-o.deadAt > silence
+	return v.cutOff != o.cutOff || v.sim.now-o.deadAt > silence || v.sim.now < o.frozenUntil
 }
 
 func (s *simulation) storeIsDown() bool { return s.fault == storeDown && s.now < s.faultUntil }
@@ -269,7 +273,7 @@
 	v.read()
 	var serving []ident.VMID
 	for _, o := range s.vms {
-		if o.isAlive() || s.now-o.deadAt < lapse {
+		if s.now-o.deadAt < lapse {
 			serving = append(serving, o.id)
 		}
 	}
@@ -368,18 +372,13 @@
 	s.faultUntil = s.now + length
 	switch s.fault {
 	case killDecider:
-		decider.deadAt = s.now
-		running := decider.running
-		decider.running = [2]int{}
-		// Backend servers notice within half a second that a caller is gone.
-		s.after(500*time.Millisecond, func() {
-			s.running[0] -= running[0]
-			s.running[1] -= running[1]
-		})
-		s.after(restart, func() {
-			decider.deadAt = math.MaxInt64
-			decider.start()
-		})
+		decider.kill(restart)
+	case restartAll:
+		for _, v := range s.vms {
+			v.kill(time.Second + time.Duration(s.rng.Int64N(int64(time.Second))))
+		}
+	case frozen:
+		decider.frozenUntil = s.now + length
 	case partitioned:
 		for i, v := range s.vms {
 			v.cutOff = i%3 == 0 || v == decider
@@ -394,6 +393,21 @@
 	}
 }
 
+// kill ends the process of a VM, and starts the next one after some time.
+func (v *simVM) kill(down time.Duration) {
+	s, running := v.sim, v.running
+	v.deadAt, v.running = s.now, [2]int{}
+	// Backend servers notice within half a second that a caller is gone.
+	s.after(500*time.Millisecond, func() {
+		s.running[0] -= running[0]
+		s.running[1] -= running[1]
+	})
+	s.after(down, func() {
+		v.deadAt = math.MaxInt64
+		v.start()
+	})
+}
+
 // arrive is the arrival of one request.
 func (v *simVM) arrive() {
 	s := v.sim
@@ -433,7 +447,7 @@
 			kind = relay.ServerError
 		}
 		s.after(took, func() {
-			if !v.isAlive() || v.boot != boot {
+			if s.now >= v.deadAt || v.boot != boot {
 				return
 			}
 			s.running[isNew]--
@@ -542,7 +556,7 @@
 func TestSimulatedRollouts(t *testing.T) {
 	seed := uint64(1)
 	for _, bad := range badnesses {
-		for _, f := range []fault{noFault, killDecider, partitioned, storeDown, lostMessage, slowZone} {
+		for _, f := range []fault{noFault, killDecider, partitioned, storeDown, lostMessage, slowZone, restartAll, frozen} {
 			for _, at := range []roll.Phase{roll.Exposing, roll.Moving, roll.DrainingOld, roll.DrainingNew} {
 				if (f == noFault || f == lostMessage || f == slowZone) && at != roll.Exposing {
 					continue
@@ -570,7 +584,7 @@
 	rows := map[string]*tableRow{}
 	var mu sync.Mutex
 	group := pool.New().WithMaxGoroutines(2)
-	faults := []fault{noFault, killDecider, partitioned, storeDown, lostMessage, slowZone, garbledLink}
+	faults := []fault{noFault, killDecider, partitioned, storeDown, lostMessage, slowZone, garbledLink, restartAll, frozen}
 	for i := range runs {
 		rng := rand.New(rand.NewPCG(uint64(i), 3))
 		c := scenario{
--- a/internal/link/tally/tally.go
+++ b/internal/link/tally/tally.go
@@ -171,6 +171,13 @@
 	return client, nil
 }
 
+// CountIn returns the number of roll-outs in a phase.
+func (x *Exchange) CountIn(phase roll.Phase) int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.deps.Member.CountIn(phase)
+}
+
 // Status returns what is known of each roll-out, for the state dump.
 func (x *Exchange) Status() map[ident.ServiceID]roll.Status {
 	x.mu.Lock()
