Compare recent responses of a version by the zones as known

In a simulated slow zone a good version was rolled back: in the last seconds the zone had too few responses of the other versions, and was compared with all zones. What is known of the zone since the order is now used instead. A slight doubt no longer ends a roll-out, and the reason of a roll-back without certainty names the route. A VM that did not reply is asked again after 0.7 s, since lost messages delayed acknowledgements. An order for the only version that there is kept the service without servers until the deadline; the version is now used after 3 s if there never were others.

--- a/internal/core/tier/rollout.go
+++ b/internal/core/tier/rollout.go
@@ -76,14 +76,17 @@
 		WallMillis: now.UnixMilli(),
 		Silent:     t.heartbeats.Detector().Silent,
 		Fresh:      t.mayDecide(now),
-		Targets: func(service ident.ServiceID, version string) int {
-			count := 0
+		Servers: func(service ident.ServiceID, version string) (targets, others int) {
 			for _, r := range view.Replicas(service) {
-				if r.Version == version && !t.env.Health.IsDown(r.ID) {
-					count++
+				switch {
+				case r.Version != version:
+					others++
+				case !t.env.Health.IsDown(r.ID):
+					targets++
+				default:
 				}
 			}
-			return count
+			return targets, others
 		},
 		Count: func(report *roll.Report) { t.env.Exposures.Count(report, longestTimeout(view, report.Service)) },
 	}
--- a/internal/fleet/roll/decider.go
+++ b/internal/fleet/roll/decider.go
@@ -14,15 +14,19 @@
 	// that VMs send before they know of the order.
 	exposingShare = 0.75
 	// moveAfter is the part of the duration from which on the share may grow: a version may
-	// turn bad late. unprovenAfter is when it grows although some routes had few requests, and
+	// turn bad late. unprovenAfter is when it grows although some routes had few requests or there
+	// is a slight doubt, and
 	// giveUpAfter when a version without servers or without responses is rolled back.
-	moveAfter, unprovenAfter, giveUpAfter = 0.7, 0.77, 0.87
+	moveAfter, unprovenAfter, giveUpAfter = 0.7, 0.75, 0.87
 	// A version that might be bad has time to prove good until drainShare of the duration is left,
 	// or the time that the roll-back may take if that is longer: drainTime, and drainTimePerVM for
 	// each VM, since many VMs report less often.
 	drainShare     = 0.1
 	drainTime      = 4 * time.Second
 	drainTimePerVM = 6 * time.Millisecond
+	// aloneTime is the time after which a version is used that was the only one all the time. Until
+	// then, registrations of the others may be missing.
+	aloneTime = 3 * time.Second
 	// stepPart is the part of the duration for which each share of movingShares lasts, and
 	// minStep and stepPerVM for each VM its minimum, which is above the interval between reports.
 	stepPart  = 0.04
@@ -55,8 +59,9 @@
 	Rollout    Rollout
 	// Members are the VMs that serve callers.
 	Members []ident.VMID
-	// Targets is the number of servers of the new version that may get requests.
-	Targets int
+	// Targets and Others are the numbers of servers of the new version and of the others that
+	// may get requests.
+	Targets, Others int
 }
 
 // Write asks to store a record, if the one in the store is at position Require, and, in the
@@ -101,6 +106,8 @@
 	phaseSince time.Duration
 	sources    map[processID]*source
 	markedAt   time.Duration
+	// hadOthers is set once there were servers of other versions.
+	hadOthers bool
 	// halted is why the new version may not get requests any more, before that is stored.
 	halted string
 	// idleSince is when all VMs were first known to have acknowledged, or negative.
@@ -169,6 +176,7 @@
 func (d *Decider) enter(in Input) {
 	d.start(in.Now, in.Rollout.Order)
 	d.members = len(in.Members)
+	d.hadOthers = d.hadOthers || in.Others > 0
 	record := in.Rollout.current()
 	if record == nil || record.Seq == d.seq {
 		return
@@ -240,20 +248,27 @@
 // judgeVersion decides from the responses whether the share of the new version grows or ends.
 func (d *Decider) judgeVersion(in Input, phase Phase) (Phase, string) {
 	all, recent := d.collect()
-	whole, late := judge(all, d.share*exposingShare), judge(recent, 0)
+	total := sumOf(all)
+	whole, late := judge(all, total, d.share*exposingShare), judge(recent, total, 0)
 	for _, v := range []*verdict{&whole, &late} {
 		if v.bad {
 			return DrainingNew, v.describe()
 		}
 	}
+	if d.isAlone(in, &whole) {
+		return DrainingOld, "there are no servers of other versions"
+	}
 	elapsed := float64(in.Now-d.began) / float64(max(d.order.Duration, 1))
 	if elapsed < moveAfter {
 		return "", ""
 	}
-	doubtful := whole.doubtful || late.doubtful
+	doubtful := whole.isDoubtful(elapsed) || late.isDoubtful(elapsed)
 	switch {
 	case doubtful && in.Now-d.began >= d.order.Duration-d.drainTime():
-		return DrainingNew, "more bad responses than of the other versions, and no time left to be sure"
+		if !whole.suspect {
+			whole = late
+		}
+		return DrainingNew, "no time left to be sure: " + whole.describe()
 	case phase == Moving:
 		if !doubtful && d.step(in.Now) >= len(movingShares) {
 			return DrainingOld, "as good as the other versions on each route"
@@ -266,6 +281,16 @@
 	}
 }
 
+// isDoubtful reports whether a roll-out has to wait. A slight doubt counts for a short time.
+func (v *verdict) isDoubtful(elapsed float64) bool {
+	return v.suspect || v.doubtful && elapsed < unprovenAfter
+}
+
+// isAlone reports whether there never were servers of other versions.
+func (d *Decider) isAlone(in Input, whole *verdict) bool {
+	return !d.hadOthers && !whole.compared && in.Targets > 0 && in.Now-d.began >= aloneTime
+}
+
 // drainTime returns the time before the deadline at which a roll-back has to begin.
 func (d *Decider) drainTime() time.Duration {
 	return max(time.Duration(drainShare*float64(d.order.Duration)), drainTime+time.Duration(d.members)*drainTimePerVM)
@@ -397,7 +422,7 @@
 		all.add(s.report.Counts)
 	}
 	routes := map[string]RouteStatus{}
-	for name, c := range all.compare() {
+	for name, c := range all.compare(all) {
 		routes[name] = RouteStatus{Target: c.target.Total, TargetBad: c.target.Bad, Others: c.others.Total, OthersBad: c.others.Bad, Expected: c.expected}
 	}
 	return routes
--- a/internal/fleet/roll/evidence.go
+++ b/internal/fleet/roll/evidence.go
@@ -12,8 +12,10 @@
 	// test is repeated several times a second on each route. Without any bad responses of the
 	// others, seven bad ones suffice, far fewer than the 50 after which none may be sent.
 	haltDeviations, haltMargin = 3.8, 2.5
-	// doubtDeviations and doubtMargin apply to doubt, which delays a roll-out.
+	// doubtDeviations and doubtMargin apply to doubt, which delays a roll-out for a short time, and
+	// suspectDeviations to the doubt for which it is rolled back in the end.
 	doubtDeviations, doubtMargin = 2.0, 1.0
+	suspectDeviations            = 2.7
 	// clusterFactor is the factor on the variance of independent responses: pauses and
 	// overload make several responses bad at once.
 	clusterFactor = 2
@@ -78,19 +80,28 @@
 }
 
 // compare compares the versions by route. Each zone is compared with itself, so that a slow
-// zone is not put down to the version.
-func (e evidence) compare() map[string]*comparison {
+// zone is not put down to the version. Where there are too few responses of the others,
+// those in background are used, of the zone if possible.
+func (e evidence) compare(background evidence) map[string]*comparison {
 	routes, pooled := map[string]*comparison{}, map[string]*Tally{}
-	for bucket, c := range e {
-		if routes[bucket.Route] == nil {
-			routes[bucket.Route], pooled[bucket.Route] = &comparison{}, &Tally{}
+	for bucket, c := range background {
+		if pooled[bucket.Route] == nil {
+			pooled[bucket.Route] = &Tally{}
 		}
 		pooled[bucket.Route].add(&c.Others)
 	}
 	for bucket, c := range e {
-		route, reference := routes[bucket.Route], &c.Others
-		if reference.total() < minReference {
-			reference = pooled[bucket.Route]
+		route := routes[bucket.Route]
+		if route == nil {
+			route = &comparison{}
+			routes[bucket.Route] = route
+		}
+		zone := background[bucket].Others
+		reference := pooled[bucket.Route]
+		for _, t := range []*Tally{&zone, &c.Others} {
+			if t.total() >= minReference {
+				reference = t
+			}
 		}
 		slow := reference.slowClass()
 		route.target.add(&c.Target, slow)
@@ -105,43 +116,54 @@
 
 // verdict is a judgement of the new version.
 type verdict struct {
-	// bad is set if the version is bad on route, and doubtful if it might be.
-	bad, doubtful bool
-	route         string
-	comparison    comparison
+	// bad is set if the version is bad on route, suspect if it probably is, and doubtful if it might
+	// be on some route.
+	bad, suspect, doubtful bool
+	route                  string
+	comparison             comparison
 	// sufficient is set if each route has enough responses, and responded if the new version
 	// has given any, or no version has.
 	sufficient, responded bool
+	// compared is set if there are responses of the other versions.
+	compared bool
 }
 
-// judge compares the versions on each route. byVM holds the responses of each VM. What only one
-// VM sees may be its link.
-func judge(byVM map[ident.VMID]evidence, share float64) verdict {
+// sumOf returns the responses of all VMs.
+func sumOf(byVM map[ident.VMID]evidence) evidence {
 	total := evidence{}
 	for _, counts := range byVM {
 		total.add(counts)
 	}
+	return total
+}
+
+// judge compares the versions on each route. byVM holds the responses of each VM, some of all
+// those in background. What only one VM sees may be its link.
+func judge(byVM map[ident.VMID]evidence, background evidence, share float64) verdict {
 	v := verdict{sufficient: true}
 	var target, others uint32
-	for route, c := range total.compare() {
+	for route, c := range sumOf(byVM).compare(background) {
 		target, others = target+c.target.Total, others+c.others.Total
 		v.sufficient = v.sufficient && c.isSufficient(share)
+		if !v.bad && !v.suspect && c.exceeds(suspectDeviations, doubtMargin) {
+			v.suspect, v.route, v.comparison = true, route, *c
+		}
 		v.doubtful = v.doubtful || c.exceeds(doubtDeviations, doubtMargin)
-		if !v.bad && c.exceeds(haltDeviations, haltMargin) && !isOneLink(byVM, route, c) {
+		if !v.bad && c.exceeds(haltDeviations, haltMargin) && !isOneLink(byVM, background, route, c) {
 			v.bad, v.route, v.comparison = true, route, *c
 		}
 	}
-	v.responded = target > 0 || others == 0
+	v.responded, v.compared = target > 0 || others == 0, others > 0
 	return v
 }
 
 // isOneLink reports whether the excess of bad responses on a route comes from a single VM while
 // others had responses there.
-func isOneLink(byVM map[ident.VMID]evidence, route string, all *comparison) bool {
+func isOneLink(byVM map[ident.VMID]evidence, background evidence, route string, all *comparison) bool {
 	var worst ident.VMID
 	highest := 0.0
 	for vm, counts := range byVM {
-		if c := counts.compare()[route]; c != nil && c.excess() > highest {
+		if c := counts.compare(background)[route]; c != nil && c.excess() > highest {
 			worst, highest = vm, c.excess()
 		}
 	}
@@ -151,7 +173,7 @@
 			rest.add(counts)
 		}
 	}
-	elsewhere := rest.compare()[route]
+	elsewhere := rest.compare(background)[route]
 	if elsewhere == nil || elsewhere.target.Total < minElsewhere {
 		return elsewhere != nil && elsewhere.target.Total > 0 && all.excess() < maxAlone
 	}
--- a/internal/fleet/roll/member.go
+++ b/internal/fleet/roll/member.go
@@ -27,8 +27,9 @@
 	relayTime = 2 * time.Second
 	// maxRanks bounds the ranks that are kept: those of 10 services and 460 VMs.
 	maxRanks = 4600
-	// avoidTime is the time for which a VM that did not reply is not reported to.
-	avoidTime = 2 * time.Second
+	// avoidTime is the time for which a VM that did not reply is not reported to. A dead one is
+	// silent after 0.9 s.
+	avoidTime = 700 * time.Millisecond
 )
 
 // Mode says which servers of a service get requests.
@@ -79,8 +80,8 @@
 	Silent  func(ident.VMID) bool
 	// Fresh is set if the view of the store is confirmed, so that this VM may decide.
 	Fresh bool
-	// Targets returns the number of usable servers of a version.
-	Targets func(service ident.ServiceID, version string) int
+	// Servers returns the numbers of usable servers of a version, and of the others.
+	Servers func(service ident.ServiceID, version string) (targets, others int)
 	// Count fills in what this VM has counted for a report.
 	Count func(report *Report)
 }
@@ -294,9 +295,9 @@
 	for _, r := range k.relayed {
 		k.decider.Observe(r.at, r.report)
 	}
+	targets, others := s.Servers(service, k.rollout.Order.Version)
 	decision := k.decider.Decide(Input{
-		Now: s.Now, WallMillis: s.WallMillis, Rollout: k.rollout, Members: s.Serving,
-		Targets: s.Targets(service, k.rollout.Order.Version),
+		Now: s.Now, WallMillis: s.WallMillis, Rollout: k.rollout, Members: s.Serving, Targets: targets, Others: others,
 	})
 	k.share, k.repliedAt, k.hasReply = decision.Share, s.Now, true
 	return decision.Write
