--- a/internal/conf/fwconf/settings.go
+++ b/internal/conf/fwconf/settings.go
@@ -26,6 +26,7 @@
 	Servers     Servers
 	Quarantine  Quarantine
 	Quota       Quota
+	Rollout     Rollout
 	Log         Log
 }
 
@@ -119,6 +120,15 @@
 	Slack   float64
 }
 
+// Rollout limits what a new version of a service gets before it is proven.
+type Rollout struct {
+	// Share is the part of the requests to the service, over all VMs together, and Slack the
+	// number of requests beside that.
+	Share, Slack float64
+	// Back is the time after which a version that is known to be bad gets no requests.
+	Back time.Duration
+}
+
 // Log holds the settings of logging.
 type Log struct {
 	Level slog.Level
@@ -139,6 +149,9 @@
 	defaultQuotaWindow  = 5 * time.Second
 	defaultOverage      = 0.1
 	defaultQuotaSlack   = 20
+	defaultExposure     = 0.1
+	defaultExposed      = 50
+	defaultBack         = 5 * time.Second
 	// maxCallerHeaders bounds Quarantine.Callers.
 	maxCallerHeaders = 16
 )
@@ -176,6 +189,7 @@
 		Servers:     readServers(file.Section("servers", false)),
 		Quarantine:  readQuarantine(file.Section("quarantine", false)),
 		Quota:       readQuota(file.Section("quota", false)),
+		Rollout:     readRollout(file.Section("rollout", false)),
 		Log:         readLog(file.Section("log", false)),
 	}
 	if err := file.Err(); err != nil {
@@ -249,6 +263,14 @@
 	}
 }
 
+func readRollout(section *strict.Section) Rollout {
+	return Rollout{
+		Share: section.Float("share", coll.Some(defaultExposure), 0, 1),
+		Slack: section.Float("slack", coll.Some(float64(defaultExposed)), 0, 1e6),
+		Back:  section.Duration("back", coll.Some(defaultBack), time.Second, time.Hour),
+	}
+}
+
 func readLog(section *strict.Section) Log {
 	return Log{Level: section.Level("level")}
 }
--- a/internal/conf/fwconf/settings_test.go
+++ b/internal/conf/fwconf/settings_test.go
@@ -1,6 +1,8 @@
 package fwconf_test
 
 import (
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,9 +31,10 @@
 	require.Equal(t, 6*time.Second, s.VM.StopBound)
 	require.False(t, s.Answers.Partial)
 	require.InDelta(t, 0.1, s.RetryBudget.Share, 0)
+	require.Equal(t, fwconf.Rollout{Share: 0.1, Slack: 50, Back: 5 * time.Second}, s.Rollout)
 }
 
-// Guards against a file from deploy/forward.ini that is refused where the platform names no
+// Guards against a file from deploy/tier.ini that is refused where the platform names no
 // bounds of quotas, or names them as it does today.
 func TestQuotaSectionMayBeEmpty(t *testing.T) {
 	s, err := fwconf.Parse([]byte(requiredSettings + "[quota]\n\n"))
@@ -42,6 +45,17 @@
 	require.Equal(t, fwconf.Quota{Window: 4 * time.Second, Overage: 0.2, Slack: 30}, s.Quota)
 }
 
+// Guards against settings that differ between what the platform runs and what review/ starts:
+// review/ renders plain placeholders only.
+func TestTemplatesAgree(t *testing.T) {
+	plain, err := os.ReadFile("../../../deploy/forward.ini")
+	require.NoError(t, err)
+	full, err := os.ReadFile("../../../deploy/tier.ini")
+	require.NoError(t, err)
+	require.True(t, strings.HasPrefix(string(full), string(plain)))
+	require.NotContains(t, string(plain), "{{#")
+}
+
 func TestFaultsNameLineAndKey(t *testing.T) {
 	_, err := fwconf.Parse([]byte(requiredSettings + "[extra]\nshare = 2\nslak = 3\n[log]\nlevel = loud\n"))
 	require.Error(t, err)
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -26,6 +26,7 @@
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/core/guard"
 	"github.com/samphirestair/samphirestair/internal/fleet/beats"
+	"github.com/samphirestair/samphirestair/internal/fleet/roll"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/fleet/seeds"
 	"github.com/samphirestair/samphirestair/internal/front/gate"
@@ -33,6 +34,7 @@
 	"github.com/samphirestair/samphirestair/internal/link/detour"
 	"github.com/samphirestair/samphirestair/internal/link/gossip"
 	"github.com/samphirestair/samphirestair/internal/link/grant"
+	"github.com/samphirestair/samphirestair/internal/link/tally"
 	"github.com/samphirestair/samphirestair/internal/ops/admin"
 	"github.com/samphirestair/samphirestair/internal/owner/notice"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
@@ -79,7 +81,9 @@
 	// Eras tracks the era of the store for Depot.
 	Eras   *depot.EraTracker
 	Reader roster.Decoder
-	Names  header.Names
+	// RolloutStatus returns the key and the value that tell operators of a roll-out.
+	RolloutStatus func(service ident.ServiceID, record *roll.Record) (key string, value []byte, err error)
+	Names         header.Names
 	// Ready and Directory return the handlers of the readiness port and of the
 	// port that serves the address list.
 	Ready     func(ready func() bool) fasthttp.RequestHandler
@@ -114,7 +118,10 @@
 	ledger             *poison.Ledger
 	gossip             *gossip.Exchange
 	quota              *grant.Service
-	env                *relay.Env
+	rollouts           *tally.Exchange
+	// clock includes the time in suspension.
+	clock func() time.Duration
+	env   *relay.Env
 	// cost is the choice of servers of env.
 	cost      choose.CostPolicy
 	admission admit.QueuingPolicy
@@ -137,7 +144,7 @@
 func New(settings *fwconf.Settings, load Loader, adapter Adapter, logger *slog.Logger) (*Tier, error) {
 	debug.SetMemoryLimit(int64(memoryFraction * float64(settings.VM.Memory)))
 	debug.SetGCPercent(garbagePercent)
-	t := &Tier{settings: settings, loadSettings: load, adapter: adapter, metrics: metrics.NewSet()}
+	t := &Tier{settings: settings, loadSettings: load, adapter: adapter, metrics: metrics.NewSet(), clock: newClock()}
 	t.current.Store(settings)
 	t.memory = budget.New(int(memoryShare * float64(settings.VM.Memory)))
 	logger = logger.With(slog.String("vm", string(settings.VM.ID)))
@@ -155,7 +162,7 @@
 	}
 	fleetState := roster.NewState(self.VM, adapter.Reader, t.events)
 	peers := seeds.NewClient(func() []string { return t.heartbeats.RecentSenders() })
-	t.follower = roster.NewFollower(adapter.Depot, fleetState, roster.FollowerOptions{CatchUpTime: settings.Depot.Touch, Peers: peers})
+	t.follower = roster.NewFollower(adapter.Depot, fleetState, roster.FollowerOptions{CatchUpTime: settings.Depot.Touch, Peers: peers, BeforePublish: t.announceRollouts})
 	t.registrar = roster.NewRegistrar(adapter.Depot, t.follower, self, t.events)
 	t.reach = reach.NewTracker()
 	var err error
@@ -190,6 +197,7 @@
 	}
 	t.metrics.NewGauge("samphirestair_admission_waiting", func() float64 { return t.sumAdmission(func(s admit.ServiceState) int { return s.Waiting }) })
 	t.metrics.NewGauge("samphirestair_admission_tenants", func() float64 { return t.sumAdmission(countTenants) })
+	t.buildRollouts(self)
 	t.peerClient = deleg.NewClient()
 	t.peerServer = deleg.NewServer(runner.NewLocalSender(t.follower, t.pool), t.refusesOrder, t.peerHandler(), t.events, t.reporters[peersPort])
 	t.delegates = runner.NewDelegates(t.follower, t.heartbeats.Detector())
@@ -231,7 +239,7 @@
 
 // peerHandler returns the handler of the requests of other VMs that are not orders.
 func (t *Tier) peerHandler() fasthttp.RequestHandler {
-	others := t.quota.Handler(t.gossip.Handler(seeds.Handler(t.follower)))
+	others := t.rollouts.Handler(t.quota.Handler(t.gossip.Handler(seeds.Handler(t.follower))))
 	return func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Path()) == detour.Path {
 			t.gate.RunDetour(ctx)
@@ -296,9 +304,10 @@
 		TrialLoad: func(server ident.ServerID) (requests int, certain bool) {
 			return t.pool.TrialLoad(server)
 		},
-		Notices: t.notices,
-		Pace:    relay.NewPacer(t.pace, time.Now()),
-		Options: relay.Options{Partial: t.settings.Answers.Partial, CrossZonePenalty: t.settings.Cost.Stay}.WithDefaults(),
+		Notices:   t.notices,
+		Exposures: relay.NewExposures(t.clock, t.exposureSlack),
+		Pace:      relay.NewPacer(t.pace, time.Now()),
+		Options:   relay.Options{Partial: t.settings.Answers.Partial, CrossZonePenalty: t.settings.Cost.Stay}.WithDefaults(),
 	}
 	return nil
 }
@@ -332,6 +341,7 @@
 		"cost":        func() any { return t.cost.CostState(time.Now()) },
 		"quarantine":  func() any { return t.ledger.List(time.Now()) },
 		"quota":       func() any { return t.quota.State() },
+		"rollouts":    func() any { return t.rollouts.Status() },
 		"decisions":   func() any { return t.events.History() },
 		"listeners":   func() any { return t.ports.Load().stats() },
 		"memory":      func() any { return t.memoryState() },
@@ -423,6 +433,7 @@
 	running.Go(func() { t.maintain(ctx) })
 	running.Go(func() { t.gossip.Run(ctx) })
 	running.Go(func() { t.quota.Run(ctx) })
+	running.Go(func() { t.rollouts.Run(ctx) })
 	running.Go(func() { t.watchSettings(ctx, reload) })
 	t.serve(&running, "callers", t.gate.Serve, ports.callers)
 	t.serve(&running, "directory", t.directory.Serve, ports.directory)
--- a/internal/query/relay/shard.go
+++ b/internal/query/relay/shard.go
@@ -57,6 +57,8 @@
 	costFactor, shardFactor float64
 	// delegated is set if a VM in another zone may send it on behalf of this one.
 	delegated bool
+	// exposed is set during a roll-out of the service.
+	exposed *exposedAttempt
 	// pending is set until a reply arrives.
 	pending bool
 	// mayHaveRun is cleared once it is certain that the server neither runs nor ran it.
