Let a successor wait for reports before it judges a version

A VM that took over the decision had no reports at first, and could find a version as good as the others because nobody had said otherwise.

--- a/internal/fleet/roll/decider.go
+++ b/internal/fleet/roll/decider.go
@@ -97,8 +97,9 @@
 
 	order   Order
 	started bool
-	// began is when the order was written, as far as is known.
-	began time.Duration
+	// startedAt is when this VM began to decide, and began when the order was written, as far as is
+	// known.
+	startedAt, began time.Duration
 	// seq is the number of the last record seen, and phaseSince when it was first seen.
 	seq uint64
 	// members is the number of VMs that serve.
@@ -152,7 +153,7 @@
 	}
 	*d = Decider{
 		service: d.service, share: d.share, order: order, started: true,
-		began: now, markedAt: now, idleSince: -1, sources: map[processID]*source{},
+		startedAt: now, began: now, markedAt: now, idleSince: -1, sources: map[processID]*source{},
 	}
 }
 
@@ -211,14 +212,16 @@
 	case record.Phase == Exposing:
 		return exposingShare * d.share
 	default:
-		return movingShares[min(d.step(now), len(movingShares)-1)]
+		return movingShares[min(d.step(now, record), len(movingShares)-1)]
 	}
 }
 
-// step returns the number of steps since the share began to grow.
-func (d *Decider) step(now time.Duration) int {
+// step returns the number of steps since the share began to grow, which another VM may have
+// decided.
+func (d *Decider) step(now time.Duration, record *Record) int {
 	length := max(time.Duration(stepPart*float64(d.order.Duration)), minStep, time.Duration(d.members)*stepPerVM)
-	return int((now - d.phaseSince) / length)
+	since := d.began + time.Duration(record.ElapsedMillis)*time.Millisecond
+	return max(int((now-since)/length), 0)
 }
 
 // next returns the phase that the roll-out should be in and why, or "" if it stays.
@@ -239,14 +242,14 @@
 		if d.halted != "" {
 			return DrainingNew, d.halted
 		}
-		return d.judgeVersion(in, record.Phase)
+		return d.judgeVersion(in, record)
 	default:
 		return "", ""
 	}
 }
 
 // judgeVersion decides from the responses whether the share of the new version grows or ends.
-func (d *Decider) judgeVersion(in Input, phase Phase) (Phase, string) {
+func (d *Decider) judgeVersion(in Input, record *Record) (Phase, string) {
 	all, recent := d.collect()
 	total := sumOf(all)
 	whole, late := judge(all, total, d.share*exposingShare), judge(recent, total, 0)
@@ -255,6 +258,9 @@
 			return DrainingNew, v.describe()
 		}
 	}
+	if !d.isInformed(in) {
+		return "", ""
+	}
 	if d.isAlone(in, &whole) {
 		return DrainingOld, "there are no servers of other versions"
 	}
@@ -269,8 +275,8 @@
 			whole = late
 		}
 		return DrainingNew, "no time left to be sure: " + whole.describe()
-	case phase == Moving:
-		if !doubtful && d.step(in.Now) >= len(movingShares) {
+	case record.Phase == Moving:
+		if !doubtful && d.step(in.Now, record) >= len(movingShares) {
 			return DrainingOld, "as good as the other versions on each route"
 		}
 		return "", ""
@@ -286,6 +292,24 @@
 	return v.suspect || v.doubtful && elapsed < unprovenAfter
 }
 
+// isInformed reports whether all VMs that serve have reported, without which a VM that has just
+// begun to decide knows nothing in favour of the version or against it.
+func (d *Decider) isInformed(in Input) bool {
+	if in.Now-d.startedAt >= gonePatience {
+		return true
+	}
+	reported := coll.NewSet[ident.VMID]()
+	for id := range d.sources {
+		reported.Add(id.vm)
+	}
+	for _, vm := range in.Members {
+		if !reported.Has(vm) {
+			return false
+		}
+	}
+	return true
+}
+
 // isAlone reports whether there never were servers of other versions.
 func (d *Decider) isAlone(in Input, whole *verdict) bool {
 	return !d.hadOthers && !whole.compared && in.Targets > 0 && in.Now-d.began >= aloneTime
--- a/internal/fleet/roll/member_test.go
+++ b/internal/fleet/roll/member_test.go
@@ -19,6 +19,7 @@
 	counts   map[roll.Bucket]roll.Counts
 	fresh    bool
 	others   int
+	serving  []ident.VMID
 	// writes are those that the store has not executed.
 	writes []roll.Write
 }
@@ -26,7 +27,7 @@
 func newSoleVM() *soleVM {
 	return &soleVM{
 		member:   roll.NewMember("vm-1", 1, func() roll.Bounds { return roll.Bounds{Share: exposureShare, Back: rollback} }),
-		rollouts: map[ident.ServiceID]roll.Rollout{}, fresh: true, others: 1,
+		rollouts: map[ident.ServiceID]roll.Rollout{}, fresh: true, others: 1, serving: []ident.VMID{"vm-1"},
 	}
 }
 
@@ -40,7 +41,7 @@
 func (v *soleVM) step(d time.Duration) (permit roll.Permit, known bool) {
 	for end := v.now + d; v.now < end; v.now += 50 * time.Millisecond {
 		step := v.member.Update(roll.Situation{
-			Now: v.now, Rollouts: v.rollouts, Serving: []ident.VMID{"vm-1"}, Silent: func(ident.VMID) bool { return false },
+			Now: v.now, Rollouts: v.rollouts, Serving: v.serving, Silent: func(vm ident.VMID) bool { return vm != "vm-1" },
 			Fresh: v.fresh, Servers: func(ident.ServiceID, string) (int, int) { return 1, v.others },
 			Count: func(r *roll.Report) { r.Counts = v.counts },
 		})
@@ -178,3 +179,20 @@
 		})
 	}
 }
+
+// A VM that takes over must not judge a version before the others have reported.
+func TestSuccessorWaitsForReports(t *testing.T) {
+	v := newSoleVM()
+	v.order("v2", 1)
+	r := v.rollouts[service]
+	r.Record, r.Revision = &roll.Record{Order: r.Order, Phase: roll.Moving, Seq: 2, ElapsedMillis: 50_000}, 9
+	v.rollouts[service], v.serving = r, []ident.VMID{"vm-1", "vm-2"}
+	v.step(time.Second)
+	require.Empty(t, v.writes)
+	v.member.HandleReport(v.now, []roll.Report{{VM: "vm-2", Boot: 1, Number: 1, Service: service, Position: 1, Counts: map[roll.Bucket]roll.Counts{
+		{Route: "a"}: {Target: tallyOf(0, 0, 20), Others: tallyOf(100, time.Millisecond, 0)},
+	}}})
+	v.step(200 * time.Millisecond)
+	require.Len(t, v.writes, 1)
+	require.Equal(t, roll.DrainingNew, v.writes[0].Record.Phase)
+}
