Withdraw the shares of VMs that may have been replaced

Cause: a group of VMs without the store kept its shares as long as one other VM answered, although VMs that hear the store may serve in its place. Both together exceed the rates of tenants that have callers on both sides.

Change: without the store for 4 s, a process uses its share only while more than half of the VMs that may own quotas answer it.

Run: go test ./internal/query/quota: passes in 12 s.

--- a/internal/query/quota/fleet_test.go
+++ b/internal/query/quota/fleet_test.go
@@ -32,6 +32,8 @@
 	// side is the side of a partition that each VM is on.
 	side     map[ident.VMID]int
 	messages []message
+	// viewAge is the time since the store was heard.
+	viewAge time.Duration
 	// spent holds the times of the requests that ran, by tenant, and refused and failed count
 	// the others by whether the owner refused.
 	spent           map[ident.TenantID][]time.Duration
@@ -215,7 +217,7 @@
 
 // situation returns what a process knows of the fleet.
 func (f *fleet) situation(p *process) quota.Situation {
-	situation := quota.Situation{Sharers: f.sharers, Serving: f.now >= p.serving}
+	situation := quota.Situation{Sharers: f.sharers, Serving: f.now >= p.serving, ViewAge: f.viewAge}
 	for i, v := range f.vms {
 		situation.Registered = append(situation.Registered, v.id)
 		if v == p.vm && situation.Serving || v != p.vm && p.vm.heard[i] > 0 && f.now-p.vm.heard[i] < silentAfter {
--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -17,9 +17,11 @@
 	replyTimeout = 250 * time.Millisecond
 	// slowTime is the time without an answer after which the deputy is asked.
 	slowTime = 50 * time.Millisecond
-	// isolationTime is the time without an answer from any owner, and the age of the view, from
-	// which this VM may have been replaced and no longer uses its share.
+	// isolationTime is the age of the view from which this VM may have been replaced, since its
+	// registration has lapsed, and heardTime the time since its last answer for which an owner
+	// counts as heard.
 	isolationTime = 4 * time.Second
+	heardTime     = 2 * time.Second
 	// aheadTime is the time for which tokens are requested in advance at the usual demand, and
 	// demandTime the time over which the demand is averaged.
 	aheadTime  = 400 * time.Millisecond
@@ -121,9 +123,7 @@
 	peers     map[ident.VMID]*peer
 	accounts  map[ident.TenantID]*account
 	// seq is the number of the latest order.
-	seq uint64
-	// heardAt is the time of the last answer of any owner.
-	heardAt   time.Duration
+	seq       uint64
 	nextSweep time.Duration
 }
 
@@ -179,7 +179,7 @@
 // shares that this process does not lease to others.
 func NewHolder(now time.Duration, self Process, owner *Owner) *Holder {
 	return &Holder{
-		self: self, owner: owner, started: now, now: now, heardAt: now,
+		self: self, owner: owner, started: now, now: now,
 		peers: map[ident.VMID]*peer{}, accounts: map[ident.TenantID]*account{},
 	}
 }
@@ -288,13 +288,22 @@
 }
 
 // ownsShare reports whether this process may use its share. One that has heard nothing of the
-// store and of the owners for isolationTime may have been replaced.
+// store for isolationTime may have been replaced, unless most owners answer: then the store is
+// down, or few can have been replaced.
 func (h *Holder) ownsShare() bool {
 	if !h.situation.Serving || h.situation.Sharers <= 0 {
 		return false
 	}
-	alone := len(h.situation.Owners) == 0 || len(h.situation.Owners) == 1 && h.situation.Owners[0] == h.self.VM
-	return alone || h.situation.ViewAge < isolationTime || h.now-h.heardAt < isolationTime
+	if h.situation.ViewAge < isolationTime {
+		return true
+	}
+	heard := 1
+	for _, p := range h.peers {
+		if p.boot != 0 && h.now-p.stampAt < heardTime {
+			heard++
+		}
+	}
+	return 2*heard > min(len(h.situation.Registered), maxOwners)
 }
 
 // Take takes a token for a request of a tenant. If the decision is Waiting, EndWait must be called.
@@ -564,7 +573,7 @@
 		return
 	}
 	sentAt := p.sentAt
-	p.order, p.failed, p.slow, h.heardAt = nil, false, false, h.now
+	p.order, p.failed, p.slow = nil, false, false
 	// The first stamp of an owner makes it possible to lease shares to it.
 	p.urgent = p.urgent || p.boot != reply.Boot && h.situation.Serving
 	p.boot, p.stamp, p.stampAt = reply.Boot, reply.Stamp, h.now
--- a/internal/query/quota/quota_test.go
+++ b/internal/query/quota/quota_test.go
@@ -160,6 +160,24 @@
 	require.GreaterOrEqual(t, len(f.spent["north"]), 20)
 }
 
+// Guards against VMs that go on using their shares while others may have replaced them, and
+// against quotas that end while only the store is down.
+func TestMinorityWithoutTheStoreUsesNoShare(t *testing.T) {
+	f := newFleet(rand.New(rand.NewPCG(5, 6)), 12)
+	limit := quota.Limit{Tenant: "north", Rate: 100}
+	f.run(3*time.Second, nil)
+	f.viewAge = time.Minute
+	f.run(2*time.Second, func() { f.request(f.vms[0], limit) })
+	require.Greater(t, len(f.spent["north"]), 150)
+	for _, v := range f.vms[:5] {
+		f.side[v.id] = 1
+	}
+	f.run(5*time.Second, nil)
+	f.spent["north"] = nil
+	f.run(5*time.Second, func() { f.request(f.vms[0], limit) })
+	require.LessOrEqual(t, len(f.spent["north"]), 20)
+}
+
 // Guards against owners that go on without a share, or processes that don't find the new owner,
 // after the end of an owner: within 2 s a tenant has all of its quota.
 func TestQuotaIsWholeTwoSecondsAfterTheEndOfAnOwner(t *testing.T) {
