--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -123,7 +123,7 @@
 	peers     map[ident.VMID]*peer
 	accounts  map[ident.TenantID]*account
 	// seq is the number of the latest order.
-	seq uint64
+	seq       uint64
 	nextSweep time.Duration
 }
 
