Allow fewer misses in the simulated roll-outs

Eight runs of the 162 scenarios missed none, so that two suffice for the random choices that have no seed. go test -run SimulatedRollouts ./internal/fleet/roll, eight times: 0 of 162 missed each time.

--- a/internal/fleet/roll/sim_test.go
+++ b/internal/fleet/roll/sim_test.go
@@ -553,10 +553,10 @@
 
 // The decision must be right and in time, and no version may get more than its share, whatever
 // fails: a wrong decision loses responses, a late one is priced. The product's own random choices
-// have no seed, and a decision from samples may be wrong: 1 in 100 simulated ones are, so that
-// more than maxMissed of these 162 show a fault. The other bounds hold for each.
+// have no seed, and a decision from samples may be wrong: eight runs of these 162 missed none, so
+// that more than maxMissed show a fault. The other bounds hold for each.
 func TestSimulatedRollouts(t *testing.T) {
-	const maxMissed = 5
+	const maxMissed = 2
 	var missed []*simulation
 	all := scenarios()
 	for _, c := range all {
