Hold tokens for requests that stopped waiting for 300 ms only

If an owner answers after more than 30 ms, its tokens arrive when the requests have stopped waiting. The VM then held all of them for 2 s, without the limit on tokens granted in advance, while the bucket was refilled. A simulated tenant with a rate of 40/s and a burst of 80 on 12 VMs exceeded its bound by 24 requests. Such tokens are now valid for 300 ms after the order was sent.

Run: go test ./internal/query/quota ./internal/front/gate passes; TestBoundHoldsWithLateAnswers failed before with an excess of 24.

--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -12,6 +12,10 @@
 )
 
 const (
+	// lateTime is the time for which tokens are valid whose requests stopped waiting for them. It
+	// lets callers that retry at once find them. Unlike those granted in advance, their number is
+	// that of the requests, so that with holdTime they would add 2 s of the rate to a full bucket.
+	lateTime = 300 * time.Millisecond
 	// replyTimeout is the time after which an order has failed. It covers an owner that has used
 	// up its processor time of a period of 100 ms.
 	replyTimeout = 250 * time.Millisecond
@@ -506,7 +510,7 @@
 	h.release(vm, order)
 	for i, grant := range reply.Grants {
 		if a := h.accounts[ident.TenantID(order.Asks[i].Tenant)]; a != nil {
-			h.receive(a, sentAt+holdTime, order, grant)
+			h.receive(a, sentAt, order, i, grant)
 		}
 	}
 }
@@ -610,8 +614,9 @@
 	return some
 }
 
-// receive distributes the tokens of a grant: first to the requests that wait, in order.
-func (h *Holder) receive(a *account, until time.Duration, order *Order, grant Grant) {
+// receive distributes the tokens granted for an ask of an order that was sent at sentAt: first to
+// the requests that wait, in order.
+func (h *Holder) receive(a *account, sentAt time.Duration, order *Order, ask int, grant Grant) {
 	left := grant.Count
 	rest := a.waiters[:0]
 	for _, w := range a.waiters {
@@ -631,7 +636,12 @@
 	}
 	clear(a.waiters[len(rest):])
 	a.waiters = rest
-	for range left {
+	ahead := grant.Count - min(order.Asks[ask].Need, grant.Count)
+	for i := range left {
+		until := sentAt + holdTime
+		if i >= ahead {
+			until = sentAt + lateTime
+		}
 		a.tokens = append(a.tokens, until)
 	}
 	slices.Sort(a.tokens)
--- a/internal/query/quota/quota_test.go
+++ b/internal/query/quota/quota_test.go
@@ -127,3 +127,25 @@
 		}
 	}
 }
+
+// Guards against tokens that arrive after their requests have stopped waiting, and are then held
+// beside a bucket that has been refilled meanwhile.
+func TestBoundHoldsWithLateAnswers(t *testing.T) {
+	f := newFleet(rand.New(rand.NewPCG(1, 1)), 12)
+	limit := quota.Limit{Tenant: "north", Rate: 40, Burst: 80}
+	f.run(2*time.Second, nil)
+	f.request(f.vms[0], limit)
+	f.delay = 100 * time.Millisecond
+	f.run(6*time.Second, nil)
+	for range 90 {
+		f.request(f.vms[f.random.IntN(len(f.vms))], limit)
+	}
+	f.run(1700*time.Millisecond, nil)
+	f.delay = 3 * time.Millisecond
+	f.run(6*time.Second, func() {
+		for range 3 {
+			f.request(f.vms[f.random.IntN(len(f.vms))], limit)
+		}
+	})
+	require.LessOrEqual(t, f.excess(limit), 0.0)
+}
