Stop using the share of a VM that hears no other VM

A VM that is cut off from the store and from all other VMs may have been replaced and must stop using its share after 4 s. It never did, since a VM was taken for the only one if all others were silent, which they are to a VM that is cut off. It now counts as the only one if no other VM is registered in its view. The cost: with the store down, a VM that outlives all others serves no limited tenant after 4 s.

Run: go test ./internal/query/quota ./internal/core/tier passes; TestIsolatedVMStopsUsingItsShare failed before.

--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -275,8 +275,9 @@
 	if !h.situation.Serving || h.situation.Sharers <= 0 {
 		return false
 	}
-	alone := len(h.situation.Owners) == 0 || len(h.situation.Owners) == 1 && h.situation.Owners[0] == h.self.VM
-	return alone || h.situation.ViewAge < isolationTime || h.now-h.heardAt < isolationTime
+	// Silent VMs count, since all others are silent to a VM that is cut off.
+	others := slices.ContainsFunc(h.situation.Registered, func(vm ident.VMID) bool { return vm != h.self.VM })
+	return !others || h.situation.ViewAge < isolationTime || h.now-h.heardAt < isolationTime
 }
 
 // Take takes a token for a request of a tenant. If the decision is Waiting, EndWait must be called.
--- a/internal/query/quota/quota_test.go
+++ b/internal/query/quota/quota_test.go
@@ -149,3 +149,33 @@
 	})
 	require.LessOrEqual(t, f.excess(limit), 0.0)
 }
+
+// newLeaser returns the holder of VM "p", which has been running for a second.
+func newLeaser(situation quota.Situation) *quota.Holder {
+	owner := quota.NewOwner(0, 1, func() quota.Bounds { return bounds })
+	holder := quota.NewHolder(0, quota.Process{VM: "p", Boot: 1}, owner)
+	holder.Update(0, situation)
+	holder.Update(time.Second, situation)
+	return holder
+}
+
+// Guards against a VM that uses its share although it has heard nothing of the store and the other
+// VMs for so long that another VM may serve in its place.
+func TestIsolatedVMStopsUsingItsShare(t *testing.T) {
+	limit := quota.Limit{Tenant: "north", Rate: 20, Burst: 30}
+	for name, test := range map[string]struct {
+		registered []ident.VMID
+		age        time.Duration
+		verdict    quota.Verdict
+	}{
+		"store is heard": {[]ident.VMID{"p", "a"}, time.Second, quota.Granted},
+		"isolated":       {[]ident.VMID{"p", "a"}, 10 * time.Second, quota.Refused},
+		"only VM":        {[]ident.VMID{"p"}, 10 * time.Second, quota.Granted},
+	} {
+		situation := quota.Situation{Owners: []ident.VMID{"p"}, Registered: test.registered, Sharers: 6, Serving: true}
+		holder := newLeaser(situation)
+		situation.ViewAge = test.age
+		holder.Update(10*time.Second, situation)
+		require.Equal(t, test.verdict, holder.Take(10*time.Second, limit).Verdict, name)
+	}
+}
