Name the limits of the configuration in force in orders

An order names its limits under the version of the configuration in force, but took them from the latest request of the tenant at this VM, also if that came before a change. A request that was read before a change and gave its token back stored the old limit under the new version as well. The owner takes a limit of the same version for a correction, so that it went back to a limit that had been lowered until another VM named the new one. A holder now applies the limits of a new version to all tenants in use, and Take and GiveBack look up the limit in the configuration in force.

--- a/internal/link/grant/grant.go
+++ b/internal/link/grant/grant.go
@@ -111,9 +111,12 @@
 		return Decision{Granted: true}
 	}
 	view := s.deps.Views.View()
-	limit := newLimit(tenant, view)
+	limit, isLimited := limitOf(view.Table, tenant.Name)
+	if !isLimited {
+		return Decision{Granted: true}
+	}
 	s.mu.Lock()
-	if !s.holder.IsReady() && view.Table != nil {
+	if !s.holder.IsReady() {
 		// The first request comes before Run has seen that there are quotas.
 		s.holder.Update(s.deps.Now(), s.situation(view))
 	}
@@ -153,19 +156,27 @@
 	if tenant == nil || !tenant.IsLimited() {
 		return
 	}
-	limit := newLimit(tenant, s.deps.Views.View())
+	limit, isLimited := limitOf(s.deps.Views.View().Table, tenant.Name)
+	if !isLimited {
+		return
+	}
 	s.mu.Lock()
 	s.holder.GiveBack(s.deps.Now(), limit)
 	s.mu.Unlock()
 	s.deps.Metrics.GetOrCreateCounter("samphirestair_quota_returned_total").Inc()
 }
 
-func newLimit(tenant *routes.Tenant, view *roster.View) quota.Limit {
-	limit := quota.Limit{Tenant: tenant.Name, Rate: tenant.Rate, Burst: tenant.Burst}
-	if view.Table != nil {
-		limit.Version = view.Table.Config().Version
+// limitOf returns the limit of a tenant in the configuration in force, which may be newer than the
+// one with which its request was read. isLimited is false if it has none.
+func limitOf(table *routes.Table, name ident.TenantID) (limit quota.Limit, isLimited bool) {
+	if table == nil {
+		return quota.Limit{}, false
+	}
+	tenant := table.Tenant(name)
+	if tenant == nil || !tenant.IsLimited() {
+		return quota.Limit{}, false
 	}
-	return limit
+	return quota.Limit{Tenant: name, Rate: tenant.Rate, Burst: tenant.Burst, Version: table.Config().Version}, true
 }
 
 // Handle answers the order of another VM.
@@ -253,7 +264,10 @@
 
 // situation returns what the holder needs to know of the fleet.
 func (s *Service) situation(view *roster.View) quota.Situation {
-	situation := quota.Situation{Sharers: view.ShareCount, Serving: s.deps.Serving(), Version: view.Table.Config().Version}
+	situation := quota.Situation{
+		Sharers: view.ShareCount, Serving: s.deps.Serving(), Version: view.Table.Config().Version,
+		Limit: func(tenant ident.TenantID) (quota.Limit, bool) { return limitOf(view.Table, tenant) },
+	}
 	starting := s.deps.Now()-s.started < startTime
 	consider := func(vm ident.VMID, isServing, isSilent bool) {
 		if !isServing && (!starting || !view.TargetServing().Has(vm)) {
--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -101,8 +101,10 @@
 	// this process owns one of them.
 	Sharers int
 	Serving bool
-	// Version is the version of the configuration in force.
+	// Version is the version of the configuration in force, and Limit returns the limit of a
+	// tenant in it, or false if there is none.
 	Version ident.Version
+	Limit   func(tenant ident.TenantID) (Limit, bool)
 	// ViewAge is the time since the view was last known to be up to date.
 	ViewAge time.Duration
 }
@@ -186,6 +188,9 @@
 func (h *Holder) Update(now time.Duration, s Situation) {
 	h.advance(now)
 	first := h.situation.Sharers == 0
+	if s.Version != h.situation.Version && s.Limit != nil {
+		h.updateLimits(s.Limit)
+	}
 	slices.Sort(s.Owners)
 	if !slices.Equal(s.Owners, h.situation.Owners) || first {
 		h.desired = assign(s.Owners)
@@ -205,6 +210,16 @@
 	}
 }
 
+// updateLimits applies the limits of another version of the configuration. Orders name all limits
+// under their version, also those of tenants that have sent no request since.
+func (h *Holder) updateLimits(limitOf func(tenant ident.TenantID) (Limit, bool)) {
+	for tenant, a := range h.accounts {
+		if limit, ok := limitOf(tenant); ok && limit.Version >= a.limit.Version {
+			a.limit = limit
+		}
+	}
+}
+
 // bootSlots returns the slots that this process owns among all registered VMs, also the silent
 // ones. Which VMs are silent differs between processes and in time, so that many of them would
 // grant boot tokens of the same tenant otherwise, as would those that know few others.
--- a/internal/query/quota/quota_test.go
+++ b/internal/query/quota/quota_test.go
@@ -179,3 +179,25 @@
 		require.Equal(t, test.verdict, holder.Take(10*time.Second, limit).Verdict, name)
 	}
 }
+
+// Guards against a limit of an older configuration that an owner takes for the newest one, since a
+// VM without requests of the tenant repeats it under the new version.
+func TestOrderNamesLimitsOfItsVersion(t *testing.T) {
+	situation := quota.Situation{Owners: []ident.VMID{"a"}, Sharers: 6, Serving: true, Version: 1}
+	holder := newLeaser(situation)
+	require.Equal(t, quota.Waiting, holder.Take(time.Second, quota.Limit{Tenant: "north", Rate: 20, Version: 1}).Verdict)
+	due := holder.Due(time.Second)
+	require.Len(t, due, 1)
+	require.Len(t, due[0].Order.Asks, 1)
+	holder.Answered(time.Second, "a", due[0].Order, &quota.Reply{Boot: 2, Stamp: 1, Grants: []quota.Grant{{Count: 1}}})
+	situation.Version = 2
+	situation.Limit = func(tenant ident.TenantID) (quota.Limit, bool) {
+		return quota.Limit{Tenant: tenant, Rate: 1, Version: 2}, true
+	}
+	holder.Update(3*time.Second, situation)
+	due = holder.Due(3 * time.Second)
+	require.Len(t, due, 1)
+	require.Len(t, due[0].Order.Asks, 1)
+	require.EqualValues(t, 2, due[0].Order.Version)
+	require.Equal(t, 1.0, due[0].Order.Asks[0].Rate)
+}
