Return tokens that had no owner to go to

A VM that knew no owner kept the tokens that expired or were given back, and the memory of their tenants, until the tenant sent another request there. They are now named in the next order once there is an owner.

Run: go test ./internal/query/quota passes; TestTokensAreReturnedOnceThereIsAnOwner failed before.

--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -573,7 +573,8 @@
 // advance.
 func (h *Holder) sweep() {
 	for tenant, a := range h.accounts {
-		if a.expire(h.now) || a.wanted(h.now) > uint32(len(a.tokens)) {
+		a.expire(h.now)
+		if a.returned > 0 || a.wanted(h.now) > uint32(len(a.tokens)) {
 			h.markDirty(a)
 		}
 		if a.returned > 0 && h.slots[a.slot].owner == h.self.VM {
@@ -621,13 +622,11 @@
 }
 
 // expire returns the tokens whose validity has ended to the owner.
-func (a *account) expire(now time.Duration) (some bool) {
+func (a *account) expire(now time.Duration) {
 	for len(a.tokens) > 0 && a.tokens[0] <= now {
 		a.tokens = a.tokens[1:]
 		a.returned++
-		some = true
 	}
-	return some
 }
 
 // receive distributes the tokens granted for an ask of an order that was sent at sentAt: first to
--- a/internal/query/quota/quota_test.go
+++ b/internal/query/quota/quota_test.go
@@ -201,3 +201,17 @@
 	require.EqualValues(t, 2, due[0].Order.Version)
 	require.Equal(t, 1.0, due[0].Order.Asks[0].Rate)
 }
+
+// Guards against returned tokens, and the memory of their tenants, that stay at a VM which had no
+// owner to return them to for a while.
+func TestTokensAreReturnedOnceThereIsAnOwner(t *testing.T) {
+	situation := quota.Situation{Sharers: 6, Version: 1}
+	holder := newLeaser(situation)
+	holder.GiveBack(time.Second, quota.Limit{Tenant: "north", Rate: 20, Version: 1})
+	situation.Owners = []ident.VMID{"a"}
+	holder.Update(3*time.Second, situation)
+	due := holder.Due(3 * time.Second)
+	require.Len(t, due, 1)
+	require.Len(t, due[0].Order.Asks, 1)
+	require.EqualValues(t, 1, due[0].Order.Asks[0].Returned)
+}
