Ask an owner again soon after a lost answer

After an order without an answer, requests that wait had to stand by until the end of the interval, which is 1 s with 460 VMs. With the share leased, they were all refused for 0.75 s after a single lost answer. Such a request now leads to an order 200 ms after the one before, at the earliest.

Run: go test ./internal/query/quota passes; TestOwnerIsAskedAgainSoonAfterALostAnswer failed before.

--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -430,7 +430,7 @@
 			return
 		}
 		elapsed := h.now - p.sentAt
-		if p.urgent && !p.failed || (regular || len(p.dirty) > 0) && (elapsed >= every || p.sentAt == 0) {
+		if p.urgent && (!p.failed || elapsed >= minInterval) || (regular || len(p.dirty) > 0) && (elapsed >= every || p.sentAt == 0) {
 			due.Add(vm)
 		}
 	}
--- a/internal/query/quota/quota_test.go
+++ b/internal/query/quota/quota_test.go
@@ -215,3 +215,20 @@
 	require.Len(t, due[0].Order.Asks, 1)
 	require.EqualValues(t, 1, due[0].Order.Asks[0].Returned)
 }
+
+// Guards against refusals for the rest of a long interval after a single lost answer, if many VMs
+// serve.
+func TestOwnerIsAskedAgainSoonAfterALostAnswer(t *testing.T) {
+	holder := newLeaser(quota.Situation{Owners: []ident.VMID{"a"}, Sharers: 460, Serving: true, Version: 1})
+	limit := quota.Limit{Tenant: "north", Rate: 20, Version: 1}
+	require.Equal(t, quota.Waiting, holder.Take(time.Second, limit).Verdict)
+	due := holder.Due(time.Second)
+	require.Len(t, due, 1)
+	failedAt := time.Second + holder.Timeout()
+	holder.Failed(failedAt, "a", due[0].Order)
+	require.Equal(t, quota.Waiting, holder.Take(failedAt, limit).Verdict)
+	due = holder.Due(failedAt)
+	require.Len(t, due, 1)
+	holder.Failed(failedAt, "a", due[0].Order)
+	require.Empty(t, holder.Due(failedAt), "a refused connection leads to no hot loop")
+}
