Grant tokens of very large limits

An owner took a rate or burst of 2^31 or more for an invalid one, so that an operator who wrote 1e10 to set no limit had all requests of the tenant refused at VMs other than the owner. The bound was there for conversions of token counts to 32 bits, which are now bounded by the count that was asked for.

Run: go test ./internal/query/quota passes; TestVeryLargeLimitsAreGranted failed before.

--- a/internal/query/quota/owner.go
+++ b/internal/query/quota/owner.go
@@ -296,7 +296,7 @@
 		// Tokens are given in advance from the upper half only, so that those that wait
 		// elsewhere find some.
 		room := min(b.tokens-capacity/2, bounds.holdable(b.limit, share)-float64(b.held(o.now)+ask.Held))
-		ahead := b.take(min(ask.Ahead, uint32(max(room, 0))))
+		ahead := b.take(uint32(min(float64(ask.Ahead), max(room, 0))))
 		granted, held = granted+ahead, held+ahead
 	} else {
 		b.refused += uint64(ask.Need - granted)
@@ -313,7 +313,7 @@
 
 // isValid reports whether a limit from a message can be used.
 func (l Limit) isValid() bool {
-	return l.Rate > 0 && l.Rate < math.MaxInt32 && l.Burst >= 0 && l.Burst < math.MaxInt32
+	return l.Rate > 0 && !math.IsInf(l.Rate, 0) && l.Burst >= 0 && !math.IsInf(l.Burst, 0)
 }
 
 // take takes up to count tokens for requests that wait, also boot tokens.
@@ -331,7 +331,7 @@
 func (b *bucket) take(count uint32) uint32 {
 	// The tolerance makes up for rounding, which would otherwise delay each token.
 	const tolerance = 1e-9
-	taken := min(count, uint32(max(b.tokens+tolerance, 0)))
+	taken := uint32(min(float64(count), max(b.tokens+tolerance, 0)))
 	b.tokens = max(b.tokens-float64(taken), 0)
 	return taken
 }
--- a/internal/query/quota/quota_test.go
+++ b/internal/query/quota/quota_test.go
@@ -232,3 +232,17 @@
 	holder.Failed(failedAt, "a", due[0].Order)
 	require.Empty(t, holder.Due(failedAt), "a refused connection leads to no hot loop")
 }
+
+// Guards against refusals of all requests of a tenant with a limit that stands for none.
+func TestVeryLargeLimitsAreGranted(t *testing.T) {
+	for _, ask := range []quota.Ask{{Rate: 1e10}, {Rate: 1, Burst: 1e10}, {Rate: 1e300, Burst: 1e300}} {
+		owner := quota.NewOwner(0, 1, func() quota.Bounds { return bounds })
+		owner.LeaseOwn(0, quota.Process{VM: "a", Boot: 1}, 1<<64-1, 1)
+		ask.Tenant, ask.Need, ask.Ahead = "north", 1, 1
+		limit := quota.Limit{Tenant: "north", Rate: ask.Rate, Burst: ask.Burst}
+		_, ok := owner.Take(0, limit)
+		require.True(t, ok)
+		reply := owner.Handle(time.Hour, &quota.Order{VM: "p", Boot: 1, Seq: 1, Asks: []quota.Ask{ask}})
+		require.GreaterOrEqual(t, reply.Grants[0].Count, uint32(1), ask)
+	}
+}
