--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -507,7 +507,7 @@
 	return asks
 }
 
-// Answered handles the answer to an order that was sent at sentAt.
+// Answered handles the answer to the order in flight to an owner. Later answers are ignored.
 func (h *Holder) Answered(now time.Duration, vm ident.VMID, order *Order, reply *Reply) {
 	h.advance(now)
 	p := h.peers[vm]
