Test that a lowered limit binds where the tenant has left VMs

Run: go test ./internal/query/quota passes; the test fails if the holder is not told the limits of the new version.

--- a/internal/query/quota/fleet_test.go
+++ b/internal/query/quota/fleet_test.go
@@ -26,6 +26,8 @@
 	// sharers is the number of shares, which never falls below the number of VMs that serve.
 	sharers int
 	version ident.Version
+	// limitOf returns the limit of a tenant in the configuration in force. It may be nil.
+	limitOf func(tenant ident.TenantID) (quota.Limit, bool)
 	// loss and repeat are the shares of messages that are lost and repeated, and delay is the
 	// longest delay of one.
 	loss, repeat float64
@@ -165,7 +167,7 @@
 
 func (f *fleet) tick(p *process) {
 	now := p.local(f.now)
-	situation := quota.Situation{Sharers: f.sharers, Serving: f.now >= p.serving, Version: f.version}
+	situation := quota.Situation{Sharers: f.sharers, Serving: f.now >= p.serving, Version: f.version, Limit: f.limitOf}
 	for _, v := range f.vms {
 		situation.Registered = append(situation.Registered, v.id)
 		at, known := p.vm.heard[v.id]
--- a/internal/query/quota/quota_test.go
+++ b/internal/query/quota/quota_test.go
@@ -246,3 +246,19 @@
 		require.GreaterOrEqual(t, reply.Grants[0].Count, uint32(1), ask)
 	}
 }
+
+// Guards against a lowered limit that VMs, which the tenant has left, undo at its owner.
+func TestLoweredLimitBinds(t *testing.T) {
+	f := newFleet(rand.New(rand.NewPCG(1, 1)), 12)
+	f.version = 1
+	limit := quota.Limit{Tenant: "north", Rate: 60, Burst: 60, Version: 1}
+	f.limitOf = func(ident.TenantID) (quota.Limit, bool) { return limit, true }
+	f.run(3*time.Second, nil)
+	f.run(3*time.Second, func() { f.request(f.vms[f.random.IntN(12)], limit) })
+	limit.Rate, limit.Burst, limit.Version = 1, 0, 2
+	f.version = 2
+	f.run(time.Second, func() { f.request(f.vms[0], limit) })
+	clear(f.spent)
+	f.run(6*time.Second, func() { f.request(f.vms[0], limit) })
+	require.LessOrEqual(t, f.excess(limit), 0.0)
+}
