--- a/internal/query/quota/fleet_test.go
+++ b/internal/query/quota/fleet_test.go
@@ -25,6 +25,9 @@
 	vms    []*vm
 	// sharers is the number of shares, which never falls below the number of VMs that serve.
 	sharers int
+	version ident.Version
+	// limitOf returns the limit of a tenant in the configuration in force. It may be nil.
+	limitOf func(tenant ident.TenantID) (quota.Limit, bool)
 	// loss and repeat are the shares of messages that are lost and repeated, and delay is the
 	// longest delay of one.
 	loss, repeat float64
@@ -217,7 +220,7 @@
 
 // situation returns what a process knows of the fleet.
 func (f *fleet) situation(p *process) quota.Situation {
-	situation := quota.Situation{Sharers: f.sharers, Serving: f.now >= p.serving, ViewAge: f.viewAge}
+	situation := quota.Situation{Sharers: f.sharers, Serving: f.now >= p.serving, ViewAge: f.viewAge, Version: f.version, Limit: f.limitOf}
 	for i, v := range f.vms {
 		situation.Registered = append(situation.Registered, v.id)
 		if v == p.vm && situation.Serving || v != p.vm && p.vm.heard[i] > 0 && f.now-p.vm.heard[i] < silentAfter {
--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -12,6 +12,10 @@
 )
 
 const (
+	// lateTime is the time for which tokens are valid whose requests stopped waiting for them. It
+	// lets callers that retry at once find them. Unlike those granted in advance, their number is
+	// that of the requests, so that with holdTime they would add 2 s of the rate to a full bucket.
+	lateTime = 300 * time.Millisecond
 	// replyTimeout is the time after which an order has failed. It covers an owner that has used
 	// up its processor time of a period of 100 ms.
 	replyTimeout = 250 * time.Millisecond
@@ -105,6 +109,10 @@
 	// this process owns one of them.
 	Sharers int
 	Serving bool
+	// Version is the version of the configuration in force, and Limit returns the limit of a
+	// tenant in it, or false if there is none.
+	Version ident.Version
+	Limit   func(tenant ident.TenantID) (Limit, bool)
 	// ViewAge is the time since the view was last known to be up to date.
 	ViewAge time.Duration
 }
@@ -160,8 +168,10 @@
 type account struct {
 	limit Limit
 	slot  int
-	// tokens holds the end of validity of each token held, in ascending order.
+	// tokens holds the end of validity of each token held in advance, in ascending order, and late
+	// that of the tokens whose requests had stopped waiting when they arrived.
 	tokens   []time.Duration
+	late     []time.Duration
 	waiters  []*Waiter
 	returned uint32
 	// demand is the number of requests in the last demandTime, decayed exponentially.
@@ -189,6 +199,9 @@
 func (h *Holder) Update(now time.Duration, s Situation) {
 	h.advance(now)
 	first := h.situation.Sharers == 0
+	if s.Version != h.situation.Version && s.Limit != nil {
+		h.updateLimits(s.Limit)
+	}
 	slices.Sort(s.Owners)
 	if !slices.Equal(s.Owners, h.situation.Owners) || first {
 		h.desired, _ = assign(s.Owners)
@@ -208,6 +221,16 @@
 	}
 }
 
+// updateLimits applies the limits of another version of the configuration. Orders name all limits
+// under their version, also those of tenants that have sent no request since.
+func (h *Holder) updateLimits(limitOf func(tenant ident.TenantID) (Limit, bool)) {
+	for tenant, a := range h.accounts {
+		if limit, ok := limitOf(tenant); ok {
+			a.setLimit(limit)
+		}
+	}
+}
+
 // placeSpares determines the deputies, and the slots of which this process may grant spare
 // tokens: those of which it is owner or deputy among all registered VMs, also the silent ones.
 // Which VMs are silent differs between processes and in time, so that many of them would grant
@@ -384,6 +407,18 @@
 	h.markDirty(a)
 }
 
+// setLimit replaces the limit unless it is from an older version.
+func (a *account) setLimit(limit Limit) {
+	if limit.Version > a.limit.Version && (limit.Rate < a.limit.Rate || limit.Burst < a.limit.Burst) {
+		// A lower limit applies to the tokens held, too.
+		a.returned += uint32(len(a.tokens) + len(a.late))
+		a.tokens, a.late = nil, nil
+	}
+	if limit.Version >= a.limit.Version {
+		a.limit = limit
+	}
+}
+
 // account returns the account of a tenant, with the newest limit.
 func (h *Holder) account(limit Limit) *account {
 	a := h.accounts[limit.Tenant]
@@ -391,14 +426,7 @@
 		a = &account{slot: slotOf(limit.Tenant)}
 		h.accounts[limit.Tenant] = a
 	}
-	if limit.Version > a.limit.Version && (limit.Rate < a.limit.Rate || limit.Burst < a.limit.Burst) {
-		// A lower limit applies to the tokens held, too.
-		a.returned += uint32(len(a.tokens))
-		a.tokens = nil
-	}
-	if limit.Version >= a.limit.Version {
-		a.limit = limit
-	}
+	a.setLimit(limit)
 	return a
 }
 
@@ -462,7 +490,7 @@
 			p.slow = p.slow || elapsed >= slowTime
 			return
 		}
-		if p.urgent && !p.failed || (regular || len(p.dirty) > 0) && (elapsed >= every || p.sentAt == 0) {
+		if p.urgent && (!p.failed || elapsed >= minInterval) || (regular || len(p.dirty) > 0) && (elapsed >= every || p.sentAt == 0) {
 			due.Add(vm)
 		}
 	}
@@ -561,7 +589,7 @@
 	return ask
 }
 
-// Answered handles the answer to an order that was sent at sentAt.
+// Answered handles the answer to the order in flight to an owner. Later answers are ignored.
 func (h *Holder) Answered(now time.Duration, vm ident.VMID, order *Order, reply *Reply) {
 	h.advance(now)
 	p := h.peers[vm]
@@ -583,7 +611,7 @@
 			if order.Asks[i].Held > 0 {
 				a.extend(sentAt + holdTime)
 			}
-			h.receive(a, sentAt+holdTime, order, grant)
+			h.receive(a, sentAt, order, i, grant)
 		}
 	}
 }
@@ -632,14 +660,15 @@
 	for tenant, a := range h.accounts {
 		wanted := a.wanted(h.now)
 		expiring := wanted > 0 && len(a.tokens) > 0 && a.tokens[0] <= h.now+renewTime
-		if a.expire(h.now) || wanted > uint32(len(a.tokens)) || expiring {
+		a.expire(h.now)
+		if a.returned > 0 || wanted > uint32(len(a.tokens)) || expiring {
 			h.markDirty(a)
 		}
 		if a.returned > 0 && h.slots[a.slot].owner == h.self.VM {
 			h.owner.GiveBack(h.now, a.limit, a.returned)
 			a.returned = 0
 		}
-		if len(a.waiters) == 0 && len(a.tokens) == 0 && a.returned == 0 && h.now-a.usedAt > time.Minute {
+		if len(a.waiters) == 0 && len(a.tokens) == 0 && len(a.late) == 0 && a.returned == 0 && h.now-a.usedAt > time.Minute {
 			delete(h.accounts, tenant)
 		}
 	}
@@ -673,21 +702,27 @@
 // takeHeld takes a token that is held.
 func (a *account) takeHeld(now time.Duration) bool {
 	a.expire(now)
-	if len(a.tokens) == 0 {
+	switch {
+	case len(a.late) > 0:
+		a.late = a.late[1:]
+	case len(a.tokens) > 0:
+		a.tokens = a.tokens[1:]
+	default:
 		return false
 	}
-	a.tokens = a.tokens[1:]
 	return true
 }
 
 // expire returns the tokens whose validity has ended to the owner.
-func (a *account) expire(now time.Duration) (some bool) {
+func (a *account) expire(now time.Duration) {
 	for len(a.tokens) > 0 && a.tokens[0] <= now {
 		a.tokens = a.tokens[1:]
 		a.returned++
-		some = true
 	}
-	return some
+	for len(a.late) > 0 && a.late[0] <= now {
+		a.late = a.late[1:]
+		a.returned++
+	}
 }
 
 // extend extends the validity of the tokens held: the owner has been told of them.
@@ -697,8 +732,9 @@
 	}
 }
 
-// receive distributes the tokens of a grant: first to the requests that wait, in order.
-func (h *Holder) receive(a *account, until time.Duration, order *Order, grant Grant) {
+// receive distributes the tokens granted for an ask of an order that was sent at sentAt: first to
+// the requests that wait, in order.
+func (h *Holder) receive(a *account, sentAt time.Duration, order *Order, ask int, grant Grant) {
 	left := grant.Count
 	rest := a.waiters[:0]
 	for _, w := range a.waiters {
@@ -718,10 +754,16 @@
 	}
 	clear(a.waiters[len(rest):])
 	a.waiters = rest
-	for range left {
-		a.tokens = append(a.tokens, until)
+	ahead := grant.Count - min(order.Asks[ask].Need, grant.Count)
+	for i := range left {
+		if i >= ahead {
+			a.late = append(a.late, sentAt+lateTime)
+			continue
+		}
+		a.tokens = append(a.tokens, sentAt+holdTime)
 	}
 	slices.Sort(a.tokens)
+	slices.Sort(a.late)
 }
 
 func (w *Waiter) end(d Decision) {
--- a/internal/query/quota/quota_test.go
+++ b/internal/query/quota/quota_test.go
@@ -197,3 +197,138 @@
 		}
 	}
 }
+
+// Guards against tokens that arrive after their requests have stopped waiting, and are then held
+// beside a bucket that has been refilled meanwhile.
+func TestBoundHoldsWithLateAnswers(t *testing.T) {
+	f := newFleet(rand.New(rand.NewPCG(1, 1)), 12)
+	limit := quota.Limit{Tenant: "north", Rate: 40, Burst: 80}
+	f.run(2*time.Second, nil)
+	f.request(f.vms[0], limit)
+	f.delay = 100 * time.Millisecond
+	f.run(6*time.Second, nil)
+	for range 90 {
+		f.request(f.vms[f.random.IntN(len(f.vms))], limit)
+	}
+	f.run(1700*time.Millisecond, nil)
+	f.delay = 3 * time.Millisecond
+	f.run(6*time.Second, func() {
+		for range 3 {
+			f.request(f.vms[f.random.IntN(len(f.vms))], limit)
+		}
+	})
+	require.LessOrEqual(t, f.excess(limit), 0.0)
+}
+
+// newLeaser returns the holder of VM "p", which has been running for a second.
+func newLeaser(situation quota.Situation) *quota.Holder {
+	owner := quota.NewOwner(0, 1, func() quota.Bounds { return bounds })
+	holder := quota.NewHolder(0, quota.Process{VM: "p", Boot: 1}, owner)
+	holder.Update(0, situation)
+	holder.Update(time.Second, situation)
+	return holder
+}
+
+// Guards against a VM that uses its share although it has heard nothing of the store and the other
+// VMs for so long that another VM may serve in its place.
+func TestIsolatedVMStopsUsingItsShare(t *testing.T) {
+	limit := quota.Limit{Tenant: "north", Rate: 20, Burst: 30}
+	for name, test := range map[string]struct {
+		registered []ident.VMID
+		age        time.Duration
+		verdict    quota.Verdict
+	}{
+		"store is heard": {[]ident.VMID{"p", "a"}, time.Second, quota.Granted},
+		"isolated":       {[]ident.VMID{"p", "a"}, 10 * time.Second, quota.Refused},
+		"only VM":        {[]ident.VMID{"p"}, 10 * time.Second, quota.Granted},
+	} {
+		situation := quota.Situation{Owners: []ident.VMID{"p"}, Registered: test.registered, Sharers: 6, Serving: true}
+		holder := newLeaser(situation)
+		situation.ViewAge = test.age
+		holder.Update(10*time.Second, situation)
+		require.Equal(t, test.verdict, holder.Take(10*time.Second, limit).Verdict, name)
+	}
+}
+
+// Guards against a limit of an older configuration that an owner takes for the newest one, since a
+// VM without requests of the tenant repeats it under the new version.
+func TestOrderNamesLimitsOfItsVersion(t *testing.T) {
+	situation := quota.Situation{Owners: []ident.VMID{"a"}, Sharers: 6, Serving: true, Version: 1}
+	holder := newLeaser(situation)
+	require.Equal(t, quota.Waiting, holder.Take(time.Second, quota.Limit{Tenant: "north", Rate: 20, Version: 1}).Verdict)
+	due := holder.Due(time.Second)
+	require.Len(t, due, 1)
+	require.Len(t, due[0].Order.Asks, 1)
+	holder.Answered(time.Second, "a", due[0].Order, &quota.Reply{Boot: 2, Stamp: 1, Grants: []quota.Grant{{Count: 1}}})
+	situation.Version = 2
+	situation.Limit = func(tenant ident.TenantID) (quota.Limit, bool) {
+		return quota.Limit{Tenant: tenant, Rate: 1, Version: 2}, true
+	}
+	holder.Update(3*time.Second, situation)
+	due = holder.Due(3 * time.Second)
+	require.Len(t, due, 1)
+	require.Len(t, due[0].Order.Asks, 1)
+	require.EqualValues(t, 2, due[0].Order.Asks[0].Version)
+	require.Equal(t, 1.0, due[0].Order.Asks[0].Rate)
+}
+
+// Guards against returned tokens, and the memory of their tenants, that stay at a VM which had no
+// owner to return them to for a while.
+func TestTokensAreReturnedOnceThereIsAnOwner(t *testing.T) {
+	situation := quota.Situation{Sharers: 6, Version: 1}
+	holder := newLeaser(situation)
+	holder.GiveBack(time.Second, quota.Limit{Tenant: "north", Rate: 20, Version: 1})
+	situation.Owners = []ident.VMID{"a"}
+	holder.Update(3*time.Second, situation)
+	due := holder.Due(3 * time.Second)
+	require.Len(t, due, 1)
+	require.Len(t, due[0].Order.Asks, 1)
+	require.EqualValues(t, 1, due[0].Order.Asks[0].Returned)
+}
+
+// Guards against refusals for the rest of a long interval after a single lost answer, if many VMs
+// serve.
+func TestOwnerIsAskedAgainSoonAfterALostAnswer(t *testing.T) {
+	holder := newLeaser(quota.Situation{Owners: []ident.VMID{"a"}, Sharers: 460, Serving: true, Version: 1})
+	limit := quota.Limit{Tenant: "north", Rate: 20, Version: 1}
+	require.Equal(t, quota.Waiting, holder.Take(time.Second, limit).Verdict)
+	due := holder.Due(time.Second)
+	require.Len(t, due, 1)
+	failedAt := time.Second + holder.Timeout()
+	holder.Failed(failedAt, "a", due[0].Order)
+	require.Equal(t, quota.Waiting, holder.Take(failedAt, limit).Verdict)
+	due = holder.Due(failedAt)
+	require.Len(t, due, 1)
+	holder.Failed(failedAt, "a", due[0].Order)
+	require.Empty(t, holder.Due(failedAt), "a refused connection leads to no hot loop")
+}
+
+// Guards against refusals of all requests of a tenant with a limit that stands for none.
+func TestVeryLargeLimitsAreGranted(t *testing.T) {
+	for _, ask := range []quota.Ask{{Rate: 1e10}, {Rate: 1, Burst: 1e10}, {Rate: 1e300, Burst: 1e300}} {
+		owner := quota.NewOwner(0, 1, func() quota.Bounds { return bounds })
+		owner.LeaseOwn(0, quota.Process{VM: "a", Boot: 1}, 1<<64-1, 1)
+		ask.Tenant, ask.Need, ask.Ahead = "north", 1, 1
+		limit := quota.Limit{Tenant: "north", Rate: ask.Rate, Burst: ask.Burst}
+		_, ok := owner.Take(0, limit, false)
+		require.True(t, ok)
+		reply := owner.Handle(time.Hour, &quota.Order{VM: "p", Boot: 1, Seq: 1, Asks: []quota.Ask{ask}})
+		require.GreaterOrEqual(t, reply.Grants[0].Count, uint32(1), ask)
+	}
+}
+
+// Guards against a lowered limit that VMs, which the tenant has left, undo at its owner.
+func TestLoweredLimitBinds(t *testing.T) {
+	f := newFleet(rand.New(rand.NewPCG(1, 1)), 12)
+	f.version = 1
+	limit := quota.Limit{Tenant: "north", Rate: 60, Burst: 60, Version: 1}
+	f.limitOf = func(ident.TenantID) (quota.Limit, bool) { return limit, true }
+	f.run(3*time.Second, nil)
+	f.run(3*time.Second, func() { f.request(f.vms[f.random.IntN(12)], limit) })
+	limit.Rate, limit.Burst, limit.Version = 1, 0, 2
+	f.version = 2
+	f.run(time.Second, func() { f.request(f.vms[0], limit) })
+	clear(f.spent)
+	f.run(6*time.Second, func() { f.request(f.vms[0], limit) })
+	require.LessOrEqual(t, f.excess(limit), 0.0)
+}
