--- a/internal/front/gate/stop_test.go
+++ b/internal/front/gate/stop_test.go
@@ -76,6 +76,13 @@
 	}
 }
 
+// answers returns the number of requests that were answered.
+func (l *loadGenerator) answers() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.answered)
+}
+
 // A planned stop under load must answer each request that was read, on kept-alive and on
 // new connections.
 func TestPlannedStopUnderLoadCutsOffNoRequest(t *testing.T) {
@@ -90,14 +97,14 @@
 		for caller := range 40 {
 			calling.Go(func() { load.call(caller) })
 		}
-		time.Sleep(time.Duration(100+17*round) * time.Millisecond)
+		require.Eventually(t, func() bool { return load.answers() > 100 }, time.Minute, time.Millisecond)
+		time.Sleep(time.Duration(17*round) * time.Millisecond)
 		g.Drain(time.Now().Add(time.Minute))
 		time.Sleep(50 * time.Millisecond)
 		require.NoError(t, g.Shutdown())
 		serving.Wait()
 		close(load.stopped)
 		calling.Wait()
-		require.Greater(t, len(load.answered), 100)
 		for id := range fake.read {
 			require.True(t, load.answered[id], "request %s was read and has no answer", id)
 		}
