--- a/internal/core/node/node_test.go
+++ b/internal/core/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"os"
@@ -23,12 +24,14 @@
 )
 
 // settings returns the settings of a process that is the only member of its fleet.
-func settings(t *testing.T, ip string) *vmconf.Settings {
+func settings(t *testing.T, host int) *vmconf.Settings {
 	t.Helper()
-	kv, err := kvsrv.Start("127.0.43.9:0")
+	// The ports are fixed, so that another run of this test at the same time needs other addresses.
+	ip := fmt.Sprintf("127.%d.%d.%d", 192+os.Getpid()%60, os.Getpid()/60%250, host)
+	kv, err := kvsrv.Start("127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, kv.Close()) })
-	list, err := vmsrv.Start("127.0.43.9:0", vmsrv.Fault{})
+	list, err := vmsrv.Start("127.0.0.1:0", vmsrv.Fault{})
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, list.Close()) })
 	parsed, err := vmconf.Parse([]byte(`
@@ -60,7 +63,7 @@
 }
 
 func TestProcessJoinsServesAndStops(t *testing.T) {
-	own := settings(t, "127.0.43.1")
+	own := settings(t, 1)
 	process, err := node.New(own, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	stop := make(chan os.Signal, 1)
@@ -81,7 +84,7 @@
 }
 
 func TestRunFailsAtOnceIfAPortIsInUse(t *testing.T) {
-	own := settings(t, "127.0.43.2")
+	own := settings(t, 2)
 	process, err := node.New(own, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	second, err := node.New(own, slog.New(slog.DiscardHandler))
--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -668,7 +668,7 @@
 			h.owner.GiveBack(h.now, a.limit, a.returned)
 			a.returned = 0
 		}
-		if len(a.waiters) == 0 && len(a.tokens) == 0 && len(a.late) == 0 && a.returned == 0 && h.now-a.usedAt > time.Minute {
+		if a.isIdle() && h.now-a.usedAt > time.Minute {
 			delete(h.accounts, tenant)
 		}
 	}
@@ -681,6 +681,11 @@
 	maps.DeleteFunc(h.peers, func(vm ident.VMID, p *peer) bool { return !owners.Has(vm) && p.order == nil })
 }
 
+// isIdle reports whether the account holds nothing and no request waits.
+func (a *account) isIdle() bool {
+	return len(a.waiters) == 0 && len(a.tokens) == 0 && len(a.late) == 0 && a.returned == 0
+}
+
 // use records a request of the tenant.
 func (a *account) use(now time.Duration) {
 	a.demand = a.demandNow(now) + 1
