Read the memory of the process from the settings of serve

Cause: the settings of serve have no memory, from which a budget could be derived, and a test needs a low one. Change: [vm] memory, in MB, with the default and the range of forward. It has no effect yet.

--- a/internal/conf/vmconf/parse.go
+++ b/internal/conf/vmconf/parse.go
@@ -33,6 +33,7 @@
 	defaultHeartbeat    = 500 * time.Millisecond
 	defaultListLifetime = 10 * time.Second
 	defaultStopBound    = time.Minute
+	defaultMemoryMB     = 256
 )
 
 // Values of settings that are either on or off.
@@ -83,9 +84,10 @@
 
 func readVM(section *strict.Section) VM {
 	return VM{
-		ID:   ident.VMID(section.Identifier("id", coll.None[string]())),
-		Zone: ident.Zone(section.Identifier("zone", coll.None[string]())),
-		IP:   section.IP("ip", coll.None[string]()),
+		ID:     ident.VMID(section.Identifier("id", coll.None[string]())),
+		Zone:   ident.Zone(section.Identifier("zone", coll.None[string]())),
+		IP:     section.IP("ip", coll.None[string]()),
+		Memory: int64(section.Int("memory", coll.Some(defaultMemoryMB), 32, 1<<20)) << 20,
 	}
 }
 
--- a/internal/conf/vmconf/settings.go
+++ b/internal/conf/vmconf/settings.go
@@ -29,6 +29,8 @@
 	Zone ident.Zone
 	// IP is the address on which the process listens.
 	IP string
+	// Memory is the memory of the process in bytes.
+	Memory int64
 }
 
 // Listen holds the ports on which the process listens.
