Share the bounds of listeners between forward and serve

Cause: serve needs the budget, its metrics and the limits of connections that core/tier sets up for forward. Change: they move to core/guard (Memory, Callers, Peers, Operators). Numbers, names of metrics and events are unchanged.

--- a/internal/core/tier/listen.go
+++ b/internal/core/tier/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -12,22 +11,10 @@
 )
 
 const (
-	// reservedDescriptors is the number of descriptors that are left to files, and
-	// ownDescriptors the number that is left to the connections to backend servers, other VMs
-	// and the store. Callers get at least half of the others.
-	reservedDescriptors = 200
-	ownDescriptors      = 1000
 	// maxListConnections and maxProbeConnections bound the connections of callers that ask
 	// for the address list, and of the platform's readiness probes.
 	maxListConnections  = 512
 	maxProbeConnections = 64
-	// maxAdminConnections bounds the connections of operators and metrics collectors.
-	maxAdminConnections = 128
-	// peerStall is the time within which another VM has to take some of a response. It exceeds
-	// the time for which VMs are frozen.
-	peerStall = 10 * time.Second
-	// defaultDescriptors is the limit of descriptors if the system doesn't tell it.
-	defaultDescriptors = 1024
 )
 
 // Names of the listeners.
@@ -43,28 +30,23 @@
 // listen opens all listeners, or none if one fails.
 func (t *Tier) listen() (*listeners, error) {
 	l := &listeners{}
-	fixed := func(limit int) func() int { return func() int { return limit } }
 	for _, port := range []struct {
 		name     string
 		listener **accept.Listener
 		address  string
 		options  accept.Options
 	}{
-		{callersPort, &l.callers, t.settings.Listen.Callers, accept.Options{Limit: maxCallers}},
-		{directoryPort, &l.directory, t.settings.Listen.Directory, accept.Options{Limit: fixed(maxListConnections)}},
-		{readyPort, &l.ready, t.settings.Listen.Ready, accept.Options{Limit: fixed(maxProbeConnections)}},
-		{peersPort, &l.peers, t.settings.Listen.Peers, accept.Options{Limit: maxPeers, Pinned: true, WriteStall: peerStall}},
-		{adminPort, &l.admin, t.settings.Listen.Admin, accept.Options{Limit: fixed(maxAdminConnections)}},
+		{callersPort, &l.callers, t.settings.Listen.Callers, guard.Callers()},
+		{directoryPort, &l.directory, t.settings.Listen.Directory, guard.AtMost(maxListConnections)},
+		{readyPort, &l.ready, t.settings.Listen.Ready, guard.AtMost(maxProbeConnections)},
+		{peersPort, &l.peers, t.settings.Listen.Peers, guard.Peers()},
+		{adminPort, &l.admin, t.settings.Listen.Admin, guard.Operators()},
 	} {
 		listener, err := net.Listen("tcp", port.address)
 		if err != nil {
 			return nil, errors.CombineErrors(errors.Wrapf(err, "tier: listen on %s", port.address), l.close())
 		}
-		port.options.Failed = func(err error) { t.events.Sample("accept_failed", port.name, err.Error()) }
-		port.options.Budget = t.memory
-		port.options.Closed = func() { t.reporters[port.name].Closed(guard.HoldsMost) }
-		// net.Listen returns this type for all TCP addresses.
-		*port.listener = accept.NewListener(listener.(*net.TCPListener), port.options)
+		*port.listener = t.memory.Bound(listener, port.name, port.options)
 	}
 	return l, nil
 }
@@ -116,24 +98,3 @@
 		t.ports.Load().callers.CloseIdle(now.Add(-limit))
 	}
 }
-
-// descriptors returns the number of descriptors that the process may use for connections.
-func descriptors() int {
-	var limit syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
-		limit.Cur = defaultDescriptors
-	}
-	return int(min(limit.Cur, 1<<30)) - reservedDescriptors
-}
-
-// maxPeers returns the maximum number of connections of other VMs. The rest is left to the
-// process's own connections, whoever connects to the port.
-func maxPeers() int {
-	return max(descriptors()/2, 1)
-}
-
-// maxCallers returns the maximum number of connections of callers.
-func maxCallers() int {
-	usable := descriptors()
-	return max(usable-ownDescriptors, usable/2, 1)
-}
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -20,7 +20,6 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
-	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/fwconf"
 	"github.com/samphirestair/samphirestair/internal/core/events"
@@ -51,10 +50,6 @@
 )
 
 const (
-	// memoryFraction is the fraction of the VM's memory that is set as the Go memory
-	// limit, above which the garbage collector runs more often. The rest is left to
-	// stacks and buffers.
-	memoryFraction = 0.7
 	// garbagePercent is the GOGC value, which trades CPU time for memory. The live heap
 	// is small.
 	garbagePercent = 100
@@ -130,8 +125,7 @@
 	directory *fasthttp.Server
 	admin     *admin.Server
 	// memory bounds what is held for callers, backend servers and other VMs.
-	memory    *budget.Budget
-	reporters map[string]*guard.Reporter
+	memory *guard.Memory
 	// ports holds the listeners from Run on.
 	ports atomic.Pointer[listeners]
 }
@@ -142,15 +136,13 @@
 // New assembles a process. It opens only the UDP socket of the heartbeats; Run
 // opens the listeners.
 func New(settings *fwconf.Settings, load Loader, adapter Adapter, logger *slog.Logger) (*Tier, error) {
-	debug.SetMemoryLimit(int64(memoryFraction * float64(settings.VM.Memory)))
 	debug.SetGCPercent(garbagePercent)
 	t := &Tier{settings: settings, loadSettings: load, adapter: adapter, metrics: metrics.NewSet(), clock: newClock()}
 	t.current.Store(settings)
-	t.memory = budget.New(int(memoryShare * float64(settings.VM.Memory)))
 	logger = logger.With(slog.String("vm", string(settings.VM.ID)))
 	t.events = events.New(logger, t.metrics)
 	adapter.Eras.LogTo(t.events)
-	t.reportMemory()
+	t.memory = guard.NewMemory(settings.VM.Memory, listenerNames, t.events, t.metrics)
 	t.metrics.NewGauge("samphirestair_servers_unreached", func() float64 { return float64(t.reach.State().Unreached) })
 	for _, state := range []poison.State{poison.Suspect, poison.Quarantined} {
 		t.metrics.NewGauge(fmt.Sprintf("samphirestair_requests_held{state=%q}", state), func() float64 { return float64(t.ledger.Counts(time.Now())[state]) })
@@ -183,7 +175,7 @@
 		Bounds: t.quotaBounds, Transport: grant.NewClient(), Events: t.events, Metrics: t.metrics,
 	})
 	t.notices = notice.NewTracker(notice.Options{MaxBackoff: settings.Servers.Quiet, Events: t.events})
-	t.pool = pool.New(t.metrics, pool.Options{Names: adapter.Names, Tracker: t.notices, Reach: t.reach, Budget: t.memory})
+	t.pool = pool.New(t.metrics, pool.Options{Names: adapter.Names, Tracker: t.notices, Reach: t.reach, Budget: t.memory.Budget})
 	if err = t.buildEnv(); err != nil {
 		return nil, err
 	}
@@ -199,7 +191,7 @@
 	t.metrics.NewGauge("samphirestair_admission_tenants", func() float64 { return t.sumAdmission(countTenants) })
 	t.buildRollouts(self)
 	t.peerClient = deleg.NewClient()
-	t.peerServer = deleg.NewServer(runner.NewLocalSender(t.follower, t.pool), t.refusesOrder, t.peerHandler(), t.events, t.reporters[peersPort])
+	t.peerServer = deleg.NewServer(runner.NewLocalSender(t.follower, t.pool), t.refusesOrder, t.peerHandler(), t.events, t.memory.Reporter(peersPort))
 	t.delegates = runner.NewDelegates(t.follower, t.heartbeats.Detector())
 	t.env.CanDelegate = t.delegates.Has
 	local := runner.New(runner.Deps{
@@ -209,12 +201,12 @@
 	coverage := detour.NewCoverage(t.follower, t.reach, t.env.Health)
 	t.detours = detour.New(detour.Deps{
 		Self: self.VM, Inner: local, Coverage: coverage, Views: t.follower, Peers: t.heartbeats.Detector(),
-		RequestID: adapter.Names.RequestID, Events: t.events, Metrics: t.metrics, Budget: t.memory,
+		RequestID: adapter.Names.RequestID, Events: t.events, Metrics: t.metrics, Budget: t.memory.Budget,
 	})
 	t.gate = gate.New(gate.Deps{
 		Runner: t.detours, Local: local, Coverage: coverage, Views: t.follower, Self: self,
 		Serving: t.registrar.Serving, Usable: t.registrar.ViewUsable, Accepting: t.isAccepting, Peers: t.heartbeats.Detector(),
-		Quota: t.quota, Names: adapter.Names, Events: t.events, Reporter: t.reporters[callersPort],
+		Quota: t.quota, Names: adapter.Names, Events: t.events, Reporter: t.memory.Reporter(callersPort),
 	})
 	t.ready = gate.NewServer(adapter.Ready(t.gate.Ready), t.smallBodies(readyPort))
 	t.directory = gate.NewServer(adapter.Directory(t.gate.Addresses, t.addressListLifetime), t.smallBodies(directoryPort))
@@ -226,7 +218,7 @@
 		Fleet:    func(context.Context) any { return t.follower.View().Members },
 
 		Quarantine: operatorOrders{t.ledger},
-		Reporter:   t.reporters[adminPort],
+		Reporter:   t.memory.Reporter(adminPort),
 	})
 	return t, nil
 }
@@ -344,7 +336,7 @@
 		"rollouts":    func() any { return t.rollouts.Status() },
 		"decisions":   func() any { return t.events.History() },
 		"listeners":   func() any { return t.ports.Load().stats() },
-		"memory":      func() any { return t.memoryState() },
+		"memory":      func() any { return t.memory.State() },
 	}
 }
 
