Bound what other VMs and operators make serve hold

Cause: the port for other VMs allocated what a Content-Length or a chunk announced, up to 16 MB on each connection, had no time limits and could take all descriptors. The admin port of serve had no budget. A batch that can't be decoded closes its connection; the log line batch_refused is at level debug, connection_closed is logged at most once a second instead. A refused batch has not been delivered, as the sender assumes of any status other than 200.

--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/samphirestair/samphirestair/internal/conf/syncer"
 	"github.com/samphirestair/samphirestair/internal/conf/vmconf"
 	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/core/guard"
 	"github.com/samphirestair/samphirestair/internal/fleet/agent"
 	"github.com/samphirestair/samphirestair/internal/fleet/ctrl"
 	"github.com/samphirestair/samphirestair/internal/fleet/lease"
@@ -33,12 +34,17 @@
 // without a change. The answer proves that the configuration is still in force.
 const watchTimeout = 2 * time.Second
 
+// Names of the listeners whose connections and memory are bounded.
+const callerPort, peerPort, adminPort = "caller", "peer", "admin"
+
 // Node is one process of an entry VM.
 type Node struct {
-	settings     *vmconf.Settings
-	logger       *slog.Logger
-	metrics      *metrics.Set
-	events       *events.Recorder
+	settings *vmconf.Settings
+	logger   *slog.Logger
+	metrics  *metrics.Set
+	events   *events.Recorder
+	// memory bounds what is held for callers, other VMs and operators.
+	memory       *guard.Memory
 	self         view.Member
 	views        *view.Publisher
 	blockedLinks *block.Blocklist
@@ -68,6 +74,7 @@
 		n.blockedLinks = &block.Blocklist{}
 	}
 	n.events = events.New(n.logger, n.metrics)
+	n.memory = guard.NewMemory(settings.VM.Memory, []string{callerPort, peerPort, adminPort}, n.events, n.metrics)
 	n.buildLinks()
 	if err := n.buildFleet(); err != nil {
 		return nil, err
@@ -95,7 +102,9 @@
 func (n *Node) buildLinks() {
 	n.client = ctrl.NewClient(ctrl.ClientOptions{Metrics: n.metrics, Self: n.self.Control, Filter: n.controlFilter()})
 	n.control = ctrl.NewServer(ctrl.ServerOptions{Logger: n.logger, Metrics: n.metrics, Filter: n.controlFilter()})
-	n.mesh = mesh.New(n.self.Process, n.settings.VM.IP, n.logger, n.metrics, mesh.Options{Blocklist: n.blockedLinks})
+	n.mesh = mesh.New(n.self.Process, n.settings.VM.IP, n.logger, n.metrics, mesh.Options{
+		Blocklist: n.blockedLinks, Reporter: n.memory.Reporter(peerPort),
+	})
 }
 
 // controlFilter returns nil unless the settings allow tests to block links.
@@ -184,10 +193,12 @@
 			"home":      func() any { return n.coordinator.State() },
 			"entry":     func() any { return n.entry.State() },
 			"decisions": func() any { return n.events.History() },
+			"memory":    func() any { return n.memory.State() },
 		},
 		Status:   func() any { return n.brief() },
 		Fleet:    n.fleet,
 		LinkCuts: n.blockedLinks,
+		Reporter: n.memory.Reporter(adminPort),
 	})
 }
 
@@ -215,6 +226,8 @@
 		}
 		*port.listener = listener
 	}
+	l.peer = n.memory.Bound(l.peer, peerPort, guard.Peers())
+	l.admin = n.memory.Bound(l.admin, adminPort, guard.Operators())
 	return l, nil
 }
 
--- a/internal/link/mesh/transport.go
+++ b/internal/link/mesh/transport.go
@@ -13,6 +13,8 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/base/reply"
+	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/core/guard"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/link/block"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
@@ -24,6 +26,12 @@
 	defaultTimeout   = 400 * time.Millisecond
 	idleConnTimeout  = 30 * time.Second
 	maxBatchBytes    = 16 << 20
+	// readTimeout and writeTimeout bound the time in which a batch has to arrive and its response
+	// has to be read. They exceed the time for which VMs are frozen.
+	readTimeout, writeTimeout = 10 * time.Second, 10 * time.Second
+	// serverIdleTimeout is the time for which a connection stays open without a batch. Other VMs
+	// close theirs after idleConnTimeout.
+	serverIdleTimeout = 2 * time.Minute
 )
 
 // Options adjust a Mesh. The zero value is the default.
@@ -35,6 +43,8 @@
 	Timeout time.Duration
 	// Blocklist injects link failures in tests. Default none.
 	Blocklist *block.Blocklist
+	// Reporter records the connections that are closed. Default none.
+	Reporter *guard.Reporter
 }
 
 func (o Options) withDefaults() Options {
@@ -81,12 +91,14 @@
 		bytes:    set.GetOrCreateCounter("samphirestair_mesh_bytes_sent_total"),
 		failures: set.GetOrCreateCounter("samphirestair_mesh_transfer_failures_total"),
 	}
-	m.server = &fasthttp.Server{
-		Handler:            m.serve,
-		MaxRequestBodySize: maxBatchBytes,
-		Logger:             slog.NewLogLogger(logger.Handler(), slog.LevelWarn),
-		CloseOnShutdown:    true,
-	}
+	m.server = guard.Protect(&fasthttp.Server{
+		Handler:         m.serve,
+		ReadTimeout:     readTimeout,
+		WriteTimeout:    writeTimeout,
+		IdleTimeout:     serverIdleTimeout,
+		Logger:          events.DiscardLogger{},
+		CloseOnShutdown: true,
+	}, guard.Options{MaxBody: func() int { return maxBatchBytes }, Reporter: m.options.Reporter})
 	return m
 }
 
@@ -178,8 +190,11 @@
 	}
 	var batch msgs.Batch
 	if _, err := batch.UnmarshalMsg(ctx.PostBody()); err != nil {
-		m.logger.Warn("batch_refused", slog.String("reason", err.Error()))
+		// The reporter bounds the lines that it logs.
+		m.logger.Debug("batch_refused", slog.String("reason", err.Error()))
+		m.options.Reporter.Closed(guard.Malformed)
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		ctx.SetConnectionClose()
 		return
 	}
 	m.deliver(&batch)
