Bound what callers make serve hold

Cause: bodies that never end were bounded by the number of connections only, responses had no time limit, and the HTTP framework decompressed bodies without a limit: 16 kB became any number of bytes. Change: front/caller serves through core/guard on a bounded listener. A refusal for a body that did not arrive keeps the form of docs/CALLERS.md (guard.Options.Explain). A compressed body gets 415, a response has to be read within 10 s. Tests: the golden file of rejections has one entry more; the refusal for lack of memory has its own.

--- a/internal/core/guard/guard.go
+++ b/internal/core/guard/guard.go
@@ -23,9 +23,9 @@
 	// roomWait is the time for which a request waits for memory for its body. It exceeds the
 	// time after which connections that hold memory can be closed to make room.
 	roomWait = 500 * time.Millisecond
-	// retryDelay is the time after which a caller may retry that was refused for lack of
+	// RetryDelay is the time after which a caller may retry that was refused for lack of
 	// memory.
-	retryDelay = 500 * time.Millisecond
+	RetryDelay = 500 * time.Millisecond
 	// maxStreamBytes is the limit of the HTTP library, which is never reached: guard applies
 	// its own.
 	maxStreamBytes = 1 << 40
@@ -82,6 +82,8 @@
 	// MaxBody returns the maximum size of the body of a request in bytes.
 	MaxBody  func() int
 	Reporter *Reporter
+	// Explain writes the body of a refusal, whose status is set. It may be nil.
+	Explain func(ctx *fasthttp.RequestCtx)
 }
 
 // Protect changes a server that does not run yet: it reads bodies within the limit, and tells
@@ -92,7 +94,7 @@
 	server.MaxRequestBodySize = maxStreamBytes
 	server.DisablePreParseMultipartForm = true
 	server.ConnState = trackConnection
-	server.ErrorHandler = func(ctx *fasthttp.RequestCtx, err error) { handleError(ctx, err, options.Reporter) }
+	server.ErrorHandler = func(ctx *fasthttp.RequestCtx, err error) { handleError(ctx, err, options) }
 	server.HeaderReceived = func(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
 		if header.ContentLength() > options.MaxBody() {
 			header.Del(fasthttp.HeaderExpect)
@@ -103,16 +105,14 @@
 	}
 	server.Handler = func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Method()) == tooLargeMethod {
-			refuse(ctx, TooLarge)
-			options.Reporter.Closed(TooLarge)
+			options.refuse(ctx, TooLarge)
 			return
 		}
 		holder := accept.Holder(ctx.Conn())
 		if ctx.RequestBodyStream() != nil {
 			body, cause := readBody(ctx, holder, options.MaxBody())
 			if cause != "" {
-				refuse(ctx, cause)
-				options.Reporter.Closed(cause)
+				options.refuse(ctx, cause)
 				return
 			}
 			ctx.Request.SetBodyRaw(body)
@@ -138,18 +138,25 @@
 }
 
 // handleError answers a request whose head can't be read.
-func handleError(ctx *fasthttp.RequestCtx, err error, reporter *Reporter) {
+func handleError(ctx *fasthttp.RequestCtx, err error, options Options) {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.As(err, &small):
 		ctx.SetStatusCode(fasthttp.StatusRequestHeaderFieldsTooLarge)
-		reporter.Closed(Malformed)
+		options.Reporter.Closed(Malformed)
 	case isTimeout(err):
 		ctx.SetStatusCode(fasthttp.StatusRequestTimeout)
-		reporter.Closed(TooSlow)
+		options.Reporter.Closed(TooSlow)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
-		reporter.Closed(Malformed)
+		options.Reporter.Closed(Malformed)
+	}
+	options.explain(ctx)
+}
+
+func (o Options) explain(ctx *fasthttp.RequestCtx) {
+	if o.Explain != nil {
+		o.Explain(ctx)
 	}
 }
 
@@ -160,7 +167,8 @@
 
 // refuse answers a request whose body was not read to its end, so that it has not run, and
 // closes the connection.
-func refuse(ctx *fasthttp.RequestCtx, cause Cause) {
+func (o Options) refuse(ctx *fasthttp.RequestCtx, cause Cause) {
+	o.Reporter.Closed(cause)
 	ctx.SetConnectionClose()
 	switch cause {
 	case TooLarge:
@@ -168,11 +176,12 @@
 	case TooSlow:
 		ctx.SetStatusCode(fasthttp.StatusRequestTimeout)
 	case NoMemory:
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(retryDelay.Seconds(), 'f', 3, 64))
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(RetryDelay.Seconds(), 'f', 3, 64))
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 	}
+	o.explain(ctx)
 }
 
 // readBody reads the body of a request. The buffer grows with what has arrived rather than
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -176,7 +176,7 @@
 	}
 	n.mesh.Attach(n.coordinator, &router{coordinator: n.coordinator, entry: n.entry})
 	n.caller = caller.New(
-		caller.Deps{Runner: n.entry, Views: n.views},
+		caller.Deps{Runner: n.entry, Views: n.views, Reporter: n.memory.Reporter(callerPort)},
 		caller.Options{AddressLifetime: n.settings.Fleet.ListLifetime})
 	return nil
 }
--- a/internal/core/node/run.go
+++ b/internal/core/node/run.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/samphirestair/samphirestair/internal/base/sleep"
+	"github.com/samphirestair/samphirestair/internal/core/guard"
 	"github.com/samphirestair/samphirestair/internal/front/caller"
 )
 
@@ -72,7 +73,7 @@
 		return err
 	}
 	n.events.Record("callers_admitted", n.settings.CallerAddress(), "joined the fleet")
-	return n.caller.Serve(listener)
+	return n.caller.Serve(n.memory.Bound(listener, callerPort, guard.Callers()))
 }
 
 func (n *Node) serve(running *conc.WaitGroup, part string, serve func(net.Listener) error, l net.Listener) {
--- a/internal/front/caller/proto.go
+++ b/internal/front/caller/proto.go
@@ -28,6 +28,10 @@
 	codeUnknownService = "unknown_service"
 )
 
+// reasonNoMemory is the reason of a request that is refused because there is no memory for its
+// body.
+const reasonNoMemory = "no memory for the body"
+
 // failure is the field "error" of an answer.
 type failure struct {
 	Code    string `json:"code"`
--- a/internal/front/caller/server.go
+++ b/internal/front/caller/server.go
@@ -11,7 +11,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
 	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/core/events"
+	"github.com/samphirestair/samphirestair/internal/core/guard"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/query/entry"
 )
@@ -27,6 +30,8 @@
 type Deps struct {
 	Runner Runner
 	Views  *view.Publisher
+	// Reporter records the connections that are closed. It may be nil.
+	Reporter *guard.Reporter
 	// Now returns the time. nil means time.Now.
 	Now func() time.Time
 	// NewID returns the id for a request without one. nil means a random UUID.
@@ -42,6 +47,8 @@
 	BodyLimit int
 	// ReadTimeout bounds the time in which a request has to arrive. 0 means 10 s.
 	ReadTimeout time.Duration
+	// WriteTimeout bounds the time in which a response has to be read. 0 means 10 s.
+	WriteTimeout time.Duration
 	// IdleTimeout is the time after which an unused connection is closed. 0
 	// means 90 s.
 	IdleTimeout time.Duration
@@ -57,6 +64,9 @@
 	if o.ReadTimeout == 0 {
 		o.ReadTimeout = 10 * time.Second
 	}
+	if o.WriteTimeout == 0 {
+		o.WriteTimeout = 10 * time.Second
+	}
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = 90 * time.Second
 	}
@@ -68,6 +78,7 @@
 	deps    Deps
 	options Options
 	app     *fiber.App
+	http    *fasthttp.Server
 	closing atomic.Bool
 }
 
@@ -83,12 +94,21 @@
 	s.app = fiber.New(fiber.Config{
 		AppName:      "samphirestair",
 		Immutable:    true,
-		BodyLimit:    s.options.BodyLimit,
-		ReadTimeout:  s.options.ReadTimeout,
-		IdleTimeout:  s.options.IdleTimeout,
 		ErrorHandler: s.handleError,
 	})
 	s.route()
+	s.http = guard.Protect(&fasthttp.Server{
+		Handler:               s.app.Handler(),
+		ReadTimeout:           s.options.ReadTimeout,
+		WriteTimeout:          s.options.WriteTimeout,
+		IdleTimeout:           s.options.IdleTimeout,
+		NoDefaultServerHeader: true,
+		Logger:                events.DiscardLogger{},
+	}, guard.Options{
+		MaxBody:  func() int { return s.options.BodyLimit },
+		Reporter: deps.Reporter,
+		Explain:  s.explainRefusal,
+	})
 	return s
 }
 
@@ -100,8 +120,7 @@
 
 // Serve answers requests from listener. It blocks until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
-	err := s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
-	return errors.Wrap(err, "caller: serve")
+	return errors.Wrap(s.http.Serve(listener), "caller: serve")
 }
 
 // AnnounceClose makes each further answer announce that its connection closes, so that
@@ -113,7 +132,7 @@
 // Shutdown closes the listener and waits until all requests are answered, or returns
 // the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return errors.Wrap(s.app.ShutdownWithContext(ctx), "caller: shutdown")
+	return errors.Wrap(s.http.ShutdownWithContext(ctx), "caller: shutdown")
 }
 
 // route registers the handlers.
@@ -130,11 +149,15 @@
 // while this VM leaves, is out of service or admits no requests. After AnnounceClose it
 // also closes the connection after the answer.
 func (s *Server) setMoveOnHeaders(c fiber.Ctx) error {
-	if shouldMoveOn(s.deps.Views.Load()) {
-		c.Set(headerMoveOn, "1")
-	}
+	s.setMoveOn(c)
 	if s.closing.Load() {
 		c.RequestCtx().SetConnectionClose()
 	}
 	return c.Next()
 }
+
+func (s *Server) setMoveOn(c fiber.Ctx) {
+	if shouldMoveOn(s.deps.Views.Load()) {
+		c.Set(headerMoveOn, "1")
+	}
+}
--- a/internal/front/caller/server_test.go
+++ b/internal/front/caller/server_test.go
@@ -15,6 +15,8 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp/fasthttputil"
 
+	"github.com/samphirestair/samphirestair/internal/base/accept"
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/front/caller"
@@ -70,6 +72,13 @@
 }
 
 func newClient(t testing.TB) *client {
+	t.Helper()
+	listener := fasthttputil.NewInmemoryListener()
+	return newClientOf(t, listener, listener.Dial, caller.Options{BodyLimit: 1000})
+}
+
+// newClientOf returns a client of a server that accepts from listener.
+func newClientOf(t testing.TB, listener net.Listener, connect func() (net.Conn, error), options caller.Options) *client {
 	t.Helper()
 	c := &client{views: &view.Publisher{}, runner: &fakeRunner{}}
 	c.views.Publish(fleet(false))
@@ -77,12 +86,11 @@
 		Runner: c.runner, Views: c.views,
 		Now:   func() time.Time { return now },
 		NewID: func() string { return "generated" },
-	}, caller.Options{BodyLimit: 1000})
+	}, options)
 	c.server = server
-	listener := fasthttputil.NewInmemoryListener()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
-	dial := func(context.Context, string, string) (net.Conn, error) { return listener.Dial() }
+	dial := func(context.Context, string, string) (net.Conn, error) { return connect() }
 	c.http = &http.Client{Transport: &http.Transport{DialContext: dial}}
 	t.Cleanup(func() {
 		c.http.CloseIdleConnections()
@@ -167,6 +175,7 @@
 	ask("/v1/search/desk", `{}`, "X-Deadline-Unix-Ms: 1799999999999")
 	ask("/v1/search/desk", `{}`, "X-Deadline-Ms: 700000")
 	ask("/v1/search/desk", strings.Repeat("x", 1001))
+	ask("/v1/search/desk", `{}`, "Content-Encoding: gzip")
 	ask("/v1/action/desk/book", ``)
 	ask("/v1/action/desk/book", ``, "Idempotency-Key: 6f2f4a52-0b0e-4f6e-8c76-0a3c1d3f8a10")
 	ask("/v1/search/desk", `{}`, "X-Request-Id: "+strings.Repeat("x", 300))
@@ -178,6 +187,20 @@
 	goldie.New(t).Assert(t, "rejections", []byte(text.String()))
 }
 
+// Guards against a refusal for lack of memory that doesn't have the form of other answers: that it
+// has not run, when to come back in whole seconds, and the id.
+func TestRefusalForLackOfMemory(t *testing.T) {
+	memory := budget.New(16 << 10)
+	require.True(t, memory.NewHolder(nil).Reserve(budget.Answer, 16<<10, time.Now()))
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	c := newClientOf(t, accept.NewListener(tcp, accept.Options{Limit: func() int { return 10 }, Failed: func(error) {}, Budget: memory}),
+		func() (net.Conn, error) { return net.Dial("tcp", tcp.Addr().String()) }, caller.Options{})
+	text := c.do(t, http.MethodPost, "/v1/search/desk", strings.Repeat(" ", 20<<10), "X-Request-Id: mine")
+	require.Zero(t, c.runner.request, "the request has run")
+	goldie.New(t).Assert(t, "memory", []byte(text))
+}
+
 func TestReadyAndAddresses(t *testing.T) {
 	c := newClient(t)
 	var text strings.Builder
