Test the control port of serve after a lack of descriptors

Cause: the server for control messages ends at the first connection that it can't accept, so that a process that once ran out of descriptors gets no heartbeats any more. Change: a test with 400 descriptors and 600 silent connections to the control port, after which a control call has to be answered. Run: go test ./cmd/samphirestair -run TestControlPortOutlives: red on this code (no control call is answered within 20 s).

--- a/cmd/samphirestair/untrusted_test.go
+++ b/cmd/samphirestair/untrusted_test.go
@@ -19,11 +19,13 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/samphirestair/samphirestair/internal/fleet/ctrl"
 	"github.com/samphirestair/samphirestair/internal/lab/crowd"
 	"github.com/samphirestair/samphirestair/internal/lab/kvsrv"
 	"github.com/samphirestair/samphirestair/internal/lab/soak"
 	"github.com/samphirestair/samphirestair/internal/lab/vmsrv"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
+	"github.com/samphirestair/samphirestair/internal/ops/status"
 )
 
 // Load and bounds of the test of untrusted callers. They don't depend on how fast the machine
@@ -77,8 +79,9 @@
 	exits   atomic.Int32
 }
 
-// newUntrusted starts a process, of which number is different for each at a time.
-func newUntrusted(t *testing.T, program string, number int) *untrusted {
+// newUntrusted starts a process by a command, to which it appends the arguments of the program.
+// number is different for each process at a time.
+func newUntrusted(t *testing.T, command []string, number int) *untrusted {
 	t.Helper()
 	kv, err := kvsrv.Start("127.0.0.1:0")
 	require.NoError(t, err)
@@ -92,7 +95,7 @@
 	require.NoError(t, os.WriteFile(settings, []byte(fmt.Sprintf(
 		"[vm]\nid = vm-1\nzone = vantaa\nip = %s\nmemory = %d\n[platform]\nstore = %s\nvms = %s\n[fleet]\nlist_lifetime = 100ms\n",
 		u.ip, untrustedMemory, kv.URL(), list.URL())), 0o600))
-	u.process, err = soak.StartProcess([]string{program}, []string{"serve", "--settings", settings}, filepath.Join(dir, "vm.log"),
+	u.process, err = soak.StartProcess(command[:1], append(slices.Clone(command[1:]), "serve", "--settings", settings), filepath.Join(dir, "vm.log"),
 		time.Second, func(*os.ProcessState, bool) { u.exits.Add(1) })
 	require.NoError(t, err)
 	t.Cleanup(u.process.Close)
@@ -132,12 +135,39 @@
 	return body.String()
 }
 
-// Guards against callers outside the limits that make a process of serve exceed the memory of
-// its VM, run out of descriptors, hang or end. Nothing here depends on the speed of the machine.
-func TestUntrustedCallersOfServeStayWithinTheMemory(t *testing.T) {
+func buildProgram(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "samphirestair")
 	output, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
 	require.NoError(t, err, string(output))
+	return program
+}
+
+// Guards against a control port that accepts no connections any more once the process has run
+// out of descriptors.
+func TestControlPortOutlivesLackOfDescriptors(t *testing.T) {
+	limited := fmt.Sprintf("ulimit -n %d && exec \"$0\" \"$@\"", silentClients*2/3)
+	u := newUntrusted(t, []string{"/bin/sh", "-c", limited, buildProgram(t)}, 0)
+	control := untrustedListener{port: 7002}
+	u.requireAnswer(t, untrustedListeners(t)["caller"])
+	ctx, cancel := context.WithTimeout(t.Context(), untrustedTime)
+	defer cancel()
+	crowd.Run(ctx, u.address(control), silentClients, crowd.AwaitEnd(""))
+	client := ctrl.NewClient(ctrl.ClientOptions{})
+	defer client.Close()
+	require.Eventually(t, func() bool {
+		var summary status.VM
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		return client.Call(ctx, u.address(control), "status.brief", struct{}{}, &summary) == nil
+	}, answeredWithin, 20*time.Millisecond, "no control call is answered")
+	require.Zero(t, u.exits.Load(), "the process ended")
+}
+
+// Guards against callers outside the limits that make a process of serve exceed the memory of
+// its VM, run out of descriptors, hang or end. Nothing here depends on the speed of the machine.
+func TestUntrustedCallersOfServeStayWithinTheMemory(t *testing.T) {
+	program := buildProgram(t)
 	filler, compressed := strings.Repeat("x", 64<<10), inflatable(t)
 	const host = " HTTP/1.1\r\nHost: vm-1\r\n"
 	paths := map[int]string{7000: "/v1/search/desk", 7001: "/v1/batch", 7003: "/status"}
@@ -184,7 +214,7 @@
 			names := slices.Sorted(maps.Keys(listeners))
 			processes := map[string]*untrusted{}
 			for number, name := range names {
-				processes[name] = newUntrusted(t, program, number)
+				processes[name] = newUntrusted(t, []string{program}, number)
 			}
 			for _, name := range names {
 				t.Run(name, func(t *testing.T) {
