Keep the control port of serve accepting connections

Cause: the server for control messages ended at the first connection that it could not accept, as without descriptors. Change: its listener is a bounded one, which closes connections over half of the descriptors and goes on after a failure.

--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -34,8 +34,8 @@
 // without a change. The answer proves that the configuration is still in force.
 const watchTimeout = 2 * time.Second
 
-// Names of the listeners whose connections and memory are bounded.
-const callerPort, peerPort, adminPort = "caller", "peer", "admin"
+// Names of the listeners. The memory for control messages is not bounded.
+const callerPort, peerPort, controlPort, adminPort = "caller", "peer", "control", "admin"
 
 // Node is one process of an entry VM.
 type Node struct {
@@ -74,7 +74,7 @@
 		n.blockedLinks = &block.Blocklist{}
 	}
 	n.events = events.New(n.logger, n.metrics)
-	n.memory = guard.NewMemory(settings.VM.Memory, []string{callerPort, peerPort, adminPort}, n.events, n.metrics)
+	n.memory = guard.NewMemory(settings.VM.Memory, []string{callerPort, peerPort, controlPort, adminPort}, n.events, n.metrics)
 	n.buildLinks()
 	if err := n.buildFleet(); err != nil {
 		return nil, err
@@ -227,6 +227,7 @@
 		*port.listener = listener
 	}
 	l.peer = n.memory.Bound(l.peer, peerPort, guard.Peers())
+	l.control = n.memory.Bound(l.control, controlPort, guard.Peers())
 	l.admin = n.memory.Bound(l.admin, adminPort, guard.Operators())
 	return l, nil
 }
