Teach the soak roll-outs by version

The soak orders a roll-out of a good and of a bad version while VMs are killed and stopped and the store is away. It stops the losing servers as soon as the status allows it, and finds requests in flight there, bad versions that are completed, and more requests to them than their share.

--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -31,7 +31,9 @@
 	Key     = "key"     // a request ran with a key that is not in force
 	// OverQuota: more requests of a tenant ran than its quota allows.
 	OverQuota = "quota"
-	Deadly    = "deadly" // a request that ends servers was sent to servers again and again
+	// BadRollout: a bad version got too much or won, or servers ended with requests in flight.
+	BadRollout = "rollout"
+	Deadly     = "deadly" // a request that ends servers was sent to servers again and again
 )
 
 // Tolerances of promises that the users' rules let be missed a few times.
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -49,6 +49,7 @@
 	HotTenant    Fault = "hot-tenant"
 	KeyRevoked   Fault = "key-revoked"
 	QuotaLowered Fault = "quota-lowered"
+	Rollout      Fault = "rollout"
 )
 
 // Faults returns all kinds of faults. New kinds are appended: the order determines
@@ -107,8 +108,8 @@
 	maxStep  = 6 * time.Second
 	minPause = 100 * time.Millisecond
 	maxPause = 2 * time.Second
-	// maxRepeats is the largest number of repeated signals.
-	maxRepeats = 2
+	// MaxRepeats is the largest number of repeated signals.
+	MaxRepeats = 2
 )
 
 // Plan draws a schedule of faults from a seed: the same arguments give the same
@@ -126,7 +127,7 @@
 			Fault:     kinds[source.IntN(len(kinds))],
 			Target:    source.IntN(targets),
 			LinkFault: linkFaults[source.IntN(len(linkFaults))],
-			Repeats:   source.IntN(maxRepeats + 1),
+			Repeats:   source.IntN(MaxRepeats + 1),
 		})
 	}
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
