Let a VM run detours only with a key that its own configuration holds

The VM that is cut off from the store accepted a key that was removed since, and the other VM, with a newer configuration, used its new shards. Orders now carry the digest of the key, and a VM declines those whose key its own configuration doesn't hold for that tenant.

Ran: the tests of front/gate, link/detour and conf/routes with the race detector; the new test fails without the check.

--- a/internal/conf/routes/tenant.go
+++ b/internal/conf/routes/tenant.go
@@ -81,7 +81,12 @@
 
 // TenantOfKey returns the tenant that holds a key, or nil if there is none.
 func (t *Table) TenantOfKey(key []byte) *Tenant {
-	return t.tenantsByKey[DigestKey(key)]
+	return t.TenantOfDigest(DigestKey(key))
+}
+
+// TenantOfDigest is like TenantOfKey for the digest of a key.
+func (t *Table) TenantOfDigest(digest KeyDigest) *Tenant {
+	return t.tenantsByKey[digest]
 }
 
 // Tenant returns the tenant with the given name, or nil if there is none.
--- a/internal/front/gate/detour.go
+++ b/internal/front/gate/detour.go
@@ -52,14 +52,15 @@
 		detour.Decline(ctx, detour.NotReady)
 		return
 	}
-	tenant := table.Tenant(ident.TenantID(order.Tenant))
-	if tenant == nil && order.Tenant != "" {
-		// The tenant is in another version of the configuration only.
+	tenant, key, ok := authenticateOrder(table, route, order)
+	if !ok {
+		// The other VM's configuration may be older, or the key was removed since.
 		detour.Decline(ctx, detour.NotReady)
 		return
 	}
 	request := runner.Request{
 		Tenant:   tenant,
+		Key:      key,
 		Message:  &pool.Message{ID: order.Request, Head: order.Head, Body: order.Body, NoBody: order.NoBody},
 		Route:    route,
 		Arrived:  now.Add(-time.Duration(order.AgeMicros) * time.Microsecond),
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -244,7 +244,7 @@
 		g.unknownRoute(ctx, id, arrived)
 		return
 	}
-	tenant, ok := authenticate(view.Table, route, &ctx.Request.Header)
+	tenant, key, ok := authenticate(view.Table, route, &ctx.Request.Header)
 	if !ok {
 		g.unknownKey(ctx, id, arrived)
 		return
@@ -257,6 +257,7 @@
 		Message:  newMessage(ctx, id, newHeaderRules(view.Table, &g.deps.Names, tenant)),
 		Route:    route,
 		Tenant:   tenant,
+		Key:      key,
 		Arrived:  arrived,
 		Overhead: networkOverhead(ctx.Conn(), ctx.ConnRequestNum() == 1),
 		Wait:     parseWait(findHeader(&ctx.Request.Header, g.deps.Names.Deadline)),
--- a/internal/front/gate/quota_test.go
+++ b/internal/front/gate/quota_test.go
@@ -78,7 +78,7 @@
 	}
 	bucket := &fakeQuota{}
 	g := newGate(fake, func(d *gate.Deps) { d.Quota = bucket })
-	order := detour.Order{Host: "desk.example", Path: "/one/", Version: 3, Tenant: "north", Head: []byte("GET /one/ HTTP/1.1\r\n")}
+	order := detour.Order{Host: "desk.example", Path: "/one/", Version: 3, Tenant: "north", Key: digestOf(validKey), Head: []byte("GET /one/ HTTP/1.1\r\n")}
 	body, err := order.MarshalMsg(nil)
 	require.NoError(t, err)
 	var response fasthttp.Response
--- a/internal/front/gate/tenant.go
+++ b/internal/front/gate/tenant.go
@@ -7,22 +7,43 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirestair/samphirestair/internal/conf/routes"
+	"github.com/samphirestair/samphirestair/internal/link/detour"
 )
 
 // keyScheme is the authentication scheme of the Authorization header.
 const keyScheme = "Token"
 
-// authenticate returns the tenant that holds the key of a request, or nil if the configuration
-// has no tenants or the route is public and the request has no valid key. ok is false if the
-// route needs a key and the request has none that is in force.
-func authenticate(table *routes.Table, route *routes.Route, header *fasthttp.RequestHeader) (tenant *routes.Tenant, ok bool) {
+// authenticate returns the tenant that holds the key of a request and the digest of the key. tenant
+// is nil if the configuration has no tenants, or the route is public and the request has no valid
+// key. ok is false if the route needs a key and the request has none that is in force.
+func authenticate(table *routes.Table, route *routes.Route, header *fasthttp.RequestHeader) (tenant *routes.Tenant, digest routes.KeyDigest, ok bool) {
 	if !table.HasTenants() {
-		return nil, true
+		return nil, digest, true
 	}
 	if key := findKey(header); key != nil {
-		tenant = table.TenantOfKey(key)
+		digest = routes.DigestKey(key)
+		tenant = table.TenantOfDigest(digest)
 	}
-	return tenant, tenant != nil || !table.NeedsKey(route)
+	return tenant, digest, tenant != nil || !table.NeedsKey(route)
+}
+
+// authenticateOrder is like authenticate for a request that another VM has authenticated with a
+// configuration that may be older: no configuration may allow the key together with the services
+// that this VM's configuration names. The head of the order names its tenant already, and contains
+// the caller's headers as they are if the other VM's configuration has no tenants.
+func authenticateOrder(table *routes.Table, route *routes.Route, order *detour.Order) (tenant *routes.Tenant, digest routes.KeyDigest, ok bool) {
+	if !table.HasTenants() {
+		return nil, digest, order.Tenant == ""
+	}
+	if order.Tenant == "" {
+		return nil, digest, !table.NeedsKey(route) && order.Version == uint64(table.Config().Version)
+	}
+	if len(order.Key) != len(digest) {
+		return nil, digest, false
+	}
+	copy(digest[:], order.Key)
+	tenant = table.TenantOfDigest(digest)
+	return tenant, digest, tenant != nil && string(tenant.Name) == order.Tenant
 }
 
 // findKey returns the key of a request, or nil if it has none. A request with several
--- a/internal/front/gate/tenant_test.go
+++ b/internal/front/gate/tenant_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
+	"github.com/samphirestair/samphirestair/internal/link/detour"
 )
 
 const (
@@ -110,3 +111,46 @@
 	require.Contains(t, head, "X-Tenant: south\r\n")
 	require.Contains(t, head, validKey)
 }
+
+// digestOf returns the digest of a key as orders of other VMs contain it.
+func digestOf(key string) []byte {
+	digest := routes.DigestKey([]byte(key))
+	return digest[:]
+}
+
+// Guards against requests of VMs with an older configuration, whose key this VM's configuration does
+// not hold any more: they ran with the services of the new configuration, which no configuration
+// allows with that key.
+func TestRequestOfAnotherVMNeedsAKeyInForce(t *testing.T) {
+	for name, test := range map[string]struct {
+		order detour.Order
+		runs  bool
+	}{
+		"key in force":           {detour.Order{Path: "/one/", Tenant: "north", Key: digestOf(validKey)}, true},
+		"removed key":            {detour.Order{Path: "/one/", Tenant: "north", Key: digestOf("k3y-of-yesterday")}, false},
+		"key of another tenant":  {detour.Order{Path: "/one/", Tenant: "south", Key: digestOf(validKey)}, false},
+		"no key":                 {detour.Order{Path: "/one/", Tenant: "north"}, false},
+		"not authenticated":      {detour.Order{Path: "/one/"}, false},
+		"public":                 {detour.Order{Path: "/open/"}, true},
+		"public, other version":  {detour.Order{Path: "/open/", Version: 2}, false},
+		"public with a key":      {detour.Order{Path: "/open/", Tenant: "north", Key: digestOf(validKey)}, true},
+		"public, unknown tenant": {detour.Order{Path: "/open/", Tenant: "west", Key: digestOf(unknownKey)}, false},
+	} {
+		fake := newTenantTier(t)
+		order := test.order
+		order.Host, order.Head = "desk.example", []byte("GET /one/ HTTP/1.1\r\n")
+		if order.Version == 0 {
+			order.Version = 3
+		}
+		body, err := order.MarshalMsg(nil)
+		require.NoError(t, err)
+		var response fasthttp.Response
+		ask(t, newGate(fake).RunDetour, body, &response)
+		if test.runs {
+			require.Len(t, fake.requests, 1, name)
+		} else {
+			require.Empty(t, fake.requests, name)
+			require.Equal(t, fasthttp.StatusConflict, response.StatusCode(), name)
+		}
+	}
+}
--- a/internal/link/detour/runner.go
+++ b/internal/link/detour/runner.go
@@ -287,15 +287,15 @@
 	version := max(r.newest, r.version())
 	r.mu.Unlock()
 	message := request.Message
-	tenant := ident.TenantID("")
+	tenant, key := ident.TenantID(""), []byte(nil)
 	if request.Tenant != nil {
-		tenant = request.Tenant.Name
+		tenant, key = request.Tenant.Name, request.Key[:]
 	}
 	return &Order{
 		Request: message.ID, Host: request.Host, Path: request.Path, Head: message.Head, Body: message.Body, NoBody: message.NoBody,
 		AgeMicros: time.Since(request.Arrived).Microseconds(), OverheadMicros: request.Overhead.Microseconds(), WaitMicros: request.Wait.Microseconds(),
 		Version: uint64(version), Missing: uint32(max(missing, 0)), Counted: request.Counted,
-		Tenant: string(tenant),
+		Tenant: string(tenant), Key: key,
 	}
 }
 
--- a/internal/link/detour/wire.go
+++ b/internal/link/detour/wire.go
@@ -47,6 +47,8 @@
 	// Tenant is the name of the caller's tenant, or empty if there is none. Head names it too,
 	// and never contains the caller's key.
 	Tenant string `msg:"t"`
+	// Key is the digest of the caller's key, or empty if Tenant is.
+	Key []byte `msg:"k"`
 }
 
 // Answer is the answer for the caller. It is the body of the answer to an order, since its
--- a/internal/link/detour/wire_gen.go
+++ b/internal/link/detour/wire_gen.go
@@ -487,6 +487,12 @@
 				err = msgp.WrapError(err, "Tenant")
 				return
 			}
+		case "k":
+			z.Key, err = dc.ReadBytes(z.Key)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -500,9 +506,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Order) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 13
+	// map header, size 14
 	// write "i"
-	err = en.Append(0x8d, 0xa1, 0x69)
+	err = en.Append(0x8e, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -631,15 +637,25 @@
 		err = msgp.WrapError(err, "Tenant")
 		return
 	}
+	// write "k"
+	err = en.Append(0xa1, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Order) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
+	// map header, size 14
 	// string "i"
-	o = append(o, 0x8d, 0xa1, 0x69)
+	o = append(o, 0x8e, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.Request)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
@@ -677,6 +693,9 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendString(o, z.Tenant)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendBytes(o, z.Key)
 	return
 }
 
@@ -776,6 +795,12 @@
 				err = msgp.WrapError(err, "Tenant")
 				return
 			}
+		case "k":
+			z.Key, bts, err = msgp.ReadBytesBytes(bts, z.Key)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -790,6 +815,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Order) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Request) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.BytesPrefixSize + len(z.Head) + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Tenant)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Request) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.BytesPrefixSize + len(z.Head) + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Tenant) + 2 + msgp.BytesPrefixSize + len(z.Key)
 	return
 }
--- a/internal/query/runner/request.go
+++ b/internal/query/runner/request.go
@@ -19,6 +19,8 @@
 	Route   *routes.Route
 	// Tenant is the tenant of the caller, or nil if there is none.
 	Tenant *routes.Tenant
+	// Key is the digest of the caller's key if there is a tenant.
+	Key routes.KeyDigest
 	// Service is the service that was picked if the request is not a search.
 	Service ident.ServiceID
 	Arrived time.Time
