Rank the VMs for spare tokens only when they change

A VM determined owners and deputies among all registered VMs in each step of its quotas, which also follows each request that waits and each reply: 16 by 64 hashes and a sort, although the VMs are mostly the same. It now does so only if the registered VMs or the number of shares changed, as it already did for the owners. The result is the same.

Also wraps a comment anew.

Ran: vet, the linter, and the tests of query/quota and link/grant with the race detector.

--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -134,8 +134,11 @@
 	if !slices.Equal(s.Owners, h.situation.Owners) || first {
 		h.desired, _ = assign(s.Owners)
 	}
+	sparesMove := s.Sharers != h.situation.Sharers || !slices.Equal(s.Registered, h.situation.Registered)
 	h.situation = s
-	h.placeSpares()
+	if sparesMove {
+		h.placeSpares()
+	}
 	if first {
 		// The process before this one on the same VM may have leased its share.
 		for i := range h.slots {
--- a/internal/query/quota/quota.go
+++ b/internal/query/quota/quota.go
@@ -35,8 +35,8 @@
 	leaseIntervals = 3
 
 	// holdTime is the time for which granted tokens are valid that no request has used, from the
-	// last order that told the owner of them. It
-	// covers the time in which a dead owner is noticed (0.9 s) and replaced (0.6 s).
+	// last order that told the owner of them. It covers the time in which a dead owner is noticed
+	// (0.9 s) and replaced (0.6 s).
 	holdTime = 2 * time.Second
 )
 
