Use the clock of package boot for roll-outs

Package boot has had Now, a clock that includes the time in suspension, since quotas need it; roll-outs built the same clock from the time since the start and the time in suspension, with twice as many reads of the kernel's clocks. Both now use boot.Now. Only differences of these times are used, so that their origin doesn't matter.

--- a/internal/core/tier/rollout.go
+++ b/internal/core/tier/rollout.go
@@ -26,12 +26,6 @@
 	rolloutWriteTimeout = time.Second
 )
 
-// newClock returns a clock that includes the time in suspension.
-func newClock() func() time.Duration {
-	start, suspended := time.Now(), boot.Suspended()
-	return func() time.Duration { return time.Since(start) + boot.Suspended() - suspended }
-}
-
 // buildRollouts creates the part of this VM in roll-outs.
 func (t *Tier) buildRollouts(self roster.Member) {
 	bounds := func() roll.Bounds {
@@ -39,7 +33,7 @@
 		return roll.Bounds{Share: settings.Share, Back: settings.Back}
 	}
 	t.rollouts = tally.New(tally.Deps{
-		Member: roll.NewMember(self.VM, self.BootID, bounds), Clock: t.clock,
+		Member: roll.NewMember(self.VM, self.BootID, bounds), Clock: boot.Now,
 		Rollouts: t.followedRollouts, Situation: t.rolloutSituation, Permit: t.env.Exposures.SetPermits, Store: t.storeRollout,
 		Address: t.peerAddress, Events: t.events,
 	})
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -20,6 +20,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/boot"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/fwconf"
 	"github.com/samphirestair/samphirestair/internal/core/events"
@@ -114,9 +115,7 @@
 	gossip             *gossip.Exchange
 	quota              *grant.Service
 	rollouts           *tally.Exchange
-	// clock includes the time in suspension.
-	clock func() time.Duration
-	env   *relay.Env
+	env                *relay.Env
 	// cost is the choice of servers of env.
 	cost      choose.CostPolicy
 	admission admit.QueuingPolicy
@@ -137,7 +136,7 @@
 // opens the listeners.
 func New(settings *fwconf.Settings, load Loader, adapter Adapter, logger *slog.Logger) (*Tier, error) {
 	debug.SetGCPercent(garbagePercent)
-	t := &Tier{settings: settings, loadSettings: load, adapter: adapter, metrics: metrics.NewSet(), clock: newClock()}
+	t := &Tier{settings: settings, loadSettings: load, adapter: adapter, metrics: metrics.NewSet()}
 	t.current.Store(settings)
 	logger = logger.With(slog.String("vm", string(settings.VM.ID)))
 	t.events = events.New(logger, t.metrics)
@@ -297,7 +296,7 @@
 			return t.pool.TrialLoad(server)
 		},
 		Notices:   t.notices,
-		Exposures: relay.NewExposures(t.clock, t.exposureSlack),
+		Exposures: relay.NewExposures(boot.Now, t.exposureSlack),
 		Pace:      relay.NewPacer(t.pace, time.Now()),
 		Options:   relay.Options{Partial: t.settings.Answers.Partial, CrossZonePenalty: t.settings.Cost.Stay}.WithDefaults(),
 	}
