Build the sets of replaced headers once

The gate built the set of headers that backend servers don't get for each request, with two to four conversions to lower case. They depend only on whether the configuration has tenants, so the gate now builds both sets when it is created. Its method run returns only whether nothing was sent, which is all that its callers use, instead of the answer without its result.

--- a/internal/front/gate/detour.go
+++ b/internal/front/gate/detour.go
@@ -80,8 +80,8 @@
 		return
 	}
 	// The VM that read the request from the caller has charged the tenant's quota.
-	answer := g.run(ctx, g.deps.Local, request)
+	unsent := g.run(ctx, g.deps.Local, request)
 	// The answer and its encoded form are in memory at a time.
 	accept.Holder(ctx.Conn()).Set(budget.Response, 2*len(ctx.Response.Body()))
-	detour.Wrap(ctx, table.Config().Version, answer.IsUnsent())
+	detour.Wrap(ctx, table.Config().Version, unsent)
 }
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -24,7 +24,6 @@
 	"github.com/samphirestair/samphirestair/internal/fleet/beats"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/link/grant"
-	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/plat/header"
 	"github.com/samphirestair/samphirestair/internal/query/relay"
 	"github.com/samphirestair/samphirestair/internal/query/runner"
@@ -112,6 +111,7 @@
 // Gate is the HTTP server for callers. It is safe for concurrent use.
 type Gate struct {
 	deps    Deps
+	headers headerRules
 	watcher *callerWatcher
 	server  *fasthttp.Server
 	// stopping is set during a planned stop.
@@ -122,7 +122,7 @@
 
 // New returns a gate that does not listen yet.
 func New(deps Deps) *Gate {
-	g := &Gate{deps: deps, watcher: newWatcher()}
+	g := &Gate{deps: deps, headers: newHeaderRules(&deps.Names), watcher: newWatcher()}
 	g.server = NewServer(g.Handle, guard.Options{MaxBody: g.maxBody, Reporter: deps.Reporter})
 	return g
 }
@@ -254,7 +254,7 @@
 		return
 	}
 	request := runner.Request{
-		Message:  newMessage(ctx, id, newHeaderRules(view.Table, &g.deps.Names, tenant)),
+		Message:  g.headers.newMessage(ctx, id, view.Table, tenant),
 		Route:    route,
 		Tenant:   tenant,
 		Key:      key,
@@ -294,21 +294,21 @@
 		ctx.SetStatusCode(fasthttp.StatusTooManyRequests)
 		return
 	}
-	if answer := g.run(ctx, g.deps.Runner, request); answer.IsUnsent() {
+	if unsent := g.run(ctx, g.deps.Runner, request); unsent {
 		g.deps.Quota.GiveBack(request.Tenant)
 	}
 }
 
-// run runs a request, writes the answer and returns it without its result. The request is cancelled when the sender closes
-// the connection, or is abandoned at the end of a planned stop.
-func (g *Gate) run(ctx *fasthttp.RequestCtx, r Runner, request runner.Request) runner.Answer {
+// run runs a request and writes the answer. The request is cancelled when the sender closes the
+// connection, or is abandoned at the end of a planned stop. unsent is set if it was refused and
+// no backend server received any part of it.
+func (g *Gate) run(ctx *fasthttp.RequestCtx, r Runner, request runner.Request) (unsent bool) {
 	gone, stopWatch := g.watcher.watch(ctx.Conn(), time.Now())
 	request.Gone = gone
 	answer := r.Run(request)
 	stopWatch()
 	g.write(ctx, answer)
-	answer.Result = pool.Result{}
-	return answer
+	return answer.IsUnsent()
 }
 
 // unknownRoute answers a request that no route matches: with 404, or with 503 and a
--- a/internal/front/gate/message.go
+++ b/internal/front/gate/message.go
@@ -94,29 +94,31 @@
 
 // headerRules defines which headers of a caller are replaced.
 type headerRules struct {
-	names *header.Names
-	// tenant is the tenant of the caller, or nil.
-	tenant *routes.Tenant
+	// tenantName is the name of the header that names the caller's tenant.
+	tenantName string
 	// dropped holds the names, in lower case, of the headers that the tier sets itself or
-	// withholds from backend servers.
-	dropped coll.Set[string]
+	// withholds from backend servers, and droppedByTenants those while there are tenants.
+	dropped, droppedByTenants coll.Set[string]
 }
 
-// newHeaderRules returns the rules for a request. If there are tenants, backend servers get the
-// name of the caller's tenant and never the key.
-func newHeaderRules(table *routes.Table, names *header.Names, tenant *routes.Tenant) headerRules {
-	dropped := coll.NewSet(strings.ToLower(names.Deadline), strings.ToLower(names.ExpectedServer))
-	if table.HasTenants() {
-		dropped.Add(strings.ToLower(names.Tenant))
-		dropped.Add(strings.ToLower(fasthttp.HeaderAuthorization))
-	}
-	return headerRules{names: names, tenant: tenant, dropped: dropped}
+// newHeaderRules returns the rules for all requests. If there are tenants, backend servers get
+// the name of the caller's tenant and never the key.
+func newHeaderRules(names *header.Names) headerRules {
+	rules := headerRules{tenantName: names.Tenant, dropped: coll.NewSet(strings.ToLower(names.Deadline), strings.ToLower(names.ExpectedServer))}
+	rules.droppedByTenants = rules.dropped.Clone()
+	rules.droppedByTenants.Add(strings.ToLower(names.Tenant))
+	rules.droppedByTenants.Add(strings.ToLower(fasthttp.HeaderAuthorization))
+	return rules
 }
 
-// newMessage builds the request for backend servers from that of the caller. Method,
-// target, body and headers are unchanged, except that hop-by-hop headers and those that
-// the tier sets itself are left out.
-func newMessage(ctx *fasthttp.RequestCtx, id string, rules headerRules) *pool.Message {
+// newMessage builds the request for backend servers from that of the caller, whose tenant is nil
+// if there is none. Method, target, body and headers are unchanged, except that hop-by-hop
+// headers and those that the tier sets itself are left out.
+func (r *headerRules) newMessage(ctx *fasthttp.RequestCtx, id string, table *routes.Table, tenant *routes.Tenant) *pool.Message {
+	dropped := r.dropped
+	if table.HasTenants() {
+		dropped = r.droppedByTenants
+	}
 	header := &ctx.Request.Header
 	body := ctx.Request.Body()
 	head := make([]byte, 0, 512)
@@ -125,14 +127,14 @@
 	listed := connectionHeaders(header)
 	for key, value := range header.All() {
 		name := strings.ToLower(strings.TrimSpace(string(key)))
-		if hopByHopHeaders.Has(name) || listed.Has(name) || rules.dropped.Has(name) {
+		if hopByHopHeaders.Has(name) || listed.Has(name) || dropped.Has(name) {
 			continue
 		}
 		head = append(append(append(head, key...), ": "...), value...)
 		head = append(head, "\r\n"...)
 	}
-	if rules.tenant != nil {
-		head = append(append(append(head, rules.names.Tenant...), ": "...), rules.tenant.Name...)
+	if tenant != nil {
+		head = append(append(append(head, r.tenantName...), ": "...), tenant.Name...)
 		head = append(head, "\r\n"...)
 	}
 	if len(body) > 0 || header.ContentLength() > 0 || needsLength(header) {
