Look up the versions allowed by a roll-out in one place

Three functions of a query looked up the roll-out of a service and asked it which versions may get the next attempt, each with its own case for none. The query now has one method for that, which allows all versions if there is no roll-out. During one, the servers are not searched for a preferred version if none is preferred, and not copied if all are allowed. The method prefers, which was only asked for that, is isTarget now.

Nothing more is allocated for an attempt.

--- a/internal/query/relay/candidates.go
+++ b/internal/query/relay/candidates.go
@@ -46,15 +46,22 @@
 	return replicas[q.costs.choose(now, s, candidates)]
 }
 
+// sides returns which versions may get the next attempt of a shard: all if there is no roll-out.
+func (q *Query) sides(s *shard) sides {
+	x := q.env.Exposures.account(s.service)
+	if x == nil {
+		return sides{target: true, others: true}
+	}
+	return x.sides(len(s.attempts) == 0)
+}
+
 // replicas returns the servers of a shard's service that may get its next attempt. During a
 // roll-out these are the ones of some versions only.
 func (q *Query) replicas(s *shard) []*roster.Replica {
-	all := q.env.Replicas().Replicas(s.service)
-	x := q.env.Exposures.account(s.service)
-	if x == nil {
+	all, sides := q.env.Replicas().Replicas(s.service), q.sides(s)
+	if sides.target && sides.others {
 		return all
 	}
-	sides := x.sides(len(s.attempts) == 0)
 	allowed := make([]*roster.Replica, 0, len(all))
 	for _, r := range all {
 		if sides.allows(r) {
@@ -67,13 +74,11 @@
 // warmest appends to replicas the servers that accept the next attempt of a shard: if possible
 // warm ones of the version that a roll-out prefers.
 func (q *Query) warmest(now time.Time, s *shard, replicas []*roster.Replica) []*roster.Replica {
-	x := q.env.Exposures.account(s.service)
-	if x == nil {
-		return q.accepting(now, s, replicas, func(*roster.Replica) bool { return true })
-	}
-	sides := x.sides(len(s.attempts) == 0)
-	if preferred := q.accepting(now, s, replicas, sides.prefers); len(preferred) > 0 && !now.Before(preferred[0].ColdUntil) {
-		return preferred
+	sides := q.sides(s)
+	if sides.preferTarget {
+		if preferred := q.accepting(now, s, replicas, sides.isTarget); len(preferred) > 0 && !now.Before(preferred[0].ColdUntil) {
+			return preferred
+		}
 	}
 	return q.accepting(now, s, replicas, sides.allows)
 }
@@ -101,10 +106,6 @@
 
 // mayUse reports whether a server may get the next attempt of a shard during a roll-out.
 func (q *Query) mayUse(s *shard, r *roster.Replica) bool {
-	x := q.env.Exposures.account(s.service)
-	if x == nil {
-		return true
-	}
-	sides := x.sides(len(s.attempts) == 0)
+	sides := q.sides(s)
 	return sides.allows(r)
 }
--- a/internal/query/relay/exposure.go
+++ b/internal/query/relay/exposure.go
@@ -179,14 +179,14 @@
 	version        string
 }
 
-// prefers reports whether a server is of the version that is preferred.
-func (s *sides) prefers(r *roster.Replica) bool {
-	return s.preferTarget && r.Version == s.version
+// isTarget reports whether a server is of the new version.
+func (s *sides) isTarget(r *roster.Replica) bool {
+	return r.Version == s.version
 }
 
 // allows reports whether a server may get the attempt.
 func (s *sides) allows(r *roster.Replica) bool {
-	if r.Version == s.version {
+	if s.isTarget(r) {
 		return s.target
 	}
 	return s.others
