Name services and tenants in reports of check by one function each

The linter formatted the subject of a service in three places and that of a tenant in two, one of which had a function.

Ran: vet, the linter, and the tests of conf/lint and ops/cmdln with the race detector.

--- a/internal/conf/lint/diff.go
+++ b/internal/conf/lint/diff.go
@@ -147,7 +147,7 @@
 	for _, name := range coll.Sorted(names) {
 		before, was := current.Services[name]
 		after, is := next.Services[name]
-		subject := fmt.Sprintf("service %q", name)
+		subject := serviceSubject(name)
 		switch {
 		case !was:
 			d.addf(subject, "", "added")
@@ -176,10 +176,6 @@
 	}
 }
 
-func tenantSubject(name ident.TenantID) string {
-	return fmt.Sprintf("tenant %q", name)
-}
-
 func (d *differ) compareTenant(before, after *routes.Tenant) {
 	subject := tenantSubject(after.Name)
 	was, is := coll.NewSet(before.Keys...), coll.NewSet(after.Keys...)
--- a/internal/conf/lint/lint.go
+++ b/internal/conf/lint/lint.go
@@ -77,6 +77,14 @@
 	return fmt.Sprintf("route %q", route.Name)
 }
 
+func serviceSubject(name ident.ServiceID) string {
+	return fmt.Sprintf("service %q", name)
+}
+
+func tenantSubject(name ident.TenantID) string {
+	return fmt.Sprintf("tenant %q", name)
+}
+
 // checkVersion reports a version that VMs ignore because theirs is as new.
 func (l *linter) checkVersion() {
 	if l.current != nil && l.config.Version <= l.current.Version {
@@ -181,10 +189,10 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(l.config.Services)) {
 		if service := l.config.Services[name]; service.Connections < 0 || service.WarmUpRate < 0 || service.WarmUpTime < 0 {
-			l.errorf(fmt.Sprintf("service %q", name), "a limit is negative")
+			l.errorf(serviceSubject(name), "a limit is negative")
 		}
 		if !used.Has(name) {
-			l.warnf(fmt.Sprintf("service %q", name), "no route uses it")
+			l.warnf(serviceSubject(name), "no route uses it")
 		}
 	}
 }
@@ -198,7 +206,7 @@
 	names, keys := coll.NewSet[ident.TenantID](), map[routes.KeyDigest]ident.TenantID{}
 	for i := range l.config.Tenants {
 		tenant := &l.config.Tenants[i]
-		subject := fmt.Sprintf("tenant %q", tenant.Name)
+		subject := tenantSubject(tenant.Name)
 		if err := tenant.Validate(); err != nil {
 			l.errorf(subject, "%v", err)
 		}
