Say the cases of a failed store call one after the other

A switch had a case whose condition waited. It is written as ifs; nothing else changes.

Ran: vet, the linter, and the tests of fleet/roster with the race detector.

--- a/internal/fleet/roster/readloop.go
+++ b/internal/fleet/roster/readloop.go
@@ -188,14 +188,15 @@
 // the VM stands by, the pause doubles with each failure.
 func (f *Follower) handleFailedCall(ctx context.Context, r *readProgress, err error) {
 	f.send(ctx, update{err: err})
-	r.failures++
-	switch {
-	case r.failures <= 1:
-	case f.followAll.Load():
+	if r.failures++; r.failures <= 1 {
+		return
+	}
+	if f.followAll.Load() {
 		sleep.For(ctx, retryPause())
-	case f.pause(ctx, standbyRetryPause(r.failures)):
+		return
+	}
+	if reread := f.pause(ctx, standbyRetryPause(r.failures)); reread {
 		r.loaded = false
-	default:
 	}
 }
 
