Check the status of the replies of quota owners, too

The client of quota owners opened its connections without reply.Conn, which all other readers of responses use: a reply with the status 000 was read as one with 200, and its tokens were used.

The two clients now share httpc.HostPool, the clients by address, and with httpc.Client the function httpc.Dial, whose connections are checked. The limits of each client are as before.

--- a/internal/link/deleg/client.go
+++ b/internal/link/deleg/client.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,13 +29,12 @@
 
 // Client sends orders to delegates. It is safe for concurrent use.
 type Client struct {
-	mu    sync.Mutex
-	hosts map[string]*fasthttp.HostClient
+	hosts *httpc.HostPool
 }
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{hosts: map[string]*fasthttp.HostClient{}}
+	return &Client{hosts: httpc.NewHostPool(newHost)}
 }
 
 // PendingOrder is an order in flight. It is safe for concurrent use.
@@ -53,42 +51,29 @@
 // Retain closes idle connections to addresses for which keep returns false, and removes
 // their clients.
 func (c *Client) Retain(keep func(address string) bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, host := range c.hosts {
-		if !keep(address) {
-			host.CloseIdleConnections()
-			delete(c.hosts, address)
-		}
-	}
+	c.hosts.Retain(keep)
 }
 
-func (c *Client) host(address string) *fasthttp.HostClient {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	host := c.hosts[address]
-	if host == nil {
-		host = &fasthttp.HostClient{
-			Addr:                     address,
-			MaxConns:                 maxConnectionsPerVM,
-			MaxIdleConnDuration:      idleTimeout,
-			WriteTimeout:             silenceTimeout,
-			StreamResponseBody:       true,
-			RetryIfErr:               httpc.NeverRetry,
-			NoDefaultUserAgentHeader: true,
-			Dial:                     dial,
-		}
-		c.hosts[address] = host
+// newHost returns the client of one delegate.
+func newHost(address string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                     address,
+		MaxConns:                 maxConnectionsPerVM,
+		MaxIdleConnDuration:      idleTimeout,
+		WriteTimeout:             silenceTimeout,
+		StreamResponseBody:       true,
+		RetryIfErr:               httpc.NeverRetry,
+		NoDefaultUserAgentHeader: true,
+		Dial:                     dial,
 	}
-	return host
 }
 
 func dial(address string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	conn, err := httpc.Dial(address, dialTimeout)
 	if err != nil {
-		return nil, errors.Wrapf(httpc.ErrNotSent, "%v", err)
+		return nil, err
 	}
-	return reply.NewConn(&readTimeoutConn{conn}), nil
+	return &readTimeoutConn{conn}, nil
 }
 
 // readTimeoutConn is a connection whose reads fail if no data arrives within
@@ -130,7 +115,7 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI(orderPath)
 	req.Header.SetHost(address)
-	if err := c.host(address).Do(req, resp); err != nil {
+	if err := c.hosts.Host(address).Do(req, resp); err != nil {
 		return fateOfError(err), errors.Wrap(err, "deleg: send order")
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/internal/link/grant/client.go
+++ b/internal/link/grant/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +14,8 @@
 const (
 	// Path is the path of orders on the port for other VMs.
 	Path = "/v1/quota"
+	// dialTimeout bounds connecting to another VM; its round trip is a few milliseconds.
+	dialTimeout = 150 * time.Millisecond
 	// idleTimeout is the time after which idle connections are closed.
 	idleTimeout = 20 * time.Second
 	// connectionsPerVM bounds the orders in flight to one VM: one, and a few that timed out.
@@ -25,13 +26,12 @@
 
 // Client sends orders over HTTP. It is safe for concurrent use.
 type Client struct {
-	mu    sync.Mutex
-	hosts map[string]*fasthttp.HostClient
+	hosts *httpc.HostPool
 }
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{hosts: map[string]*fasthttp.HostClient{}}
+	return &Client{hosts: httpc.NewHostPool(newHost)}
 }
 
 // Exchange implements Transport.
@@ -50,7 +50,7 @@
 	req.SetRequestURI(Path)
 	req.Header.SetHost(address)
 	req.SetBodyRaw(body)
-	if err := c.host(address).DoTimeout(req, resp, timeout); err != nil {
+	if err := c.hosts.Host(address).DoTimeout(req, resp, timeout); err != nil {
 		return nil, errors.Wrap(err, "grant: send order")
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
@@ -63,43 +63,22 @@
 	return reply, nil
 }
 
-func (c *Client) host(address string) *fasthttp.HostClient {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	host := c.hosts[address]
-	if host == nil {
-		host = &fasthttp.HostClient{
-			Addr:                     address,
-			MaxConns:                 connectionsPerVM,
-			MaxIdleConnDuration:      idleTimeout,
-			MaxResponseBodySize:      maxReplyBytes,
-			RetryIfErr:               httpc.NeverRetry,
-			NoDefaultUserAgentHeader: true,
-			Dial:                     dial,
-		}
-		c.hosts[address] = host
+// newHost returns the client of one VM.
+func newHost(address string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                     address,
+		MaxConns:                 connectionsPerVM,
+		MaxIdleConnDuration:      idleTimeout,
+		MaxResponseBodySize:      maxReplyBytes,
+		RetryIfErr:               httpc.NeverRetry,
+		NoDefaultUserAgentHeader: true,
+		Dial:                     func(address string) (net.Conn, error) { return httpc.Dial(address, dialTimeout) },
 	}
-	return host
-}
-
-// dialTimeout bounds connecting to another VM; its round trip is a few milliseconds.
-const dialTimeout = 150 * time.Millisecond
-
-func dial(address string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
-	return conn, errors.Wrap(err, "grant: connect")
 }
 
 // Retain implements Transport.
 func (c *Client) Retain(keep func(address string) bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, host := range c.hosts {
-		if !keep(address) {
-			host.CloseIdleConnections()
-			delete(c.hosts, address)
-		}
-	}
+	c.hosts.Retain(keep)
 }
 
 // Handler answers orders, and passes other requests to next.
--- a/internal/plat/httpc/client.go
+++ b/internal/plat/httpc/client.go
@@ -14,7 +14,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
-	"github.com/samphirestair/samphirestair/internal/base/reply"
 )
 
 var (
@@ -94,16 +93,11 @@
 }
 
 func newHostClient(address string, options Options) *fasthttp.HostClient {
-	dialer := &net.Dialer{Timeout: options.DialTimeout}
 	return &fasthttp.HostClient{
 		Addr:     address,
 		MaxConns: options.Connections,
-		Dial: func(addr string) (net.Conn, error) {
-			conn, err := dialer.Dial("tcp", addr)
-			if err != nil {
-				return nil, errors.Wrapf(ErrNotSent, "%v", err)
-			}
-			return reply.NewConn(conn), nil
+		Dial: func(address string) (net.Conn, error) {
+			return Dial(address, options.DialTimeout)
 		},
 		MaxConnWaitTimeout:        options.DialTimeout,
 		MaxIdemponentCallAttempts: 2,
