Read bodies of requests and of responses with the same function

Package guard and package reply each had a loop that grows a buffer with what has arrived and reserves each growth first. Both now call budget.ReadUpTo. The limits, the order of reservations and the causes of refusals are as before; the error for a lack of memory is budget.ErrNoMemory now, which one test names.

Ran: vet, the linter, the tests of base, core, owner/pool and front with the race detector, FuzzRead for 20 s, and the tests of untrusted callers.

--- a/internal/base/reply/reply.go
+++ b/internal/base/reply/reply.go
@@ -14,9 +14,6 @@
 // maxInterim bounds the interim responses before a response.
 const maxInterim = 8
 
-// ErrNoMemory is returned if there is no memory for the body of a response.
-var ErrNoMemory = errors.New("reply: no memory for the body")
-
 // Options holds the limits of a response.
 type Options struct {
 	// MaxBody is the maximum size of the body in bytes.
@@ -97,7 +94,7 @@
 	length := response.Header.ContentLength()
 	if length >= 0 {
 		if !options.Reserve(length) {
-			return nil, ErrNoMemory
+			return nil, budget.ErrNoMemory
 		}
 		body := make([]byte, length)
 		_, err := io.ReadFull(r, body)
@@ -107,30 +104,13 @@
 	if err := response.ReadBody(r, 0); err != nil {
 		return nil, err
 	}
-	stream := response.BodyStream()
-	body := make([]byte, 0, budget.SmallSize)
-	for {
-		if len(body) == cap(body) {
-			if len(body) > options.MaxBody {
-				return nil, fasthttp.ErrBodyTooLarge
-			}
-			size := min(2*len(body), options.MaxBody+1)
-			if size > budget.SmallSize && !options.Reserve(size) {
-				return nil, ErrNoMemory
-			}
-			body = append(make([]byte, 0, size), body...)
-		}
-		n, err := stream.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			response.StreamBody = false
-			if len(body) > options.MaxBody {
-				return nil, fasthttp.ErrBodyTooLarge
-			}
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
+	body, err := budget.ReadUpTo(response.BodyStream(), options.MaxBody+1, options.Reserve)
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > options.MaxBody {
+		return nil, fasthttp.ErrBodyTooLarge
 	}
+	response.StreamBody = false
+	return body, nil
 }
--- a/internal/base/reply/reply_test.go
+++ b/internal/base/reply/reply_test.go
@@ -80,7 +80,7 @@
 			require.Equal(t, test.body, string(response.Body()))
 			require.Equal(t, test.body, string(checked.Body()))
 			if test.reserved > 0 {
-				require.ErrorIs(t, read([]byte(test.data), &response, func(int) bool { return false }), reply.ErrNoMemory)
+				require.ErrorIs(t, read([]byte(test.data), &response, func(int) bool { return false }), budget.ErrNoMemory)
 			}
 		})
 	}
--- a/internal/core/guard/guard.go
+++ b/internal/core/guard/guard.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"strconv"
 	"time"
@@ -184,9 +183,8 @@
 	o.explain(ctx)
 }
 
-// readBody reads the body of a request. The buffer grows with what has arrived rather than
-// with what is announced, and each growth is reserved first. cause is empty if the body is
-// complete.
+// readBody reads the body of a request within the memory that its holder may have. cause is empty
+// if the body is complete.
 func readBody(ctx *fasthttp.RequestCtx, holder *budget.Holder, limit int) (body []byte, cause Cause) {
 	announced := ctx.Request.Header.ContentLength()
 	if announced > limit {
@@ -196,39 +194,18 @@
 	if announced >= 0 {
 		most = announced
 	}
-	stream := ctx.RequestBodyStream()
-	body = make([]byte, 0, min(most, budget.SmallSize))
-	for {
-		if len(body) == cap(body) && len(body) < most {
-			size := min(2*len(body), most)
-			if !holder.Reserve(budget.Request, size, time.Now().Add(roomWait)) {
-				return nil, NoMemory
-			}
-			body = append(make([]byte, 0, size), body...)
-		}
-		n, err := readSome(stream, body, announced)
-		body = body[:len(body)+n]
-		switch {
-		case len(body) > limit:
-			return nil, TooLarge
-		case errors.Is(err, io.EOF):
-			if announced >= 0 && len(body) < announced {
-				return nil, Malformed
-			}
-			return body, ""
-		case isTimeout(err):
-			return nil, TooSlow
-		case err != nil:
-			return nil, Malformed
-		}
-	}
-}
-
-// readSome reads into the free part of body. At the end of an announced body, which has no
-// free part, it returns io.EOF.
-func readSome(stream io.Reader, body []byte, announced int) (int, error) {
-	if announced >= 0 && len(body) == announced {
-		return 0, io.EOF
+	body, err := budget.ReadUpTo(ctx.RequestBodyStream(), most, func(size int) bool {
+		return holder.Reserve(budget.Request, size, time.Now().Add(roomWait))
+	})
+	switch {
+	case errors.Is(err, budget.ErrNoMemory):
+		return nil, NoMemory
+	case isTimeout(err):
+		return nil, TooSlow
+	case err != nil || len(body) < announced:
+		return nil, Malformed
+	case len(body) > limit:
+		return nil, TooLarge
 	}
-	return stream.Read(body[len(body):cap(body)])
+	return body, ""
 }
