Move the state dump of roll-outs and the doubts of a verdict to their places

The file of the decider also held the methods of verdict, which is in evidence.go, and a part of the state dump, the rest of which was in the file of Member. Wraps a comment anew; no code changes.

Ran: vet, the linter, and the tests of fleet/roll with the race detector.

--- a/internal/fleet/roll/decider.go
+++ b/internal/fleet/roll/decider.go
@@ -1,7 +1,6 @@
 package roll
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
@@ -15,8 +14,8 @@
 	exposingShare = 0.75
 	// moveAfter is the part of the duration from which on the share may grow: a version may
 	// turn bad late. unprovenAfter is when it grows although some routes had few requests or there
-	// is a slight doubt, and
-	// giveUpAfter when a version without servers or without responses is rolled back.
+	// is a slight doubt, and giveUpAfter when a version without servers or without responses is
+	// rolled back.
 	moveAfter, unprovenAfter, giveUpAfter = 0.7, 0.75, 0.87
 	// A version that might be bad has time to prove good until drainShare of the duration is left,
 	// or the time that the roll-back may take if that is longer: drainTime, and drainTimePerVM for
@@ -287,11 +286,6 @@
 	}
 }
 
-// isDoubtful reports whether a roll-out has to wait. A slight doubt counts for a short time.
-func (v *verdict) isDoubtful(elapsed float64) bool {
-	return v.suspect || v.doubtful && elapsed < unprovenAfter
-}
-
 // isInformed reports whether all VMs that serve have reported, without which a VM that has just
 // begun to decide knows nothing in favour of the version or against it.
 func (d *Decider) isInformed(in Input) bool {
@@ -338,13 +332,6 @@
 	}
 }
 
-// describe explains a bad version to operators.
-func (v *verdict) describe() string {
-	c := v.comparison
-	return fmt.Sprintf("route %s: %d of %d responses were bad, %.1f expected from the %d of %d of the other versions",
-		v.route, c.target.Bad, c.target.Total, c.expected, c.others.Bad, c.others.Total)
-}
-
 // collect returns the responses by VM: all, and the recent ones.
 func (d *Decider) collect() (all, recent map[ident.VMID]evidence) {
 	all, recent = map[ident.VMID]evidence{}, map[ident.VMID]evidence{}
@@ -426,28 +413,3 @@
 	d.writtenAt = in.Now
 	return d.written
 }
-
-// RouteStatus says how the versions compare on a route, for the state dump.
-type RouteStatus struct {
-	// Target and TargetBad count the responses of the new version, Others and OthersBad those of
-	// the others. Expected is the number of bad ones that the new version would have given if it
-	// was like the others.
-	Target    uint32  `json:"target"`
-	TargetBad uint32  `json:"target_bad"`
-	Others    uint32  `json:"others"`
-	OthersBad uint32  `json:"others_bad"`
-	Expected  float64 `json:"expected"`
-}
-
-// routes returns how the versions compare on each route.
-func (d *Decider) routes() map[string]RouteStatus {
-	all := evidence{}
-	for _, s := range d.sources {
-		all.add(s.report.Counts)
-	}
-	routes := map[string]RouteStatus{}
-	for name, c := range all.compare(all) {
-		routes[name] = RouteStatus{Target: c.target.Total, TargetBad: c.target.Bad, Others: c.others.Total, OthersBad: c.others.Bad, Expected: c.expected}
-	}
-	return routes
-}
--- a/internal/fleet/roll/evidence.go
+++ b/internal/fleet/roll/evidence.go
@@ -1,6 +1,7 @@
 package roll
 
 import (
+	"fmt"
 	"math"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
@@ -128,6 +129,18 @@
 	compared bool
 }
 
+// isDoubtful reports whether a roll-out has to wait. A slight doubt counts for a short time.
+func (v *verdict) isDoubtful(elapsed float64) bool {
+	return v.suspect || v.doubtful && elapsed < unprovenAfter
+}
+
+// describe explains a bad version to operators.
+func (v *verdict) describe() string {
+	c := v.comparison
+	return fmt.Sprintf("route %s: %d of %d responses were bad, %.1f expected from the %d of %d of the other versions",
+		v.route, c.target.Bad, c.target.Total, c.expected, c.others.Bad, c.others.Total)
+}
+
 // sumOf returns the responses of all VMs.
 func sumOf(byVM map[ident.VMID]evidence) evidence {
 	total := evidence{}
--- a/internal/fleet/roll/member.go
+++ b/internal/fleet/roll/member.go
@@ -391,39 +391,3 @@
 func (m *Member) HandleFailure(now time.Duration, to ident.VMID) {
 	m.avoided[to] = now + avoidTime
 }
-
-// CountIn returns the number of roll-outs in a phase.
-func (m *Member) CountIn(phase Phase) int {
-	count := 0
-	for _, k := range m.known {
-		if record := k.rollout.current(); record != nil && record.Phase == phase {
-			count++
-		}
-	}
-	return count
-}
-
-// Status is what is known of one roll-out, for the state dump.
-type Status struct {
-	Version  string        `json:"version"`
-	Duration time.Duration `json:"span"`
-	Record   *Record       `json:"record"`
-	// Decides is set if this VM decides, and Routes holds then the responses that the VMs
-	// reported. Share is the share of the requests that the new version may get.
-	Decides bool                   `json:"decides"`
-	Share   float64                `json:"share"`
-	Routes  map[string]RouteStatus `json:"routes,omitempty"`
-}
-
-// Status returns what is known of each roll-out.
-func (m *Member) Status() map[ident.ServiceID]Status {
-	all := make(map[ident.ServiceID]Status, len(m.known))
-	for service, k := range m.known {
-		s := Status{Version: k.rollout.Order.Version, Duration: k.rollout.Order.Duration, Record: k.rollout.current(), Decides: k.deciding, Share: k.share}
-		if k.deciding && k.decider != nil {
-			s.Routes = k.decider.routes()
-		}
-		all[service] = s
-	}
-	return all
-}
