--- a/internal/query/choose/cost_test.go
+++ b/internal/query/choose/cost_test.go
@@ -85,10 +85,15 @@
 	require.Zero(t, testing.AllocsPerRun(100, newChoice(t, "cost", 140)))
 }
 
-// newCostPolicy returns the policy, for which both replicas have told a slowdown.
+// newCostPolicy returns the policy with a seeded random source, for which replicas have told slowdowns.
 func newCostPolicy(t *testing.T, first, second int) (choose.CostPolicy, time.Time) {
 	t.Helper()
-	policy, now := newPolicy(t, "cost").(choose.CostPolicy), time.Unix(1000, 0)
+	return withSlowdowns(newPolicy(t, "cost").(choose.CostPolicy), first, second)
+}
+
+// withSlowdowns lets each replica tell a slowdown, unless it is 0.
+func withSlowdowns(policy choose.CostPolicy, first, second int) (choose.CostPolicy, time.Time) {
+	now := time.Unix(1000, 0)
 	for i, slowdown := range []int{first, second} {
 		if slowdown > 0 {
 			answer(policy, now, replicas[i].Server, choose.Sample{Completed: true, ServiceTime: 10 * time.Millisecond, Slots: 2, Slowdown: slowdown})
@@ -146,9 +151,12 @@
 	require.Equal(t, []float64{1, 1}, []float64{total, shard})
 }
 
-// Guards against data races: requests of a VM use the policy at the same time.
+// Guards against data races: requests of a VM use the policy at the same time. The policy has the
+// random source of the product, since a seeded one is not safe for concurrent use.
 func TestCostIsSafeForConcurrentUse(t *testing.T) {
-	policy, now := newCostPolicy(t, 300, 60)
+	construct, err := choose.Policies.Lookup("cost")
+	require.NoError(t, err)
+	policy, now := withSlowdowns(construct(choose.Options{}).(choose.CostPolicy), 300, 60)
 	var users conc.WaitGroup
 	for range 4 {
 		users.Go(func() {
--- a/internal/query/choose/policy.go
+++ b/internal/query/choose/policy.go
@@ -79,7 +79,8 @@
 
 // Options configures policies. The zero value gives the defaults.
 type Options struct {
-	// IntN returns a random number below n. nil means rand.IntN of math/rand/v2.
+	// IntN returns a random number below n. It is called concurrently if the policy is. nil means
+	// rand.IntN of math/rand/v2.
 	IntN func(n int) int
 	// QueueDecay is the time constant of the exponential decay of what servers reported
 	// of their queues. 0 means 200 ms.
