Show the requests of each tenant in timeline and explain

A tenant that complains about refusals could only be told from others by searching the logs: the lines about the end of a request had no tenant, and timeline listed requests over a quota as events of VMs.

--- a/internal/ops/logs/logs.go
+++ b/internal/ops/logs/logs.go
@@ -32,6 +32,16 @@
 	Attrs []string `json:"-"`
 }
 
+// attr returns the value of an attribute, or "" if the event doesn't have it.
+func (l *Line) attr(name string) string {
+	for _, attr := range l.Attrs {
+		if value, found := strings.CutPrefix(attr, name+"="); found {
+			return value
+		}
+	}
+	return ""
+}
+
 // commonKeys are the JSON keys that are left out of Line.Attrs.
 var commonKeys = map[string]bool{"time": true, "level": true, "msg": true, "vm": true, "subject": true, "reason": true}
 
@@ -39,6 +49,7 @@
 var outcomeTexts = map[string]string{
 	"request_refused":     "refused: it has not run",
 	"request_quarantined": "refused: it has not run",
+	overQuotaEvent:        "refused: it has not run",
 	"request_rejected":    "rejected",
 	"request_failed":      "failed: it may have run",
 	"request_timed_out":   "timed out: it may have run",
--- a/internal/ops/logs/logs_test.go
+++ b/internal/ops/logs/logs_test.go
@@ -90,6 +90,25 @@
 	require.Contains(t, text.String(), "05:00:00  0        0       0     0        0     9       0        0\n")
 }
 
+// Guards against a tenant whose refusals can't be told from those of others, and against counts that
+// hide that lines were left out.
+func TestTimelineCountsByTenant(t *testing.T) {
+	var timeline logs.Timeline
+	require.NoError(t, timeline.AddFile(filepath.Join("testdata", "tenants.log")))
+	var text bytes.Buffer
+	require.NoError(t, timeline.Write(&text))
+	goldie.New(t).Assert(t, "tenants", text.Bytes())
+}
+
+// Guards against a request over its tenant's quota that seems to have been answered.
+func TestExplainTellsThatARequestIsOverTheQuota(t *testing.T) {
+	lines, err := logs.ReadFile(filepath.Join("testdata", "tenants.log"), "r1")
+	require.NoError(t, err)
+	var text bytes.Buffer
+	require.NoError(t, logs.Explain(&text, "r1", lines))
+	goldie.New(t).Assert(t, "quota", text.Bytes())
+}
+
 func TestEmptyTimeline(t *testing.T) {
 	var timeline logs.Timeline
 	require.Error(t, timeline.AddFile(filepath.Join(t.TempDir(), "absent.log")))
--- a/internal/ops/logs/timeline.go
+++ b/internal/ops/logs/timeline.go
@@ -23,7 +23,7 @@
 
 // columns are the per-second counts of events about single requests.
 var columns = []column{
-	{"refused", []string{"request_refused", "request_rejected", "request_quarantined"}},
+	{"refused", []string{"request_refused", "request_rejected", "request_quarantined", overQuotaEvent}},
 	{"failed", []string{"request_failed", "request_timed_out"}},
 	{"late", []string{"request_late"}},
 	{"partial", []string{"request_partial"}},
@@ -49,6 +49,7 @@
 // timeline. It is not safe for concurrent use.
 type Timeline struct {
 	seconds map[int64]*second
+	tenants tenantTable
 }
 
 // second holds the events of all VMs within one second.
@@ -77,6 +78,7 @@
 }
 
 func (t *Timeline) add(line Line) {
+	t.tenants.add(&line)
 	if t.seconds == nil {
 		t.seconds = map[int64]*second{}
 	}
@@ -100,20 +102,16 @@
 // droppedBefore returns how many lines of this kind the logger dropped before this one,
 // which it writes as the attribute "dropped".
 func (l *Line) droppedBefore() int {
-	for _, attr := range l.Attrs {
-		if text, found := strings.CutPrefix(attr, "dropped="); found {
-			n, err := strconv.Atoi(text)
-			if err != nil {
-				return 0
-			}
-			return n
-		}
+	n, err := strconv.Atoi(l.attr("dropped"))
+	if err != nil {
+		return 0
 	}
-	return 0
+	return n
 }
 
-// Write writes a table of request counts with one row per second that has events, and
-// below it a table of the other events by VM. It fails only if w does.
+// Write writes a table of request counts with one row per second that has events, below it a table
+// of the requests of tenants if the configuration had tenants, and one of the other events by VM.
+// It fails only if w does.
 func (t *Timeline) Write(w io.Writer) error {
 	if len(t.seconds) == 0 {
 		_, err := fmt.Fprintln(w, "no decision in these logs")
@@ -140,6 +138,9 @@
 	if err := requestCounts.Write(w); err != nil {
 		return errors.Wrap(err, "logs: write")
 	}
+	if err := t.tenants.write(w); err != nil {
+		return errors.Wrap(err, "logs: write")
+	}
 	if _, err := fmt.Fprintln(w); err != nil {
 		return errors.Wrap(err, "logs: write")
 	}
--- a/internal/query/runner/runner.go
+++ b/internal/query/runner/runner.go
@@ -432,5 +432,9 @@
 }
 
 func (e *execution) trace(kind, reason string, attrs ...slog.Attr) {
-	e.runner.deps.Events.Trace(kind, e.request.Message.ID, reason, append(attrs, slog.String("route", e.request.Route.Name))...)
+	attrs = append(attrs, slog.String("route", e.request.Route.Name))
+	if e.request.Tenant != nil {
+		attrs = append(attrs, slog.String("tenant", string(e.request.Tenant.Name)))
+	}
+	e.runner.deps.Events.Trace(kind, e.request.Message.ID, reason, attrs...)
 }
