Draw roll-outs in the random soak

Roll-outs were one fixed sequence. A roll-out moves a desk or one of two shards to a version that is good, fails from the start, later or on one route, or is six times slower. Several run at a time, on different services. Each such service has as many standby hosts, which other faults leave alone while they have no process.

The referee (rollouts.go) now holds the checks, from what servers see: the exposure of a bad version, requests to it from VMs in contact later than 5 s after its 50th bad response, requests in flight at the losing servers when the status is written, for both results (before: for completed only), requests to them later (new), and a completed bad version. Exposure counts requests of all VMs, in contact or not, as before. A completed bad version is a finding if it gave 20 bad responses (before: always), as a service may have no traffic; the exposure and the completion aren't judged if more than 0.1 of the responses of the other versions were bad, since faults of all servers hide which version is bad. The fixed sequence has no such faults, and its bad version gets 20 bad responses long before all traffic is moved. Links that were disturbed within the time of contact excuse requests in flight, which a proxy may hold. A late result is in the report only. The status is read past the faults of the store.

--- a/internal/lab/depsrv/store.go
+++ b/internal/lab/depsrv/store.go
@@ -120,6 +120,14 @@
 	return keys
 }
 
+// Value returns the value of a key, or nil if there is none. No fault affects it.
+func (s *Store) Value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	return s.items[key].item.Value
+}
+
 // Calls returns the number of calls so far, including failed ones.
 func (s *Store) Calls() int {
 	s.mu.Lock()
--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -85,8 +85,11 @@
 	// newestSeen is the newest version that a process is known to have used, and when.
 	newestSeen map[process]observation
 	// deadly holds the requests that end backend servers, by name.
-	deadly     map[string]*deadlyState
-	tenants    map[ident.TenantID]*tenant
+	deadly  map[string]*deadlyState
+	tenants map[ident.TenantID]*tenant
+	// rollouts holds the last roll-out of each service, and inFlight the requests at servers.
+	rollouts   map[ident.ServiceID]*rollout
+	inFlight   coll.Set[*Arrival]
 	findings   []Finding
 	exceptions map[string]int
 	// overdue counts the requests that outlasted their timeout, unanswered those of
@@ -170,6 +173,8 @@
 		limits:       map[ident.ServerID]*limitState{},
 		deadly:       map[string]*deadlyState{},
 		tenants:      map[ident.TenantID]*tenant{},
+		rollouts:     map[ident.ServiceID]*rollout{},
+		inFlight:     coll.NewSet[*Arrival](),
 		exceptions:   map[string]int{},
 	}
 }
@@ -275,6 +280,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.replies[reply.Signature] = reply
+	r.countResponse(reply)
 }
 
 // Arrived records and checks the arrival of a request at a backend server.
@@ -303,6 +309,7 @@
 	r.checkNotices(q, a)
 	r.checkLimit(q, a)
 	r.checkDeadly(q, a)
+	r.checkRollout(q, a)
 	if r.boundsApply(string(q.VM), a.At) && (a.Sender == "" || r.boundsApply(string(a.Sender), a.At)) && r.faults.NoUnplannedBetween(string(a.Server), a.At.Add(-r.bounds.Contact), a.At) {
 		r.checkTimeLeft(q, a)
 		r.checkAvailability(q, a)
--- a/internal/lab/soak/checker_test.go
+++ b/internal/lab/soak/checker_test.go
@@ -20,6 +20,7 @@
 	Late: 500 * time.Millisecond, ExtraShare: 0.2, ExtraSlack: 5, ExtraWindow: 10 * time.Second, Recovery: 12 * time.Second,
 	LimitFactor: 1.5, LimitSlack: 5, LimitWindow: 4 * time.Second,
 	QuotaOverage: 0.1, QuotaSlack: 18.8, QuotaWindow: 5 * time.Second,
+	ExposureShare: 0.1, ExposureSlack: 50, RolloutBack: 5 * time.Second,
 }
 
 var (
--- a/internal/lab/soak/deadly.go
+++ b/internal/lab/soak/deadly.go
@@ -22,6 +22,8 @@
 	knownAt time.Time
 	// repeats holds the ids of the repeats that reached servers too late.
 	repeats coll.Set[string]
+	// exposed counts the servers of versions that are rolled out. They don't make it known.
+	exposed int
 }
 
 // EndedBy records that a backend server ended while it ran a deadly request.
@@ -37,6 +39,10 @@
 		d = &deadlyState{ended: coll.NewSet[ident.ServerID](), repeats: coll.NewSet[string]()}
 		r.deadly[q.Deadly] = d
 	}
+	if r.isExposed(q, server) {
+		d.exposed++
+		return
+	}
 	d.ended.Add(server)
 	if len(d.ended) == deadlyEnds && d.knownAt.IsZero() {
 		d.knownAt = at
@@ -49,7 +55,7 @@
 	defer r.mu.Unlock()
 	total := 0
 	for _, d := range r.deadly {
-		total += len(d.ended)
+		total += len(d.ended) + d.exposed
 	}
 	return total
 }
--- a/internal/lab/soak/types.go
+++ b/internal/lab/soak/types.go
@@ -45,6 +45,12 @@
 	QuotaOverage float64
 	QuotaSlack   float64
 	QuotaWindow  time.Duration
+	// ExposureShare and ExposureSlack bound the requests to a bad version from the order of its
+	// roll-out to the deadline: ExposureShare of those to its service plus ExposureSlack.
+	// RolloutBack is the time after ExposureSlack bad responses from which it may get none.
+	ExposureShare float64
+	ExposureSlack int
+	RolloutBack   time.Duration
 	// Recovery is the time after the faults within which the fleet has to serve as before.
 	Recovery time.Duration
 }
@@ -116,6 +122,8 @@
 	ID      string
 	Server  ident.ServerID
 	Service ident.ServiceID
+	// Version is the version of the server.
+	Version string
 	At      time.Time
 	// Ran is set if the server began to work on it.
 	Ran bool
@@ -157,8 +165,11 @@
 	Signature string
 	ID        string
 	Service   ident.ServiceID
+	Version   string
 	Status    int
-	Body      string
+	// Bad is set if it is a failure, or slower than usual.
+	Bad  bool
+	Body string
 	// Complete is set unless the server broke the answer off.
 	Complete bool
 }
