Keep the stage of a roll-out if the store comes back from an older copy

A bad version that was in draining_new got requests again, and was then completed.

The state of a VM now keeps a later record of the same order over a change of era, with the position of what the store holds, and the deciding VM writes it again with its status, also if it is the last one. A VM that learned of the order only after the change knows what the copy holds; if it decides, the record of the others is kept by them and written again only if it has the higher number.

--- a/internal/fleet/roll/decider.go
+++ b/internal/fleet/roll/decider.go
@@ -165,8 +165,11 @@
 	if next == DrainingNew && record.Phase != DrainingNew {
 		d.halted = reason
 	}
+	if next == "" && in.Rollout.Behind && record != nil {
+		next, reason = record.Phase, record.Reason
+	}
 	decision := Decision{Share: d.currentShare(in.Now, record)}
-	if next != "" && (record == nil || next != record.Phase) {
+	if next != "" && (record == nil || next != record.Phase || in.Rollout.Behind) {
 		decision.Write = d.write(in, record, next, reason)
 	}
 	return decision
@@ -409,7 +412,7 @@
 	if record != nil {
 		next.BeganMillis = record.BeganMillis
 	}
-	d.written = &Write{Service: d.service, Record: next, Require: in.Rollout.Revision, HasStatus: record == nil || phase.IsFinal()}
+	d.written = &Write{Service: d.service, Record: next, Require: in.Rollout.Revision, HasStatus: record == nil || phase.IsFinal() || in.Rollout.Behind}
 	d.writtenAt = in.Now
 	return d.written
 }
--- a/internal/fleet/roll/member_test.go
+++ b/internal/fleet/roll/member_test.go
@@ -139,6 +139,36 @@
 	require.Equal(t, roll.OthersOnly, p.Mode)
 }
 
+// A stage that the store lost with an older copy must be written again with its status, also the last one:
+// VMs that start later know only what the store holds.
+func TestLostStageIsWrittenAgain(t *testing.T) {
+	for _, phase := range []roll.Phase{roll.DrainingNew, roll.RolledBack} {
+		v := newSoleVM()
+		position, err := depot.NewPosition(1, 1)
+		require.NoError(t, err)
+		v.order("v2", position)
+		r := v.rollouts[service]
+		r.Record, r.Revision, r.Behind = &roll.Record{Order: r.Order, Phase: phase, Seq: 2, Reason: "bad"}, position, true
+		r.Record.Position = 1
+		v.rollouts[service] = r
+		p, _ := v.step(100 * time.Millisecond)
+		require.Equal(t, roll.OthersOnly, p.Mode)
+		require.Len(t, v.writes, 1)
+		w := v.writes[0]
+		require.Equal(t, phase, w.Record.Phase)
+		require.EqualValues(t, 3, w.Record.Seq)
+		require.Equal(t, "bad", w.Record.Reason)
+		require.Equal(t, position, w.Require)
+		require.True(t, w.HasStatus)
+		v.apply()
+		r = v.rollouts[service]
+		r.Behind = false
+		v.rollouts[service] = r
+		v.step(100 * time.Millisecond)
+		require.Empty(t, v.writes)
+	}
+}
+
 // tallyOf returns a tally of responses that take some time, and of failures.
 func tallyOf(count int, took time.Duration, failed int) (t roll.Tally) {
 	for range count {
--- a/internal/fleet/roll/roll.go
+++ b/internal/fleet/roll/roll.go
@@ -83,6 +83,9 @@
 	Record *Record `json:"record,omitempty"`
 	// Revision is the position of Record in the store, or 0.
 	Revision depot.Position `json:"-"`
+	// Behind is set if Record is newer than what the store holds, which came back from an older
+	// copy. It has to be written again.
+	Behind bool `json:"-"`
 }
 
 // current returns the record if it belongs to the order, or nil.
--- a/internal/fleet/roster/rollouts.go
+++ b/internal/fleet/roster/rollouts.go
@@ -26,8 +26,18 @@
 	order    *roll.Order
 	orderKey string
 	removeAt time.Time
+	// record is the latest one that is known, and revision the position of the one in the store.
+	// behind is set if that is an older one, of an older copy of the store.
 	record   *roll.Record
 	revision depot.Position
+	behind   bool
+}
+
+// loses reports whether the store came back from an older copy with an earlier record of the roll-out
+// under way, or without any (nil).
+func (r *rollout) loses(copied *roll.Record, position depot.Position) bool {
+	return r.order != nil && r.record != nil && r.record.IsOf(r.order) && (r.behind || position.Era() > r.revision.Era()) &&
+		(copied == nil || copied.Seq < r.record.Seq)
 }
 
 // rolloutOf returns the state of a service's roll-out, which it creates.
@@ -73,11 +83,15 @@
 	if item.Revision <= r.revision {
 		return
 	}
+	if r.loses(&record, item.Revision) {
+		r.revision, r.behind, s.changed = item.Revision, true, true
+		return
+	}
 	if r.record == nil || *r.record != record {
 		s.events.Record("rollout_stage", string(service), record.Reason, slog.String("version", record.Version),
 			slog.String("stage", string(record.Phase)), slog.Uint64("seq", record.Seq))
 	}
-	r.record, r.revision, s.changed = &record, item.Revision, true
+	r.record, r.revision, r.behind, s.changed = &record, item.Revision, false, true
 }
 
 // withdrawOrder ends the roll-out of a service: all its versions are used alike again.
@@ -93,7 +107,7 @@
 // removeRecord forgets a record whose key is missing.
 func (s *State) removeRecord(service ident.ServiceID) {
 	if r := s.rollouts[service]; r != nil && r.revision != 0 {
-		r.record, r.revision, s.changed = nil, 0, true
+		r.record, r.revision, r.behind, s.changed = nil, 0, false, true
 	}
 }
 
@@ -103,7 +117,11 @@
 func (s *State) handleMissingRollouts(now time.Time, missing func(key string) bool, read depot.Position) {
 	for service, r := range s.rollouts {
 		if r.record != nil && r.revision <= read && missing(RollKey(service)) {
-			s.removeRecord(service)
+			if r.loses(nil, read) {
+				r.revision, r.behind, s.changed = 0, true, true
+			} else {
+				s.removeRecord(service)
+			}
 		}
 		switch {
 		case r.order == nil || !missing(r.orderKey):
@@ -135,7 +153,7 @@
 		if all == nil {
 			all = map[ident.ServiceID]roll.Rollout{}
 		}
-		all[service] = roll.Rollout{Order: *r.order, Record: r.record, Revision: r.revision}
+		all[service] = roll.Rollout{Order: *r.order, Record: r.record, Revision: r.revision, Behind: r.behind}
 	}
 	return all
 }
--- a/internal/fleet/roster/rollouts_test.go
+++ b/internal/fleet/roster/rollouts_test.go
@@ -60,6 +60,37 @@
 	require.False(t, ok)
 }
 
+// An older copy of the store must not take a roll-out back to an earlier stage: a version that was found
+// to be bad would get requests again.
+func TestOlderCopyTakesNoStageBack(t *testing.T) {
+	for name, copied := range map[string][]roll.Record{"earlier_stage": {{Order: order, Phase: roll.Exposing, Seq: 1}}, "no_stage": nil} {
+		t.Run(name, func(t *testing.T) {
+			state := newLoadedState(start)
+			state.apply(start, state.put(orderKey, order))
+			r, _ := state.rolloutOf()
+			bad := roll.Record{Order: r.Order, Phase: roll.DrainingNew, Seq: 2}
+			state.apply(start, state.put(roster.RollKey("desk"), bad))
+			items := []depot.Item{state.put(orderKey, order)}
+			for _, record := range copied {
+				record.Position = r.Order.Position
+				items = append(items, state.put(roster.RollKey("desk"), record))
+			}
+			state.loadCopy(t, start, items...)
+			r, ok := state.rolloutOf()
+			require.True(t, ok)
+			require.Equal(t, &bad, r.Record)
+			require.True(t, r.Behind)
+			require.Equal(t, len(copied) > 0, r.Revision == state.revision, "writes need the position of what the store holds")
+
+			next := roll.Record{Order: r.Order, Phase: roll.DrainingNew, Seq: 3}
+			state.apply(start, state.put(roster.RollKey("desk"), next))
+			r, _ = state.rolloutOf()
+			require.Equal(t, &next, r.Record)
+			require.False(t, r.Behind)
+		})
+	}
+}
+
 // A VM that starts without the store must not use all versions alike.
 func TestSnapshotHoldsRollouts(t *testing.T) {
 	state := newStateUnderTest()
