Leave the order of a roll-out with a result in the store of the soak

The soak withdrew the order as soon as the losing servers had ended. That is a fault of the soak. The order stays now until the next one of its service replaces it, so that the check holds until then. A store that is about to come back from an older copy ends the check for roll-outs with a result, since the copy may hold an earlier order until operators write again.

--- a/internal/lab/soak/rollouts.go
+++ b/internal/lab/soak/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -82,12 +83,12 @@
 	r.rollouts[service] = &rollout{version: version, isBad: isBad, at: at, deadline: at.Add(duration)}
 }
 
-// RolloutWithdrawn records that the order of a roll-out is gone, from where on all versions of the
-// service are used alike.
-func (r *Checker) RolloutWithdrawn(service ident.ServiceID) {
+// StoreRestored records that the store is about to come back from an older copy. It may hold an earlier
+// order of a service whose roll-out has ended, until operators write again.
+func (r *Checker) StoreRestored() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.rollouts, service)
+	maps.DeleteFunc(r.rollouts, func(_ ident.ServiceID, o *rollout) bool { return !o.endedAt.IsZero() })
 }
 
 // Accepted records that a request is in flight at a server until the returned function is called.
--- a/internal/lab/soak/rollouts_test.go
+++ b/internal/lab/soak/rollouts_test.go
@@ -112,7 +112,7 @@
 		require.Empty(t, w.Findings())
 		w.arriveAt("v2")
 		require.Len(t, w.Findings(), 1)
-		w.RolloutWithdrawn("desk")
+		w.StoreRestored()
 		w.arriveAt("v2")
 		require.Len(t, w.Findings(), 1)
 	})
