Send a search to one more server at a time while nothing tells whether its servers ended

Cause: a search that ends the servers that run it ended the second server of each shard, too. Behind a slow proxy the end of a server is told after the attempt has got its result (the attempt waits 10 ms, the proxy resets the connection after 30 ms), so that the search had lost attempts but no known end, and retried all shards at once.

Change: while a search of four shards or more has lost an attempt and no shard has answered, its retries wait, as they do after a known end. Any answer releases them. If all attempts are lost, one is repeated at a time, and none once the request has become suspect.

--- a/internal/query/relay/probation.go
+++ b/internal/query/relay/probation.go
@@ -92,10 +92,15 @@
 	return q.request.Route.IsSearch() && len(q.shards) >= minQuorumShards
 }
 
-// holdsBack reports whether the request must not go to more servers for now: it runs as a
-// trial, or one ended, and none has answered.
+// holdsBack reports whether the request must not go to more servers for now: no server has
+// answered it, and it runs as a trial, or one ended, or one of a search may have ended. Behind a
+// slow proxy the end of a server is told only after the result of the attempt, and retries of all
+// shards would end the second server of each shard.
 func (q *Query) holdsBack() bool {
-	return q.EndsServers() || q.request.Trial && (q.request.Route.IsSearch() || q.lost > 0) && !q.answeredOnce
+	if q.answeredOnce {
+		return false
+	}
+	return q.ended > 0 || q.request.Trial && (q.request.Route.IsSearch() || q.lost > 0) || q.lost > 0 && q.isBroad()
 }
 
 // mayHaveEnded returns the number of servers that may have ended because of the request.
@@ -194,10 +199,15 @@
 		return
 	}
 	q.checkedAt = now
-	if q.ended < harmfulEnds && (q.request.Trial || q.request.Suspect == nil || !q.request.Suspect()) {
-		return
+	if q.ended >= harmfulEnds || q.becameSuspect() {
+		q.outcome = q.harmfulOutcome()
 	}
-	q.outcome = q.harmfulOutcome()
+}
+
+// becameSuspect reports whether servers ended under the request or its repeats since it was
+// begun, as far as that is known by now.
+func (q *Query) becameSuspect() bool {
+	return !q.request.Trial && q.request.Suspect != nil && q.request.Suspect()
 }
 
 // harmfulOutcome returns the outcome of a request that ends backend servers.
@@ -223,7 +233,7 @@
 
 // releaseHeld continues with the shards that were held: all of them once a server has
 // answered, or a single one if nothing else is under way and the request may go to one more
-// server. It fails them if it may not.
+// server. It fails them if it may not, which may have become known since they were held.
 func (q *Query) releaseHeld(now time.Time, sends []Send) []Send {
 	if q.outcome != nil {
 		return sends
@@ -240,7 +250,7 @@
 			return sends
 		case !q.isIdle():
 			return sends
-		case q.mayHaveEnded() > 0 && q.mayHaveEnded()+q.request.Ends >= maxEnds || q.triedOften(held):
+		case q.mayHaveEnded() > 0 && q.mayHaveEnded()+q.request.Ends >= maxEnds || q.triedOften(held) || q.lost > 0 && q.becameSuspect():
 			for _, index := range held {
 				q.shards[index].held = false
 				sends = q.failIfNonePending(&q.shards[index], sends)
--- a/internal/query/relay/probation_test.go
+++ b/internal/query/relay/probation_test.go
@@ -14,6 +14,10 @@
 
 var ended = relay.Reply{Kind: relay.Ambiguous, Gone: true, Ended: true, Sample: choose.Sample{Refused: true}}
 
+// lost is the reply to an attempt whose connection was closed, if nothing tells yet whether the
+// server ended.
+var lost = relay.Reply{Kind: relay.Ambiguous, Sample: choose.Sample{Refused: true}}
+
 // reply passes the reply to an attempt on and returns what is to be sent then.
 func reply(q *relay.Query, now time.Time, s relay.Send, r relay.Reply) []relay.Send {
 	sends, _ := q.HandleReply(now, s.Shard, s.Attempt, r)
@@ -37,6 +41,49 @@
 	require.Len(t, c.env.Health.Down(), 6, "ended servers get no more requests")
 }
 
+// Guards against a search that ends the second server of each shard, too, because the ends of the
+// first ones are told only after the results of the attempts, as behind slow proxies.
+func TestSearchWhoseServersMayHaveEndedIsSentToOneMore(t *testing.T) {
+	c := newCluster(t, 6, 100)
+	q, sends := relay.New(c.env, requestTo(searchRoute(6, 0.5)), start)
+	var again []relay.Send
+	for _, s := range sends {
+		again = append(again, reply(q, after(50), s, lost)...)
+	}
+	require.Len(t, again, 1, "one server shows whether the request is harmless")
+	others := reply(q, after(55), again[0], served)
+	require.Len(t, others, 5)
+	for _, s := range others {
+		reply(q, after(60), s, served)
+	}
+	require.Equal(t, relay.Success, outcome(t, q).Verdict)
+	require.Zero(t, outcome(t, q).Missing)
+
+	suspect := false
+	request := requestTo(searchRoute(6, 0.5))
+	request.Suspect = func() bool { return suspect }
+	c = newCluster(t, 6, 100)
+	q, sends = relay.New(c.env, request, start)
+	for _, s := range sends {
+		reply(q, after(50), s, lost)
+	}
+	suspect = true
+	require.Empty(t, q.Tick(after(70)))
+	require.Equal(t, relay.Failed, outcome(t, q).Verdict, "the ends were told meanwhile")
+}
+
+// Guards against lost answers of a harmless search that delay their shards: any other answer shows
+// that the request is harmless.
+func TestLostPartIsSentAgainOnceAnotherShardHasAnswered(t *testing.T) {
+	c := newCluster(t, 6, 100)
+	q, sends := relay.New(c.env, requestTo(searchRoute(6, 1)), start)
+	require.Empty(t, reply(q, after(5), sends[0], lost), "no shard has answered yet")
+	again := reply(q, after(6), sends[1], served)
+	require.Len(t, again, 1)
+	require.Equal(t, sends[0].Shard, again[0].Shard)
+	require.Len(t, reply(q, after(7), sends[2], lost), 1, "it was answered before")
+}
+
 // Guards against a request that is given up because it only ran where a server ended.
 func TestShardWhoseServerEndedIsSentAgainOnceAnotherHasAnswered(t *testing.T) {
 	c := newCluster(t, 6, 100)
--- a/internal/query/runner/evidence_test.go
+++ b/internal/query/runner/evidence_test.go
@@ -187,6 +187,19 @@
 	}
 }
 
+// Guards against a search that ends the second server of each shard, too, because the ends of the
+// first ones are told only after the results of the attempts.
+func TestSearchBehindSlowProxiesEndsFewServersMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeadlyFleet(t)
+		d.slowProxies = true
+		require.NotEqual(t, relay.Success, d.search(deadlyPath).Verdict)
+		time.Sleep(2 * serviceTime)
+		_, ended := d.counts()
+		require.LessOrEqual(t, ended, deadlyShards+2, "one at a time until the ends are told")
+	})
+}
+
 // Guards against a request that is blamed for an end that is told after a server answered it.
 func TestLateEndOfAnAnsweredRequestIsNotItsFault(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
