Try a suspect request that servers have answered lately also where no server's end would tell

Cause: a suspect search is not tried where the end of no server could be put down to it, until 10 s after the last end. After a restart of all servers all connections are new, and only an answer makes an end tell. The search that most callers send becomes suspect with the deadly one, since it ran at the same servers, and all searches then waited for an answer that none could get.

Such a request is tried from 1 s after the last end on, which bounds the servers that end without telling anything to one a second. The rule that a lookup is not tried at the last server stays as it is.

Ran: TestPopularSearchIsServedOnceAllServersAreBack (runner and ledger on a simulated clock, no network) is refused before and served with the change; TestTrustedRequestIsTriedWhereNothingTells and TestTrialTellsWhetherServersHaveAnswered are new.

--- a/internal/query/poison/ledger.go
+++ b/internal/query/poison/ledger.go
@@ -97,6 +97,8 @@
 	// LastEnd when the last one did.
 	Ends    int
 	LastEnd time.Time
+	// Trusted is set if servers have answered the request lately, if the verdict is Try.
+	Trusted bool
 	// RetryAfter is the time until the request may be tried again, if it is refused.
 	RetryAfter time.Duration
 	// Until is the latest end of the trial in progress, and Changed is closed if it ends
@@ -136,7 +138,7 @@
 	default:
 		e.trialUntil = now.Add(trialTime)
 		l.publish(f, e)
-		return Decision{Verdict: Try, Ends: max(len(e.ends), suspectEnds), LastEnd: e.lastEnd()}
+		return Decision{Verdict: Try, Ends: max(len(e.ends), suspectEnds), LastEnd: e.lastEnd(), Trusted: e.isTrusted(now)}
 	}
 }
 
--- a/internal/query/poison/ledger_test.go
+++ b/internal/query/poison/ledger_test.go
@@ -176,6 +176,22 @@
 	require.Equal(t, poison.Run, decide(l, now.Add(time.Millisecond), "popular").Verdict, "its evidence came late")
 }
 
+// Guards against trials of a request that servers have answered lately that wait for those of one that
+// none has answered.
+func TestTrialTellsWhetherServersHaveAnswered(t *testing.T) {
+	l := poison.NewLedger(poison.Options{})
+	complete(l, start, "popular")
+	for server := range 4 {
+		end(l, after(time.Second), "popular", server, false, 1)
+		end(l, after(time.Second), "deadly", server, false, 1)
+	}
+	popular, deadly := decide(l, after(time.Second), "popular"), decide(l, after(time.Second), "deadly")
+	require.Equal(t, poison.Try, popular.Verdict)
+	require.True(t, popular.Trusted)
+	require.Equal(t, poison.Try, deadly.Verdict)
+	require.False(t, deadly.Trusted)
+}
+
 // A request that servers answered before becomes deadly with their next version.
 func TestPopularRequestThatBecomesDeadlyIsQuarantined(t *testing.T) {
 	l := poison.NewLedger(poison.Options{})
--- a/internal/query/relay/probation.go
+++ b/internal/query/relay/probation.go
@@ -23,6 +23,10 @@
 	// it is tried only where the end of the next one would tell, and, if it is not a search, that
 	// leaves another server. Most servers are back by then.
 	trialPause = 10 * time.Second
+	// trustedPause is the same for a request that servers have answered lately, as far as it
+	// concerns what the end would tell. It bounds the servers that end without telling anything to
+	// one a second.
+	trustedPause = time.Second
 	// redundantServers is the number of servers from which on the end of one leaves others.
 	redundantServers = 2
 	// sharedPenalty is added to the expected completion time of a server, for the choice of
@@ -113,16 +117,20 @@
 
 // postponesTrial reports whether a trial would tell nothing about the request, or, if that is not
 // a search, might leave its service without any server, although others have ended lately and are
-// probably coming back.
+// probably coming back. A request that servers have answered lately is tried where nothing tells,
+// too: it is probably harmless, and after a restart of all servers only answers make the end of
+// one tell.
 func (q *Query) postponesTrial(now time.Time) bool {
-	if !q.request.Trial || now.Sub(q.request.LastEnd) >= trialPause {
+	since := now.Sub(q.request.LastEnd)
+	if !q.request.Trial || since >= trialPause {
 		return false
 	}
+	hasToTell := !q.request.Trusted || since < trustedPause
 	if !q.request.Route.IsSearch() {
 		usable, certain := q.trialServers(now, &q.shards[0])
-		return usable < redundantServers || !certain
+		return usable < redundantServers || hasToTell && !certain
 	}
-	return !slices.ContainsFunc(q.shards, func(s shard) bool {
+	return hasToTell && !slices.ContainsFunc(q.shards, func(s shard) bool {
 		_, certain := q.trialServers(now, &s)
 		return certain
 	})
--- a/internal/query/relay/probation_test.go
+++ b/internal/query/relay/probation_test.go
@@ -211,6 +211,28 @@
 	require.Len(t, sends, 1, "the end of a server is the only way to learn")
 }
 
+// Guards against harmless requests that are refused for long after all servers have ended: no
+// server has answered since, and none can while all requests wait for one that has.
+func TestTrustedRequestIsTriedWhereNothingTells(t *testing.T) {
+	for name, info := range map[string]relay.RequestInfo{"search": requestTo(searchRoute(6, 0.5)), "lookup": requestTo(lookupRoute(true))} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 6, 100)
+			c.env.TrialLoad = func(ident.ServerID) (int, bool) { return 0, false }
+			info.Trial, info.Ends, info.LastEnd, info.Trusted = true, 4, start.Add(-2*time.Second), true
+			_, sends := relay.New(c.env, info, start)
+			require.Len(t, sends, 1)
+
+			info.LastEnd = start.Add(-time.Second / 2)
+			q, sends := relay.New(c.env, info, start)
+			require.Empty(t, sends, "at most one server a second may end without telling anything")
+			require.Equal(t, relay.Refused, outcome(t, q).Verdict)
+			info.LastEnd, info.Trusted = start.Add(-2*time.Second), false
+			_, sends = relay.New(c.env, info, start)
+			require.Empty(t, sends, "no server has answered it")
+		})
+	}
+}
+
 // Guards against trials of a lookup that end servers and prove nothing.
 func TestLookupIsTriedWhereTheEndTells(t *testing.T) {
 	request := requestTo(lookupRoute(true))
--- a/internal/query/relay/types.go
+++ b/internal/query/relay/types.go
@@ -123,6 +123,8 @@
 	// and LastEnd when the last one did.
 	Ends    int
 	LastEnd time.Time
+	// Trusted is set if servers have answered repeats of the request lately.
+	Trusted bool
 	// Suspect reports whether repeats of the request have ended servers meanwhile. nil means
 	// that they have not.
 	Suspect func() bool
--- a/internal/query/runner/evidence_test.go
+++ b/internal/query/runner/evidence_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
@@ -37,6 +38,8 @@
 	// slowProxies is set if ends are told only after the results of the attempts, and newConns if
 	// nothing tells whether the servers ended before.
 	slowProxies, newConns bool
+	// answered holds the servers that have answered since they started.
+	answered coll.Set[ident.ServerID]
 
 	view   *roster.View
 	ledger *poison.Ledger
@@ -77,6 +80,9 @@
 			done(pool.Result{Outcome: pool.Broken, Gone: true, Ended: !d.newConns, MayHaveEnded: d.newConns, Shared: 1})
 			return
 		}
+		d.mu.Lock()
+		d.answered.Add(target.ID)
+		d.mu.Unlock()
 		response := fasthttp.AcquireResponse()
 		response.SetBody(recordOf(string(target.ID)))
 		done(pool.Result{Status: 200, Signature: signatureOf(string(target.ID)), Response: response})
@@ -86,7 +92,7 @@
 
 func newDeadlyFleet(t *testing.T) *deadlyFleet {
 	t.Helper()
-	d := &deadlyFleet{ledger: poison.NewLedger(poison.Options{Hold: time.Minute})}
+	d := &deadlyFleet{answered: coll.NewSet[ident.ServerID](), ledger: poison.NewLedger(poison.Options{Hold: time.Minute})}
 	d.route = &routes.Route{
 		Name: "search", Host: "desk", Prefix: "/", Idempotent: true, Attempts: 2, Timeout: time.Second,
 		Goal: 100 * time.Millisecond, Limit: 10, Coverage: 0.5,
@@ -103,6 +109,11 @@
 	require.NoError(t, err)
 	d.view = roster.NewView(table, replicas, []roster.Member{{VM: "vm-1", Serving: true}}, nil)
 	env, admission := newEnv(t, func() relay.Replicas { return d.view })
+	env.TrialLoad = func(server ident.ServerID) (requests int, certain bool) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return 0, !d.newConns || d.answered.Has(server)
+	}
 	d.runner = runner.New(runner.Deps{
 		Env: env, Sender: d, Views: d, Admit: admission, Metrics: metrics.NewSet(), Identity: poison.NewIdentity(nil), Ledger: d.ledger,
 	})
@@ -187,6 +198,29 @@
 	}
 }
 
+// Guards against a popular search that is refused for 10 s after a deadly one has ended all servers
+// that ran both: the servers are back, but none has answered yet, so that no end would tell.
+func TestPopularSearchIsServedOnceAllServersAreBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeadlyFleet(t)
+		d.newConns = true
+		require.Equal(t, relay.Success, d.search("/popular").Verdict)
+		time.Sleep(time.Second)
+		message := &pool.Message{Head: []byte("GET /popular HTTP/1.1\r\n")}
+		f := poison.NewIdentity(nil).Of(message.Head, nil)
+		for _, server := range []ident.ServerID{"u", "v", "w", "x", "y", "z"} {
+			d.ledger.ServerEnded(time.Now(), f, message.Head, poison.End{Process: notice.Process{ID: server}, Shared: 2})
+		}
+		require.Equal(t, poison.Suspect, d.ledger.State(time.Now(), f))
+		clear(d.answered)
+		time.Sleep(4 * time.Second)
+		answer := d.search("/popular")
+		require.Equal(t, relay.Success, answer.Verdict, answer.Reason)
+		require.Zero(t, answer.Missing)
+		require.Equal(t, poison.Clear, d.ledger.State(time.Now(), f))
+	})
+}
+
 // Guards against a search that ends the second server of each shard, too, because the ends of the
 // first ones are told only after the results of the attempts.
 func TestSearchBehindSlowProxiesEndsFewServersMore(t *testing.T) {
--- a/internal/query/runner/runner.go
+++ b/internal/query/runner/runner.go
@@ -104,7 +104,7 @@
 	plan := relay.RequestInfo{
 		Route: request.Route, Service: request.Service, Arrived: request.Arrived, Overhead: request.Overhead, Deadline: request.Deadline(), Counted: request.Counted,
 		Tenant: request.tenantID(), Kind: request.kind(),
-		Trial: e.isTrial, Ends: decision.Ends, LastEnd: decision.LastEnd, Suspect: e.isSuspect,
+		Trial: e.isTrial, Ends: decision.Ends, LastEnd: decision.LastEnd, Trusted: decision.Trusted, Suspect: e.isSuspect,
 	}
 	query, sends := relay.New(r.deps.Env, plan, time.Now())
 	e.query = query
