Make the random source a dependency of the admission policies

Change: admit.Options has a Source, which is passed on to the embedded "room". The default, which the product uses, is the global source of math/rand/v2. The simulation passes a seeded source and keeps its waiting calls in order, and its loads are functions.

Result: runs repeat exactly.

--- a/internal/query/admit/fairservice.go
+++ b/internal/query/admit/fairservice.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -42,6 +41,7 @@
 
 // fairService is the state of one service.
 type fairService struct {
+	random   random
 	running  int
 	limit    adaptiveBound
 	wait     quantileEstimate
@@ -157,7 +157,7 @@
 // by the overdraft, since servers may have room, or get it sooner than this VM does.
 func (s *fairService) hasRoom(now time.Time, c *fairClass, k candidate) bool {
 	value := s.limit.current(now)
-	draw := rand.Float64()
+	draw := s.random.Float64()
 	below := func(running int) bool { return float64(running)+draw <= value }
 	kept := 0
 	if !k.returned {
@@ -261,13 +261,13 @@
 	earliest := now.Add(max(soon, drain))
 	at := latest(earliest, c.promises.next, f.nextPromise)
 	wait := at.Sub(now)
-	jitter := rand.N(max(min(interval, soon), 1))
+	jitter := s.random.below(min(interval, soon))
 	inTime := !at.Add(jitter + time.Duration(s.runTime())).After(deadline)
 	if wait > 2*soon || !inTime || c.isHeavy(now, f) || len(c.promises.kept) >= maxPromises {
 		if request.Wait <= 0 {
-			return spread(soon)
+			return s.random.spread(soon)
 		}
-		return min(spread(max(wait, request.Wait/3+soon)), maxRetryAfter)
+		return min(s.random.spread(max(wait, request.Wait/3+soon)), maxRetryAfter)
 	}
 	ownPart := min(c.weightOf(f)/max(c.weights, c.weightOf(f)), 1)
 	c.promises.next = at.Add(interval)
--- a/internal/query/admit/fairshare.go
+++ b/internal/query/admit/fairshare.go
@@ -9,7 +9,7 @@
 )
 
 func init() {
-	Policies.Register("fair", func(Options) Policy { return newFairShare() })
+	Policies.Register("fair", func(options Options) Policy { return newFairShare(options) })
 }
 
 // fairShare limits the running requests of each service like sharedLimit, and orders those
@@ -17,7 +17,8 @@
 // deadline. It keeps room for refused callers at the time for which they were told to come
 // back. Requests under a configuration without tenants are left to sharedLimit.
 type fairShare struct {
-	plain *sharedLimit
+	random random
+	plain  *sharedLimit
 
 	mu       sync.Mutex
 	services map[ident.ServiceID]*fairService
@@ -27,8 +28,8 @@
 	sweptAt time.Time
 }
 
-func newFairShare() *fairShare {
-	return &fairShare{plain: newSharedLimit(), services: map[ident.ServiceID]*fairService{}}
+func newFairShare(options Options) *fairShare {
+	return &fairShare{random: newRandom(options), plain: newSharedLimit(options), services: map[ident.ServiceID]*fairService{}}
 }
 
 func (p *fairShare) Admit(now time.Time, request Request) Decision {
@@ -166,7 +167,7 @@
 func (p *fairShare) service(id ident.ServiceID) *fairService {
 	s := p.services[id]
 	if s == nil {
-		s = &fairService{limit: adaptiveBound{value: p.plain.bound(id), canShed: true}}
+		s = &fairService{random: p.random, limit: adaptiveBound{value: p.plain.bound(id), canShed: true}}
 		p.services[id] = s
 	}
 	return s
--- a/internal/query/admit/fairshare_test.go
+++ b/internal/query/admit/fairshare_test.go
@@ -64,21 +64,40 @@
 
 // trial is a load on a fleet, whose sources fall into groups that are counted together.
 type trial struct {
-	vms     int
-	silent  bool
+	vms    int
+	silent bool
+	// seed selects the seeds of the runs.
+	seed    uint64
 	measure [2]time.Duration
 	// settle is the time before the load for which it is already sent.
 	settle  time.Duration
 	sources func() [][]*source
 }
 
+// withSeed returns the load with other seeds.
+func (l trial) withSeed(seed uint64) trial {
+	l.seed = seed
+	return l
+}
+
 // run offers the load several times, and returns the counts of each group, and of each source by
 // number. Callers come back to any of the VMs that they use.
 func (l trial) run(t *testing.T, policy string) (groups []sourceStats, single []sourceStats) {
+	t.Helper()
+	groups, single = l.simulate(t, policy)
+	for i, g := range groups {
+		t.Logf("%d VMs, %s, seed %d, group %d: of %d served %.3f, at once %.3f, in the goal %.3f, value %.3f; of %d that came back as told %d were refused again, %d by full servers; slowest refusal %v",
+			l.vms, policy, l.seed, i, g.sent, g.share(), g.firstShare(), float64(g.inGoal)/float64(g.sent), g.value(), g.returned, g.refusedTwice, g.metFull, g.slowestRefusal)
+	}
+	return groups, single
+}
+
+// simulate is run without a log.
+func (l trial) simulate(t *testing.T, policy string) (groups []sourceStats, single []sourceStats) {
 	t.Helper()
 	const runs = 6
-	for seed := range uint64(runs) {
-		f := newFleet(t, policy, l.vms, seed, l.measure)
+	for i := range uint64(runs) {
+		f := newFleet(t, policy, l.vms, runs*l.seed+i, l.measure)
 		f.now = -l.settle
 		f.leave, f.silent = true, l.silent
 		sources := l.sources()
@@ -94,10 +113,6 @@
 			single[i].add(s.stats)
 		}
 	}
-	for i, g := range groups {
-		t.Logf("%d VMs, %s, group %d: of %d served %.3f, at once %.3f, in the goal %.3f, value %.3f; of %d that came back as told %d were refused again, %d by full servers; slowest refusal %v",
-			l.vms, policy, i, g.sent, g.share(), g.firstShare(), float64(g.inGoal)/float64(g.sent), g.value(), g.returned, g.refusedTwice, g.metFull, g.slowestRefusal)
-	}
 	return groups, single
 }
 
@@ -117,50 +132,54 @@
 	require.LessOrEqual(t, all.slowestRefusal, time.Duration(maxRefusalPart*float64(fleetGoal)))
 }
 
-// Load: 86 tenants at 0.8 of the capacity, the largest of which sends an eighth of that and 7 times
-// as much for 6 s. Guards against a tenant that takes the capacity of others, on its own VMs
-// or on all of them.
+// tenantBurst is 86 tenants at 0.8 of the capacity, the largest of which sends an eighth of that and
+// a multiple of it for 6 s.
+func tenantBurst(vms int, factor float64) trial {
+	return trial{vms: vms, measure: duringBurst, sources: func() [][]*source {
+		sources := zipf(86, 0.8*fleetCapacity)
+		sources[0].rate = burst(sources[0].rate(0), factor)
+		return [][]*source{sources[:1], sources[1:]}
+	}}
+}
+
+// Guards against a tenant at 7 times its rate that takes the capacity of others, on its own VMs or
+// on all of them.
 func TestTenantOverItsRateTakesNothingFromOthers(t *testing.T) {
-	load := func(vms int, factor float64) trial {
-		return trial{vms: vms, measure: duringBurst, sources: func() [][]*source {
-			sources := zipf(86, 0.8*fleetCapacity)
-			sources[0].rate = burst(sources[0].rate(0), factor)
-			return [][]*source{sources[:1], sources[1:]}
-		}}
-	}
 	for _, vms := range []int{1, 9, 63} {
-		quiet, _ := load(vms, 1).run(t, "fair")
-		_, _ = load(vms, 7).run(t, "room")
-		groups, single := load(vms, 7).run(t, "fair")
+		quiet, _ := tenantBurst(vms, 1).run(t, "fair")
+		_, _ = tenantBurst(vms, 7).run(t, "room")
+		groups, single := tenantBurst(vms, 7).run(t, "fair")
 		requireFair(t, single)
 		require.GreaterOrEqual(t, groups[1].share(), quiet[1].share()-servedSlack, "%d VMs", vms)
 	}
 }
 
-// Load: 86 tenants at 0.8 of the capacity, each with three kinds of requests in equal parts, one of
-// which is sent 2.4 times as often for 6 s; refused callers come back once. Guards against a burst
-// of one kind that takes the capacity of the others, and callers that come back in vain.
-func TestBurstOfOneKindTakesNothingFromOthers(t *testing.T) {
-	load := func(vms int, factor float64) trial {
-		return trial{vms: vms, settle: 20 * time.Second, measure: duringBurst, sources: func() [][]*source {
-			groups := make([][]*source, 2)
-			for _, tenant := range zipf(86, 0.8*fleetCapacity) {
-				for i, kind := range []string{"surging", "steady", "other"} {
-					s := *tenant
-					s.kind, s.rate = kind, steady(tenant.rate(0)/3)
-					if i == 0 {
-						s.rate = burst(s.rate(0), factor)
-					}
-					groups[min(i, 1)] = append(groups[min(i, 1)], &s)
+// kindBurst is 86 tenants at 0.8 of the capacity, each with three kinds of requests in equal parts,
+// one of which is sent a multiple as often for 6 s; refused callers come back once.
+func kindBurst(vms int, factor float64) trial {
+	return trial{vms: vms, settle: 20 * time.Second, measure: duringBurst, sources: func() [][]*source {
+		groups := make([][]*source, 2)
+		for _, tenant := range zipf(86, 0.8*fleetCapacity) {
+			for i, kind := range []string{"surging", "steady", "other"} {
+				s := *tenant
+				s.kind, s.rate = kind, steady(tenant.rate(0)/3)
+				if i == 0 {
+					s.rate = burst(s.rate(0), factor)
 				}
+				groups[min(i, 1)] = append(groups[min(i, 1)], &s)
 			}
-			return groups
-		}}
-	}
+		}
+		return groups
+	}}
+}
+
+// Guards against a burst of one kind at 2.4 times its rate that takes the capacity of the others, and
+// callers that come back in vain.
+func TestBurstOfOneKindTakesNothingFromOthers(t *testing.T) {
 	for _, vms := range []int{1, 9, 63} {
-		quiet, _ := load(vms, 1).run(t, "fair")
-		baseline, _ := load(vms, 2.4).run(t, "room")
-		groups, _ := load(vms, 2.4).run(t, "fair")
+		quiet, _ := kindBurst(vms, 1).run(t, "fair")
+		baseline, _ := kindBurst(vms, 2.4).run(t, "room")
+		groups, _ := kindBurst(vms, 2.4).run(t, "fair")
 		requireFair(t, groups)
 		if vms < 63 {
 			require.GreaterOrEqual(t, groups[1].share(), quiet[1].share()-servedSlack, "%d VMs", vms)
@@ -176,14 +195,18 @@
 	}
 }
 
-// Load: two kinds of requests of different rank, each half of 1.5 times the capacity. Guards
-// against an order that rank doesn't decide, and one that starves.
+// twoRanks is two kinds of requests of different rank, each half of 1.5 times the capacity.
+func twoRanks(vms int) trial {
+	return trial{vms: vms, measure: [2]time.Duration{2 * time.Second, 10 * time.Second}, sources: func() [][]*source {
+		rate := steady(1.5 / 2 * fleetCapacity)
+		return [][]*source{{{tenant: "a", weight: 1, class: 1, rate: rate}}, {{tenant: "b", weight: 1, class: 2, rate: rate}}}
+	}}
+}
+
+// Guards against an order that rank doesn't decide, and one that starves.
 func TestRankDecidesUnderOverload(t *testing.T) {
 	for _, vms := range []int{1, 9, 63} {
-		load := trial{vms: vms, measure: [2]time.Duration{2 * time.Second, 10 * time.Second}, sources: func() [][]*source {
-			rate := steady(1.5 / 2 * fleetCapacity)
-			return [][]*source{{{tenant: "a", weight: 1, class: 1, rate: rate}}, {{tenant: "b", weight: 1, class: 2, rate: rate}}}
-		}}
+		load := twoRanks(vms)
 		baseline, _ := load.run(t, "room")
 		groups, single := load.run(t, "fair")
 		requireFair(t, single)
@@ -195,19 +218,24 @@
 	}
 }
 
-// Load: 400 small tenants that together send 0.4 of the capacity beside one that sends 1.2, all
-// with the same weight. Guards against small tenants that are served by the luck of large ones,
-// and against a large one that gets nothing.
+// smallBesideLarge is 400 small tenants that together send 0.4 of the capacity beside one that sends
+// 1.2, all with the same weight.
+func smallBesideLarge(vms int) trial {
+	return trial{vms: vms, measure: [2]time.Duration{2 * time.Second, 10 * time.Second}, sources: func() [][]*source {
+		large := &source{tenant: "large", weight: 1, rate: steady(1.2 * fleetCapacity)}
+		var small []*source
+		for i := range 400 {
+			small = append(small, &source{tenant: ident.TenantID(fmt.Sprint("t", i)), weight: 1, rate: steady(0.001 * fleetCapacity), homes: 1})
+		}
+		return [][]*source{{large}, small}
+	}}
+}
+
+// Guards against small tenants that are served by the luck of large ones, and against a large one
+// that gets nothing.
 func TestSmallTenantsBesideALargeOne(t *testing.T) {
 	for _, vms := range []int{1, 9, 63} {
-		load := trial{vms: vms, measure: [2]time.Duration{2 * time.Second, 10 * time.Second}, sources: func() [][]*source {
-			large := &source{tenant: "large", weight: 1, rate: steady(1.2 * fleetCapacity)}
-			var small []*source
-			for i := range 400 {
-				small = append(small, &source{tenant: ident.TenantID(fmt.Sprint("t", i)), weight: 1, rate: steady(0.001 * fleetCapacity), homes: 1})
-			}
-			return [][]*source{{large}, small}
-		}}
+		load := smallBesideLarge(vms)
 		_, _ = load.run(t, "room")
 		groups, _ := load.run(t, "fair")
 		requireFair(t, groups)
@@ -238,14 +266,18 @@
 	}
 }
 
-// Load: 1.5 times the capacity, half of it from 43 tenants and half without a tenant, in one class;
-// the largest tenant sends a tenth of all. Guards against requests without a tenant that count as
-// one small tenant beside others.
+// halfWithoutTenant is 1.5 times the capacity, half of it from 43 tenants and half without a tenant, in
+// one class; the largest tenant sends a tenth of all.
+func halfWithoutTenant(vms int) trial {
+	return trial{vms: vms, measure: [2]time.Duration{2 * time.Second, 10 * time.Second}, sources: func() [][]*source {
+		return [][]*source{{{rate: steady(0.75 * fleetCapacity)}}, zipf(43, 0.75*fleetCapacity)}
+	}}
+}
+
+// Guards against requests without a tenant that count as one small tenant beside others.
 func TestRequestsWithoutATenantAreServedAsByRoom(t *testing.T) {
 	for _, vms := range []int{1, 9} {
-		load := trial{vms: vms, measure: [2]time.Duration{2 * time.Second, 10 * time.Second}, sources: func() [][]*source {
-			return [][]*source{{{rate: steady(0.75 * fleetCapacity)}}, zipf(43, 0.75*fleetCapacity)}
-		}}
+		load := halfWithoutTenant(vms)
 		room, _ := load.run(t, "room")
 		fair, _ := load.run(t, "fair")
 		require.GreaterOrEqual(t, fair[0].share(), room[0].share()-servedSlack)
@@ -253,6 +285,19 @@
 	}
 }
 
+// Guards against simulated runs that can't be repeated: a policy that draws from another source, or
+// whose decisions depend on the order of a map.
+func TestSimulatedRunsRepeatExactly(t *testing.T) {
+	for _, policy := range []string{"room", "fair"} {
+		for _, load := range []trial{tenantBurst(9, 7), kindBurst(9, 2.4)} {
+			groups, single := load.run(t, policy)
+			again, singleAgain := load.run(t, policy)
+			require.Equal(t, groups, again)
+			require.Equal(t, single, singleAgain)
+		}
+	}
+}
+
 // newFair returns the policy "fair".
 func newFair(t testing.TB) admit.QueuingPolicy {
 	t.Helper()
--- a/internal/query/admit/fleet_test.go
+++ b/internal/query/admit/fleet_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -90,8 +91,10 @@
 	counts         bool
 	request        admit.Request
 	vm             admit.QueuingPolicy
-	admittedAt     time.Duration
-	attempts       int
+	// waiter is set while the call waits for admission.
+	waiter     *admit.Waiter
+	admittedAt time.Duration
+	attempts   int
 }
 
 // fleetServer is a simulated backend server.
@@ -109,7 +112,8 @@
 	now     time.Duration
 	events  eventQueue
 	order   int
-	waiting map[*admit.Waiter]*fleetCall
+	// waiting holds the calls that wait for admission, the oldest first.
+	waiting []*fleetCall
 	measure [2]time.Duration
 	// leave is set if callers come back to any VM, not to the one that refused them.
 	leave bool
@@ -138,11 +142,13 @@
 }
 
 // newFleet returns a fleet of the given size. Requests that begin within measure are counted.
+// The seed determines the load and what the policies draw.
 func newFleet(t *testing.T, policy string, vms int, seed uint64, measure [2]time.Duration) *fleet {
 	t.Helper()
-	f := &fleet{t: t, random: rand.New(rand.NewPCG(seed, 1)), waiting: map[*admit.Waiter]*fleetCall{}, measure: measure}
+	f := &fleet{t: t, random: rand.New(rand.NewPCG(seed, 1)), measure: measure}
+	drawn := rand.NewPCG(seed, 2)
 	for range vms {
-		vm, ok := newPolicy(t, policy, admit.Options{}).(admit.QueuingPolicy)
+		vm, ok := newPolicy(t, policy, admit.Options{Source: drawn}).(admit.QueuingPolicy)
 		require.True(t, ok)
 		f.vms = append(f.vms, vm)
 	}
@@ -218,11 +224,11 @@
 	case decision.Admitted:
 		f.begin(c)
 	case decision.Waiter != nil:
-		waiter := decision.Waiter
-		f.waiting[waiter] = c
-		f.at(f.now+waiter.Until.Sub(f.clock()), func() {
-			if f.waiting[waiter] == c {
-				f.endWait(waiter, c)
+		c.waiter = decision.Waiter
+		f.waiting = append(f.waiting, c)
+		f.at(f.now+c.waiter.Until.Sub(f.clock()), func() {
+			if c.waiter != nil {
+				f.endWait(c)
 			}
 		})
 	default:
@@ -232,19 +238,21 @@
 
 // settleWaiters handles the waiters whose wait was ended by the last event.
 func (f *fleet) settleWaiters() {
-	for waiter, c := range f.waiting {
+	for _, c := range slices.Clone(f.waiting) {
 		select {
-		case <-waiter.Granted:
-		case <-waiter.Refused:
+		case <-c.waiter.Granted:
+		case <-c.waiter.Refused:
 		default:
 			continue
 		}
-		f.endWait(waiter, c)
+		f.endWait(c)
 	}
 }
 
-func (f *fleet) endWait(waiter *admit.Waiter, c *fleetCall) {
-	delete(f.waiting, waiter)
+func (f *fleet) endWait(c *fleetCall) {
+	waiter := c.waiter
+	c.waiter = nil
+	f.waiting = slices.DeleteFunc(f.waiting, func(other *fleetCall) bool { return other == c })
 	if c.vm.EndWait(waiter) {
 		f.begin(c)
 		return
--- a/internal/query/admit/flow.go
+++ b/internal/query/admit/flow.go
@@ -251,15 +251,26 @@
 	return f.requested < idleDemand
 }
 
+// idleTenants returns the tenants that can be forgotten, in a fixed order, so that the sum of
+// the weights is rounded the same way in each run.
+func (c *fairClass) idleTenants(now time.Time) []ident.TenantID {
+	var tenants []ident.TenantID
+	for tenant, f := range c.flows {
+		if c.idle(now, f) {
+			tenants = append(tenants, tenant)
+		}
+	}
+	slices.Sort(tenants)
+	return tenants
+}
+
 // sweep forgets idle flows and returns their number.
 func (c *fairClass) sweep(now time.Time) int {
 	forgotten := 0
 	c.sweptAt = now
 	c.sweepKinds(now)
-	for tenant, f := range c.flows {
-		if !c.idle(now, f) {
-			continue
-		}
+	for _, tenant := range c.idleTenants(now) {
+		f := c.flows[tenant]
 		if c.heaviest == f {
 			c.heaviest = nil
 		}
--- a/internal/query/admit/policy.go
+++ b/internal/query/admit/policy.go
@@ -3,6 +3,7 @@
 package admit
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
@@ -123,6 +124,9 @@
 	// MinConcurrency is the minimum of adaptive limits on the requests of one service.
 	// 0 means 4.
 	MinConcurrency int
+	// Source is the source of random numbers, which has to be safe for concurrent use if the
+	// policy is used concurrently. nil means the global source of math/rand/v2.
+	Source rand.Source
 }
 
 // Policies is the registry of the admission plug-ins.
@@ -135,6 +139,9 @@
 	if o.MinConcurrency == 0 {
 		o.MinConcurrency = 4
 	}
+	if o.Source == nil {
+		o.Source = globalSource{}
+	}
 	return o
 }
 
--- a/internal/query/admit/sharedlimit.go
+++ b/internal/query/admit/sharedlimit.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -12,7 +11,7 @@
 )
 
 func init() {
-	Policies.Register("room", func(Options) Policy { return newSharedLimit() })
+	Policies.Register("room", func(options Options) Policy { return newSharedLimit(options) })
 }
 
 const (
@@ -36,6 +35,8 @@
 // important one, so that none is starved. The policy suits VMs with a small part of the
 // traffic, since its limit counts in fractions of a request.
 type sharedLimit struct {
+	random random
+
 	mu       sync.Mutex
 	services map[ident.ServiceID]*serviceQueue
 }
@@ -72,8 +73,8 @@
 	fair *fairWaiter
 }
 
-func newSharedLimit() *sharedLimit {
-	return &sharedLimit{services: map[ident.ServiceID]*serviceQueue{}}
+func newSharedLimit(options Options) *sharedLimit {
+	return &sharedLimit{random: newRandom(options), services: map[ident.ServiceID]*serviceQueue{}}
 }
 
 func (l *sharedLimit) Admit(now time.Time, request Request) Decision {
@@ -84,13 +85,13 @@
 	own.decay(now, shareDecay)
 	own.requested++
 	left := request.Deadline.Sub(now)
-	if !s.anyWaiting() && s.belowLimit() {
+	if !s.anyWaiting() && s.belowLimit(l.random) {
 		s.admit(own)
 		return Decision{Admitted: true}
 	}
 	s.limit.saturatedAt = now
 	if len(own.waiting) >= max(minWaiting, int(maxWaitShare*s.limit.value)) {
-		return refuse(reasonFull, spread(retryAfter(left)))
+		return refuse(reasonFull, l.random.spread(retryAfter(left)))
 	}
 	granted := make(chan struct{})
 	waiter := &Waiter{
@@ -102,8 +103,8 @@
 }
 
 // RefuseWaiter implements QueuingPolicy.
-func (*sharedLimit) RefuseWaiter(_ time.Time, waiter *Waiter) Decision {
-	return refuse(reasonWaited, spread(waiter.retryAfter))
+func (l *sharedLimit) RefuseWaiter(_ time.Time, waiter *Waiter) Decision {
+	return refuse(reasonWaited, l.random.spread(waiter.retryAfter))
 }
 
 // EndWait implements QueuingPolicy.
@@ -135,7 +136,7 @@
 	s := l.serviceQueue(request.Service)
 	s.limit.adapt(now, s.running, request, outcome, s.wait.value(now))
 	s.running--
-	for s.anyWaiting() && s.belowLimit() {
+	for s.anyWaiting() && s.belowLimit(l.random) {
 		s.grant(now)
 	}
 }
@@ -198,8 +199,8 @@
 
 // belowLimit reports whether one more request may run. If the limit is not a whole
 // number, its fraction is the probability that one more request is admitted.
-func (s *serviceQueue) belowLimit() bool {
-	return float64(s.running)+rand.Float64() <= s.limit.value
+func (s *serviceQueue) belowLimit(random random) bool {
+	return float64(s.running)+random.Float64() <= s.limit.value
 }
 
 func (s *serviceQueue) admit(q *classQueue) {
@@ -235,11 +236,5 @@
 	return min(max(time.Duration(maxWaitShare*float64(left)), minWaitRetryAfter), maxRetryAfter)
 }
 
-// spread returns a random duration from one to two times the given one, so that callers that
-// were refused together don't retry together.
-func spread(after time.Duration) time.Duration {
-	return after + rand.N(max(after, 1))
-}
-
 // minWaitRetryAfter is the shortest time after which a refused caller may retry.
 const minWaitRetryAfter = 10 * time.Millisecond
