Promise room to callers that are refused together

Cause: beside a tenant at 7 times its rate at 9 VMs, 8 in 100 requests of the others were refused at first (by admission: waited too long, displaced, or no room to wait; 2.5 in 100 by full servers). 44 in 100 of the refused got no promise, since refusals come together and promises were given one by one at a fixed interval per class and per tenant. Their callers are told a time beyond a third of what they wait, come back too late for their goal, and are refused as late: nearly all that the others lost.

Change: four promises of a class and one of a tenant may be given ahead of their intervals if 0.85 of the requests of all tenants but the heaviest are admitted and no kind surges. The rate stays as it is. The table of simulated loads has a subtest for each load, so that single ones can be run.

--- a/internal/query/admit/fairservice.go
+++ b/internal/query/admit/fairservice.go
@@ -286,13 +286,24 @@
 		return min(s.random.spread(max(wait, request.Wait/3+soon)), maxRetryAfter)
 	}
 	ownPart := min(c.weightOf(f)/max(c.weights, c.weightOf(f)), 1)
-	c.promises.next = at.Add(interval)
-	f.nextPromise = at.Add(min(time.Duration(float64(interval)/ownPart), maxRetryAfter))
+	ownInterval := min(time.Duration(float64(interval)/ownPart), maxRetryAfter)
+	burst, ownBurst := c.promiseBursts(now)
+	c.promises.next = latest(c.promises.next, at.Add(-burst*interval)).Add(interval)
+	f.nextPromise = latest(f.nextPromise, at.Add(-ownBurst*ownInterval)).Add(ownInterval)
 	at = at.Add(jitter)
 	c.promises.add(promise{at: at, tenant: f.tenant})
 	return at.Sub(now)
 }
 
+// promiseBursts returns how many promises of a class, and of one of its tenants, may be given ahead
+// of their intervals.
+func (c *fairClass) promiseBursts(now time.Time) (ofClass, ofTenant time.Duration) {
+	if now.Sub(c.surgedAt) < surgeTime || c.shareOfOthers(now) < wellServed {
+		return 0, 0
+	}
+	return classPromiseBurst, tenantPromiseBurst
+}
+
 // runTime returns the mean run time of requests in nanoseconds.
 func (s *fairService) runTime() float64 {
 	if s.runs.mean <= 0 {
--- a/internal/query/admit/fairshare_test.go
+++ b/internal/query/admit/fairshare_test.go
@@ -147,11 +147,13 @@
 // on all of them.
 func TestTenantOverItsRateTakesNothingFromOthers(t *testing.T) {
 	for _, vms := range []int{1, 9, 63} {
-		quiet, _ := tenantBurst(vms, 1).run(t, "fair")
 		_, _ = tenantBurst(vms, 7).run(t, "room")
-		groups, single := tenantBurst(vms, 7).run(t, "fair")
-		requireFair(t, single)
-		require.GreaterOrEqual(t, groups[1].share(), quiet[1].share()-servedSlack, "%d VMs", vms)
+		for seed := range uint64(4) {
+			quiet, _ := tenantBurst(vms, 1).withSeed(seed).run(t, "fair")
+			groups, single := tenantBurst(vms, 7).withSeed(seed).run(t, "fair")
+			requireFair(t, single)
+			require.GreaterOrEqual(t, groups[1].share(), quiet[1].share()-servedSlack, "%d VMs, seed %d", vms, seed)
+		}
 	}
 }
 
@@ -405,6 +407,34 @@
 	require.GreaterOrEqual(t, queue.State()["s"].Bound, 2.0)
 }
 
+// Guards against light tenants whose callers get no time at which they are served, since full
+// servers refused several requests at once, and against as many promises as there are callers.
+func TestCallersRefusedTogetherArePromisedRoom(t *testing.T) {
+	queue, now := newFair(t), time.Unix(1000, 0)
+	request := func(i int) admit.Request {
+		r := tenantRequest(now, fmt.Sprint("t", i))
+		r.Wait, r.Timeout = 600*time.Millisecond, 600*time.Millisecond
+		return r
+	}
+	refuse := func(tenants int) (promised int) {
+		for i := range tenants {
+			// Callers without a promise are told a time beyond a third of what they wait.
+			if queue.RetryAfter(now, request(i)) <= request(i).Wait/3 {
+				promised++
+			}
+		}
+		return promised
+	}
+	for i := range 40 {
+		r := request(i)
+		require.True(t, queue.Admit(now, r).Admitted)
+		now = now.Add(50 * time.Millisecond)
+		queue.Done(now, r, admit.Outcome{Took: 50 * time.Millisecond})
+	}
+	require.Equal(t, 5, refuse(5))
+	require.LessOrEqual(t, refuse(40), 5)
+}
+
 // Guards against a decision whose cost grows with the number of tenants.
 func BenchmarkFairAdmit(b *testing.B) {
 	for _, tenants := range []int{1, 86, 10_000} {
--- a/internal/query/admit/flow.go
+++ b/internal/query/admit/flow.go
@@ -242,6 +242,19 @@
 	}
 }
 
+// shareOfOthers returns the share of the requests that were admitted lately of all tenants but the
+// heaviest.
+func (c *fairClass) shareOfOthers(now time.Time) float64 {
+	c.decay(now, fairDecay)
+	others := c.demand
+	if c.heaviest != nil {
+		c.heaviest.decay(now, fairDecay)
+		others.requested -= c.heaviest.requested
+		others.admitted -= c.heaviest.admitted
+	}
+	return others.share()
+}
+
 // idle reports whether a flow can be forgotten.
 func (c *fairClass) idle(now time.Time, f *flow) bool {
 	if f.running > 0 || len(f.waiting) > 0 || f.returned > 0 || now.Before(f.nextPromise) {
--- a/internal/query/admit/promise.go
+++ b/internal/query/admit/promise.go
@@ -15,6 +15,16 @@
 	leastPromised = 0.1
 	mostPromised  = 0.25
 	fewAdmitted   = 0.55
+	// classPromiseBurst and tenantPromiseBurst are the numbers of promises that may be given ahead
+	// of their intervals, by class and by tenant, since refusals come together while the queues of
+	// servers are full. Without them, 44 in 100 refused callers beside a tenant over its rate got no
+	// promise at 9 VMs, and most of those came back too late.
+	classPromiseBurst  = 4
+	tenantPromiseBurst = 1
+	// wellServed is the share of the requests of all tenants but the heaviest from which on
+	// promises may be given ahead. Under a lasting overload of all tenants, more of them cost
+	// value, as does a burst of one kind.
+	wellServed = 0.85
 	// returnGrace is how long room is kept after the time that a caller was told. It covers a
 	// round trip to the caller and a late timer.
 	returnGrace = 60 * time.Millisecond
--- a/internal/query/admit/table_test.go
+++ b/internal/query/admit/table_test.go
@@ -1,6 +1,7 @@
 package admit_test
 
 import (
+	"fmt"
 	"os"
 	"slices"
 	"strconv"
@@ -16,16 +17,18 @@
 		t.Skip("made by hand")
 	}
 	for _, vms := range []int{1, 9, 63} {
-		logSeeds(t, "tenant burst", tenantBurst(vms, 7), seeds)
-		logSeeds(t, "kind burst", kindBurst(vms, 2.4), seeds)
-		logSeeds(t, "two ranks", twoRanks(vms), seeds)
-		logSeeds(t, "small beside large", smallBesideLarge(vms), seeds)
-		logSeeds(t, "half without tenant", halfWithoutTenant(vms), seeds)
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			t.Run("tenant burst", func(t *testing.T) { logSeeds(t, tenantBurst(vms, 7), seeds) })
+			t.Run("kind burst", func(t *testing.T) { logSeeds(t, kindBurst(vms, 2.4), seeds) })
+			t.Run("two ranks", func(t *testing.T) { logSeeds(t, twoRanks(vms), seeds) })
+			t.Run("small beside large", func(t *testing.T) { logSeeds(t, smallBesideLarge(vms), seeds) })
+			t.Run("half without tenant", func(t *testing.T) { logSeeds(t, halfWithoutTenant(vms), seeds) })
+		})
 	}
 }
 
 // logSeeds logs how the shares of the groups of a load are distributed over seeds.
-func logSeeds(t *testing.T, name string, load trial, seeds int) {
+func logSeeds(t *testing.T, load trial, seeds int) {
 	t.Helper()
 	all := make([][]sourceStats, seeds)
 	group := pool.New().WithMaxGoroutines(2)
@@ -41,8 +44,8 @@
 			shares = append(shares, groups[i].share())
 		}
 		slices.Sort(shares)
-		t.Logf("%-20s %2d VMs, group %d: served %.4f (least %.4f, 1 in 20 below %.4f, most %.4f), at once %.4f, value %.4f, refused again %d of %d, by full servers %d",
-			name, load.vms, i, total.share(), shares[0], shares[len(shares)/20], shares[len(shares)-1], total.firstShare(), total.value(),
+		t.Logf("%s, group %d: served %.4f (least %.4f, 1 in 20 below %.4f, most %.4f), at once %.4f, value %.4f, refused again %d of %d, by full servers %d",
+			t.Name(), i, total.share(), shares[0], shares[len(shares)/20], shares[len(shares)-1], total.firstShare(), total.value(),
 			total.refusedTwice, total.returned, total.metFull)
 	}
 }
