Test serve with long control messages and long answers

Cause: the size of control messages and the answers of backend servers are in no budget of serve, and no test sends or asks for long ones. Change: two tests of untrusted callers with the settings and bounds of the existing one (memory = 96, 48 clients, 300 for messages without end). One sends control messages that announce or have up to a terabyte, decode into many values, never end or arrive a byte at a time, and calls without reading the replies. The other starts four backend servers, whose answers to a search have 2 MB each, and lets callers read them slowly, not at all, or give up. play has a part for listeners that don't speak HTTP (endure), and the ordinary request may state what its answer contains. No bound is changed.

--- a/cmd/samphirestair/untrusted_test.go
+++ b/cmd/samphirestair/untrusted_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"compress/gzip"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,9 +21,12 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/fleet/ctrl"
 	"github.com/samphirestair/samphirestair/internal/lab/crowd"
 	"github.com/samphirestair/samphirestair/internal/lab/kvsrv"
+	"github.com/samphirestair/samphirestair/internal/lab/server"
 	"github.com/samphirestair/samphirestair/internal/lab/soak"
 	"github.com/samphirestair/samphirestair/internal/lab/vmsrv"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
@@ -44,6 +49,10 @@
 	// untrustedBody is the limit of bodies at the port for callers, and inflatedBody the size of
 	// a compressed body once it is decompressed.
 	untrustedBody, inflatedBody = 256 << 10, 16 << 20
+	// answerShards is the number of shards of the service with long answers, each on two backend
+	// servers. A search gets answerHits hits of answerText bytes from each shard, and as many in
+	// total.
+	answerShards, answerHits, answerText = 2, 1000, 2000
 	// untrustedTime is the time for which clients do what they do.
 	untrustedTime = 600 * time.Millisecond
 	// answeredWithin is the time within which an ordinary request has to be answered
@@ -58,6 +67,8 @@
 	method, path string
 	body         string
 	long         string
+	// part is a part of the body of the answer to the ordinary request.
+	part string
 }
 
 // untrustedListeners returns the listeners by name.
@@ -66,9 +77,9 @@
 	batch, err := (&msgs.Batch{From: "vm-2"}).MarshalMsg(nil)
 	require.NoError(t, err)
 	return map[string]untrustedListener{
-		"caller": {7000, http.MethodGet, "/v1/ready", "", "/v1/addresses"},
-		"peer":   {7001, http.MethodPost, "/v1/batch", string(batch), "/v1/batch"},
-		"admin":  {7003, http.MethodGet, "/status", "", "/metrics"},
+		"caller": {7000, http.MethodGet, "/v1/ready", "", "/v1/addresses", ""},
+		"peer":   {7001, http.MethodPost, "/v1/batch", string(batch), "/v1/batch", ""},
+		"admin":  {7003, http.MethodGet, "/status", "", "/metrics", ""},
 	}
 }
 
@@ -76,6 +87,7 @@
 type untrusted struct {
 	process *soak.Process
 	ip      string
+	store   string
 	exits   atomic.Int32
 }
 
@@ -89,7 +101,7 @@
 	list, err := vmsrv.Start("127.0.0.1:0", vmsrv.Fault{})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = list.Close() })
-	u := &untrusted{ip: fmt.Sprintf("127.%d.%d.%d", 128+os.Getpid()%64, os.Getpid()/64%250, 20+number)}
+	u := &untrusted{store: kv.URL(), ip: fmt.Sprintf("127.%d.%d.%d", 128+os.Getpid()%64, os.Getpid()/64%250, 20+number)}
 	dir := t.TempDir()
 	settings := filepath.Join(dir, "vm.ini")
 	require.NoError(t, os.WriteFile(settings, []byte(fmt.Sprintf(
@@ -106,7 +118,8 @@
 	return fmt.Sprintf("%s:%d", u.ip, l.port)
 }
 
-// requireAnswer requires that an ordinary request is answered with 200, on a new connection.
+// requireAnswer requires that an ordinary request is answered with 200 and the listener's part
+// of a body, on a new connection.
 func (u *untrusted) requireAnswer(t *testing.T, l untrustedListener) {
 	t.Helper()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: answeredWithin}
@@ -119,8 +132,8 @@
 		if err != nil {
 			return false
 		}
-		_, err = io.Copy(io.Discard, response.Body)
-		return response.Body.Close() == nil && err == nil && response.StatusCode == http.StatusOK
+		body, err := io.ReadAll(response.Body)
+		return response.Body.Close() == nil && err == nil && response.StatusCode == http.StatusOK && bytes.Contains(body, []byte(l.part))
 	}, answeredWithin, 20*time.Millisecond, "no ordinary request is answered")
 }
 
@@ -148,20 +161,132 @@
 func TestControlPortOutlivesLackOfDescriptors(t *testing.T) {
 	limited := fmt.Sprintf("ulimit -n %d && exec \"$0\" \"$@\"", silentClients*2/3)
 	u := newUntrusted(t, []string{"/bin/sh", "-c", limited, buildProgram(t)}, 0)
-	control := untrustedListener{port: 7002}
 	u.requireAnswer(t, untrustedListeners(t)["caller"])
 	ctx, cancel := context.WithTimeout(t.Context(), untrustedTime)
 	defer cancel()
-	crowd.Run(ctx, u.address(control), silentClients, crowd.AwaitEnd(""))
+	crowd.Run(ctx, u.address(controlListener), silentClients, crowd.AwaitEnd(""))
+	u.requireControlAnswer(t)
+	require.Zero(t, u.exits.Load(), "the process ended")
+}
+
+// controlListener is the listener for control messages.
+var controlListener = untrustedListener{port: 7002}
+
+// requireControlAnswer requires that an ordinary control message is answered, on a new connection.
+func (u *untrusted) requireControlAnswer(t *testing.T) {
+	t.Helper()
 	client := ctrl.NewClient(ctrl.ClientOptions{})
 	defer client.Close()
 	require.Eventually(t, func() bool {
 		var summary status.VM
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		return client.Call(ctx, u.address(control), "status.brief", struct{}{}, &summary) == nil
+		return client.Call(ctx, u.address(controlListener), "status.brief", struct{}{}, &summary) == nil
 	}, answeredWithin, 20*time.Millisecond, "no control call is answered")
-	require.Zero(t, u.exits.Load(), "the process ended")
+}
+
+// controlMessage returns a message whose announced size is that of text, or announced unless
+// that is 0.
+func controlMessage(announced uint64, text string) string {
+	if announced == 0 {
+		announced = uint64(len(text))
+	}
+	return string(binary.AppendUvarint(nil, announced)) + text
+}
+
+// Guards against control messages that make a process of serve exceed the memory of its VM: longer
+// than any sensible one, decoded into many values, incomplete, or sent without reading the replies.
+func TestUntrustedCallersOfTheControlPortStayWithinTheMemory(t *testing.T) {
+	program := buildProgram(t)
+	filler := strings.Repeat("x", 64<<10)
+	const begin = `{"method":"status.brief","id":1,"params":"`
+	values := controlMessage(0, `{"method":"fleet.beat","id":1,"params":{"leases":[`+strings.Repeat("{},", 350_000)+"{}]}}")
+	long := controlMessage(0, begin+strings.Repeat("x", 15<<20)+`"}`)
+	call := controlMessage(0, `{"method":"fleet.state","id":1}`)
+	tests := []struct {
+		name    string
+		clients int
+		action  crowd.Action
+	}{
+		{"announced_terabyte", untrustedClients, crowd.SendAgain(controlMessage(1<<40, begin), filler)},
+		{"announced_16_megabytes", untrustedClients, crowd.SendAgain(controlMessage(16<<20, begin), filler)},
+		{"long_messages", untrustedClients, crowd.SendAgain(long, long)},
+		{"many_values", untrustedClients, crowd.SendAgain(values, values)},
+		{"messages_without_end", partialClients, crowd.AwaitEnd(controlMessage(untrustedBody, begin+strings.Repeat("x", untrustedBody-len(begin)-1)))},
+		{"slow_messages", untrustedClients, crowd.SendSlowly(long)},
+		{"unread_replies", untrustedClients, crowd.Pipeline(strings.Repeat(call, 1000))},
+	}
+	for number, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			u := newUntrusted(t, []string{program}, number)
+			u.requireAnswer(t, untrustedListeners(t)["caller"])
+			u.endure(t, controlListener, test.clients, test.action, func() { u.requireControlAnswer(t) })
+		})
+	}
+}
+
+// startBackendServers starts two backend servers for each shard, and returns their service
+// document.
+func startBackendServers(t *testing.T) *svcdoc.Document {
+	t.Helper()
+	document := &svcdoc.Document{
+		Service: "desk", Deadline: 2 * time.Second, Classes: []string{"phone"},
+		Limits: svcdoc.Limits{Slots: untrustedClients, ColdSlots: untrustedClients, Connections: 2 * untrustedClients, WarmAfter: 1},
+	}
+	for i := range 2 * answerShards {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		require.NoError(t, listener.Close())
+		document.Servers = append(document.Servers, svcdoc.Server{
+			ID: ident.ServerID(fmt.Sprintf("desk/s%d", i)), Address: listener.Addr().String(),
+			Zone: "vantaa", Shard: ident.Shard(i / 2), Limits: document.Limits,
+		})
+	}
+	host, err := server.Start(document.Servers, "127.0.0.1:0", server.Options{Queue: untrustedClients})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = host.Close() })
+	return document
+}
+
+// apply puts a service document in force.
+func (u *untrusted) apply(t *testing.T, program string, document *svcdoc.Document) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "desk.ini")
+	require.NoError(t, os.WriteFile(file, svcdoc.Format(document), 0o600))
+	output, err := exec.Command(program, "apply", file, "--store", u.store, "--by", "test").CombinedOutput()
+	require.NoError(t, err, string(output))
+}
+
+// Guards against long answers of backend servers that make a process of serve exceed the memory of
+// its VM while they are read, merged and encoded, or wait for callers that read slowly or not at all.
+func TestUntrustedCallersWithLongAnswersStayWithinTheMemory(t *testing.T) {
+	program := buildProgram(t)
+	body := fmt.Sprintf(`{"query":%q,"limit":%d}`, strings.Repeat("x", answerText), answerHits)
+	request := fmt.Sprintf("POST /v1/search/desk HTTP/1.1\r\nHost: vm-1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	tests := []struct {
+		name    string
+		clients int
+		action  crowd.Action
+	}{
+		{"slow_readers", untrustedClients, crowd.ReadSlowly(request)},
+		{"unread", untrustedClients, crowd.AwaitEnd(request)},
+		{"pipelined", untrustedClients, crowd.Pipeline(request)},
+		{"given_up", untrustedClients, func(_ context.Context, conn net.Conn) {
+			_, _ = conn.Write([]byte(request))
+			time.Sleep(20 * time.Millisecond)
+		}},
+	}
+	for number, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			u := newUntrusted(t, []string{program}, number)
+			u.apply(t, program, startBackendServers(t))
+			search := untrustedListener{
+				port: 7000, method: http.MethodPost, path: "/v1/search/desk", body: `{"query":"sofa","limit":10}`, part: `"outcome":"full"`,
+			}
+			u.requireAnswer(t, search)
+			u.endure(t, search, test.clients, test.action, func() { u.requireAnswer(t, search) })
+		})
+	}
 }
 
 // Guards against callers outside the limits that make a process of serve exceed the memory of
@@ -230,6 +355,13 @@
 func (u *untrusted) play(t *testing.T, l untrustedListener, clients int, do crowd.Action) {
 	t.Helper()
 	u.requireAnswer(t, untrustedListeners(t)["caller"])
+	u.endure(t, l, clients, do, func() { u.requireAnswer(t, l) })
+}
+
+// endure lets clients do something at a listener, and requires that the process stays within
+// its bounds. answered requires an answer of the listener afterwards.
+func (u *untrusted) endure(t *testing.T, l untrustedListener, clients int, do crowd.Action, answered func()) {
+	t.Helper()
 	pid := u.process.PID()
 	open := make(chan int, 1)
 	time.AfterFunc(untrustedTime/2, func() {
@@ -240,7 +372,7 @@
 	defer cancel()
 	crowd.Run(ctx, u.address(l), clients, do)
 	descriptors := <-open
-	u.requireAnswer(t, l)
+	answered()
 	u.requireAnswer(t, untrustedListeners(t)["caller"])
 	require.Zero(t, u.exits.Load(), "the process ended")
 	peak, err := crowd.PeakMemory(pid)
