Bound what control messages make serve hold

Cause: the JSON-RPC library reads a control message of any announced or actual length, decodes its parameters into generic values and encodes them again, and each call of a connection runs at once, whether or not its replies are read. At most 16 calls of a connection run at a time, or one with a long message, and one reply is encoded at a time. A refused message closes its connection, with the cause in samphirestair_connections_closed_total{listener="control"}. The client reads replies within the same limits.

--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -34,7 +34,7 @@
 // without a change. The answer proves that the configuration is still in force.
 const watchTimeout = 2 * time.Second
 
-// Names of the listeners. The memory for control messages is not bounded.
+// Names of the listeners.
 const callerPort, peerPort, controlPort, adminPort = "caller", "peer", "control", "admin"
 
 // Node is one process of an entry VM.
@@ -100,8 +100,10 @@
 
 // buildLinks creates the connections to other VMs.
 func (n *Node) buildLinks() {
-	n.client = ctrl.NewClient(ctrl.ClientOptions{Metrics: n.metrics, Self: n.self.Control, Filter: n.controlFilter()})
-	n.control = ctrl.NewServer(ctrl.ServerOptions{Logger: n.logger, Metrics: n.metrics, Filter: n.controlFilter()})
+	n.client = ctrl.NewClient(ctrl.ClientOptions{Metrics: n.metrics, Self: n.self.Control, Filter: n.controlFilter(), Budget: n.memory.Budget})
+	n.control = ctrl.NewServer(ctrl.ServerOptions{
+		Logger: n.logger, Metrics: n.metrics, Filter: n.controlFilter(), Reporter: n.memory.Reporter(controlPort),
+	})
 	n.mesh = mesh.New(n.self.Process, n.settings.VM.IP, n.logger, n.metrics, mesh.Options{
 		Blocklist: n.blockedLinks, Reporter: n.memory.Reporter(peerPort),
 	})
--- a/internal/fleet/ctrl/client.go
+++ b/internal/fleet/ctrl/client.go
@@ -11,6 +11,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 )
 
 const (
@@ -30,6 +32,8 @@
 	Filter Filter
 	// Dial opens a connection to an address; nil opens a TCP connection.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Budget bounds the memory of replies while they are read. It may be nil.
+	Budget *budget.Budget
 }
 
 // Client calls methods of other VMs over one connection per address.
@@ -178,7 +182,7 @@
 		return nil, err
 	}
 	metered := &meteredConn{Conn: socket, traffic: c.traffic}
-	conn := &connection{socket: metered, rpc: newConn(c.ctx, metered, discardRequests{})}
+	conn := &connection{socket: metered, rpc: newConn(c.ctx, newStream(metered, c.options.Budget.NewHolder(nil), nil), discardRequests{})}
 	p.mu.Lock()
 	p.conn = conn
 	p.mu.Unlock()
--- a/internal/fleet/ctrl/ctrl.go
+++ b/internal/fleet/ctrl/ctrl.go
@@ -108,8 +108,7 @@
 
 // newConn starts a JSON-RPC connection that passes incoming requests to h. The log of
 // the JSON-RPC library is discarded.
-func newConn(ctx context.Context, c *meteredConn, h jsonrpc2.Handler) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
+func newConn(ctx context.Context, s *stream, h jsonrpc2.Handler) *jsonrpc2.Conn {
 	discard := log.New(io.Discard, "", 0)
-	return jsonrpc2.NewConn(ctx, stream, h, jsonrpc2.SetLogger(discard))
+	return jsonrpc2.NewConn(ctx, s, h, jsonrpc2.SetLogger(discard), jsonrpc2.OnRecv(s.restore))
 }
--- a/internal/fleet/ctrl/server.go
+++ b/internal/fleet/ctrl/server.go
@@ -7,11 +7,16 @@
 	"log/slog"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/samphirestair/samphirestair/internal/base/accept"
+	"github.com/samphirestair/samphirestair/internal/base/budget"
+	"github.com/samphirestair/samphirestair/internal/core/guard"
 )
 
 // Handler handles calls of one method. It is called concurrently. Its context is
@@ -24,8 +29,14 @@
 	Metrics *metrics.Set
 	// Filter blocks replies to callers; nil blocks none.
 	Filter Filter
+	// Reporter records the connections that are closed.
+	Reporter *guard.Reporter
 }
 
+// maxCalls is the number of calls of a connection that run at a time. Further ones are read once
+// one of them has ended.
+const maxCalls = 16
+
 // Server serves control calls of other VMs.
 type Server struct {
 	options ServerOptions
@@ -88,7 +99,9 @@
 		if err != nil {
 			return errors.Wrap(err, "ctrl: accept")
 		}
-		newConn(ctx, &meteredConn{Conn: c, traffic: s.traffic}, s)
+		holder := accept.Holder(c)
+		st := newStream(&meteredConn{Conn: c, traffic: s.traffic}, holder, s.options.Reporter.Closed)
+		newConn(ctx, st, &session{server: s, stream: st, holder: holder, running: make(chan struct{}, maxCalls)})
 	}
 }
 
@@ -100,33 +113,80 @@
 	s.calls.Wait()
 }
 
+// session handles the calls of one connection.
+type session struct {
+	server *Server
+	stream *stream
+	holder *budget.Holder
+	// running has an element for each call that runs.
+	running chan struct{}
+	// replying is held while a reply is encoded and sent, so that the replies of a connection
+	// whose other side doesn't read are not all in memory.
+	replying sync.Mutex
+}
+
 // Handle implements jsonrpc2.Handler. It runs the handler of a request on a new
-// goroutine.
-func (s *Server) Handle(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
-	s.traffic.callsIn.Inc()
+// goroutine. No further message is read while a large one is handled, or while maxCalls are.
+func (c *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	c.server.traffic.callsIn.Inc()
+	select {
+	case c.running <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	done := make(chan struct{})
+	if !c.server.start(func() {
+		defer func() { <-c.running; close(done) }()
+		c.handleCall(ctx, conn, r)
+	}) {
+		return
+	}
+	if c.stream.large {
+		<-done
+	}
+}
+
+// start runs a call on a new goroutine. It returns false if the server is closed.
+func (s *Server) start(call func()) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	if s.closed {
-		return
+		return false
 	}
-	s.calls.Go(func() { s.handleCall(ctx, c, r) })
+	s.calls.Go(call)
+	return true
 }
 
 // handleCall runs the handler of a request and sends the reply, unless the request is
 // a notification or the filter blocks the reply.
-func (s *Server) handleCall(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
-	result, err := s.runHandler(ctx, r)
-	if r.Notif || s.replyBlocked(r) {
+func (c *session) handleCall(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	result, err := c.server.runHandler(ctx, r)
+	if r.Notif || c.server.replyBlocked(r) {
 		return
 	}
-	if err != nil {
-		err = c.ReplyWithError(ctx, r.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()})
-	} else {
-		err = c.Reply(ctx, r.ID, result)
+	c.replying.Lock()
+	defer c.replying.Unlock()
+	if err = c.reply(ctx, conn, r.ID, result, err); err != nil && ctx.Err() == nil {
+		c.server.options.Logger.Debug("failed to send a control reply", "method", r.Method, "error", err)
+		// A part of the reply may have been written, after which no other can follow.
+		_ = conn.Close()
+	}
+}
+
+// reply encodes and sends a reply within the memory that the connection may have.
+func (c *session) reply(ctx context.Context, conn *jsonrpc2.Conn, id jsonrpc2.ID, result any, failure error) error {
+	response := &jsonrpc2.Response{ID: id}
+	if failure == nil {
+		failure = response.SetResult(result)
 	}
-	if err != nil && ctx.Err() == nil {
-		s.options.Logger.Debug("failed to send a control reply", "method", r.Method, "error", err)
+	if failure != nil {
+		response.Error = &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: failure.Error()}
+	} else if size := len(*response.Result); size > budget.SmallSize && !c.holder.Reserve(budget.Response, 2*size, time.Now().Add(memoryWait)) {
+		c.server.options.Reporter.Closed(guard.NoMemory)
+		return budget.ErrNoMemory
 	}
+	defer c.holder.Set(budget.Response, 0)
+	return conn.SendResponse(ctx, response)
 }
 
 func (s *Server) runHandler(ctx context.Context, r *jsonrpc2.Request) (any, error) {
