Bound what answers of backend servers make serve hold

Cause: answers of backend servers were read, decoded, merged and encoded for callers and other VMs outside the budget, the HTTP library and the JSON parser kept buffers of the longest answer for each connection, and a search held the answers of all shards. Change: owner/client reads bodies through base/budget and keeps no buffers of long ones. msgs.Answer.Held accounts for an answer on its way, also while it waits in a batch to another VM (link/mesh), until a request has merged it or it is dropped. A search copies the hits that it keeps of long answers; what a request has until it is encoded for its caller is held by query/entry, and may be ended as partial to make room.

--- a/internal/base/budget/budget.go
+++ b/internal/base/budget/budget.go
@@ -122,6 +122,11 @@
 	return h
 }
 
+// Sibling returns a holder of nothing in the same budget.
+func (h *Holder) Sibling(closeConn func()) *Holder {
+	return h.budget.NewHolder(closeConn)
+}
+
 // Reserve makes size the number of bytes that are held for a kind of message that is about to
 // be read. If the budget is used up it closes other connections, and waits until a time. It
 // returns false if there is no room, or if this holder itself is the one to be closed.
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -105,7 +105,7 @@
 		Logger: n.logger, Metrics: n.metrics, Filter: n.controlFilter(), Reporter: n.memory.Reporter(controlPort),
 	})
 	n.mesh = mesh.New(n.self.Process, n.settings.VM.IP, n.logger, n.metrics, mesh.Options{
-		Blocklist: n.blockedLinks, Reporter: n.memory.Reporter(peerPort),
+		Blocklist: n.blockedLinks, Reporter: n.memory.Reporter(peerPort), Budget: n.memory.Budget,
 	})
 }
 
@@ -128,7 +128,7 @@
 	if err != nil {
 		return errors.Wrap(err, "node: VM list")
 	}
-	n.sender = sender.New(sender.Deps{Self: n.self.Process, Views: n.views, Mesh: n.mesh, Events: n.events}, sender.Options{})
+	n.sender = sender.New(sender.Deps{Self: n.self.Process, Views: n.views, Mesh: n.mesh, Events: n.events, Budget: n.memory.Budget}, sender.Options{})
 	n.agent = agent.New(agent.Deps{
 		Self:          n.self,
 		Store:         kv,
--- a/internal/fleet/ctrl/stream.go
+++ b/internal/fleet/ctrl/stream.go
@@ -23,10 +23,7 @@
 	maxValues = 16 << 20
 	// smallValues is the memory of the values up to which a message of at most budget.SmallSize
 	// is never refused for lack of memory, as heartbeats mustn't be.
-	smallValues = 64 << 10
-	// objectBytes and valueBytes are upper bounds of what an object and another value take once
-	// they are decoded: "{}," in the text of a heartbeat becomes 112 bytes in a growing slice.
-	objectBytes, valueBytes = 256, 64
+	smallValues = 128 << 10
 	// memoryWait is the time for which a message waits for memory. It exceeds the time after
 	// which connections that hold memory can be closed to make room.
 	memoryWait = 500 * time.Millisecond
@@ -107,7 +104,7 @@
 	case uint64(len(data)) < length:
 		return nil, s.refuse(guard.Malformed, errCutShort)
 	}
-	values := sizeOfValues(data)
+	values := budget.SizeOfValues(data)
 	if values > maxValues {
 		return nil, s.refuse(guard.TooLarge, errTooLarge)
 	}
@@ -189,18 +186,3 @@
 func (s *stream) Close() error {
 	return s.conn.Close()
 }
-
-// sizeOfValues returns an upper bound of the memory of the values that a message is decoded into,
-// besides its text.
-func sizeOfValues(data []byte) int {
-	size := 0
-	for _, b := range data {
-		switch b {
-		case '{':
-			size += objectBytes
-		case '[', ',':
-			size += valueBytes
-		}
-	}
-	return size
-}
--- a/internal/front/caller/answer.go
+++ b/internal/front/caller/answer.go
@@ -40,8 +40,9 @@
 	Doc   json.RawMessage `json:"doc,omitempty"`
 }
 
-// reply writes the result of a request as an answer.
+// reply writes the result of a request as an answer, and releases it.
 func reply(c fiber.Ctx, id string, result entry.Result) error {
+	defer result.Release()
 	if rejected := rejectionOf(result); rejected != nil {
 		return replyRejected(c, id, rejected)
 	}
--- a/internal/link/mesh/mesh_test.go
+++ b/internal/link/mesh/mesh_test.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/link/block"
@@ -31,6 +32,7 @@
 	mesh      *mesh.Mesh
 	member    view.Member
 	blocklist *block.Blocklist
+	memory    *budget.Budget
 	queries   chan msgs.Query
 	replies   chan msgs.Reply
 	lost      chan lostQuery
@@ -50,12 +52,15 @@
 	process := ident.Process{VM: vm, Incarnation: 7}
 	e := &endpoint{
 		blocklist: &block.Blocklist{},
+		memory:    budget.New(1 << 20),
 		member:    view.Member{Process: process, Peer: listener.Addr().String()},
 		queries:   make(chan msgs.Query, 10000),
 		replies:   make(chan msgs.Reply, 10),
 		lost:      make(chan lostQuery, 10),
 	}
-	e.mesh = mesh.New(process, ip, slog.New(slog.DiscardHandler), metrics.NewSet(), mesh.Options{Blocklist: e.blocklist, Transfers: 1})
+	e.mesh = mesh.New(process, ip, slog.New(slog.DiscardHandler), metrics.NewSet(), mesh.Options{
+		Blocklist: e.blocklist, Transfers: 1, Budget: e.memory,
+	})
 	e.mesh.Attach(e, e)
 	var served sync.WaitGroup
 	served.Go(func() { _ = e.mesh.Serve(listener) })
@@ -93,6 +98,25 @@
 	require.Equal(t, uint64(2), receive(t, b.replies).ID)
 }
 
+// Guards against memory of long answers that is in no budget while they are passed on, or that is not
+// given back once they were sent, could not be sent, or were handled.
+func TestLongAnswersHoldMemoryUntilTheyArePassedOn(t *testing.T) {
+	a := newEndpoint(t, "a", "127.0.9.1")
+	b := newEndpoint(t, "b", "127.0.9.2")
+	long := func() msgs.Reply {
+		return msgs.Reply{Incarnation: 7, Answers: []msgs.Answer{{Body: make([]byte, 3*budget.SmallSize)}}}
+	}
+	gone := view.Member{Process: ident.Process{VM: "gone"}, Peer: "127.0.9.3:1"}
+	for _, to := range []view.Member{a.member, b.member, gone} {
+		a.mesh.SendReply(to, long())
+	}
+	for _, arrived := range []msgs.Reply{receive(t, a.replies), receive(t, b.replies)} {
+		require.NotNil(t, arrived.Answers[0].Held)
+		msgs.Release(arrived.Answers)
+	}
+	require.Eventually(t, func() bool { return a.memory.Held(budget.Answer)+b.memory.Held(budget.Answer) == 0 }, testTimeout, time.Millisecond)
+}
+
 func TestUnreachableReceiverIsReportedAsNotSent(t *testing.T) {
 	a := newEndpoint(t, "a", "127.0.9.1")
 	gone := view.Member{Process: ident.Process{VM: "gone"}, Peer: "127.0.9.3:1"}
--- a/internal/link/mesh/outbox.go
+++ b/internal/link/mesh/outbox.go
@@ -92,6 +92,11 @@
 }
 
 func (o *outbox) send(batch *msgs.Batch) {
+	defer func() {
+		for i := range batch.Replies {
+			msgs.Release(batch.Replies[i].Answers)
+		}
+	}()
 	sent, err := o.post(batch)
 	if err == nil {
 		return
--- a/internal/link/mesh/transport.go
+++ b/internal/link/mesh/transport.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/base/reply"
 	"github.com/samphirestair/samphirestair/internal/core/events"
@@ -45,6 +46,8 @@
 	Blocklist *block.Blocklist
 	// Reporter records the connections that are closed. Default none.
 	Reporter *guard.Reporter
+	// Budget accounts for the answers in batches from other VMs. Default none.
+	Budget *budget.Budget
 }
 
 func (o Options) withDefaults() Options {
@@ -137,6 +140,7 @@
 
 // SendReply sends r to the given process.
 func (m *Mesh) SendReply(to view.Member, r msgs.Reply) {
+	m.hold(r.Answers)
 	if m.isSelf(to) {
 		go m.replies.HandleReply(m.self, r)
 		return
@@ -210,7 +214,22 @@
 	}
 	for _, r := range batch.Replies {
 		if r.Incarnation == uint64(m.self.Incarnation) {
+			m.hold(r.Answers)
 			m.replies.HandleReply(from, r)
 		}
 	}
 }
+
+// hold accounts for the memory of answers that hold none yet: those that were decoded from a batch,
+// whose memory was reserved when it arrived, and outcomes of actions.
+func (m *Mesh) hold(answers []msgs.Answer) {
+	for i := range answers {
+		if answers[i].Held != nil {
+			continue
+		}
+		if size := answers[i].Size(); size > budget.SmallSize {
+			answers[i].Held = m.options.Budget.NewHolder(nil)
+			answers[i].Held.Set(budget.Answer, size)
+		}
+	}
+}
--- a/internal/link/msgs/msgs.go
+++ b/internal/link/msgs/msgs.go
@@ -3,6 +3,8 @@
 // before it allocates memory for them.
 package msgs
 
+import "github.com/samphirestair/samphirestair/internal/base/budget"
+
 //go:generate go tool -modfile=../../../tools/go.mod msgp -file msgs.go -tests=false -io=false
 
 // Kind is the kind of the sub-requests of a query.
@@ -107,6 +109,25 @@
 	// Maps lists the index versions that the backend server holds. It is set if
 	// they changed since the last answer to this VM, and with StatusWrongVersion.
 	Maps []Holding `msg:"p,limit=131072"`
+	// Held accounts for the memory of Hits and Body in this process. Whoever drops the answer, or
+	// has passed on a copy, releases it. nil holds nothing.
+	Held *budget.Holder `msg:"-"`
+}
+
+// Release gives back the memory of the answers, which must not be used afterwards.
+func Release(answers []Answer) {
+	for i := range answers {
+		answers[i].Held.Release()
+	}
+}
+
+// Size returns the size in bytes of the answer's hits or body.
+func (a *Answer) Size() int {
+	size := len(a.Body)
+	for i := range a.Hits {
+		size += len(a.Hits[i].ID) + len(a.Hits[i].Doc)
+	}
+	return size
 }
 
 // Holding is one shard of one index version that a backend server holds. Shards is
--- a/internal/owner/client/answer.go
+++ b/internal/owner/client/answer.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fastjson"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 	"github.com/samphirestair/samphirestair/internal/plat/bknd"
@@ -41,10 +42,12 @@
 	Reset bool
 	Boot  ident.BootID
 	// Maps is the value of bknd.HeaderMaps, the server's index maps.
-	Maps        string
-	Version     ident.Version
-	Hits        []msgs.Hit
-	Body        []byte
+	Maps    string
+	Version ident.Version
+	Hits    []msgs.Hit
+	Body    []byte
+	// Held accounts for the memory of Hits and Body. Whoever drops the result releases it.
+	Held        *budget.Holder
 	ServiceTime time.Duration
 	// Err is the cause of a failure, or nil.
 	Err error
@@ -59,7 +62,7 @@
 }
 
 // read checks that the response is an answer to the request and decodes it.
-func (a *answerReader) read(r *Request, resp *fasthttp.Response) Result {
+func (a *answerReader) read(r *Request, resp *fasthttp.Response, body []byte) Result {
 	if string(resp.Header.Peek(bknd.HeaderRequest)) != r.ID {
 		return Result{
 			Outcome: OutcomeBroken, Status: msgs.StatusFailed,
@@ -69,7 +72,7 @@
 	result := Result{Outcome: OutcomeAnswered, Boot: a.internBoot(resp), Maps: a.internMaps(resp)}
 	switch code := resp.StatusCode(); {
 	case code == fasthttp.StatusOK:
-		a.readOK(r, resp, &result)
+		a.readOK(r, resp, body, &result)
 	case code == bknd.StatusWrongVersion:
 		result.Status = msgs.StatusWrongVersion
 	case code == bknd.StatusShed:
@@ -89,24 +92,24 @@
 
 // readOK decodes an answer with status 200 into result. An unusable answer fails the
 // request without its hits or body.
-func (a *answerReader) readOK(r *Request, resp *fasthttp.Response, result *Result) {
-	if err := a.readBody(r, resp, result); err != nil {
+func (a *answerReader) readOK(r *Request, resp *fasthttp.Response, body []byte, result *Result) {
+	if err := a.readBody(r, resp, body, result); err != nil {
 		result.Status, result.Err = msgs.StatusFailed, err
 		result.Hits, result.Body = nil, nil
 	}
 }
 
-func (a *answerReader) readBody(r *Request, resp *fasthttp.Response, result *Result) error {
+func (a *answerReader) readBody(r *Request, resp *fasthttp.Response, body []byte, result *Result) error {
 	version, err := checkVersionAndShard(r, resp)
 	if err != nil {
 		return err
 	}
 	result.Version = version
 	if r.Kind == msgs.KindSearch {
-		result.Hits, err = a.hits(resp.Body())
+		result.Hits, err = a.hits(body)
 		return err
 	}
-	result.Body = append([]byte(nil), resp.Body()...)
+	result.Body = body
 	return nil
 }
 
@@ -135,7 +138,12 @@
 	if err := fastjson.ValidateBytes(body); err != nil {
 		return nil, errors.Wrap(err, "client: answer is not JSON")
 	}
-	value, err := a.parser.ParseBytes(body)
+	parser := &a.parser
+	if len(body) > budget.SmallSize {
+		// The parser keeps a copy of the last body and its values.
+		parser = &fastjson.Parser{}
+	}
+	value, err := parser.ParseBytes(body)
 	if err != nil {
 		return nil, errors.Wrap(err, "client: answer is not JSON")
 	}
--- a/internal/owner/client/client.go
+++ b/internal/owner/client/client.go
@@ -12,6 +12,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
+	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/reply"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 )
@@ -35,6 +37,14 @@
 	errNotConnected = errors.New("client: not connected")
 )
 
+// Options adjusts a client. The zero value selects the defaults.
+type Options struct {
+	// MaxBody is the maximum size of an answer's body in bytes, 0 for DefaultMaxBody.
+	MaxBody int
+	// Budget bounds the memory of answers. nil has no limit.
+	Budget *budget.Budget
+}
+
 // Client sends requests to a backend server over a single connection, which Connect opens
 // again when needed. Only Close is safe for concurrent use.
 type Client struct {
@@ -45,17 +55,16 @@
 	resp       *fasthttp.Response
 	uri        string
 	reader     answerReader
+	options    Options
 }
 
 // New returns a client that opens its connections with the dialer. It is not connected
-// yet. maxBody is the maximum size of an answer's body in bytes, 0 for DefaultMaxBody.
-func New(dialer *Dialer, maxBody int) *Client {
-	if maxBody <= 0 {
-		maxBody = DefaultMaxBody
-	}
+// yet.
+func New(dialer *Dialer, options Options) *Client {
+	options.MaxBody = coll.Positive(options.MaxBody, DefaultMaxBody)
 	c := &Client{
 		dialer: dialer, req: &fasthttp.Request{}, resp: &fasthttp.Response{},
-		uri: "http://" + dialer.address,
+		uri: "http://" + dialer.address, options: options,
 	}
 	c.httpClient = &fasthttp.HostClient{
 		Addr:                      dialer.address,
@@ -64,7 +73,7 @@
 		MaxIdleConnDuration:       idleTimeout,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                neverRetry,
-		MaxResponseBodySize:       maxBody,
+		StreamResponseBody:        true,
 		NoDefaultUserAgentHeader:  true,
 		DisablePathNormalizing:    true,
 	}
@@ -103,15 +112,22 @@
 	c.conn.begin(guard)
 	c.encodeRequest(r)
 	start := time.Now()
-	err := c.httpClient.DoDeadline(c.req, c.resp, answerDeadline(r, start))
+	deadline := answerDeadline(r, start)
+	a, err := c.exchange(deadline)
+	took := time.Since(start) - a.waited
+	if err == nil && r.Kind == msgs.KindSearch {
+		err = a.reserveDecoding(deadline)
+	}
 	if err != nil {
-		return c.failedResult(err, time.Since(start))
+		a.held.Release()
+		return c.failedResult(err, took, a.heldUp())
 	}
-	result := c.reader.read(r, c.resp)
+	result := c.reader.read(r, c.resp, a.body)
 	if result.Outcome == OutcomeBroken {
 		c.closeConn()
 	}
-	result.ServiceTime = time.Since(start)
+	result.ServiceTime = took
+	result.hold(a.held)
 	return result
 }
 
@@ -140,14 +156,17 @@
 }
 
 // failedResult closes the connection and returns the result of a request that ended
-// without an answer.
-func (c *Client) failedResult(err error, took time.Duration) Result {
+// without an answer. heldUp is set if the answer had to wait for memory of this process, so that
+// the server was not silent.
+func (c *Client) failedResult(err error, took time.Duration, heldUp bool) Result {
 	wrote := c.conn.wrote
 	c.closeConn()
 	result := Result{Err: err, ServiceTime: took}
 	switch {
 	case !wrote:
 		result.Outcome, result.Status = OutcomeUnsent, msgs.StatusNotRun
+	case errors.Is(err, budget.ErrNoMemory) || heldUp && isTimeout(err):
+		result.Outcome, result.Status, result.Err = OutcomeBroken, msgs.StatusLate, budget.ErrNoMemory
 	case isTimeout(err):
 		result.Outcome, result.Status = OutcomeTimedOut, msgs.StatusLate
 	default:
--- a/internal/owner/client/client_test.go
+++ b/internal/owner/client/client_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 	"github.com/samphirestair/samphirestair/internal/owner/client"
 	"github.com/samphirestair/samphirestair/internal/plat/bknd"
@@ -107,7 +108,7 @@
 					answer(ctx)
 				}
 			})
-			serverClient := client.New(client.NewDialer(address, 0, nil), 1000)
+			serverClient := client.New(client.NewDialer(address, 0, nil), client.Options{MaxBody: 1000})
 			defer serverClient.Close()
 			bad.Store(true)
 			result := do(t, serverClient, request(msgs.KindSearch), allow)
@@ -120,6 +121,51 @@
 	}
 }
 
+// Guards against answers that are read without memory, against memory that is not given back, and
+// against an answer that waited for memory and makes its server count as silent.
+func TestLongAnswersAreReadWithinTheMemory(t *testing.T) {
+	for name, test := range map[string]struct {
+		kind    msgs.Kind
+		size    int
+		chunked bool
+		outcome client.Outcome
+	}{
+		"search":                   {msgs.KindSearch, 100 << 10, false, client.OutcomeAnswered},
+		"search without memory":    {msgs.KindSearch, 400 << 10, false, client.OutcomeBroken},
+		"lookup":                   {msgs.KindLookup, 400 << 10, false, client.OutcomeAnswered},
+		"lookup without memory":    {msgs.KindLookup, 600 << 10, false, client.OutcomeBroken},
+		"chunked":                  {msgs.KindLookup, 200 << 10, true, client.OutcomeAnswered},
+		"chunked, without memory":  {msgs.KindLookup, 2 << 20, true, client.OutcomeBroken},
+		"short, with full memory":  {msgs.KindSearch, 100, false, client.OutcomeAnswered},
+		"chunked, over the limit":  {msgs.KindLookup, 5 << 20, true, client.OutcomeBroken},
+		"announced over the limit": {msgs.KindLookup, 5 << 20, false, client.OutcomeBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			body := fmt.Sprintf(`{"hits":[{"id":"a","score":1,"doc":%q}]}`, strings.Repeat("x", test.size))
+			address, _ := serve(t, func(ctx *fasthttp.RequestCtx) {
+				if test.chunked {
+					ctx.SetBodyStream(strings.NewReader(body), -1)
+					return
+				}
+				ctx.SetBodyString(body)
+			})
+			memory := budget.New(1 << 20)
+			require.True(t, memory.NewHolder(func() {}).Reserve(budget.Response, budget.SmallSize+1, time.Time{}))
+			serverClient := client.New(client.NewDialer(address, 0, nil), client.Options{Budget: memory})
+			defer serverClient.Close()
+			r := request(test.kind)
+			r.Deadline = time.Now().Add(300 * time.Millisecond)
+			result := do(t, serverClient, r, allow)
+			require.Equal(t, test.outcome, result.Outcome, "%v", result.Err)
+			require.Equal(t, result.Held != nil, memory.Held(budget.Answer) > 0)
+			require.Equal(t, test.outcome == client.OutcomeAnswered && test.size > budget.SmallSize, result.Held != nil)
+			require.Equal(t, test.outcome == client.OutcomeAnswered, serverClient.Connected())
+			result.Held.Release()
+			require.Zero(t, memory.Held(budget.Answer))
+		})
+	}
+}
+
 func TestServerStatusIsTranslated(t *testing.T) {
 	cases := []struct {
 		code   int
@@ -138,7 +184,7 @@
 			ctx.SetStatusCode(c.code)
 			ctx.Response.Header.Set(bknd.HeaderNotRun, c.notRun)
 		})
-		serverClient := client.New(client.NewDialer(address, 0, nil), 0)
+		serverClient := client.New(client.NewDialer(address, 0, nil), client.Options{})
 		require.Equal(t, c.status, do(t, serverClient, request(msgs.KindAction), allow).Status, fmt.Sprint(c.code))
 		serverClient.Close()
 	}
@@ -147,7 +193,7 @@
 func TestTimedOutConnectionIsNotReused(t *testing.T) {
 	block := make(chan struct{})
 	address, conns := serve(t, func(*fasthttp.RequestCtx) { <-block })
-	serverClient := client.New(client.NewDialer(address, 0, nil), 0)
+	serverClient := client.New(client.NewDialer(address, 0, nil), client.Options{})
 	r := request(msgs.KindLookup)
 	r.AnswerTimeout = 20 * time.Millisecond
 	result := do(t, serverClient, r, allow)
@@ -163,7 +209,7 @@
 func TestGuardPreventsSending(t *testing.T) {
 	var handled atomic.Int64
 	address, _ := serve(t, func(*fasthttp.RequestCtx) { handled.Add(1) })
-	serverClient := client.New(client.NewDialer(address, 0, nil), 0)
+	serverClient := client.New(client.NewDialer(address, 0, nil), client.Options{})
 	defer serverClient.Close()
 	result := do(t, serverClient, request(msgs.KindAction), func() bool { return false })
 	require.Equal(t, client.OutcomeUnsent, result.Outcome)
@@ -173,7 +219,7 @@
 
 func TestClosedConnectionIsReplacedBeforeNextRequest(t *testing.T) {
 	address, conns := serve(t, func(ctx *fasthttp.RequestCtx) { ctx.SetConnectionClose() })
-	serverClient := client.New(client.NewDialer(address, 0, nil), 0)
+	serverClient := client.New(client.NewDialer(address, 0, nil), client.Options{})
 	defer serverClient.Close()
 	for range 3 {
 		require.Equal(t, msgs.StatusOK, do(t, serverClient, request(msgs.KindLookup), allow).Status)
@@ -186,7 +232,7 @@
 	require.NoError(t, err)
 	defer func() { require.NoError(t, listener.Close()) }()
 	d := client.NewDialer(listener.Addr().String(), 0, nil)
-	serverClient := client.New(d, 0)
+	serverClient := client.New(d, client.Options{})
 	_, _, err = serverClient.Connect(time.Now())
 	require.Error(t, err)
 	require.Zero(t, d.OpenConns())
@@ -212,7 +258,7 @@
 		_ = server.Serve(listener)
 	}()
 	d := client.NewDialer(listener.Addr().String(), 0, nil)
-	serverClient := client.New(d, 0)
+	serverClient := client.New(d, client.Options{})
 	for range 3 {
 		require.Equal(t, msgs.StatusOK, do(t, serverClient, request(msgs.KindAction), allow).Status)
 		require.Equal(t, 1, d.OpenConns())
--- a/internal/owner/client/fuzz_test.go
+++ b/internal/owner/client/fuzz_test.go
@@ -35,7 +35,7 @@
 		if search {
 			request.Kind = msgs.KindSearch
 		}
-		result := (&answerReader{}).read(request, &resp)
+		result := (&answerReader{}).read(request, &resp, resp.Body())
 		if result.Outcome == OutcomeBroken || result.Status != msgs.StatusOK {
 			require.Empty(t, result.Hits)
 			require.Empty(t, result.Body)
--- a/internal/owner/client/request.go
+++ b/internal/owner/client/request.go
@@ -62,7 +62,9 @@
 	c.req.SetRequestURI(c.uri + bknd.PathCancel)
 	c.req.Header.SetMethod(fasthttp.MethodPost)
 	c.req.Header.Set(bknd.HeaderRequest, id)
-	if err := c.httpClient.DoDeadline(c.req, c.resp, deadline); err != nil {
+	a, err := c.exchange(deadline)
+	a.held.Release()
+	if err != nil {
 		c.closeConn()
 		return false
 	}
@@ -103,7 +105,9 @@
 	c.req.Reset()
 	c.req.SetRequestURI(c.uri + bknd.PathHealth)
 	c.req.Header.SetMethod(fasthttp.MethodGet)
-	if err := c.httpClient.DoDeadline(c.req, c.resp, deadline); err != nil {
+	a, err := c.exchange(deadline)
+	defer a.held.Release()
+	if err != nil {
 		c.closeConn()
 		return ServerHealth{}, false
 	}
@@ -113,7 +117,7 @@
 	health = ServerHealth{
 		Boot:  ident.BootID(c.resp.Header.Peek(bknd.HeaderBoot)),
 		Maps:  string(c.resp.Header.Peek(bknd.HeaderMaps)),
-		State: fastjson.GetString(c.resp.Body(), bknd.FieldState),
+		State: fastjson.GetString(a.body, bknd.FieldState),
 	}
 	return health, health.State != ""
 }
--- a/internal/owner/client/status_test.go
+++ b/internal/owner/client/status_test.go
@@ -25,7 +25,7 @@
 				}
 				return answer
 			})
-			c := client.New(client.NewDialer(address, 0, nil), 0)
+			c := client.New(client.NewDialer(address, 0, nil), client.Options{})
 			defer c.Close()
 			result := do(t, c, request(msgs.KindLookup), allow)
 			require.Equal(t, client.OutcomeBroken, result.Outcome)
@@ -39,7 +39,7 @@
 	for name, hello := range faulty.Responses(bknd.HeaderBoot+": boot-1\r\n", "") {
 		t.Run(name, func(t *testing.T) {
 			address, _ := faulty.Serve(t, func(string) string { return hello })
-			c := client.New(client.NewDialer(address, 0, nil), 0)
+			c := client.New(client.NewDialer(address, 0, nil), client.Options{})
 			defer c.Close()
 			_, _, err := c.Connect(time.Now().Add(testWait))
 			require.Error(t, err)
--- a/internal/owner/coord/dispatch.go
+++ b/internal/owner/coord/dispatch.go
@@ -97,12 +97,16 @@
 func (c *Coordinator) HandleReply(from ident.Process, r msgs.Reply) {
 	c.mu.Lock()
 	defer c.unlockAndSend()
+	// The table of claims keeps the answer itself.
+	defer msgs.Release(r.Answers)
 	a := c.attempts[r.ID]
 	if a == nil || a.owner != from.VM || len(r.Answers) != 1 {
 		c.deps.Events.Count("home_reply_unmatched")
 		return
 	}
-	c.handleAnswer(a, r.Answers[0])
+	answer := r.Answers[0]
+	answer.Held = nil
+	c.handleAnswer(a, answer)
 }
 
 // HandleLost implements mesh.ReplyHandler. The action certainly has not run only if the
--- a/internal/owner/sender/finish.go
+++ b/internal/owner/sender/finish.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 	"github.com/samphirestair/samphirestair/internal/owner/client"
 )
@@ -58,6 +61,8 @@
 	if !j.answered {
 		j.answered = true
 		e.outbox = append(e.outbox, outgoing{job: j, answer: e.resultAnswer(j, result, now)})
+	} else {
+		result.Held.Release()
 	}
 	e.dispatch(now)
 	e.unlock()
@@ -66,7 +71,7 @@
 // resultAnswer returns the answer to a job with the given result.
 func (e *endpoint) resultAnswer(j *job, result *client.Result, now time.Time) msgs.Answer {
 	a := msgs.Answer{
-		Status: result.Status, Version: uint64(result.Version), Hits: result.Hits, Body: result.Body,
+		Status: result.Status, Version: uint64(result.Version), Hits: result.Hits, Body: result.Body, Held: result.Held,
 		WaitMicros: micros(j.sentAt.Sub(j.receivedAt)), ServiceMicros: micros(result.ServiceTime),
 	}
 	if result.Outcome == client.OutcomeUnsent && !e.leased(now) {
@@ -100,6 +105,10 @@
 		e.sender.deps.Events.Count("connection_silent")
 	}
 	e.recordPhaseChange(before)
+	if errors.Is(result.Err, budget.ErrNoMemory) {
+		e.sender.deps.Events.Count("answer_without_memory")
+		return
+	}
 	if result.Err != nil && result.Outcome != client.OutcomeTimedOut {
 		e.recordBadAnswer("request", result.Err, now)
 	}
--- a/internal/owner/sender/health.go
+++ b/internal/owner/sender/health.go
@@ -29,7 +29,7 @@
 }
 
 func (e *endpoint) monitorLoop() {
-	serverClient := client.New(e.dialer, 0)
+	serverClient := client.New(e.dialer, e.sender.clientOptions())
 	defer serverClient.Close()
 	ticker := time.NewTicker(e.sender.opts.HealthInterval)
 	defer ticker.Stop()
--- a/internal/owner/sender/query.go
+++ b/internal/owner/sender/query.go
@@ -118,6 +118,7 @@
 	to, ok := s.deps.Views.Load().Members[q.key.from.VM]
 	if !ok || to.Process != q.key.from {
 		s.deps.Events.Count("reply_without_receiver")
+		msgs.Release(answers)
 		return
 	}
 	s.deps.Mesh.SendReply(to, msgs.Reply{
--- a/internal/owner/sender/sender.go
+++ b/internal/owner/sender/sender.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/core/events"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
@@ -54,6 +55,8 @@
 	Events *events.Recorder
 	// Dial opens connections to backend servers; nil means TCP.
 	Dial client.DialFunc
+	// Budget bounds the memory of answers; nil has no limit.
+	Budget *budget.Budget
 }
 
 // Options holds the settings of a Sender. Fields that are zero get the defaults
@@ -113,6 +116,11 @@
 	}
 }
 
+// clientOptions returns the options of the clients of backend servers.
+func (s *Sender) clientOptions() client.Options {
+	return client.Options{MaxBody: s.opts.MaxAnswerBytes, Budget: s.deps.Budget}
+}
+
 // Run calls Refresh regularly until ctx ends. It then refuses all waiting
 // sub-requests, waits for those at the servers and closes all connections.
 func (s *Sender) Run(ctx context.Context) {
--- a/internal/owner/sender/worker.go
+++ b/internal/owner/sender/worker.go
@@ -53,7 +53,7 @@
 	if len(e.workers) >= e.workConnections() {
 		return nil
 	}
-	w := &worker{endpoint: e, client: client.New(e.dialer, e.sender.opts.MaxAnswerBytes), jobs: make(chan *job, 1)}
+	w := &worker{endpoint: e, client: client.New(e.dialer, e.sender.clientOptions()), jobs: make(chan *job, 1)}
 	w.guard = w.mayWrite
 	e.workers = append(e.workers, w)
 	e.sender.goroutines.Go(w.loop)
--- a/internal/query/engine/action.go
+++ b/internal/query/engine/action.go
@@ -31,6 +31,8 @@
 	spec  Spec
 	out   outbox
 	ended bool
+	// size is the size of the answer.
+	size int
 
 	// pending is the attempt that has no answer yet, or nil.
 	pending     *actionAttempt
@@ -302,10 +304,15 @@
 	a.end(Result{Outcome: OutcomeNotRun, Reason: reason, RetryAfter: defaultRetryAfter})
 }
 
+// Size implements Machine.
+func (a *Action) Size() int {
+	return a.size
+}
+
 func (a *Action) end(result Result) {
 	if a.ended {
 		return
 	}
-	a.ended, a.pending = true, nil
+	a.ended, a.pending, a.size = true, nil, len(result.Body)
 	a.out.step.Result = &result
 }
--- a/internal/query/engine/answer.go
+++ b/internal/query/engine/answer.go
@@ -79,9 +79,13 @@
 	}
 	s.state = stateAnswered
 	q.answered++
-	if q.spec.Kind == msgs.KindLookup {
+	switch {
+	case q.spec.Kind == msgs.KindLookup:
 		q.body = answer.Body
-	} else {
+	case answer.Held != nil:
+		// A search would hold the answers of all shards, of which it keeps few hits.
+		q.topK.AddCopy(s.number, answer.Hits)
+	default:
 		q.topK.Add(s.number, answer.Hits)
 	}
 	q.cancelShardAttempts(now, index)
--- a/internal/query/engine/finish.go
+++ b/internal/query/engine/finish.go
@@ -80,6 +80,14 @@
 	q.out.step.Result = result
 }
 
+// Size implements Machine.
+func (q *Query) Size() int {
+	if q.topK == nil {
+		return len(q.body)
+	}
+	return q.topK.Size()
+}
+
 // totalShards returns the number of shards that a complete answer needs.
 func (q *Query) totalShards() int {
 	if q.spec.Kind == msgs.KindLookup {
--- a/internal/query/engine/types.go
+++ b/internal/query/engine/types.go
@@ -34,6 +34,9 @@
 	// Abort ends the request at once with the answers received so far. reason
 	// becomes Result.Reason.
 	Abort(now time.Time, reason string) Step
+	// Size returns the size in bytes of the hits or the body that the request has so far. It
+	// keeps nothing else of the answers that hold memory.
+	Size() int
 	// NextTimer returns when to call OnTimer next. It may change at each step
 	// and is never after the deadline.
 	NextTimer() time.Time
--- a/internal/query/entry/entry_test.go
+++ b/internal/query/entry/entry_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
@@ -22,6 +25,9 @@
 	"github.com/samphirestair/samphirestair/internal/query/entry"
 )
 
+// answerMemory is the memory that each answer of a fakeMesh holds.
+const answerMemory = 2 * budget.SmallSize
+
 // fakeMesh answers each query after a delay, like an owner of two shards.
 type fakeMesh struct {
 	entry *entry.Entry
@@ -30,6 +36,8 @@
 	copies int
 	// metrics is the metrics set of the entry.
 	metrics *metrics.Set
+	// memory is the budget of answers, each of which holds answerMemory, or nil.
+	memory *budget.Budget
 
 	mu      sync.Mutex
 	cancels []msgs.Cancel
@@ -48,9 +56,15 @@
 			answer.Status = msgs.StatusWrongVersion
 		}
 		answer.Hits = []msgs.Hit{{ID: fmt.Sprint(item.Shard), Score: float64(item.Shard), Doc: []byte("{}")}}
+		if m.memory != nil {
+			answer.Hits[0].Doc = make([]byte, answerMemory)
+		}
 		answer.Body = []byte(q.Key)
 		reply := msgs.Reply{ID: q.ID, Incarnation: 9, Answers: []msgs.Answer{answer}}
 		for range max(m.copies, 1) {
+			reply.Answers = slices.Clone(reply.Answers)
+			reply.Answers[0].Held = m.memory.NewHolder(nil)
+			reply.Answers[0].Held.Set(budget.Answer, answerMemory)
 			m.deliver(to, reply, m.delay(item))
 		}
 	}
@@ -120,6 +134,49 @@
 	}
 }
 
+// Guards against memory of answers that is not given back, or that is given back while the result
+// is in use: answers that are merged, too late, repeated, or not needed.
+func TestMemoryOfAnswersIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, mesh, _ := newEntry(t, func(item msgs.Item) time.Duration { return time.Duration(1+item.Shard) * 60 * time.Millisecond })
+		mesh.memory, mesh.copies = budget.New(1<<20), 2
+		key := strings.Repeat("k", answerMemory)
+		read := e.Lookup(t.Context(), entry.Request{Service: "s", Key: key})
+		require.Len(t, read.Body, len(key))
+		require.GreaterOrEqual(t, mesh.memory.Held(budget.Answer), len(key))
+		read.Release()
+		for _, left := range []time.Duration{time.Second, 100 * time.Millisecond} {
+			found := e.Search(t.Context(), entry.Request{Service: "s", Limit: 5, Deadline: time.Now().Add(left)})
+			found.Release()
+		}
+		time.Sleep(time.Second)
+		require.Zero(t, mesh.memory.Held(budget.Answer))
+	})
+}
+
+// Guards against searches that all hold the answers of some shards and wait for memory for the others.
+func TestSearchMakesRoomForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		e, mesh, _ := newEntry(t, func(item msgs.Item) time.Duration {
+			if item.Shard == 1 && time.Since(start) > 0 {
+				return time.Hour
+			}
+			return time.Millisecond
+		})
+		mesh.memory = budget.New(3 * answerMemory)
+		reserved := make(chan bool, 1)
+		time.AfterFunc(100*time.Millisecond, func() {
+			reserved <- mesh.memory.NewHolder(nil).Reserve(budget.Answer, 2*answerMemory, start.Add(time.Second))
+		})
+		found := e.Search(t.Context(), entry.Request{Service: "s", Limit: 5, Deadline: start.Add(time.Minute)})
+		require.Equal(t, engine.OutcomePartial, found.Outcome)
+		require.Equal(t, "no memory for the other answers", found.Reason)
+		found.Release()
+		require.True(t, <-reserved)
+	})
+}
+
 func TestSearchIsPartialAtTheDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
--- a/internal/query/entry/execution.go
+++ b/internal/query/entry/execution.go
@@ -5,12 +5,16 @@
 	"sync"
 	"time"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/link/mesh"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 	"github.com/samphirestair/samphirestair/internal/query/engine"
 )
 
+// copies is the number of copies of a result while it is encoded for the caller.
+const copies = 2
+
 // execution runs the state machine of one request. Its methods are safe for
 // concurrent use.
 type execution struct {
@@ -27,25 +31,29 @@
 	// reply before the send returns.
 	unsentSteps []engine.Step
 	sending     bool
+	// held accounts for the memory of the hits or the body so far. It is nil until an answer
+	// arrives that holds memory.
+	held *budget.Holder
 }
 
 func newExecution(machine engine.Machine, sender mesh.Sender) *execution {
 	return &execution{mesh: sender, done: make(chan engine.Result, 1), machine: machine}
 }
 
-// execute runs a request and returns its result. It aborts the request when ctx
-// is done.
-func (e *Entry) execute(ctx context.Context, spec engine.Spec) engine.Result {
+// execute runs a request and returns its result, and what accounts for the memory of it. It
+// aborts the request when ctx is done.
+func (e *Entry) execute(ctx context.Context, spec engine.Spec) (engine.Result, *budget.Holder) {
 	x := newExecution(e.newMachine(spec), e.deps.Mesh)
 	e.pending.add(spec.ID, x)
 	defer e.pending.remove(spec.ID)
 	x.start()
 	select {
 	case result := <-x.done:
-		return result
+		return result, x.held
 	case <-ctx.Done():
 		x.handleEvent(func(now time.Time) engine.Step { return x.machine.Abort(now, "the caller gave up") })
-		return <-x.done
+		result := <-x.done
+		return result, x.held
 	}
 }
 
@@ -62,7 +70,30 @@
 }
 
 func (x *execution) onReply(from ident.VMID, reply msgs.Reply) {
-	x.handleEvent(func(now time.Time) engine.Step { return x.machine.OnReply(now, from, reply) })
+	defer msgs.Release(reply.Answers)
+	x.handleEvent(func(now time.Time) engine.Step {
+		step := x.machine.OnReply(now, from, reply)
+		x.hold(reply.Answers)
+		return step
+	})
+}
+
+// hold takes over the memory of answers that the machine has handled.
+func (x *execution) hold(answers []msgs.Answer) {
+	for i := range answers {
+		if x.held == nil && answers[i].Held != nil {
+			x.held = answers[i].Held.Sibling(x.onNoMemory)
+		}
+	}
+	if x.held != nil {
+		x.held.Set(budget.Answer, copies*x.machine.Size())
+	}
+}
+
+// onNoMemory ends the request with the answers so far, to make room for other requests. Otherwise
+// all would wait for their last answer, and none would get the memory for it.
+func (x *execution) onNoMemory() {
+	x.handleEvent(func(now time.Time) engine.Step { return x.machine.Abort(now, "no memory for the other answers") })
 }
 
 func (x *execution) onLost(to ident.VMID, query msgs.Query, sent bool) {
--- a/internal/query/entry/reply.go
+++ b/internal/query/entry/reply.go
@@ -15,11 +15,13 @@
 	e.recordIndexVersions(reply.Answers)
 	if ident.Incarnation(reply.Incarnation) != e.deps.Self.Incarnation {
 		e.deps.Events.Count("query_crossed_answer")
+		msgs.Release(reply.Answers)
 		return
 	}
 	x := e.pending.find(engine.RequestID(reply.ID))
 	if x == nil {
 		e.deps.Events.Count("query_late_answer")
+		msgs.Release(reply.Answers)
 		return
 	}
 	x.onReply(from.VM, reply)
--- a/internal/query/entry/request.go
+++ b/internal/query/entry/request.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/conf/svcdoc"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
@@ -54,6 +55,12 @@
 type Result struct {
 	engine.Result
 	Problem RequestProblem
+	held    *budget.Holder
+}
+
+// Release gives back the memory of the result, which must not be used afterwards.
+func (r *Result) Release() {
+	r.held.Release()
 }
 
 // Search runs a search over all shards. It returns by the deadline or when ctx is
@@ -110,7 +117,7 @@
 	if !decision.Admitted {
 		return e.refuse(request, decision.Reason, decision.RetryAfter)
 	}
-	result := e.execute(ctx, spec)
+	result, held := e.execute(ctx, spec)
 	end := time.Now()
 	e.metrics.observe(spec.Service, spec.Kind, &result, end.Sub(now))
 	e.admit.Done(end, admission, admit.Outcome{
@@ -118,7 +125,7 @@
 		Late:       result.Reason == engine.ReasonDeadline,
 		Overloaded: result.Overloaded,
 	})
-	return Result{Result: result}
+	return Result{Result: result, held: held}
 }
 
 func (e *Entry) spec(now time.Time, request Request, kind msgs.Kind, doc *svcdoc.Document) engine.Spec {
--- a/internal/query/merge/topk.go
+++ b/internal/query/merge/topk.go
@@ -13,6 +13,9 @@
 // maxInitialHits bounds the number of hits for which memory is allocated in advance.
 const maxInitialHits = 64
 
+// hitBytes is the size of a hit without its id and document.
+const hitBytes = 48
+
 // TopK keeps the best hits by descending score and then ascending id, and
 // records which shards have answered. It is not safe for concurrent use.
 type TopK struct {
@@ -22,6 +25,8 @@
 	// answered is a bit set of shards, and answeredCount the number of its members.
 	answered      []uint64
 	answeredCount int
+	// copies is set while the documents of hits are copied.
+	copies bool
 }
 
 // NewTopK returns an empty TopK that keeps up to limit hits of the shards from 0 to
@@ -49,6 +54,23 @@
 	return true
 }
 
+// AddCopy is like Add but copies the documents of the hits that it keeps, so that the memory of
+// the answer can be given back.
+func (t *TopK) AddCopy(shard ident.Shard, hits []msgs.Hit) bool {
+	t.copies = true
+	defer func() { t.copies = false }()
+	return t.Add(shard, hits)
+}
+
+// Size returns the size of the hits in bytes.
+func (t *TopK) Size() int {
+	size := 0
+	for i := range t.heap {
+		size += hitBytes + len(t.heap[i].ID) + len(t.heap[i].Doc)
+	}
+	return size
+}
+
 // Answered returns the number of shards whose answers were merged.
 func (t *TopK) Answered() int {
 	return t.answeredCount
@@ -67,14 +89,23 @@
 	switch {
 	case t.limit <= 0:
 	case len(t.heap) < t.limit:
-		t.heap = append(t.heap, *hit)
+		t.heap = append(t.heap, t.keep(hit))
 		t.siftUp(len(t.heap) - 1)
 	case compare(hit, &t.heap[0]) < 0:
-		t.heap[0] = *hit
+		t.heap[0] = t.keep(hit)
 		t.siftDown(0)
 	}
 }
 
+// keep returns the hit, with a copy of its document while copies is set.
+func (t *TopK) keep(hit *msgs.Hit) msgs.Hit {
+	kept := *hit
+	if t.copies {
+		kept.Doc = slices.Clone(kept.Doc)
+	}
+	return kept
+}
+
 func (t *TopK) siftUp(i int) {
 	for i > 0 {
 		parent := (i - 1) / 2
--- a/internal/query/merge/topk_test.go
+++ b/internal/query/merge/topk_test.go
@@ -55,3 +55,15 @@
 		top.Hits()
 	}
 }
+
+// Guards against hits that keep the memory of a whole answer.
+func TestCopiedHitsDoNotShareTheAnswer(t *testing.T) {
+	top := merge.NewTopK(1, 2)
+	doc := []byte("doc")
+	require.True(t, top.AddCopy(0, []msgs.Hit{{ID: "a", Score: 1, Doc: doc}, {ID: "b", Score: 2, Doc: doc}}))
+	size := top.Size()
+	clear(doc)
+	require.Equal(t, []msgs.Hit{{ID: "b", Score: 2, Doc: []byte("doc")}}, top.Hits())
+	require.True(t, top.AddCopy(1, []msgs.Hit{{ID: "c", Score: 1, Doc: doc}}))
+	require.Equal(t, size, top.Size())
+}
