Record late ends of backend servers under attempts that a VM sends for another one

Cause: where the first attempts of a deadly search all go through other VMs, nobody learned of the ends that a slow proxy tells after the results of the attempts: the other VM has reported the outcome by then, and ignored the rest. The second deadly search was then sent to all shards, too.

Change: the server of orders passes such ends on, unless an attempt of the same order was answered, and the VM records them as ends that count one half and prove nothing, since it does not know what other VMs heard. Other VMs get them as usual. The dependencies of the server of orders are a struct now, since they have become six.

Ran: TestLateEndsOfAttemptsForOtherVMsAreTold (in-memory connections) fails without the callback and passes with it.

--- a/internal/core/tier/quarantine.go
+++ b/internal/core/tier/quarantine.go
@@ -1,11 +1,13 @@
 package tier
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/samphirestair/samphirestair/internal/link/deleg"
+	"github.com/samphirestair/samphirestair/internal/owner/notice"
 	"github.com/samphirestair/samphirestair/internal/query/poison"
 )
 
@@ -44,6 +46,20 @@
 		!t.ledger.Empty() && t.ledger.State(time.Now(), t.identity.Of(order.Head, order.Body)) == poison.Quarantined
 }
 
+// recordLateEnd records that the process of a backend server ended while it had an attempt that
+// this VM sent for another one. It never proves anything, since only the other VM knows whether
+// servers elsewhere have answered the request. The end of a server of a version that is being
+// rolled out is put down to the version.
+func (t *Tier) recordLateEnd(order *deleg.Order, process notice.Process, shared int) {
+	if replica := t.follower.View().Replica(process.ID); replica != nil && t.env.Exposures.IsTarget(replica) {
+		return
+	}
+	f := t.identity.Of(order.Head, order.Body)
+	t.events.Trace("server_ended", order.Request, "it had an attempt for another VM", slog.String("server", string(process.ID)),
+		slog.Int64("born", process.Born), slog.String("request", f.String()), slog.Int("shared", shared))
+	t.ledger.ServerEnded(time.Now(), f, order.Head, poison.End{Process: process, Shared: shared, Uncertain: true})
+}
+
 // hasCallers reports whether requests of callers arrived lately, whether or not this VM serves:
 // callers keep old address lists for a while.
 func (t *Tier) hasCallers() bool {
--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -190,7 +190,10 @@
 	t.metrics.NewGauge("samphirestair_admission_tenants", func() float64 { return t.sumAdmission(countTenants) })
 	t.buildRollouts(self)
 	t.peerClient = deleg.NewClient()
-	t.peerServer = deleg.NewServer(runner.NewLocalSender(t.follower, t.pool), t.refusesOrder, t.peerHandler(), t.events, t.memory.Reporter(peersPort))
+	t.peerServer = deleg.NewServer(deleg.ServerDeps{
+		Sender: runner.NewLocalSender(t.follower, t.pool), Refuse: t.refusesOrder, LateEnd: t.recordLateEnd, Fallback: t.peerHandler(),
+		Events: t.events, Reporter: t.memory.Reporter(peersPort),
+	})
 	t.delegates = runner.NewDelegates(t.follower, t.heartbeats.Detector())
 	t.env.CanDelegate = t.delegates.Has
 	local := runner.New(runner.Deps{
--- a/internal/link/deleg/deleg_test.go
+++ b/internal/link/deleg/deleg_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/link/deleg"
@@ -92,7 +93,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := deleg.NewServer(b, func(*deleg.Order) bool { return b.partitioned }, notFound, nil, nil)
+	server := deleg.NewServer(deleg.ServerDeps{Sender: b, Refuse: func(*deleg.Order) bool { return b.partitioned }, Fallback: notFound})
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve(listener) })
 	t.Cleanup(func() {
@@ -249,7 +250,7 @@
 	require.NoError(t, err)
 	require.NoError(t, conn.Close())
 	b := &backend{}
-	server := deleg.NewServer(b, func(*deleg.Order) bool { return false }, notFound, nil, nil)
+	server := deleg.NewServer(deleg.ServerDeps{Sender: b, Refuse: func(*deleg.Order) bool { return false }, Fallback: notFound})
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve(listener) })
 	time.Sleep(200 * time.Millisecond)
@@ -260,6 +261,68 @@
 	require.Empty(t, b.sent)
 }
 
+// endingBackend is a Sender whose servers end, which is told after the results of the attempts.
+type endingBackend struct {
+	// answers holds the server that answers instead.
+	answers string
+
+	mu    sync.Mutex
+	tells []func()
+}
+
+func (b *endingBackend) Send(target pool.Target, message *pool.Message, _ time.Time, _ bool, done func(pool.Result)) *pool.Call {
+	if string(target.ID) == b.answers {
+		response := fasthttp.AcquireResponse()
+		response.SetBody(record(b.answers))
+		done(pool.Result{Status: 200, Signature: "s", Response: response})
+		return &pool.Call{}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if message.OnEnd != nil {
+		b.tells = append(b.tells, func() { message.OnEnd(notice.Process{ID: target.ID}, 2, true) })
+	}
+	done(pool.Result{Outcome: pool.Broken, Shared: 2})
+	return &pool.Call{}
+}
+
+// Guards against a request that ends servers and isn't known, because other VMs sent its attempts
+// and nobody heard of ends that were told late. An answer shows that the request is harmless.
+func TestLateEndsOfAttemptsForOtherVMsAreTold(t *testing.T) {
+	for answers, want := range map[string][]string{"": {"a 2", "b 2", "c 2"}, "b": nil} {
+		t.Run("answers: "+answers, func(t *testing.T) {
+			b := &endingBackend{answers: answers}
+			var told []string
+			server := deleg.NewServer(deleg.ServerDeps{
+				Sender: b, Refuse: func(*deleg.Order) bool { return false }, Fallback: notFound,
+				LateEnd: func(order *deleg.Order, process notice.Process, shared int) {
+					require.Equal(t, "r1", order.Request)
+					told = append(told, fmt.Sprint(process.ID, " ", shared))
+				},
+			})
+			listener := fasthttputil.NewInmemoryListener()
+			var running sync.WaitGroup
+			running.Go(func() { _ = server.Serve(listener) })
+			body, err := newOrder("a", "b", "c").MarshalMsg(nil)
+			require.NoError(t, err)
+			request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			request.SetRequestURI("http://vm/v1/order")
+			request.Header.SetMethod(fasthttp.MethodPost)
+			request.SetBody(body)
+			client := &fasthttp.HostClient{Addr: "vm", Dial: func(string) (net.Conn, error) { return listener.Dial() }}
+			require.NoError(t, client.Do(request, response))
+			require.Equal(t, fasthttp.StatusOK, response.StatusCode())
+			client.CloseIdleConnections()
+			require.NoError(t, server.Shutdown())
+			running.Wait()
+			for _, tell := range b.tells {
+				tell()
+			}
+			require.Equal(t, want, told)
+		})
+	}
+}
+
 func FuzzOrder(f *testing.F) {
 	good, err := newOrder("a").MarshalMsg(nil)
 	require.NoError(f, err)
--- a/internal/link/deleg/server.go
+++ b/internal/link/deleg/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"math"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,21 +52,33 @@
 	Send(target pool.Target, message *pool.Message, deadline time.Time, wait bool, done func(pool.Result)) *pool.Call
 }
 
+// ServerDeps holds the dependencies of a Server.
+type ServerDeps struct {
+	// Sender sends the attempts of orders.
+	Sender Sender
+	// Refuse reports whether this VM had better not execute an order.
+	Refuse func(order *Order) bool
+	// LateEnd is called if the process of a backend server ended, or may have ended, while it had
+	// an attempt of an order that no server has answered, if that is known only after the
+	// outcome was reported. shared is the number of requests of this VM that the process had.
+	// LateEnd may be called on any goroutine. nil ignores such ends.
+	LateEnd func(order *Order, process notice.Process, shared int)
+	// Fallback handles requests to paths other than that of orders.
+	Fallback fasthttp.RequestHandler
+	// Events and Reporter may be nil.
+	Events   *events.Recorder
+	Reporter *guard.Reporter
+}
+
 // Server executes the orders of other VMs. It is safe for concurrent use.
 type Server struct {
-	sender Sender
-	// refuse reports whether this VM had better not execute an order.
-	refuse   func(order *Order) bool
-	fallback fasthttp.RequestHandler
-	events   *events.Recorder
-	http     *fasthttp.Server
+	deps ServerDeps
+	http *fasthttp.Server
 }
 
-// NewServer returns a server that sends attempts through sender, and refuses orders for which
-// refuse returns true. fallback handles requests to paths other than that of orders. reporter
-// may be nil.
-func NewServer(sender Sender, refuse func(order *Order) bool, fallback fasthttp.RequestHandler, recorder *events.Recorder, reporter *guard.Reporter) *Server {
-	s := &Server{sender: sender, refuse: refuse, fallback: fallback, events: recorder}
+// NewServer returns a server of orders.
+func NewServer(deps ServerDeps) *Server {
+	s := &Server{deps: deps}
 	s.http = guard.Protect(&fasthttp.Server{
 		Handler:                       s.serve,
 		ReadTimeout:                   readTimeout,
@@ -76,7 +89,7 @@
 		DisableHeaderNamesNormalizing: true,
 		CloseOnShutdown:               true,
 		Logger:                        events.DiscardLogger{},
-	}, guard.Options{MaxBody: func() int { return maxOrderBytes }, Reporter: reporter})
+	}, guard.Options{MaxBody: func() int { return maxOrderBytes }, Reporter: deps.Reporter})
 	return s
 }
 
@@ -92,27 +105,27 @@
 
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != orderPath {
-		s.fallback(ctx)
+		s.deps.Fallback(ctx)
 		return
 	}
 	var order Order
 	if _, err := order.UnmarshalMsg(ctx.PostBody()); err != nil || len(order.Sends) > maxOrderAttempts || order.Limit > maxLimit {
-		s.events.Sample("order_refused", ctx.RemoteAddr().String(), "malformed or too large order")
+		s.deps.Events.Sample("order_refused", ctx.RemoteAddr().String(), "malformed or too large order")
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
 	if socket.IsClosedByPeer(ctx.Conn()) {
 		// This process may have been paused since the order arrived.
-		s.events.Sample("order_dropped", ctx.RemoteAddr().String(), "the sender has closed the connection")
+		s.deps.Events.Sample("order_dropped", ctx.RemoteAddr().String(), "the sender has closed the connection")
 		ctx.SetConnectionClose()
 		return
 	}
-	if s.refuse(&order) {
+	if s.deps.Refuse(&order) {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
 	running := newExecution(&order, time.Now())
-	running.start(s.sender, &order)
+	running.start(&s.deps, &order)
 	conn := ctx.Conn()
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { running.writeReports(w, conn) })
 }
@@ -127,6 +140,8 @@
 	firstReportAt time.Time
 	results       chan attemptResult
 	calls         []*pool.Call
+	// answered is set once a server has answered.
+	answered atomic.Bool
 }
 
 // attemptResult is the result of one attempt.
@@ -145,15 +160,25 @@
 }
 
 // start sends all attempts.
-func (e *execution) start(sender Sender, order *Order) {
+func (e *execution) start(deps *ServerDeps, order *Order) {
 	message := &pool.Message{ID: order.Request, Head: order.Head, Body: order.Body, NoBody: order.NoBody}
+	if deps.LateEnd != nil {
+		message.OnEnd = func(process notice.Process, shared int, _ bool) {
+			if !e.answered.Load() {
+				deps.LateEnd(order, process, shared)
+			}
+		}
+	}
 	deadline := e.startedAt.Add(time.Duration(order.LeftMicros) * time.Microsecond)
 	for _, send := range order.Sends {
 		target := pool.Target{
 			ID: ident.ServerID(send.Server), Address: send.Address, Born: send.Born, Connections: int(send.Connections),
 		}
 		seq := send.Seq
-		e.calls = append(e.calls, sender.Send(target, message, deadline, false, func(r pool.Result) {
+		e.calls = append(e.calls, deps.Sender.Send(target, message, deadline, false, func(r pool.Result) {
+			if r.IsSignedSuccess() {
+				e.answered.Store(true)
+			}
 			e.results <- attemptResult{seq: seq, result: r, endedAt: time.Now()}
 		}))
 	}
