Try a lookup only where two of its servers are known to live

A lookup that no server has answered lately now needs two servers that have answered on connections that are open. TestLookupIsTriedOnlyIfAnotherServerIsKnownToLive fails before (one request is sent).

--- a/internal/query/relay/probation.go
+++ b/internal/query/relay/probation.go
@@ -128,21 +128,27 @@
 	hasToTell := !q.request.Trusted || since < trustedPause
 	if !q.request.Route.IsSearch() {
 		usable, certain := q.trialServers(now, &q.shards[0])
-		return usable < redundantServers || hasToTell && !certain
+		if hasToTell {
+			// Others may have ended behind proxies, which accept connections all the same.
+			return certain < redundantServers
+		}
+		return usable < redundantServers
 	}
 	return hasToTell && !slices.ContainsFunc(q.shards, func(s shard) bool {
 		_, certain := q.trialServers(now, &s)
-		return certain
+		return certain > 0
 	})
 }
 
 // trialServers returns the number of servers that could get the next attempt of a shard, and
-// whether the end of one of them could be put down to it.
-func (q *Query) trialServers(now time.Time, s *shard) (usable int, certain bool) {
+// of those whose end could be put down to it, since they have answered on a connection that is open.
+func (q *Query) trialServers(now time.Time, s *shard) (usable, certain int) {
 	for _, r := range q.replicas(s) {
 		if q.accepts(now, r) && !s.tried(now, r.ID) {
 			usable++
-			certain = certain || q.isCertain(r.ID)
+			if q.isCertain(r.ID) {
+				certain++
+			}
 		}
 	}
 	return usable, certain
@@ -305,7 +311,7 @@
 	for _, index := range indices {
 		s := &q.shards[index]
 		usable, certain := q.trialServers(now, s)
-		rank := trialRank{redundant: usable >= redundantServers, certain: certain, usable: usable, untried: len(s.attempts) == 0}
+		rank := trialRank{redundant: usable >= redundantServers, certain: certain > 0, usable: usable, untried: len(s.attempts) == 0}
 		if rank.compare(most) > 0 {
 			best, most = index, rank
 		}
--- a/internal/query/relay/probation_test.go
+++ b/internal/query/relay/probation_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -271,6 +272,22 @@
 	require.Len(t, sends, 1, "the other server does not come back")
 }
 
+// Guards against a trial at the last server of a service whose other servers have ended behind proxies:
+// these accept connections, so that the servers seem to be up.
+func TestLookupIsTriedOnlyIfAnotherServerIsKnownToLive(t *testing.T) {
+	request := requestTo(lookupRoute(true))
+	request.Trial, request.Ends, request.LastEnd = true, 2, start.Add(-2*time.Second)
+	c := newCluster(t, 1, 100)
+	alive := 1
+	c.env.TrialLoad = func(id ident.ServerID) (int, bool) { return 0, alive == 2 || strings.HasSuffix(string(id), "a") }
+	q, sends := relay.New(c.env, request, start)
+	require.Empty(t, sends)
+	require.Equal(t, relay.Refused, outcome(t, q).Verdict)
+	alive = 2
+	_, sends = relay.New(c.env, request, start)
+	require.Len(t, sends, 1)
+}
+
 // Guards against a trial that ends a second server because nothing tells whether the first one did.
 func TestTrialWithoutAnAnswerIsNotSentToAnotherServer(t *testing.T) {
 	request := requestTo(lookupRoute(true))
