Size hits in one place

Cause: msgs, query/merge and owner/client each had a sum of the sizes of hits, and that of msgs left out the hits themselves. Change: msgs.SizeOfHits, which the three use. No behaviour changes but that many short hits in a batch of another VM count, too. Run: go test -race ./internal/link/mesh ./internal/link/msgs ./internal/query/merge ./internal/query/entry ./internal/query/engine ./internal/owner/... ./internal/front/caller ./internal/core/node: pass; golangci-lint ./internal/link/... ./internal/query/... ./internal/owner/...: no issues; go generate ./internal/link/msgs changes nothing.

--- a/internal/link/mesh/outbox.go
+++ b/internal/link/mesh/outbox.go
@@ -91,6 +91,7 @@
 	return batch, true
 }
 
+// send transfers a batch, and releases its answers.
 func (o *outbox) send(batch *msgs.Batch) {
 	defer func() {
 		for i := range batch.Replies {
--- a/internal/link/msgs/msgs.go
+++ b/internal/link/msgs/msgs.go
@@ -123,11 +123,7 @@
 
 // Size returns the size in bytes of the answer's hits or body.
 func (a *Answer) Size() int {
-	size := len(a.Body)
-	for i := range a.Hits {
-		size += len(a.Hits[i].ID) + len(a.Hits[i].Doc)
-	}
-	return size
+	return len(a.Body) + SizeOfHits(a.Hits)
 }
 
 // Holding is one shard of one index version that a backend server holds. Shards is
@@ -146,6 +142,18 @@
 	Doc []byte `msg:"d"`
 }
 
+// hitBytes is the size of a hit without its id and document.
+const hitBytes = 48
+
+// SizeOfHits returns the size of hits in bytes.
+func SizeOfHits(hits []Hit) int {
+	size := 0
+	for i := range hits {
+		size += hitBytes + len(hits[i].ID) + len(hits[i].Doc)
+	}
+	return size
+}
+
 // Cancel cancels sub-requests of a query: those in Seqs, or all if Seqs is empty.
 type Cancel struct {
 	ID   uint64   `msg:"i"`
--- a/internal/owner/client/body.go
+++ b/internal/owner/client/body.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirestair/samphirestair/internal/base/budget"
+	"github.com/samphirestair/samphirestair/internal/link/msgs"
 )
 
 const (
@@ -17,8 +18,6 @@
 	// passingCopies is the number of copies of an answer while it is passed on: the answer, and its
 	// encoding for another VM or for the caller.
 	passingCopies = 2
-	// hitBytes is the size of a hit without its id and document.
-	hitBytes = 48
 	// maxReserveTime is the time within which memory for an answer is reserved unless it is
 	// short.
 	maxReserveTime = 5 * time.Millisecond
@@ -99,10 +98,7 @@
 // hold makes the result hold the memory that it needs while it is passed on. It releases the
 // memory if the result has neither hits nor a body.
 func (r *Result) hold(held *budget.Holder) {
-	size := len(r.Body)
-	for i := range r.Hits {
-		size += hitBytes + len(r.Hits[i].ID) + len(r.Hits[i].Doc)
-	}
+	size := len(r.Body) + msgs.SizeOfHits(r.Hits)
 	if size <= budget.SmallSize {
 		held.Release()
 		return
--- a/internal/query/merge/topk.go
+++ b/internal/query/merge/topk.go
@@ -13,9 +13,6 @@
 // maxInitialHits bounds the number of hits for which memory is allocated in advance.
 const maxInitialHits = 64
 
-// hitBytes is the size of a hit without its id and document.
-const hitBytes = 48
-
 // TopK keeps the best hits by descending score and then ascending id, and
 // records which shards have answered. It is not safe for concurrent use.
 type TopK struct {
@@ -64,11 +61,7 @@
 
 // Size returns the size of the hits in bytes.
 func (t *TopK) Size() int {
-	size := 0
-	for i := range t.heap {
-		size += hitBytes + len(t.heap[i].ID) + len(t.heap[i].Doc)
-	}
-	return size
+	return msgs.SizeOfHits(t.heap)
 }
 
 // Answered returns the number of shards whose answers were merged.
