Complete no roll-out in the stage moving without responses

In the stage moving, a version was completed once the three shares were over, whatever the deciding VM knew. The deciding VM now needs enough responses of both versions, or has to have decided for as long as the three shares last, after which it judges what came in meanwhile. A VM that takes over from another one gets the sums with the reports, as before. The new version has the last share during that time, as before.

--- a/internal/fleet/roll/decider.go
+++ b/internal/fleet/roll/decider.go
@@ -221,9 +221,22 @@
 // step returns the number of steps since the share began to grow, which another VM may have
 // decided.
 func (d *Decider) step(now time.Duration, record *Record) int {
-	length := max(time.Duration(stepPart*float64(d.order.Duration)), minStep, time.Duration(d.members)*stepPerVM)
 	since := d.began + time.Duration(record.ElapsedMillis)*time.Millisecond
-	return max(int((now-since)/length), 0)
+	return max(int((now-since)/d.stepLength()), 0)
+}
+
+func (d *Decider) stepLength() time.Duration {
+	return max(time.Duration(stepPart*float64(d.order.Duration)), minStep, time.Duration(d.members)*stepPerVM)
+}
+
+// isMoved reports whether the last of the shares has lasted long enough, and there are enough responses
+// for a verdict, or this VM has decided long enough that there would be. After a restart of all VMs none
+// of the earlier responses are known.
+func (d *Decider) isMoved(now time.Duration, record *Record, whole *verdict) bool {
+	if d.step(now, record) < len(movingShares) {
+		return false
+	}
+	return whole.compared && whole.responded && whole.sufficient || now-d.startedAt >= time.Duration(len(movingShares))*d.stepLength()
 }
 
 // next returns the phase that the roll-out should be in and why, or "" if it stays.
@@ -278,7 +291,7 @@
 		}
 		return DrainingNew, "no time left to be sure: " + whole.describe()
 	case record.Phase == Moving:
-		if !doubtful && d.step(in.Now, record) >= len(movingShares) {
+		if !doubtful && d.isMoved(in.Now, record, &whole) {
 			return DrainingOld, "as good as the other versions on each route"
 		}
 		return "", ""
--- a/internal/fleet/roll/member_test.go
+++ b/internal/fleet/roll/member_test.go
@@ -139,6 +139,32 @@
 	require.Equal(t, roll.OthersOnly, p.Mode)
 }
 
+// After a restart of all VMs nothing is known of the version, so that one that is moving must not be
+// completed at once.
+func TestMovingVersionIsProvedAnewAfterRestart(t *testing.T) {
+	for name, test := range map[string]struct {
+		target roll.Tally
+		want   roll.Phase
+	}{
+		"good": {tallyOf(60, 10*time.Millisecond, 0), roll.DrainingOld}, "bad": {tallyOf(30, 10*time.Millisecond, 30), roll.DrainingNew},
+		"no_requests": {roll.Tally{}, roll.DrainingOld},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := newSoleVM()
+			v.order("v2", 1)
+			r := v.rollouts[service]
+			r.Record, r.Revision = &roll.Record{Order: r.Order, Phase: roll.Moving, Seq: 2, ElapsedMillis: 50_000, BeganMillis: -58_000}, 9
+			v.rollouts[service] = r
+			v.step(time.Second)
+			require.Empty(t, v.writes)
+			v.counts = map[roll.Bucket]roll.Counts{{Route: "a"}: {Target: test.target, Others: tallyOf(100, 10*time.Millisecond, 0)}}
+			v.step(8 * time.Second)
+			require.NotEmpty(t, v.writes)
+			require.Equal(t, test.want, v.writes[0].Record.Phase)
+		})
+	}
+}
+
 // A stage that the store lost with an older copy must be written again with its status, also the last one:
 // VMs that start later know only what the store holds.
 func TestLostStageIsWrittenAgain(t *testing.T) {
