Let a request pay for the new version with its own share, too

A VM sent a request to the new version only if the balance from the requests before reached 1. When the share grew, it so took effect only with the next request of each VM: with 460 VMs and 75 requests a second 6 s later.

The balance now includes the share that the request adds. The sum is still bounded by the share of the requests plus the start.

Ran: go test ./internal/query/relay (pass; TestFirstRequestsFollowTheShare fails before the change with 0 of 30).

--- a/internal/query/relay/exposure.go
+++ b/internal/query/relay/exposure.go
@@ -208,7 +208,13 @@
 		s.target, s.others, s.preferTarget = true, true, first
 	default:
 		s.others = true
-		s.target = (first || x.permit.Proven) && x.balance >= 1
+		balance := x.balance
+		if first {
+			// The request pays with its own share, too: otherwise a larger share takes effect only with
+			// the next one, which takes seconds if there are many VMs.
+			balance += x.permit.Share
+		}
+		s.target = (first || x.permit.Proven) && balance >= 1
 		s.preferTarget = s.target && first
 	}
 	return s
--- a/internal/query/relay/exposure_test.go
+++ b/internal/query/relay/exposure_test.go
@@ -131,6 +131,26 @@
 	})
 }
 
+// With many VMs, each has few requests. Their first ones must follow the share together, or a
+// larger share takes effect only seconds later.
+func TestFirstRequestsFollowTheShare(t *testing.T) {
+	now, exposed := time.Duration(0), 0
+	const vms = 100
+	for vm := range vms {
+		c, p := newRollout(t, &now)
+		c.env.Exposures = relay.NewExposures(
+			func() time.Duration { return now }, func() (float64, int) { return 50, vms }, func() float64 { return float64(vm) / vms },
+		)
+		c.env.Exposures.Announce(map[ident.ServiceID]roll.Rollout{shardName(0): {Order: roll.Order{Version: "v2", Position: 1}}})
+		p.Mode, p.Share, p.Until = roll.Shared, 0.3, time.Hour
+		c.permit(p)
+		if _, version := c.lookup(t); version == "v2" {
+			exposed++
+		}
+	}
+	require.InDelta(t, 0.3*vms, exposed, 1)
+}
+
 // A server in cold start must not be found slow.
 func TestColdStartIsNotCounted(t *testing.T) {
 	now := time.Duration(0)
