Acknowledge the end of a roll-out sooner

A VM is now avoided after two failures within 1.5 s. After the first one the report is sent again at once, except while exposing, where the load on the deciding VM would last. A VM that learns of a draining stage in a reply reports after half an interval, and the deciding VM checks acknowledgements in each step while draining.

--- a/internal/fleet/roll/member.go
+++ b/internal/fleet/roll/member.go
@@ -30,6 +30,9 @@
 	// avoidTime is the time for which a VM that did not reply is not reported to. A dead one is
 	// silent after 0.9 s.
 	avoidTime = 700 * time.Millisecond
+	// resendTime is the time within which a second message has to fail before a VM is avoided. A
+	// single one may have been lost, and another VM only passes reports on with its own next one.
+	resendTime = 1500 * time.Millisecond
 )
 
 // Mode says which servers of a service get requests.
@@ -110,7 +113,9 @@
 	ranks map[rankKey]uint64
 	// avoided holds the time until which VMs that did not reply are not reported to.
 	avoided map[ident.VMID]time.Duration
-	latest  Situation
+	// failed holds the times at which VMs did not reply while they were not avoided.
+	failed map[ident.VMID]time.Duration
+	latest Situation
 }
 
 type rankKey struct {
@@ -149,7 +154,7 @@
 
 // NewMember returns a member for a VM. boot identifies its process.
 func NewMember(self ident.VMID, boot uint64, bounds func() Bounds) *Member {
-	return &Member{self: self, boot: boot, bounds: bounds, known: map[ident.ServiceID]*known{}, ranks: map[rankKey]uint64{}, avoided: map[ident.VMID]time.Duration{}}
+	return &Member{self: self, boot: boot, bounds: bounds, known: map[ident.ServiceID]*known{}, ranks: map[rankKey]uint64{}, avoided: map[ident.VMID]time.Duration{}, failed: map[ident.VMID]time.Duration{}}
 }
 
 // Update returns what is to be done in a situation. It is called several times between two
@@ -175,7 +180,7 @@
 				reports[to] = append(reports[to], k.recentReports()...)
 			}
 		}
-		if k.deciding && (!k.hasReply || s.Now-k.repliedAt >= interval/2) {
+		if k.deciding && k.isDue(s.Now, interval) {
 			if write := m.decide(service, k); write != nil {
 				step.Writes = append(step.Writes, *write)
 			}
@@ -234,6 +239,18 @@
 	return record != nil && record.Phase.IsFinal()
 }
 
+// isDue reports whether this VM has to make a decision. While a roll-out drains, it does so each
+// time: to see that all VMs have acknowledged costs little, unlike a comparison of the versions.
+func (k *known) isDue(now, interval time.Duration) bool {
+	return !k.hasReply || now-k.repliedAt >= interval/2 || k.isDraining()
+}
+
+// isDraining reports whether the roll-out has been decided and has not ended.
+func (k *known) isDraining() bool {
+	record := k.rollout.current()
+	return record != nil && (record.Phase == DrainingOld || record.Phase == DrainingNew)
+}
+
 // chooseDecider returns the VM that decides about a service: of the VMs that serve and can be
 // heard, the first in an order that is the same on all VMs.
 func (m *Member) chooseDecider(service ident.ServiceID) (vm ident.VMID, found bool) {
@@ -379,6 +396,11 @@
 		record := k.rollout.current()
 		if record == nil || record.Seq < r.Record.Seq {
 			k.rollout.Record = &r.Record
+			if k.isDraining() {
+				// The roll-out ends once all VMs have acknowledged. A VM that has just reported
+				// would do so a whole interval later. Half of one keeps the reports spread.
+				k.reported -= m.bounds().interval(len(m.latest.Serving)) / 2
+			}
 		}
 		at := sentAt - r.Age
 		if !k.deciding && (!k.hasReply || at > k.repliedAt) && r.Record.Seq >= k.rollout.current().Seq {
@@ -387,7 +409,18 @@
 	}
 }
 
-// HandleFailure records that a VM did not reply.
+// HandleFailure records that a VM did not reply. After the first time, what it has to know is sent
+// again at once, except in the long first phase.
 func (m *Member) HandleFailure(now time.Duration, to ident.VMID) {
-	m.avoided[to] = now + avoidTime
+	if at, ok := m.failed[to]; ok && now-at < resendTime {
+		m.avoided[to] = now + avoidTime
+		delete(m.failed, to)
+		return
+	}
+	m.failed[to] = now
+	for _, k := range m.known {
+		if record := k.rollout.current(); record != nil && record.Phase != Exposing {
+			k.reported = -1
+		}
+	}
 }
--- a/internal/fleet/roll/member_test.go
+++ b/internal/fleet/roll/member_test.go
@@ -252,3 +252,29 @@
 	require.Len(t, v.writes, 1)
 	require.Equal(t, roll.DrainingNew, v.writes[0].Record.Phase)
 }
+
+// A single lost message must not delay the end of a roll-out: with many VMs some message is lost in
+// each interval.
+func TestLostReportIsSentAgain(t *testing.T) {
+	v := newSoleVM()
+	v.order("v2", 1)
+	r := v.rollouts[service]
+	r.Record, r.Revision = &roll.Record{Order: r.Order, Phase: roll.DrainingNew, Seq: 2}, 9
+	v.rollouts[service] = r
+	update := func() []roll.Message {
+		return v.member.Update(roll.Situation{
+			Now: v.now, Rollouts: v.rollouts, Serving: []ident.VMID{"vm-2", "vm-3"}, Silent: func(ident.VMID) bool { return false },
+			Count: func(*roll.Report) {},
+		}).Messages
+	}
+	first := update()
+	require.Len(t, first, 1)
+	require.Empty(t, update())
+	v.member.HandleFailure(v.now, first[0].To)
+	again := update()
+	require.Len(t, again, 1)
+	require.Equal(t, first[0].To, again[0].To)
+	v.member.HandleFailure(v.now, first[0].To)
+	v.now += 250 * time.Millisecond
+	require.NotEqual(t, first[0].To, update()[0].To)
+}
