Acknowledge a cancel at a simulated server once its job has ended

Cause: the simulated backend server answered a cancel as soon as it had told the job's goroutine to stop, and counted the job as in flight until that goroutine ran. Owners free the slot on the answer, so that their next request was counted as one too many. The count is right, the answer was early.

Change: the answer waits until the job is no longer in flight, also for a repeated cancel, which the server took for one of an unknown job before. The protocol's comment says so. What counts as excess is unchanged.

Run: the new test TestCancelIsAcknowledgedOnceTheJobHasEnded fails if the cancel is answered at once. go test -race of internal/owner/..., internal/lab/..., internal/core/node, internal/plat/bknd and cmd/... passes.

--- a/internal/lab/server/engine.go
+++ b/internal/lab/server/engine.go
@@ -42,13 +42,17 @@
 	deadline time.Time
 	cancel   chan struct{}
 	runEnded <-chan struct{}
-	cold     bool
+	// ended is closed when the job is no longer in flight.
+	ended chan struct{}
+	cold  bool
 	// inFlight is the number of requests at the server when this one arrived,
 	// itself included, and limit the number that the server can execute at once.
 	inFlight int
 	limit    int
 	// started is whether the job got a slot.
 	started bool
+	// cancelled is whether cancel has been closed.
+	cancelled bool
 }
 
 // engine simulates the execution of requests: slots, a short queue for them and
@@ -145,6 +149,7 @@
 		deadline: deadline,
 		cancel:   make(chan struct{}),
 		runEnded: e.runEnded,
+		ended:    make(chan struct{}),
 		cold:     e.coldLocked(),
 		inFlight: e.inFlight + 1,
 		limit:    e.limits.Slots,
@@ -204,6 +209,7 @@
 func (e *engine) finish(j *job, end outcome) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	close(j.ended)
 	if j.runEnded != e.runEnded {
 		return
 	}
@@ -222,15 +228,28 @@
 	}
 }
 
-// cancel cancels the job with the given request id if it is in flight. It does
-// nothing while cancellations are ignored.
-func (e *engine) cancel(id string) {
+// noJob is a closed channel.
+var noJob = func() <-chan struct{} {
+	ended := make(chan struct{})
+	close(ended)
+	return ended
+}()
+
+// cancel cancels the job with the given request id if it is in flight. The
+// returned channel is closed when the job no longer is, or at once while
+// cancellations are ignored.
+func (e *engine) cancel(id string) <-chan struct{} {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if j, ok := e.jobs[id]; ok && !e.ignoreCancels {
-		delete(e.jobs, id)
+	j, ok := e.jobs[id]
+	if !ok || e.ignoreCancels {
+		return noJob
+	}
+	if !j.cancelled {
+		j.cancelled = true
 		close(j.cancel)
 	}
+	return j.ended
 }
 
 // restart ends all jobs with processEnded and begins a new run in cold start.
--- a/internal/lab/server/engine_test.go
+++ b/internal/lab/server/engine_test.go
@@ -93,6 +93,26 @@
 	})
 }
 
+// Guards against a cancel that is acknowledged while its job is still counted as in
+// flight, so that the next request to the server counts as too many.
+func TestCancelIsAcknowledgedOnceTheJobHasEnded(t *testing.T) {
+	e := newTestEngine(svcdoc.Limits{Slots: 1})
+	j, result := e.accept(e.run(), "gone", time.Now().Add(time.Minute))
+	require.Equal(t, accepted, result)
+	for range 2 {
+		select {
+		case <-e.cancel("gone"):
+			require.Fail(t, "acknowledged while the job is in flight")
+		default:
+		}
+	}
+	end := e.execute(j)
+	require.Equal(t, cancelled, end)
+	e.finish(j, end)
+	<-e.cancel("gone")
+	require.Zero(t, e.health().Running)
+}
+
 func TestConnectionsCostSlotTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := newTestEngine(svcdoc.Limits{Slots: 1, ConnectCost: 3 * second})
--- a/internal/lab/server/handler.go
+++ b/internal/lab/server/handler.go
@@ -23,7 +23,7 @@
 	case bknd.PathAction:
 		s.handleWork(ctx, trace.OpAction)
 	case bknd.PathCancel:
-		s.engine.cancel(string(ctx.Request.Header.Peek(bknd.HeaderRequest)))
+		<-s.engine.cancel(string(ctx.Request.Header.Peek(bknd.HeaderRequest)))
 		ctx.SetStatusCode(fasthttp.StatusNoContent)
 	case bknd.PathHello:
 		ctx.SetStatusCode(fasthttp.StatusNoContent)
--- a/internal/plat/bknd/proto.go
+++ b/internal/plat/bknd/proto.go
@@ -22,8 +22,9 @@
 	PathLookup = "/v1/lookup"
 	// PathAction runs an action on one shard. POST; the answer is opaque.
 	PathAction = "/v1/action"
-	// PathCancel cancels the request named by HeaderRequest. POST; answers 204.
-	// A cancelled request is itself answered with StatusCancelled.
+	// PathCancel cancels the request named by HeaderRequest. POST; answers 204
+	// once the request occupies no slot. A cancelled request is itself answered
+	// with StatusCancelled.
 	PathCancel = "/v1/cancel"
 	// PathHello answers 204 with HeaderBoot and HeaderMaps and occupies no slot.
 	PathHello = "/v1/hello"
