Use one list of request columns in the tables of timeline

The table of tenants repeated the lists of events of four columns, the loop for its titles and a search through these lists for each line. Both tables take the same columns, titles and index now, and the fingerprint of a line is read like any other attribute. Output as before: golden files unchanged, tests of internal/ops ok.

--- a/internal/ops/logs/evidence.go
+++ b/internal/ops/logs/evidence.go
@@ -1,14 +1,11 @@
 package logs
 
-import (
-	"slices"
-	"strings"
-)
+import "slices"
 
 const (
 	// fingerprintAttr is the attribute that holds the fingerprint of a request: repeats of a
 	// request have the same one.
-	fingerprintAttr = "request="
+	fingerprintAttr = "request"
 	// maxEvidence is the number of lines about the repeats of a request that are shown.
 	maxEvidence = 20
 )
@@ -27,17 +24,7 @@
 		if line.Event != refusedEvent {
 			continue
 		}
-		if f := line.fingerprint(); f != "" {
-			return f
-		}
-	}
-	return ""
-}
-
-// fingerprint returns the fingerprint that the line names, or "".
-func (l *Line) fingerprint() string {
-	for _, attr := range l.Attrs {
-		if f, found := strings.CutPrefix(attr, fingerprintAttr); found {
+		if f := line.attr(fingerprintAttr); f != "" {
 			return f
 		}
 	}
@@ -49,7 +36,7 @@
 func ReadEvidence(path, fingerprint string) ([]Line, error) {
 	var lines []Line
 	err := readFile(path, []string{fingerprint}, func(line Line) {
-		if len(lines) < maxEvidence && slices.Contains(evidenceEvents, line.Event) && (line.Subject == fingerprint || line.fingerprint() == fingerprint) {
+		if len(lines) < maxEvidence && slices.Contains(evidenceEvents, line.Event) && (line.Subject == fingerprint || line.attr(fingerprintAttr) == fingerprint) {
 			lines = append(lines, line)
 		}
 	})
--- a/internal/ops/logs/tenants.go
+++ b/internal/ops/logs/tenants.go
@@ -19,16 +19,18 @@
 	maxTenants = 20
 )
 
-// tenantColumns are the counts of a tenant, of which the first one is that of the quota.
+// tenantColumns are the counts of a tenant.
 var tenantColumns = []column{
 	{"over quota", []string{overQuotaEvent}},
 	{"refused", []string{"request_refused", "request_quarantined"}},
-	{"failed", []string{"request_failed", "request_timed_out"}},
-	{"late", []string{"request_late"}},
-	{"partial", []string{"request_partial"}},
-	{"left", []string{"request_cancelled"}},
+	failedColumn,
+	lateColumn,
+	partialColumn,
+	leftColumn,
 }
 
+var tenantColumnOfEvent = indexByEvent(tenantColumns)
+
 // tenantTable counts how requests of each tenant ended. The zero value is empty.
 type tenantTable struct {
 	tenants map[string]*tenantCounts
@@ -47,8 +49,8 @@
 
 // add counts an event if it is the end of a request of a tenant.
 func (t *tenantTable) add(line *Line) {
-	i := slices.IndexFunc(tenantColumns, func(c column) bool { return slices.Contains(c.events, line.Event) })
-	if i < 0 {
+	i, counted := tenantColumnOfEvent[line.Event]
+	if !counted {
 		return
 	}
 	t.dropped += line.droppedBefore()
@@ -75,11 +77,7 @@
 	if len(t.tenants) == 0 {
 		return nil
 	}
-	header := []string{"tenant"}
-	for _, c := range tenantColumns {
-		header = append(header, c.title)
-	}
-	rows := table.New(append(header, "vms", "most frequent reason")...)
+	rows := table.New(header("tenant", tenantColumns, "vms", "most frequent reason")...)
 	sorted := slices.SortedFunc(maps.Values(t.tenants), func(a, b *tenantCounts) int {
 		return cmp.Or(cmp.Compare(b.total, a.total), cmp.Compare(a.tenant, b.tenant))
 	})
--- a/internal/ops/logs/timeline.go
+++ b/internal/ops/logs/timeline.go
@@ -21,13 +21,21 @@
 	events []string
 }
 
+// Columns of all tables of requests.
+var (
+	failedColumn  = column{"failed", []string{"request_failed", "request_timed_out"}}
+	lateColumn    = column{"late", []string{"request_late"}}
+	partialColumn = column{"partial", []string{"request_partial"}}
+	leftColumn    = column{"left", []string{"request_cancelled"}}
+)
+
 // columns are the per-second counts of events about single requests.
 var columns = []column{
 	{"refused", []string{"request_refused", "request_rejected", "request_quarantined", overQuotaEvent}},
-	{"failed", []string{"request_failed", "request_timed_out"}},
-	{"late", []string{"request_late"}},
-	{"partial", []string{"request_partial"}},
-	{"left", []string{"request_cancelled"}},
+	failedColumn,
+	lateColumn,
+	partialColumn,
+	leftColumn,
 	{"errors", []string{"attempt_failed"}},
 	{"repeats", []string{"request_hedge", "request_retry"}},
 	{"denied", []string{"repeat_denied"}},
@@ -35,7 +43,10 @@
 
 // columnOfEvent maps a kind of event to the index of its column. Kinds that are absent
 // are listed one by one instead of counted.
-var columnOfEvent = func() map[string]int {
+var columnOfEvent = indexByEvent(columns)
+
+// indexByEvent maps the kinds of events to the indices of their columns.
+func indexByEvent(columns []column) map[string]int {
 	of := map[string]int{}
 	for i, c := range columns {
 		for _, event := range c.events {
@@ -43,7 +54,16 @@
 		}
 	}
 	return of
-}()
+}
+
+// header returns the titles of a table of counts with other columns before and after them.
+func header(first string, columns []column, last ...string) []string {
+	titles := []string{first}
+	for _, c := range columns {
+		titles = append(titles, c.title)
+	}
+	return append(titles, last...)
+}
 
 // Timeline groups the log events of all VMs by second. The zero value is an empty
 // timeline. It is not safe for concurrent use.
@@ -117,11 +137,7 @@
 		_, err := fmt.Fprintln(w, "no decision in these logs")
 		return errors.Wrap(err, "logs: write")
 	}
-	header := []string{"time"}
-	for _, c := range columns {
-		header = append(header, c.title)
-	}
-	requestCounts := table.New(header...)
+	requestCounts := table.New(header("time", columns)...)
 	events := table.New("time", "vm", "event", "times", "reason", "first")
 	for _, unixSecond := range slices.Sorted(maps.Keys(t.seconds)) {
 		s, clock := t.seconds[unixSecond], time.Unix(unixSecond, 0).UTC().Format(time.TimeOnly)
