Read bodies of backend servers' responses with one function

The client of serve repeated what base/reply does for forward: an announced body as a whole, another one as it grows, both cut at a limit and reserved first. reply.ReadBody serves both now; the client only multiplies the size and checks that the stream has ended. The time that a message waits for memory, and the time within which memory is not short, were defined twice each with the same comment; they are budget.MaxWait and budget.PromptTime.

--- a/internal/base/budget/budget.go
+++ b/internal/base/budget/budget.go
@@ -14,6 +14,14 @@
 // are never refused for lack of memory; the number of connections bounds them.
 const SmallSize = 8 << 10
 
+const (
+	// MaxWait is the time for which a message waits for memory unless it has a deadline. It exceeds
+	// the time after which connections that hold memory can be closed to make room.
+	MaxWait = 500 * time.Millisecond
+	// PromptTime is the time within which memory is reserved unless it is short.
+	PromptTime = 5 * time.Millisecond
+)
+
 const (
 	// minStall is the time without progress after which a connection can be closed to make
 	// room. A body makes progress each time that it doubles, and a response with each piece
--- a/internal/base/reply/reply.go
+++ b/internal/base/reply/reply.go
@@ -43,9 +43,6 @@
 	if length >= 0 && length <= budget.SmallSize {
 		return response.ReadBody(r, options.MaxBody)
 	}
-	if length > options.MaxBody {
-		return fasthttp.ErrBodyTooLarge
-	}
 	body, err := readLong(response, r, options)
 	if err != nil {
 		return err
@@ -93,24 +90,39 @@
 func readLong(response *fasthttp.Response, r *bufio.Reader, options Options) ([]byte, error) {
 	length := response.Header.ContentLength()
 	if length >= 0 {
-		if !options.Reserve(length) {
-			return nil, budget.ErrNoMemory
-		}
-		body := make([]byte, length)
-		_, err := io.ReadFull(r, body)
-		return body, err
+		return ReadBody(r, length, options.MaxBody, options.Reserve)
 	}
 	response.StreamBody = true
 	if err := response.ReadBody(r, 0); err != nil {
 		return nil, err
 	}
-	body, err := budget.ReadUpTo(response.BodyStream(), options.MaxBody+1, options.Reserve)
+	body, err := ReadBody(response.BodyStream(), length, options.MaxBody, options.Reserve)
 	if err != nil {
 		return nil, err
 	}
-	if len(body) > options.MaxBody {
-		return nil, fasthttp.ErrBodyTooLarge
-	}
 	response.StreamBody = false
 	return body, nil
 }
+
+// ReadBody reads a body of length bytes, or until the end of r if length is negative. Before more
+// than budget.SmallSize is read, reserve reserves memory for a size in total: the length, or the next size
+// of a buffer that grows with what has arrived. It fails with fasthttp.ErrBodyTooLarge if the body has
+// more than most bytes, and with budget.ErrNoMemory if reserve returns false.
+func ReadBody(r io.Reader, length, most int, reserve func(size int) bool) ([]byte, error) {
+	if length > most {
+		return nil, fasthttp.ErrBodyTooLarge
+	}
+	if length < 0 {
+		body, err := budget.ReadUpTo(r, most+1, reserve)
+		if err == nil && len(body) > most {
+			err = fasthttp.ErrBodyTooLarge
+		}
+		return body, err
+	}
+	if length > budget.SmallSize && !reserve(length) {
+		return nil, budget.ErrNoMemory
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
--- a/internal/core/guard/guard.go
+++ b/internal/core/guard/guard.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// roomWait is the time for which a request waits for memory for its body. It exceeds the
-	// time after which connections that hold memory can be closed to make room.
-	roomWait = 500 * time.Millisecond
 	// RetryDelay is the time after which a caller may retry that was refused for lack of
 	// memory.
 	RetryDelay = 500 * time.Millisecond
@@ -195,7 +192,7 @@
 		most = announced
 	}
 	body, err := budget.ReadUpTo(ctx.RequestBodyStream(), most, func(size int) bool {
-		return holder.Reserve(budget.Request, size, time.Now().Add(roomWait))
+		return holder.Reserve(budget.Request, size, time.Now().Add(budget.MaxWait))
 	})
 	switch {
 	case errors.Is(err, budget.ErrNoMemory):
--- a/internal/fleet/ctrl/server.go
+++ b/internal/fleet/ctrl/server.go
@@ -181,7 +181,7 @@
 	}
 	if failure != nil {
 		response.Error = &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: failure.Error()}
-	} else if size := len(*response.Result); size > budget.SmallSize && !c.holder.Reserve(budget.Response, 2*size, time.Now().Add(memoryWait)) {
+	} else if size := len(*response.Result); size > budget.SmallSize && !c.holder.Reserve(budget.Response, 2*size, time.Now().Add(budget.MaxWait)) {
 		c.server.options.Reporter.Closed(guard.NoMemory)
 		return budget.ErrNoMemory
 	}
--- a/internal/fleet/ctrl/stream.go
+++ b/internal/fleet/ctrl/stream.go
@@ -24,9 +24,6 @@
 	// smallValues is the memory of the values up to which a message of at most budget.SmallSize
 	// is never refused for lack of memory, as heartbeats mustn't be.
 	smallValues = 128 << 10
-	// memoryWait is the time for which a message waits for memory. It exceeds the time after
-	// which connections that hold memory can be closed to make room.
-	memoryWait = 500 * time.Millisecond
 )
 
 var (
@@ -117,7 +114,7 @@
 }
 
 func (s *stream) reserve(size int) bool {
-	return s.holder.Reserve(budget.Request, size, time.Now().Add(memoryWait))
+	return s.holder.Reserve(budget.Request, size, time.Now().Add(budget.MaxWait))
 }
 
 func (s *stream) refuse(cause guard.Cause, err error) error {
--- a/internal/owner/client/body.go
+++ b/internal/owner/client/body.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirestair/samphirestair/internal/base/budget"
+	"github.com/samphirestair/samphirestair/internal/base/reply"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 )
 
@@ -18,9 +19,6 @@
 	// passingCopies is the number of copies of an answer while it is passed on: the answer, and its
 	// encoding for another VM or for the caller.
 	passingCopies = 2
-	// maxReserveTime is the time within which memory for an answer is reserved unless it is
-	// short.
-	maxReserveTime = 5 * time.Millisecond
 )
 
 // answer is the body of an answer, and the memory that is held for it.
@@ -35,7 +33,7 @@
 
 // heldUp reports whether the answer had to wait for memory of this process.
 func (a *answer) heldUp() bool {
-	return a.waited > maxReserveTime
+	return a.waited > budget.PromptTime
 }
 
 // exchange sends the client's HTTP request and reads the answer, whose headers are in c.resp.
@@ -63,23 +61,10 @@
 // read reads a body with the announced length, or a negative one, into memory that is reserved
 // first.
 func (a *answer) read(stream io.Reader, length, maxBody int, deadline time.Time) ([]byte, error) {
-	if length > maxBody {
-		return nil, fasthttp.ErrBodyTooLarge
-	}
-	if length < 0 {
-		body, err := budget.ReadUpTo(stream, maxBody+1, func(size int) bool { return a.reserve(passingCopies*size, deadline) })
-		if err == nil && len(body) > maxBody {
-			err = fasthttp.ErrBodyTooLarge
-		}
+	body, err := reply.ReadBody(stream, length, maxBody, func(size int) bool { return a.reserve(passingCopies*size, deadline) })
+	if err != nil || length < 0 {
 		return body, err
 	}
-	if length > budget.SmallSize && !a.reserve(passingCopies*length, deadline) {
-		return nil, budget.ErrNoMemory
-	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(stream, body); err != nil {
-		return nil, err
-	}
 	// The connection can be reused once the stream has reported the end.
 	if _, err := stream.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		return nil, errors.CombineErrors(fasthttp.ErrBodyTooLarge, err)
--- a/internal/owner/pool/conn.go
+++ b/internal/owner/pool/conn.go
@@ -29,9 +29,6 @@
 	// writeTimeout bounds the time to write a short request, which a healthy connection
 	// accepts immediately.
 	writeTimeout = 500 * time.Millisecond
-	// maxReserveTime is the time within which memory for an answer is reserved unless it is
-	// short.
-	maxReserveTime = 5 * time.Millisecond
 	// leavingValue is the header value with which a backend server announces that it leaves.
 	leavingValue = "1"
 	// idleMargin is how long before the backend server's idle timeout a connection is
@@ -230,7 +227,7 @@
 		}
 		began := time.Now()
 		ok := held.Reserve(budget.Answer, size, call.deadline)
-		if time.Since(began) > maxReserveTime {
+		if time.Since(began) > budget.PromptTime {
 			call.setHeldUp()
 		}
 		return ok
