Select the heaviest tenants of the state without sorting all

The rule for the time of the next promise, which stood there for the class and for the tenant with counts that were typed as durations, is one function. The comment on spread says what it is for.

--- a/internal/query/admit/fairservice.go
+++ b/internal/query/admit/fairservice.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -287,21 +286,21 @@
 	}
 	ownPart := min(c.weightOf(f)/max(c.weights, c.weightOf(f)), 1)
 	ownInterval := min(time.Duration(float64(interval)/ownPart), maxRetryAfter)
-	burst, ownBurst := c.promiseBursts(now)
-	c.promises.next = latest(c.promises.next, at.Add(-burst*interval)).Add(interval)
-	f.nextPromise = latest(f.nextPromise, at.Add(-ownBurst*ownInterval)).Add(ownInterval)
+	ahead, ownAhead := c.promisesAhead(now)
+	c.promises.next = nextPromise(c.promises.next, at, interval, ahead)
+	f.nextPromise = nextPromise(f.nextPromise, at, ownInterval, ownAhead)
 	at = at.Add(jitter)
 	c.promises.add(promise{at: at, tenant: f.tenant})
 	return at.Sub(now)
 }
 
-// promiseBursts returns how many promises of a class, and of one of its tenants, may be given ahead
+// promisesAhead returns how many promises of a class, and of one of its tenants, may be given ahead
 // of their intervals.
-func (c *fairClass) promiseBursts(now time.Time) (ofClass, ofTenant time.Duration) {
+func (c *fairClass) promisesAhead(now time.Time) (ofClass, ofTenant int) {
 	if now.Sub(c.surgedAt) < surgeTime || c.shareOfOthers(now) < wellServed {
 		return 0, 0
 	}
-	return classPromiseBurst, tenantPromiseBurst
+	return classPromisesAhead, tenantPromisesAhead
 }
 
 // runTime returns the mean run time of requests in nanoseconds.
@@ -357,14 +356,19 @@
 
 // heaviestStates returns the state of the tenants with the largest use relative to their weight.
 func (c *fairClass) heaviestStates() []TenantState {
-	flows := slices.SortedFunc(maps.Values(c.flows), func(a, b *flow) int {
-		return cmp.Or(cmp.Compare(b.admitted/c.weightOf(b), a.admitted/c.weightOf(a)), cmp.Compare(a.tenant, b.tenant))
-	})
-	states := make([]TenantState, 0, min(len(flows), maxHeaviest))
-	for _, f := range flows[:min(len(flows), maxHeaviest)] {
-		states = append(states, TenantState{
+	compare := func(a, b TenantState) int {
+		return cmp.Or(cmp.Compare(b.Admitted/b.Weight, a.Admitted/a.Weight), cmp.Compare(a.Tenant, b.Tenant))
+	}
+	// Each scrape of the metrics reads the state, so that not all tenants are sorted.
+	states := make([]TenantState, 0, maxHeaviest+1)
+	for _, f := range c.flows {
+		state := TenantState{
 			Tenant: f.tenant, Weight: c.weightOf(f), Running: f.running, Waiting: len(f.waiting), Requested: f.requested, Admitted: f.admitted,
-		})
+		}
+		if at, _ := slices.BinarySearchFunc(states, state, compare); at < maxHeaviest {
+			states = slices.Insert(states, at, state)
+			states = states[:min(len(states), maxHeaviest)]
+		}
 	}
 	return states
 }
--- a/internal/query/admit/promise.go
+++ b/internal/query/admit/promise.go
@@ -15,12 +15,12 @@
 	leastPromised = 0.1
 	mostPromised  = 0.25
 	fewAdmitted   = 0.55
-	// classPromiseBurst and tenantPromiseBurst are the numbers of promises that may be given ahead
+	// classPromisesAhead and tenantPromisesAhead are the numbers of promises that may be given ahead
 	// of their intervals, by class and by tenant, since refusals come together while the queues of
 	// servers are full. Without them, 44 in 100 refused callers beside a tenant over its rate got no
 	// promise at 9 VMs, and most of those came back too late.
-	classPromiseBurst  = 4
-	tenantPromiseBurst = 1
+	classPromisesAhead  = 4
+	tenantPromisesAhead = 1
 	// wellServed is the share of the requests of all tenants but the heaviest from which on
 	// promises may be given ahead. Under a lasting overload of all tenants, more of them cost
 	// value, as does a burst of one kind.
@@ -37,6 +37,12 @@
 	maxPromises = 256
 )
 
+// nextPromise returns the earliest time of the promise after one for a time. Promises are an interval
+// apart, but some may be given ahead of that. next is the earliest time as it was before.
+func nextPromise(next, at time.Time, interval time.Duration, ahead int) time.Time {
+	return latest(next, at.Add(-time.Duration(ahead)*interval)).Add(interval)
+}
+
 // promise is room that is kept for one refused caller.
 type promise struct {
 	at     time.Time
--- a/internal/query/admit/random.go
+++ b/internal/query/admit/random.go
@@ -22,8 +22,8 @@
 	return time.Duration(r.Int64N(int64(max(limit, 1))))
 }
 
-// spread returns a random duration from one to two times the given one, so that callers that
-// were refused together don't retry together.
+// spread returns a random duration from one to two times the given one. It spreads the retries of
+// callers that are refused at the same time.
 func (r random) spread(after time.Duration) time.Duration {
 	return after + r.below(after)
 }
