Forget failures of VMs that have no effect any more

The VMs that did not reply were kept by name for the life of the process, though names change when VMs are replaced. Entries that have expired are removed with each update; they had no effect before.

--- a/internal/fleet/roll/member.go
+++ b/internal/fleet/roll/member.go
@@ -162,6 +162,7 @@
 // reports.
 func (m *Member) Update(s Situation) Step {
 	m.latest = s
+	m.forgetFailures(s.Now)
 	for service := range m.known {
 		if _, ok := s.Rollouts[service]; !ok {
 			delete(m.known, service)
@@ -410,6 +411,12 @@
 	}
 }
 
+// forgetFailures forgets what has no effect any more, since the names of VMs change.
+func (m *Member) forgetFailures(now time.Duration) {
+	maps.DeleteFunc(m.avoided, func(_ ident.VMID, until time.Duration) bool { return now >= until })
+	maps.DeleteFunc(m.failed, func(_ ident.VMID, at time.Duration) bool { return now-at >= resendTime })
+}
+
 // HandleFailure records that a VM did not reply. After the first time, what it has to know is sent
 // again at once, except in the long first phase.
 func (m *Member) HandleFailure(now time.Duration, to ident.VMID) {
