Say what the pause of trusted requests and the drawn kinds of versions mean

The comment on trustedPause had to be read twice, and the list of kinds of versions holds one kind twice without saying why. No code is changed; tests of query/relay and lab/soak ok.

--- a/internal/lab/soak/rollouts.go
+++ b/internal/lab/soak/rollouts.go
@@ -30,6 +30,7 @@
 	SlowLater  VersionKind = "slow-later"
 )
 
+// versionKinds are the kinds that are drawn, good ones twice as often as each other kind.
 var versionKinds = []VersionKind{Good, Fails, Good, FailsLater, Slow, FailsRoute, SlowLater}
 
 // Pauses between the orders of roll-outs.
--- a/internal/query/relay/probation.go
+++ b/internal/query/relay/probation.go
@@ -23,9 +23,9 @@
 	// it is tried only where the end of the next one would tell, and, if it is not a search, that
 	// leaves another server. Most servers are back by then.
 	trialPause = 10 * time.Second
-	// trustedPause is the same for a request that servers have answered lately, as far as it
-	// concerns what the end would tell. It bounds the servers that end without telling anything to
-	// one a second.
+	// trustedPause replaces trialPause for a request that servers have answered lately: after it, the
+	// request is tried even where the end of a server would prove nothing. At most one server a
+	// second may end that way.
 	trustedPause = time.Second
 	// redundantServers is the number of servers from which on the end of one leaves others.
 	redundantServers = 2
