--- a/internal/fleet/roll/growth.go
+++ b/internal/fleet/roll/growth.go
@@ -127,8 +127,8 @@
 	return d.growth.step + 1
 }
 
-// movingShare returns the share of a moving version. Until it is proven, it is the one of an exposed
-// version once more would exceed the bound on the exposure.
+// movingShare returns the share of a moving version. Once a larger one would exceed the bound on the
+// exposure, it is that of an exposed version, which is noted in held until the version is proven.
 func (d *Decider) movingShare(now time.Duration) float64 {
 	g := &d.growth
 	exposed := exposingShare * d.bounds.Share
