Reduce the stand-ins of the second review to what its cases use

Case 7 also waited a fixed time until the VMs had agreed which of them serve, which a slower machine may exceed.

Removed the unused parts, and let case 7 wait for the VMs.

--- a/review/rig2/case6/main.go
+++ b/review/rig2/case6/main.go
@@ -120,7 +120,7 @@
 func ask(c *rig.Case, fleet []*rig.VM, when string) (services []string) {
 	for _, vm := range fleet {
 		id := rig.NewID()
-		a := rig.Send(vm.Front, http.MethodGet, "/timi402/2f", id, 2*time.Second, nil)
+		a := rig.Get(vm.Front, "/timi402/2f", id, 2*time.Second)
 		service, _, _ := strings.Cut(strings.TrimPrefix(a.Header.Get("Samphirestair-Server-Stamp"), "i-"), ".")
 		service = strings.TrimRight(service, "0123456789")
 		c.Record("%s: request %s sent to %s: status %d, run by service %q, error %v", when, id, vm.ID, a.Status, service, a.Err)
--- a/review/rig2/case7/main.go
+++ b/review/rig2/case7/main.go
@@ -70,7 +70,9 @@
 		c.Must(err)
 		fleet = append(fleet, c.VM(fmt.Sprintf("vm-%d", i+1), fmt.Sprintf("z%d", i%zones+1), address, quota))
 	}
-	time.Sleep(6 * time.Second)
+	// The machines that are started together agree within seconds which of them serve.
+	rig.WaitFor(20*time.Second, func() bool { return countReady(fleet) >= processes-turnedAway })
+	time.Sleep(4 * time.Second)
 	for _, vm := range fleet {
 		if vm.IsReady() {
 			serving = append(serving, vm)
@@ -131,6 +133,15 @@
 	return rig.Held
 }
 
+func countReady(vms []*rig.VM) (ready int) {
+	for _, vm := range vms {
+		if vm.IsReady() {
+			ready++
+		}
+	}
+	return ready
+}
+
 func tenantName(i int) string { return fmt.Sprintf("tenant-%d", i) }
 
 func key(i int) string { return fmt.Sprintf("key-%d", i) }
--- a/review/rig2/case8/main.go
+++ b/review/rig2/case8/main.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,7 +59,7 @@
 		for !stopped.Load() {
 			clients.Go(func() {
 				id := rig.NewID()
-				a := rig.Send(fleet[0].Front, http.MethodGet, "/ziti980/2f", id, 1500*time.Millisecond, nil)
+				a := rig.Get(fleet[0].Front, "/ziti980/2f", id, 1500*time.Millisecond)
 				c.Record("request %s sent to vm-1: status %d, %s parts missing, error %v", id, a.Status, a.Header.Get("Samphirestair-Missing-Parts"), a.Err)
 			})
 			time.Sleep(interval)
--- a/review/rig2/case9/main.go
+++ b/review/rig2/case9/main.go
@@ -58,7 +58,7 @@
 		clients.Go(func() {
 			for !stopped.Load() {
 				id := rig.NewID()
-				a := rig.Send(vm.Front, http.MethodGet, "/timi402/2f", id, time.Second, nil)
+				a := rig.Get(vm.Front, "/timi402/2f", id, time.Second)
 				c.Record("request %s sent to %s: status %d, stamp %s, error %v", id, vm.ID, a.Status, a.Header.Get("Samphirestair-Server-Stamp"), a.Err)
 				time.Sleep(interval)
 			}
--- a/review/rig2/rig/client.go
+++ b/review/rig2/rig/client.go
@@ -22,35 +22,19 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	Body   []byte
 	Err    error
-	Took   time.Duration
 }
 
-// Send sends one client attempt on a new connection.
-func Send(address, method, path, id string, deadline time.Duration, body []byte, headers ...string) Answer {
-	began := time.Now()
+// Get sends one client attempt for a path on a new connection.
+func Get(address, path, id string, deadline time.Duration) Answer {
 	c, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return Answer{Err: err}
 	}
 	defer func() { _ = c.Close() }()
-	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: pupu76.example\r\nSamphirestair-Request-Id: %s\r\nSamphirestair-Deadline-Ms: %d\r\n", method, path, id, deadline.Milliseconds())
-	for _, h := range headers {
-		text += h + "\r\n"
-	}
-	if len(body) > 0 {
-		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
-	}
-	a := Exchange(c, append([]byte(text+"\r\n"), body...), deadline+2*time.Second)
-	a.Took = time.Since(began)
-	return a
-}
-
-// Exchange writes raw bytes and reads one answer.
-func Exchange(c net.Conn, raw []byte, timeout time.Duration) Answer {
-	_ = c.SetDeadline(time.Now().Add(timeout))
-	if _, err := c.Write(raw); err != nil {
+	_ = c.SetDeadline(time.Now().Add(deadline + 2*time.Second))
+	_, err = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: pupu76.example\r\nSamphirestair-Request-Id: %s\r\nSamphirestair-Deadline-Ms: %d\r\n\r\n", path, id, deadline.Milliseconds())
+	if err != nil {
 		return Answer{Err: err}
 	}
 	return ReadAnswer(bufio.NewReader(c))
@@ -62,6 +46,6 @@
 	if err != nil {
 		return Answer{Err: err}
 	}
-	body, err := io.ReadAll(r.Body)
-	return Answer{Status: r.StatusCode, Header: r.Header, Body: body, Err: err}
+	_, err = io.Copy(io.Discard, r.Body)
+	return Answer{Status: r.StatusCode, Header: r.Header, Err: err}
 }
--- a/review/rig2/rig/process.go
+++ b/review/rig2/rig/process.go
@@ -138,9 +138,6 @@
 	}
 }
 
-// Alive reports whether the process runs.
-func (v *VM) Alive() bool { return !v.Wait(0) }
-
 // IsReady asks the process whether it is ready.
 func (v *VM) IsReady() bool {
 	client := http.Client{Timeout: time.Second}
--- a/review/rig2/rig/store.go
+++ b/review/rig2/rig/store.go
@@ -104,28 +104,6 @@
 	s.remove(key)
 }
 
-// Has reports whether a key exists.
-func (s *Store) Has(key string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, ok := s.items[key]
-	return ok
-}
-
-// Keys returns the keys that begin with prefix.
-func (s *Store) Keys(prefix string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var keys []string
-	for key := range s.items {
-		if strings.HasPrefix(key, prefix) {
-			keys = append(keys, key)
-		}
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 func (s *Store) write(key string, value []byte, leaseID uint64) {
 	s.revision++
 	created := s.revision
