Continue after a stale read from what all of its pages hold

Callers saw: all processes were killed 0.4 s after the operator's configuration 9 was acknowledged. Afterwards all ran version 7, and the old service ran 40 of 40 requests sent 14 s or more after the acknowledgement. Nothing but a further version would have ended that.

Cause: the first read of a process may be stale. Its pages come from states of different ages, and each states the current revision of the store and not its own. The revision of the whole read was that of the newest item of any page, so that the watch that completes it began after changes which an older page lacks. The simulated store hid this: its stale reads returned the revision of the state that they came from, which the platform's store does not tell.

Fix: depot.Pages joins the pages of a range. What is known of a stale page is that it is of the revision of its newest item or later, so the read is complete up to the lowest of these. The watch from there returns all that any page lacks: configurations, zones, backend servers and VMs alike. If the store has lost that part of its history, which is usual as most items are old, one current read follows as before. The simulated store now has pages and states no more than the platform's does.

--- a/internal/fleet/roster/role_test.go
+++ b/internal/fleet/roster/role_test.go
@@ -308,7 +308,7 @@
 // read recovers, instead of one stale read after the other.
 func TestStaleReadOlderThanTheHistory(t *testing.T) {
 	withCluster(t, func(t *testing.T, c *cluster) {
-		c.store.SetFaults(depsrv.Faults{LaggingReads: true})
+		c.store.SetFaults(depsrv.Faults{StaleCopies: []*depsrv.Copy{c.store.Copy()}})
 		c.store.Set("config:", encode(7))
 		c.store.Compact()
 		c.startVM(t, "vm-0")
@@ -322,7 +322,7 @@
 // confirmed.
 func TestWatchCompletesAStaleRead(t *testing.T) {
 	withCluster(t, func(t *testing.T, c *cluster) {
-		c.store.SetFaults(depsrv.Faults{LaggingReads: true})
+		c.store.SetFaults(depsrv.Faults{StaleCopies: []*depsrv.Copy{c.store.Copy()}})
 		c.store.Set("config:", encode(7))
 		c.store.Set("server:i-1", encode(registered()))
 		c.startVM(t, "vm-0")
@@ -365,9 +365,9 @@
 func TestUnconfirmedViewIsNotUsed(t *testing.T) {
 	withCluster(t, func(t *testing.T, c *cluster) {
 		c.store.Set("server:i-1", encode(registered()))
-		c.store.SetFaults(depsrv.Faults{LaggingReads: true})
+		earlier := c.store.Copy()
 		c.store.DeleteKey("server:i-1")
-		c.store.SetFaults(depsrv.Faults{LaggingReads: true, HangWatches: true})
+		c.store.SetFaults(depsrv.Faults{StaleCopies: []*depsrv.Copy{earlier}, HangWatches: true})
 		c.startVM(t, "vm-0")
 		for range 100 {
 			time.Sleep(50 * time.Millisecond)
--- a/internal/lab/depsrv/store.go
+++ b/internal/lab/depsrv/store.go
@@ -23,8 +23,9 @@
 	LoseAnswers bool
 	// Delay is added to each call.
 	Delay time.Duration
-	// LaggingReads makes stale reads return the content from when it was set.
-	LaggingReads bool
+	// StaleCopies are the states that stale reads return, one for each page. The last one is
+	// that of all further pages, too. Empty means the current state.
+	StaleCopies []*Copy
 	// HangWatches leaves watches that begin while it is set without an answer, until
 	// the caller gives up.
 	HangWatches bool
@@ -42,13 +43,13 @@
 	revision  depot.Position
 	lastLease uint64
 	faults    Faults
+	// pageItems is the maximum number of items on a page of a range, or 0.
+	pageItems int
 	changed   chan struct{}
 	calls     int
-	// staleReads counts the stale range reads, rangeReads all of them. laggingBatch is
-	// what stale reads return while Faults.LaggingReads is set.
-	staleReads   int
-	rangeReads   int
-	laggingBatch depot.Batch
+	// staleReads counts the pages of stale ranges, rangeReads those of all ranges, and reads
+	// the calls that the store's rate of reads limits.
+	staleReads, rangeReads, reads int
 }
 
 var _ depot.Depot = (*Store)(nil)
@@ -76,15 +77,16 @@
 func (s *Store) SetFaults(faults Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if faults.LaggingReads && !s.faults.LaggingReads {
-		s.laggingBatch = depot.Batch{Revision: s.revision}
-		for _, one := range s.items {
-			s.laggingBatch.Items = append(s.laggingBatch.Items, one.item)
-		}
-	}
 	s.faults = faults
 }
 
+// SetPageItems sets the maximum number of items on a page of a range. 0 means no limit.
+func (s *Store) SetPageItems(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pageItems = count
+}
+
 // Compact discards the history, so that watches from earlier revisions fail with
 // depot.ErrCompacted.
 func (s *Store) Compact() {
@@ -135,20 +137,28 @@
 	return s.calls
 }
 
-// StaleReads returns the number of range reads so far that allowed stale data.
+// StaleReads returns the number of pages so far of ranges that allowed stale data.
 func (s *Store) StaleReads() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.staleReads
 }
 
-// RangeReads returns the number of range reads so far.
+// RangeReads returns the number of pages of ranges so far.
 func (s *Store) RangeReads() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.rangeReads
 }
 
+// Reads returns the number of calls so far that count against the store's rate of reads: pages of
+// ranges that are not stale, watches and renewals of leases.
+func (s *Store) Reads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 // Range implements depot.Depot.
 func (s *Store) Range(ctx context.Context, prefix string, stale bool) (depot.Batch, error) {
 	if err := s.beginCall(ctx); err != nil {
@@ -157,23 +167,43 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(time.Now())
+	pages := depot.NewPages(stale)
+	for number, after := 0, ""; ; number++ {
+		page, more := s.page(prefix, after, number, stale)
+		if err := pages.Add(page); err != nil {
+			return depot.Batch{}, err
+		}
+		if !more {
+			return pages.Batch(), nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+// page returns the page with a number of a range, which holds the keys after a key, and whether
+// more follow. Like the platform's store it states the current revision, also on a stale page.
+func (s *Store) page(prefix, after string, number int, stale bool) (page depot.Batch, more bool) {
 	s.rangeReads++
+	items := s.items
 	if stale {
 		s.staleReads++
-		if s.faults.LaggingReads {
-			behind := s.laggingBatch
-			behind.Items = slices.DeleteFunc(slices.Clone(behind.Items), func(i depot.Item) bool { return !strings.HasPrefix(i.Key, prefix) })
-			return behind, nil
+		if copies := s.faults.StaleCopies; len(copies) > 0 {
+			items = copies[min(number, len(copies)-1)].items
 		}
+	} else {
+		s.reads++
 	}
-	batch := depot.Batch{Revision: s.revision}
-	for key, one := range s.items {
-		if strings.HasPrefix(key, prefix) {
-			batch.Items = append(batch.Items, one.item)
+	page.Revision = s.revision
+	for key, one := range items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			page.Items = append(page.Items, one.item)
 		}
 	}
-	slices.SortFunc(batch.Items, func(a, b depot.Item) int { return strings.Compare(a.Key, b.Key) })
-	return batch, nil
+	slices.SortFunc(page.Items, func(a, b depot.Item) int { return strings.Compare(a.Key, b.Key) })
+	if s.pageItems > 0 && len(page.Items) > s.pageItems {
+		page.Items, more = page.Items[:s.pageItems], true
+	}
+	return page, more
 }
 
 // Watch implements depot.Depot.
@@ -181,6 +211,7 @@
 	if err := s.beginCall(ctx); err != nil {
 		return depot.Batch{}, err
 	}
+	s.countRead()
 	deadline := time.Now().Add(wait)
 	if s.hangsWatches() {
 		sleep.For(ctx, wait+hangTimeout)
@@ -204,6 +235,12 @@
 	}
 }
 
+func (s *Store) countRead() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+}
+
 // hangTimeout is the time after the end of its wait at which the caller of an
 // unanswered watch gives up.
 const hangTimeout = 700 * time.Millisecond
@@ -307,6 +344,7 @@
 	if !s.hasLease(id) {
 		return depot.ErrNoLease
 	}
+	s.reads++
 	known := s.leases[id.ID]
 	known.until = time.Now().Add(known.length)
 	return nil
--- a/internal/plat/depot/depot.go
+++ b/internal/plat/depot/depot.go
@@ -35,9 +35,9 @@
 	Deleted  bool
 }
 
-// Batch is the result of a range or a watch. For a range, Revision is the revision
-// of the store at which Items were read. For a watch, Items holds all changes up
-// to Revision. All items are of the era of Revision.
+// Batch is the result of a range or a watch. Items holds all changes up to Revision, of those
+// after the start of a watch, and that of a range may hold later ones. A watch from Revision
+// returns whatever Items lacks. All items are of the era of Revision.
 type Batch struct {
 	Items    []Item
 	Revision Position
@@ -72,9 +72,9 @@
 // Depot is the store. Implementations are safe for concurrent use; every call
 // ends when its context does.
 type Depot interface {
-	// Range returns all items whose key begins with prefix. Items may be newer
-	// than Batch.Revision. If stale is set, the store may answer from a state that
-	// is seconds old, which is cheap.
+	// Range returns all items whose key begins with prefix. If stale is set, the store may
+	// answer from states that are seconds old, which is cheap. Pages has what that says about
+	// Batch.Revision, which the store may no longer have in its history.
 	Range(ctx context.Context, prefix string, stale bool) (Batch, error)
 	// Watch returns the changes after revision after to keys that begin with prefix.
 	// It waits for the first change, and returns an empty batch if there is none
