Log when a VM begins and stops to use its share of the quotas

Cause: neither logs nor the state dump showed which VMs use their shares, so that a quota granted twice could not be traced to shares, spare tokens or tokens held in advance.

The event quota_share has the number of shares, the age of the view and the owners heard; the section of the state dump has the same.

--- a/internal/link/grant/grant.go
+++ b/internal/link/grant/grant.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -85,6 +86,8 @@
 	mu     sync.Mutex
 	owner  *quota.Owner
 	holder *quota.Holder
+	// usesShare is set while this process uses its share of the quotas.
+	usesShare bool
 }
 
 // New returns a service for a process that has just started.
@@ -267,6 +270,7 @@
 	s.mu.Lock()
 	now := s.deps.Now()
 	s.holder.Update(now, situation)
+	s.recordShare()
 	due := s.holder.Due(now)
 	s.mu.Unlock()
 	for _, out := range due {
@@ -274,6 +278,21 @@
 	}
 }
 
+// recordShare records whether this process begins or stops to use its share of the quotas.
+func (s *Service) recordShare() {
+	share := s.holder.Share()
+	if share.Used == s.usesShare {
+		return
+	}
+	s.usesShare = share.Used
+	reason := "this VM's share is used"
+	if !share.Used {
+		reason = "this VM's share is not used"
+	}
+	s.deps.Events.Record("quota_share", string(s.deps.Self.VM), reason, slog.Bool("owned", share.Owned), slog.Int("sharers", share.Sharers),
+		slog.Duration("view_age", share.ViewAge), slog.Int("heard", share.Heard), slog.Int("registered", share.Registered))
+}
+
 // situation returns what the holder needs to know of the fleet.
 func (s *Service) situation(view *roster.View) quota.Situation {
 	situation := quota.Situation{
@@ -323,6 +342,8 @@
 
 // State is the section of the state dump.
 type State struct {
+	// Share is the share of this VM.
+	Share quota.ShareState `json:"share"`
 	// Tenants are those in use at this VM, and Owned what this VM grants as quota owner.
 	Tenants []quota.AccountState `json:"tenants"`
 	Owned   quota.OwnerState     `json:"owned"`
@@ -333,5 +354,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.deps.Now()
-	return State{Tenants: s.holder.State(now, maxStateRows), Owned: s.owner.State(now, maxStateRows)}
+	return State{Share: s.holder.Share(), Tenants: s.holder.State(now, maxStateRows), Owned: s.owner.State(now, maxStateRows)}
 }
--- a/internal/query/quota/holder.go
+++ b/internal/query/quota/holder.go
@@ -242,22 +242,52 @@
 }
 
 // ownsShare reports whether this process may use its share. One that has heard nothing of the
-// store for isolationTime may have been replaced, unless most owners answer: then the store is
-// down, or few can have been replaced.
+// store for isolationTime may have been replaced, and be cut off from the VMs that know, unless
+// most owners answer.
 func (h *Holder) ownsShare() bool {
-	if !h.situation.Serving || h.situation.Sharers <= 0 {
+	switch {
+	case !h.situation.Serving || h.situation.Sharers <= 0:
 		return false
-	}
-	if h.situation.ViewAge < isolationTime {
+	case h.situation.ViewAge < isolationTime:
 		return true
+	default:
+		return 2*h.heardOwners() > min(len(h.situation.Registered), maxOwners)
 	}
+}
+
+// heardOwners returns the number of owners that have answered lately, this process included.
+func (h *Holder) heardOwners() int {
 	heard := 1
 	for _, p := range h.peers {
 		if p.boot != 0 && h.now-p.stampAt < heardTime {
 			heard++
 		}
 	}
-	return 2*heard > min(len(h.situation.Registered), maxOwners)
+	return heard
+}
+
+// ShareState says whether this process uses its share of the quotas, and why.
+type ShareState struct {
+	// Used is set if the share is used or leased to owners.
+	Used bool `json:"used"`
+	// Owned is set if this process is one of those that own a share, and Sharers is the number
+	// of shares.
+	Owned   bool `json:"owned"`
+	Sharers int  `json:"sharers"`
+	// ViewAge is the age of the view of the fleet.
+	ViewAge time.Duration `json:"viewAge"`
+	// Heard is the number of owners that have answered lately, this process included, and
+	// Registered that of the VMs that may be owners.
+	Heard      int `json:"heard"`
+	Registered int `json:"registered"`
+}
+
+// Share returns the state of the share of this process.
+func (h *Holder) Share() ShareState {
+	return ShareState{
+		Used: h.ownsShare(), Owned: h.situation.Serving, Sharers: h.situation.Sharers,
+		ViewAge: h.situation.ViewAge, Heard: h.heardOwners(), Registered: len(h.situation.Registered),
+	}
 }
 
 // Take takes a token for a request of a tenant. If the decision is Waiting, EndWait must be called.
