End the share of a quota of a VM that was replaced

Cause: the registrations of the three lapse, three others take their place and use the same shares.

Fix: a VM owns a share from the store's answer to its registration until a view of another VM, with all changes up to a later time, lacks it (roster.tenure). VMs tell those whose registration has lapsed so, with the age of their view.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -159,6 +159,7 @@
 	var err error
 	t.heartbeats, err = beats.New(beats.Deps{
 		Self: self.VM, View: t.follower.View, Serving: t.isServing, HasCallers: t.hasCallers, Wake: t.registrar.Wake,
+		ViewAge: t.follower.Age, Missed: t.registrar.RecordMissed,
 		Reach: t.reachReport, Receive: func(message []byte) { t.gossip.Receive(message) }, Depot: adapter.Depot, Events: t.events,
 	}, settings.Listen.Peers)
 	if err != nil {
@@ -170,7 +171,7 @@
 		Ledger: t.ledger, Broadcaster: t.heartbeats, MaxBytes: beats.MaxMessageBytes, Serving: func() bool { return t.registrar.Serving() || t.hasCallers() }, Peers: t.otherVMs, Events: t.events,
 	})
 	t.quota = grant.New(grant.Deps{
-		Self: quota.Process{VM: self.VM, Boot: self.BootID}, Views: t.follower, Peers: t.heartbeats.Detector(), Serving: t.isServing,
+		Self: quota.Process{VM: self.VM, Boot: self.BootID}, Views: t.follower, Peers: t.heartbeats.Detector(), OwnsShare: t.ownsShare,
 		Bounds: t.quotaBounds, Transport: grant.NewClient(), Events: t.events, Metrics: t.metrics,
 	})
 	t.notices = notice.NewTracker(notice.Options{MaxBackoff: settings.Servers.Quiet, Events: t.events})
@@ -249,6 +250,12 @@
 	return t.registrar.Serving() && !t.gate.Draining()
 }
 
+// ownsShare reports whether this VM may use its part of the limits that are divided among the
+// serving VMs.
+func (t *Tier) ownsShare() bool {
+	return t.isServing() && t.registrar.OwnsShare(time.Now())
+}
+
 // budgetMembers returns the number of VMs among which the slack of the retry budgets
 // is divided, or 0 while this VM does not serve: its part then belongs to the VM that
 // replaces it.
--- a/internal/fleet/beats/heartbeat.go
+++ b/internal/fleet/beats/heartbeat.go
@@ -36,6 +36,9 @@
 	heartbeatPrefix = "pulse1 "
 	helloPrefix     = "hello1 "
 	reachPrefix     = "reach1 "
+	// After lapsedPrefix come the age of the sender's view in milliseconds and its id, separated
+	// by a space. In that view the registration of the receiver, which served, has lapsed.
+	lapsedPrefix = "lapsed1 "
 	// After messagePrefix comes a message that is broadcast.
 	messagePrefix = "message1 "
 	// After askPrefix comes the id of a VM. The receiver answers with the same id after
@@ -76,6 +79,12 @@
 	Wake func()
 	// Reach returns what this VM reports of its links to backend servers.
 	Reach func() Reach
+	// ViewAge returns the time since the view was last known to be up to date. known is false if
+	// it never was.
+	ViewAge func(now time.Time) (age time.Duration, known bool)
+	// Missed is called when another VM says that the registration of this one has lapsed in its
+	// view, which had all changes up to at.
+	Missed func(at time.Time)
 	// Receive is called for each message that another VM broadcasts. It must not keep the
 	// message. If it is nil, messages are ignored.
 	Receive func(message []byte)
@@ -164,6 +173,11 @@
 			h.detector.RecordReach(now, vm, reach)
 			continue
 		}
+		if vm, age, ok := decodeLapsed(buffer[:n]); ok {
+			h.detector.RecordHeartbeat(now, vm)
+			h.deps.Missed(now.Add(-age))
+			continue
+		}
 		if h.handleQuestion(now, buffer[:n], from) || h.handleMessage(now, buffer[:n], from) {
 			continue
 		}
@@ -321,6 +335,26 @@
 	return ident.VMID(fields[2]), Reach{Unreached: unreached, Partitioned: isPartitioned}, true
 }
 
+// encodeLapsed returns the datagram with which a VM tells others that their registration has lapsed
+// in its view of that age.
+func encodeLapsed(vm ident.VMID, age time.Duration) []byte {
+	return fmt.Appendf(nil, "%s%d %s", lapsedPrefix, age.Milliseconds(), vm)
+}
+
+// decodeLapsed is the inverse of encodeLapsed. ok is false for other datagrams.
+func decodeLapsed(datagram []byte) (vm ident.VMID, age time.Duration, ok bool) {
+	rest, found := bytes.CutPrefix(datagram, []byte(lapsedPrefix))
+	if !found {
+		return "", 0, false
+	}
+	text, id, _ := strings.Cut(string(rest), " ")
+	milliseconds, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || id == "" {
+		return "", 0, false
+	}
+	return ident.VMID(id), time.Duration(milliseconds) * time.Millisecond, true
+}
+
 // tick sends heartbeats and hellos if this VM serves, logs which peers became silent or
 // were heard again, and starts evictions.
 func (h *Heartbeater) tick(ctx context.Context, parts *conc.WaitGroup) {
@@ -364,10 +398,26 @@
 			h.write(datagram, m.VM, address)
 		}
 	}
+	h.tellLapsed()
 	h.sendHellos(present)
 	return peers, present
 }
 
+// tellLapsed tells the VMs whose registration has lapsed in the view of this VM: one that the store
+// turns away can't see that others take its place.
+func (h *Heartbeater) tellLapsed() {
+	age, known := h.deps.ViewAge(time.Now())
+	if !known {
+		return
+	}
+	datagram := encodeLapsed(h.deps.Self, age)
+	for _, m := range h.deps.View().Lapsed {
+		if address, err := netip.ParseAddrPort(m.PeerAddress); err == nil {
+			h.write(datagram, m.VM, address)
+		}
+	}
+}
+
 // askPeers asks some peers whether they hear the silent ones.
 func (h *Heartbeater) askPeers(now time.Time, peers []ident.VMID, addresses map[ident.VMID]netip.AddrPort) {
 	var silent, heard []ident.VMID
--- a/internal/fleet/beats/heartbeat_test.go
+++ b/internal/fleet/beats/heartbeat_test.go
@@ -33,8 +33,13 @@
 	hasCallers atomic.Bool
 	// messages gets what other VMs broadcast.
 	messages chan string
+	// missed gets the times of views in which the VM's registration has lapsed.
+	missed chan time.Time
 }
 
+// viewAge is the age of the views of all VMs.
+const viewAge = 700 * time.Millisecond
+
 // countingDepot counts the registrations that are deleted.
 type countingDepot struct {
 	depot.Depot
@@ -52,7 +57,7 @@
 	require.NoError(t, err)
 	address := probe.LocalAddr().String()
 	require.NoError(t, probe.Close())
-	s := &testVM{member: roster.Member{VM: id, PeerAddress: address, Serving: true}, woken: make(chan struct{}, 1000), depot: &countingDepot{}, messages: make(chan string, 20)}
+	s := &testVM{member: roster.Member{VM: id, PeerAddress: address, Serving: true}, woken: make(chan struct{}, 1000), depot: &countingDepot{}, messages: make(chan string, 20), missed: make(chan time.Time, 1000)}
 	s.setMembers()
 	s.reach.Store(&beats.Reach{})
 	s.Heartbeater, err = beats.New(beats.Deps{
@@ -60,6 +65,8 @@
 		Wake:  func() { s.woken <- struct{}{} },
 		Reach: func() beats.Reach { return *s.reach.Load() }, Depot: s.depot,
 		HasCallers: s.hasCallers.Load,
+		ViewAge:    func(time.Time) (time.Duration, bool) { return viewAge, true },
+		Missed:     func(at time.Time) { s.missed <- at },
 		Receive:    func(message []byte) { s.messages <- string(message) },
 	}, address)
 	require.NoError(t, err)
@@ -141,3 +148,21 @@
 		})
 	}
 }
+
+// Guards against a VM that the store turns away and that never learns that others take its place.
+func TestLapsedVMIsToldSo(t *testing.T) {
+	sender, lapsed := newTestVM(t, "vm-1", true), newTestVM(t, "vm-2", true)
+	lapsed.setMembers(sender.member, lapsed.member)
+	time.Sleep(300 * time.Millisecond)
+	require.Empty(t, lapsed.missed)
+	sender.mu.Lock()
+	sender.view = roster.NewView(nil, nil, []roster.Member{sender.member}, nil)
+	sender.view.Lapsed = []roster.Member{lapsed.member}
+	sender.mu.Unlock()
+	start := time.Now()
+	at := <-lapsed.missed
+	require.WithinRange(t, at, start.Add(-viewAge-time.Millisecond), time.Now().Add(-viewAge))
+	require.Less(t, time.Since(start), time.Second)
+	require.True(t, lapsed.Detector().Hears(time.Now(), "vm-1"), "it is still heard")
+	require.Empty(t, sender.missed)
+}
--- a/internal/fleet/roster/departures.go
+++ b/internal/fleet/roster/departures.go
@@ -13,6 +13,16 @@
 // some seconds old, and registrations in it that nobody renews lapse within seconds.
 const departureRetention = time.Minute
 
+// lapseRetention is how long VMs whose registration lapsed are told so. Callers may use them as
+// long with outdated address lists.
+const lapseRetention = staleListGrace
+
+// lapse is a VM that served until its registration lapsed. It may still run, and not know.
+type lapse struct {
+	member Member
+	at     time.Time
+}
+
 // departures holds the backend servers and VMs that left. It is not safe for concurrent
 // use.
 type departures struct {
--- a/internal/fleet/roster/members.go
+++ b/internal/fleet/roster/members.go
@@ -39,6 +39,7 @@
 		}
 	}
 	s.members[member.VM] = &registration[Member]{value: member, key: item.Key, revision: item.Revision}
+	delete(s.lapsed, member.VM)
 }
 
 // handleMissingMember starts the grace period of a VM whose registration is missing. A VM
--- a/internal/fleet/roster/registrar.go
+++ b/internal/fleet/roster/registrar.go
@@ -53,6 +53,7 @@
 	desiredChanged chan struct{}
 	serving        atomic.Bool
 	role           servingRole
+	tenure         tenure
 }
 
 // NewRegistrar returns a registrar for self, which stands by at first. recorder may be
@@ -104,6 +105,27 @@
 	r.follower.SetFollowAll(true)
 }
 
+// OwnsShare reports whether this VM may use its part of the limits that are divided among the
+// serving VMs: it is registered as one, as far as it and the VMs that it hears know. It is safe
+// for concurrent use.
+func (r *Registrar) OwnsShare(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tenure.ownsShare(now, r.follower.View())
+}
+
+// RecordMissed records that the registration of this VM has lapsed in another VM's view, which had
+// all changes up to at. It is safe for concurrent use.
+func (r *Registrar) RecordMissed(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.tenure
+	r.tenure.recordMissed(at)
+	if !before.missedAt.After(before.registeredAt) && at.After(before.registeredAt) && r.serving.Load() {
+		r.events.Record("vm_missed", string(r.self), "other VMs divide the limits without this one", slog.Duration("registered", at.Sub(before.registeredAt)))
+	}
+}
+
 // Leave announces that the VM accepts no new callers. It returns at once; Run writes the
 // registration.
 func (r *Registrar) Leave() {
@@ -262,6 +284,9 @@
 	if err != nil {
 		return depot.Lease{}, err
 	}
+	r.mu.Lock()
+	r.tenure.register(time.Now(), member.Serving)
+	r.mu.Unlock()
 	r.events.Record("vm_registered", string(r.self), "registration written", slog.Uint64("lease", lease.ID),
 		slog.Bool("serving", member.Serving), slog.Bool("leaving", member.Leaving))
 	return lease, nil
--- a/internal/fleet/roster/state.go
+++ b/internal/fleet/roster/state.go
@@ -64,6 +64,8 @@
 	// departures holds the backend servers and VMs that left, since an older copy of the
 	// store may still hold their registrations.
 	departures departures
+	// lapsed holds the other VMs that served until their registration lapsed.
+	lapsed map[ident.VMID]lapse
 
 	// era is the latest era of the store, and eraGraceUntil the end of the period in which
 	// what is missing from its copy may be written again.
@@ -103,6 +105,7 @@
 		zonesOut:   map[ident.Zone]*zoneMark{},
 		rollouts:   map[ident.ServiceID]*rollout{},
 		departures: newDepartures(),
+		lapsed:     map[ident.VMID]lapse{},
 		changed:    true,
 	}
 	s.View()
@@ -218,9 +221,18 @@
 			s.events.Record("server_gone", string(id), "registration lapsed", slog.String("service", string(r.value.Service)))
 		}
 	}
+	for vm, l := range s.lapsed {
+		if now.Sub(l.at) >= lapseRetention {
+			delete(s.lapsed, vm)
+			s.changed = true
+		}
+	}
 	for vm, r := range s.members {
 		if !r.removeAt.IsZero() && !now.Before(r.removeAt) {
 			delete(s.members, vm)
+			if r.value.Serving && vm != s.self {
+				s.lapsed[vm] = lapse{member: r.value, at: now}
+			}
 			s.changed = true
 			s.events.Record("vm_gone", string(vm), "registration lapsed")
 		}
@@ -249,6 +261,9 @@
 	slices.SortFunc(members, func(x, y Member) int { return cmp.Compare(x.VM, y.VM) })
 	s.view = NewView(s.table, replicas, members, coll.NewSet(slices.Collect(maps.Keys(s.zonesOut))...))
 	s.view.Leaving, s.view.Rollouts = leaving, s.viewRollouts()
+	for _, l := range s.lapsed {
+		s.view.Lapsed = append(s.view.Lapsed, l.member)
+	}
 	return s.view
 }
 
--- a/internal/fleet/roster/state_test.go
+++ b/internal/fleet/roster/state_test.go
@@ -176,3 +176,32 @@
 	state.apply(start, state.put(roster.PrefixMembers+"vm-2", roster.Member{VM: "vm-2", Leaving: true}))
 	require.Empty(t, state.View().Members)
 }
+
+// Guards against VMs that lapse and are forgotten at once, so that nobody tells them, and against
+// ones that are told so although they left, stand by or are registered again.
+func TestLapsedServingVMsAreKnownForAWhile(t *testing.T) {
+	state := newStateUnderTest()
+	serving := func(vm ident.VMID) roster.Member { return roster.Member{VM: vm, Serving: true} }
+	lapsed := func() (vms []ident.VMID) {
+		for _, m := range state.View().Lapsed {
+			vms = append(vms, m.VM)
+		}
+		return vms
+	}
+	state.apply(start, state.put(roster.ServingKey("vm-2"), serving("vm-2")), state.put(roster.ServingKey("vm-3"), roster.Member{VM: "vm-3", Serving: true, Leaving: true}),
+		state.put("fleet/standby/vm-4", roster.Member{VM: "vm-4"}), state.put(roster.ServingKey("vm-1"), serving("vm-1")))
+	state.apply(start, state.del(roster.ServingKey("vm-2")), state.del(roster.ServingKey("vm-3")), state.del("fleet/standby/vm-4"), state.del(roster.ServingKey("vm-1")))
+	require.Empty(t, lapsed(), "it is kept for a short time")
+	gone := start.Add(time.Second)
+	state.RemoveExpired(gone)
+	require.Equal(t, []ident.VMID{"vm-2"}, lapsed())
+	state.RemoveExpired(gone.Add(19 * time.Second))
+	require.Equal(t, []ident.VMID{"vm-2"}, lapsed())
+	state.apply(gone, state.put(roster.ServingKey("vm-2"), serving("vm-2")))
+	require.Empty(t, lapsed())
+	state.apply(gone, state.del(roster.ServingKey("vm-2")))
+	state.RemoveExpired(gone.Add(time.Second))
+	require.Len(t, lapsed(), 1)
+	state.RemoveExpired(gone.Add(21 * time.Second))
+	require.Empty(t, lapsed())
+}
--- a/internal/fleet/roster/types.go
+++ b/internal/fleet/roster/types.go
@@ -110,6 +110,9 @@
 	Members []Member
 	// Leaving are the VMs that are leaving, in no particular order.
 	Leaving []Member
+	// Lapsed are the VMs that served until their registration lapsed a short time ago, in no
+	// particular order. They may still run, out of touch with the store.
+	Lapsed []Member
 	// ServingCount is the number of members that serve callers.
 	ServingCount int
 	// ShareCount is the number of VMs among which the fleet-wide limits on connections
--- a/internal/link/grant/grant.go
+++ b/internal/link/grant/grant.go
@@ -63,8 +63,8 @@
 	Self  quota.Process
 	Views ViewSource
 	Peers Peers
-	// Serving reports whether this VM serves callers and will go on.
-	Serving   func() bool
+	// OwnsShare reports whether this VM may use its share of the quotas.
+	OwnsShare func() bool
 	Bounds    func() quota.Bounds
 	Transport Transport
 	Events    *events.Recorder
@@ -296,7 +296,7 @@
 // situation returns what the holder needs to know of the fleet.
 func (s *Service) situation(view *roster.View) quota.Situation {
 	situation := quota.Situation{
-		Sharers: view.ShareCount, Serving: s.deps.Serving(), Version: view.Table.Config().Version,
+		Sharers: view.ShareCount, Serving: s.deps.OwnsShare(), Version: view.Table.Config().Version,
 		Limit: func(tenant ident.TenantID) (quota.Limit, bool) { return limitOf(view.Table, tenant) },
 	}
 	starting := s.deps.Now()-s.started < startTime
--- a/internal/link/grant/grant_test.go
+++ b/internal/link/grant/grant_test.go
@@ -58,7 +58,7 @@
 	views, orders := &fakeViews{}, make(recordedOrders, 100)
 	before := views.setTenant(t, 1, 20)
 	service := grant.New(grant.Deps{
-		Self: quota.Process{VM: "standby", Boot: 1}, Views: views, Peers: heardPeers{}, Serving: func() bool { return false },
+		Self: quota.Process{VM: "standby", Boot: 1}, Views: views, Peers: heardPeers{}, OwnsShare: func() bool { return false },
 		Bounds:    func() quota.Bounds { return quota.Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20} },
 		Transport: orders, Metrics: metrics.NewSet(),
 	})
