--- a/internal/fleet/roster/readloop.go
+++ b/internal/fleet/roster/readloop.go
@@ -102,6 +102,8 @@
 	f.handleFailedCall(ctx, r, err)
 	if f.View().Table == nil && !r.peerAnswered {
 		r.peerAnswered = f.adoptPeerSnapshot(ctx)
+		// A stale read may be older than the snapshot.
+		r.stale = r.stale && !r.peerAnswered
 	}
 }
 
--- a/internal/fleet/roster/stale_test.go
+++ b/internal/fleet/roster/stale_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/fleet/roster"
 	"github.com/samphirestair/samphirestair/internal/lab/depsrv"
 )
@@ -219,3 +221,37 @@
 		})
 	}
 }
+
+// evacuatedPeer is another VM that knows that a zone is out of service.
+type evacuatedPeer struct{ fixedPeer }
+
+func (p *evacuatedPeer) FetchSnapshot(context.Context) (*roster.Snapshot, time.Duration, error) {
+	server := serverIn("vantaa")
+	server.ID = "i-1"
+	return &roster.Snapshot{Config: &routes.Config{Version: 6}, Servers: []roster.Server{server}, ZonesOut: []ident.Zone{"vantaa"}}, time.Second, nil
+}
+
+// Guards against a VM that serves callers from another VM's snapshot, and replaces it by a stale
+// read that is older: a zone would be back in service until a watch returns.
+func TestSnapshotIsNotReplacedByAStaleRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newPagedStore()
+		store.Set("config:", encode(6))
+		store.DeleteKey("out:vantaa")
+		earlier := store.Copy()
+		store.Set("out:vantaa", nil)
+		store.SetFaults(depsrv.Faults{Down: true})
+		followStore(t, store, roster.FollowerOptions{Peers: &evacuatedPeer{}}, func(f *roster.Follower, r *roster.Registrar) {
+			time.Sleep(time.Second)
+			require.True(t, r.ViewUsable(time.Now()))
+			store.SetFaults(depsrv.Faults{StaleCopies: []*depsrv.Copy{earlier}, HangWatches: true})
+			for range 100 {
+				time.Sleep(20 * time.Millisecond)
+				require.True(t, f.View().ZonesOut.Has("vantaa"))
+			}
+			store.SetFaults(depsrv.Faults{})
+			time.Sleep(5 * time.Second)
+			require.Equal(t, current(t, store, true), knowledgeOf(f.View(), true))
+		})
+	})
+}
