State in one place what each source of a VM's view proves

How old and how complete an answer of the store or of another VM may be was said at each caller, or not at all. The type reading has it with what follows, and decides whether a reading confirms the view. No change of behaviour; the tests of the package pass.

--- a/internal/fleet/roster/readloop.go
+++ b/internal/fleet/roster/readloop.go
@@ -91,7 +91,11 @@
 		return
 	}
 	r.timeout, r.failures = minReadTimeout, 0
-	f.send(ctx, update{start: start, batch: coll.Some(batch), complete: true, prefix: scope.prefix, confirms: !r.stale && scope.prefix == allKeys})
+	kind := currentRange
+	if r.stale {
+		kind = staleRange
+	}
+	f.send(ctx, update{start: start, batch: coll.Some(batch), complete: true, prefix: scope.prefix, confirms: kind.confirms(scope.prefix, false)})
 	r.revision, r.loaded = max(r.revision, batch.Revision), true
 }
 
@@ -175,7 +179,7 @@
 	r.failures = 0
 	r.revision = max(r.revision, batch.Revision)
 	backlog := isBacklog(batch)
-	f.send(ctx, update{start: start, batch: coll.Some(batch), confirms: !backlog && scope.prefix == allKeys})
+	f.send(ctx, update{start: start, batch: coll.Some(batch), confirms: watchedChanges.confirms(scope.prefix, backlog)})
 	if backlog {
 		return
 	}
--- a/internal/fleet/roster/types.go
+++ b/internal/fleet/roster/types.go
@@ -1,6 +1,7 @@
 // Package roster keeps a VM's view of the backend servers, zones, other VMs and the
 // configuration, which it reads from the platform's store. State holds the data, Follower
-// keeps it up to date, and Registrar maintains the VM's own registration.
+// keeps it up to date, and Registrar maintains the VM's own registration. Type reading says what each
+// source of the view proves.
 package roster
 
 import (
