Give up a replaced VM's parts of retry budgets and server limits

Callers may see: the slack of the retry budget, the limit that a server names and the rate of a server in cold start are divided among the serving VMs, and used twice while VMs that the store turns away are replaced: with 3 of 6, by 1.5 times.

Cause: a VM uses its part while it serves, also after it was replaced.

Fix: it uses its part of all of these while it owns a share, as for quotas.

--- a/internal/core/tier/tier.go
+++ b/internal/core/tier/tier.go
@@ -257,10 +257,10 @@
 }
 
 // budgetMembers returns the number of VMs among which the slack of the retry budgets
-// is divided, or 0 while this VM does not serve: its part then belongs to the VM that
+// is divided, or 0 while this VM owns no share: its part then belongs to the VM that
 // replaces it.
 func (t *Tier) budgetMembers() int {
-	if !t.isServing() {
+	if !t.ownsShare() {
 		return 0
 	}
 	return t.follower.View().ShareCount
@@ -314,7 +314,7 @@
 }
 
 // pace returns this VM's part of the rate of a backend server that is in cold start or
-// names a limit.
+// names a limit. A VM that owns no share has no part.
 func (t *Tier) pace(now time.Time, replica *roster.Replica) relay.Pace {
 	pace, view, self := relay.Pace{Rate: math.Inf(1)}, t.follower.View(), t.settings.VM.ID
 	if limit, limited := t.notices.Limit(replica.Process()); limited {
@@ -324,6 +324,9 @@
 	if now.Before(replica.ColdUntil) {
 		pace.Rate = min(pace.Rate, roster.ColdStartRate(view, self, replica))
 	}
+	if !math.IsInf(pace.Rate, 1) && !t.ownsShare() {
+		pace.Rate = 0
+	}
 	return pace
 }
 
