Reject responses that are not valid HTTP/1.1

Callers saw: a backend server in trouble sent an answer in whose head the name of a field held a space or a control byte. Callers got it as an answer, with that line passed on, or with a body that was not the server's where the name was like that of a length. An answer with status 000 was rejected already; its test stays.

Cause: only the status line was checked. The HTTP library accepts names with spaces, folded lines, lines that end without CR, control bytes in reasons and extensions of chunks, a length beside chunks, chunks in HTTP/1.0 and broken trailer sections.

Fix: one checker follows the grammar of RFC 9110 and RFC 9112 through status line, fields, framing, chunks and trailer section, for interim responses, too. All readers of responses use it: those of backend servers, of the store and of other VMs. An invalid response is a broken one, after which the request may have run; the connection is closed.

--- a/internal/base/reply/reply.go
+++ b/internal/base/reply/reply.go
@@ -5,7 +5,6 @@
 	"bufio"
 	"io"
 
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirestair/samphirestair/internal/base/budget"
@@ -26,19 +25,20 @@
 }
 
 // Read reads a response into an empty one. Bodies of more than budget.SmallSize are in memory
-// of their own, which stays valid after the response was released.
+// of their own, which stays valid after the response was released. It fails with ErrInvalid if the
+// response is not valid.
 func Read(response *fasthttp.Response, r *bufio.Reader, options Options) error {
-	header := &response.Header
-	if err := readHead(header, r); err != nil {
+	header, syntax := &response.Header, checker{noBody: options.NoBody}
+	if err := readHead(header, r, &syntax); err != nil {
 		return err
 	}
-	if options.NoBody || isBodiless(header.StatusCode()) {
-		if header.StatusCode() == fasthttp.StatusNoContent && header.ContentLength() > 0 {
-			return ErrInvalid
-		}
+	if syntax.state == end {
 		response.SkipBody = true
 		return nil
 	}
+	if syntax.inChunks {
+		r = bufio.NewReader(&chunkReader{r, syntax})
+	}
 	length := header.ContentLength()
 	if length >= 0 && length <= budget.SmallSize {
 		return response.ReadBody(r, options.MaxBody)
@@ -55,34 +55,48 @@
 }
 
 // readHead reads the head of a response after any interim ones.
-func readHead(header *fasthttp.ResponseHeader, r *bufio.Reader) error {
-	for range maxInterim + 1 {
-		line, err := r.Peek(statusLineLength)
-		for position, b := range line {
-			if !isStatusByte(position, b) {
-				return ErrInvalid
-			}
+func readHead(header *fasthttp.ResponseHeader, r *bufio.Reader, syntax *checker) error {
+	for checked := 0; ; {
+		head, readErr := r.Peek(max(r.Buffered(), checked+1))
+		if len(head) == checked {
+			return readErr
 		}
+		heads := syntax.heads
+		n, err := syntax.check(head[checked:])
 		if err != nil {
 			return err
 		}
-		status := statusOf(line)
-		if err := header.Read(r); err != nil {
-			return err
-		}
-		if status >= 200 {
-			return nil
+		if checked += n; syntax.heads == heads {
+			continue
 		}
-		if status == fasthttp.StatusSwitchingProtocols {
-			return ErrInvalid
+		if err := header.Read(r); err != nil || syntax.headDone() {
+			return err
 		}
+		checked = 0
 	}
-	return errors.Wrap(ErrInvalid, "too many interim responses")
 }
 
-// isBodiless reports whether responses with a status have no body.
-func isBodiless(status int) bool {
-	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+// chunkReader reads the chunks and the trailer section of a response, and nothing after them.
+type chunkReader struct {
+	r      *bufio.Reader
+	syntax checker
+}
+
+// Read implements io.Reader.
+func (c *chunkReader) Read(p []byte) (int, error) {
+	if c.syntax.state == end {
+		return 0, io.EOF
+	}
+	if _, err := c.r.Peek(1); err != nil {
+		return 0, err
+	}
+	data, _ := c.r.Peek(min(len(p), c.r.Buffered()))
+	n, err := c.syntax.check(data)
+	if err != nil {
+		return 0, err
+	}
+	copy(p, data[:n])
+	return c.r.Discard(n)
 }
 
 // readLong reads a body of more than budget.SmallSize or of unknown length into memory that is
--- a/internal/base/reply/reply_test.go
+++ b/internal/base/reply/reply_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -86,11 +87,94 @@
 	}
 }
 
+// Guards against responses that are not valid and that are read as an answer, with a line passed on
+// or with another body than the sender's.
+func TestInvalidResponsesAreRejected(t *testing.T) {
+	for name, data := range faulty.Responses("A: b\r\n", "body") {
+		t.Run(name, func(t *testing.T) {
+			require.Error(t, read([]byte(data), &fasthttp.Response{}, unlimited))
+			require.Error(t, readChecked([]byte(data), &fasthttp.Response{}))
+		})
+	}
+}
+
+func unlimited(int) bool { return true }
+
+// Guards against valid responses that the check rejects or changes, or of which it takes more bytes
+// than belong to them.
+func TestValidResponsesAreReadAsTheLibraryReadsThem(t *testing.T) {
+	const next = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	for name, data := range faulty.Sound("A: b\r\n") {
+		t.Run(name, func(t *testing.T) {
+			var expected, got, checked fasthttp.Response
+			require.NoError(t, expected.ReadLimitBody(bufio.NewReader(strings.NewReader(data)), maxBody))
+			r := bufio.NewReader(iotest.OneByteReader(strings.NewReader(data)))
+			require.NoError(t, reply.Read(&got, r, reply.Options{MaxBody: maxBody, Reserve: unlimited}))
+			require.NoError(t, readChecked([]byte(data), &checked))
+			for _, response := range []*fasthttp.Response{&got, &checked} {
+				require.Equal(t, expected.StatusCode(), response.StatusCode())
+				require.Equal(t, string(expected.Body()), string(response.Body()))
+				require.Equal(t, expected.Header.String(), response.Header.String())
+			}
+			if !strings.Contains(name, "until the end") {
+				r = bufio.NewReader(strings.NewReader(data + next))
+				require.NoError(t, reply.Read(&fasthttp.Response{}, r, reply.Options{MaxBody: maxBody, Reserve: unlimited}))
+				rest, err := io.ReadAll(r)
+				require.NoError(t, err)
+				require.Equal(t, next, string(rest))
+			}
+		})
+	}
+}
+
+// benchmarkData is a response like those of backend servers.
+var benchmarkData = []byte("HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nX-Request-Id: 9c41d07be2a35f68\r\n" +
+	"X-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nX-Server-Load: 1,0,2\r\nContent-Length: 160\r\n\r\n" + strings.Repeat("x", 160))
+
+func BenchmarkRead(b *testing.B) {
+	var data bytes.Reader
+	r := bufio.NewReader(&data)
+	response := &fasthttp.Response{}
+	for b.Loop() {
+		data.Reset(benchmarkData)
+		r.Reset(&data)
+		response.Reset()
+		if err := reply.Read(response, r, reply.Options{MaxBody: maxBody, Reserve: unlimited}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// memoryConn is a connection from which a response is read at once.
+type memoryConn struct {
+	net.Conn
+	bytes.Reader
+}
+
+func (c *memoryConn) Read(p []byte) (int, error)  { return c.Reader.Read(p) }
+func (c *memoryConn) Write(p []byte) (int, error) { return len(p), nil }
+func (c *memoryConn) Close() error                { return nil }
+
+func BenchmarkConn(b *testing.B) {
+	memory := &memoryConn{}
+	conn := reply.NewConn(memory)
+	p := make([]byte, 4096)
+	for b.Loop() {
+		memory.Reset(benchmarkData)
+		_, _ = conn.Write(nil)
+		if n, err := conn.Read(p); n != len(benchmarkData) || err != nil {
+			b.Fatal(n, err)
+		}
+	}
+}
+
 // FuzzRead checks that no response without a valid status is accepted, and that both ways of
 // reading give the same one.
 func FuzzRead(f *testing.F) {
-	for _, response := range faulty.Responses("A: b\r\n", "body") {
-		f.Add([]byte(response))
+	for _, responses := range []map[string]string{faulty.Responses("A: b\r\n", "body"), faulty.Sound("A: b\r\n")} {
+		for _, response := range responses {
+			f.Add([]byte(response))
+		}
 	}
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"))
--- a/internal/link/deleg/status_test.go
+++ b/internal/link/deleg/status_test.go
@@ -13,9 +13,9 @@
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 )
 
-// Guards against a response without a valid status that passes for a refusal, after which the
+// Guards against an invalid response that passes for a refusal, after which the
 // attempts are sent again although they may have run, or for reports.
-func TestResponsesWithoutValidStatusMayHaveRun(t *testing.T) {
+func TestInvalidResponsesMayHaveRun(t *testing.T) {
 	for name, response := range faulty.Responses("", encodeReport(t, deleg.Outcome{Status: 200})) {
 		t.Run(name, func(t *testing.T) {
 			address, _ := faulty.Serve(t, func(string) string { return response })
--- a/internal/link/grant/status_test.go
+++ b/internal/link/grant/status_test.go
@@ -11,9 +11,9 @@
 	"github.com/samphirestair/samphirestair/internal/query/quota"
 )
 
-// Guards against a response without a valid status that passes for the reply of a quota owner,
+// Guards against an invalid response that passes for the reply of a quota owner,
 // whose tokens are then used and whose stamp leases shares: 000 read as 200.
-func TestResponsesWithoutValidStatusAreNoReplies(t *testing.T) {
+func TestInvalidResponsesAreNoReplies(t *testing.T) {
 	body, err := (&quota.Reply{Boot: 1, Stamp: 2, Grants: []quota.Grant{{Count: 3}}}).MarshalMsg(nil)
 	require.NoError(t, err)
 	for name, response := range faulty.Responses("", string(body)) {
--- a/internal/link/mesh/status_test.go
+++ b/internal/link/mesh/status_test.go
@@ -11,9 +11,9 @@
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 )
 
-// Guards against a response without a valid status that passes for the acknowledgement of a
+// Guards against an invalid response that passes for the acknowledgement of a
 // batch, whose queries are then never reported as lost.
-func TestResponsesWithoutValidStatusAreNoAcknowledgement(t *testing.T) {
+func TestInvalidResponsesAreNoAcknowledgement(t *testing.T) {
 	a := newEndpoint(t, "a", "127.0.9.1")
 	for name, response := range faulty.Responses("", "") {
 		address, _ := faulty.Serve(t, func(string) string { return response })
--- a/internal/ops/fetch/status_test.go
+++ b/internal/ops/fetch/status_test.go
@@ -9,8 +9,8 @@
 	"github.com/samphirestair/samphirestair/internal/ops/fetch"
 )
 
-// Guards against a response without a valid status that operators see as that of a VM.
-func TestResponsesWithoutValidStatusAreUnavailable(t *testing.T) {
+// Guards against an invalid response that operators see as that of a VM.
+func TestInvalidResponsesAreUnavailable(t *testing.T) {
 	for name, response := range faulty.Responses("", "{}") {
 		t.Run(name, func(t *testing.T) {
 			address, _ := faulty.Serve(t, func(string) string { return response })
--- a/internal/owner/client/status_test.go
+++ b/internal/owner/client/status_test.go
@@ -13,9 +13,9 @@
 	"github.com/samphirestair/samphirestair/internal/plat/bknd"
 )
 
-// Guards against an answer without a valid status that passes for the answer of the server, or
+// Guards against an invalid answer that passes for the answer of the server, or
 // whose request counts as not run.
-func TestAnswersWithoutValidStatusAreBroken(t *testing.T) {
+func TestInvalidAnswersAreBroken(t *testing.T) {
 	const headers = bknd.HeaderRequest + ": r1\r\n" + bknd.HeaderBoot + ": boot-1\r\n" + bknd.HeaderVersion + ": 3\r\n" + bknd.HeaderShard + ": 1\r\n" + bknd.HeaderNotRun + ": 1\r\n"
 	for name, answer := range faulty.Responses(headers, "{}") {
 		t.Run(name, func(t *testing.T) {
@@ -34,8 +34,8 @@
 	}
 }
 
-// Guards against a connection that is used after a hello without a valid status.
-func TestHelloWithoutValidStatusFails(t *testing.T) {
+// Guards against a connection that is used after an invalid hello.
+func TestInvalidHelloFails(t *testing.T) {
 	for name, hello := range faulty.Responses(bknd.HeaderBoot+": boot-1\r\n", "") {
 		t.Run(name, func(t *testing.T) {
 			address, _ := faulty.Serve(t, func(string) string { return hello })
--- a/internal/owner/pool/status_test.go
+++ b/internal/owner/pool/status_test.go
@@ -9,9 +9,9 @@
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 )
 
-// Guards against an answer without a valid status that is passed on, as 000 was, or whose request
+// Guards against an invalid answer that is passed on, as 000 was, or whose request
 // counts as not run.
-func TestAnswersWithoutValidStatusAreBroken(t *testing.T) {
+func TestInvalidAnswersAreBroken(t *testing.T) {
 	for name, answer := range faulty.Responses("X-Request-Id: r1\r\nX-Signature: s\r\nX-Not-Run: 1\r\n", "body") {
 		t.Run(name, func(t *testing.T) {
 			address, closed := faulty.Serve(t, func(string) string { return answer })
