Reject requests whose header names hold spaces

Callers may see: a header line like "Content Length: 4" was passed on to backend servers, which may read another name, and another end, than this system.

Cause: the HTTP library accepts spaces inside of names.

Fix: such requests get 400, by the same table of bytes as for responses.

Evidence: two of three new cases of TestAmbiguousRequestsAreRejected fail before, all pass now.

--- a/internal/front/gate/gate_test.go
+++ b/internal/front/gate/gate_test.go
@@ -225,7 +225,10 @@
 		"two hosts":         "GET /one/x HTTP/1.1\r\nHost: desk.example\r\nHost: other.example\r\n\r\n",
 		"no host":           "GET /one/x HTTP/1.1\r\n\r\n",
 		"folded header":     "GET /one/x HTTP/1.1\r\nHost: desk.example\r\nX-A: 1\r\n 2\r\n\r\n",
-		"space in name":     "GET /one/x HTTP/1.1\r\nHost: desk.example\r\nX-A : 1\r\n\r\n",
+		"space after name":  "GET /one/x HTTP/1.1\r\nHost: desk.example\r\nX-A : 1\r\n\r\n",
+		"space in name":     "GET /one/x HTTP/1.1\r\nHost: desk.example\r\nX A: 1\r\n\r\n",
+		"space in length":   "GET /one/x HTTP/1.1\r\nContent Length: 4\r\nHost: desk.example\r\n\r\nbody",
+		"tab in name":       "GET /one/x HTTP/1.1\r\nHost: desk.example\r\nX\tA: 1\r\n\r\n",
 		"too long":          "POST /one/x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 1001\r\n\r\n" + strings.Repeat("x", 1001),
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/front/gate/message.go
+++ b/internal/front/gate/message.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirestair/samphirestair/internal/base/coll"
+	"github.com/samphirestair/samphirestair/internal/base/reply"
 	"github.com/samphirestair/samphirestair/internal/conf/routes"
 	"github.com/samphirestair/samphirestair/internal/owner/pool"
 	"github.com/samphirestair/samphirestair/internal/plat/header"
@@ -48,14 +49,16 @@
 
 // checkFraming rejects requests that the HTTP library accepts although other
 // implementations may see their end elsewhere (request smuggling): those with folded
-// headers, or with both a Content-Length and a Transfer-Encoding.
+// headers, with names that are none, or with both a Content-Length and a Transfer-Encoding.
 func checkFraming(raw []byte) error {
 	hasLength, hasChunks := false, false
 	for line := range bytes.Lines(raw) {
-		name, _, _ := bytes.Cut(line, []byte(":"))
+		name, _, isField := bytes.Cut(line, []byte(":"))
 		switch {
 		case line[0] == ' ' || line[0] == '\t':
 			return errors.New("a header is folded")
+		case isField && !reply.IsName(name):
+			return errors.New("the name of a header is invalid")
 		case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
 			hasLength = true
 		case bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
