Don't send attempts for other VMs to withdrawn servers

Cause: a VM that sends for another one went by the address in the order wherever its own view has no such server in service. It has none for servers that drain, are gone or are in a zone out of service either.

Fix: the view knows the processes that may get no more requests, and their attempts are rejected as not sent. Servers that the VM does not know are reached by the address in the order, as before: the other VM's view may be newer.

--- a/internal/fleet/roster/state.go
+++ b/internal/fleet/roster/state.go
@@ -261,6 +261,11 @@
 	slices.SortFunc(members, func(x, y Member) int { return cmp.Compare(x.VM, y.VM) })
 	s.view = NewView(s.table, replicas, members, coll.NewSet(slices.Collect(maps.Keys(s.zonesOut))...))
 	s.view.Leaving, s.view.Rollouts = leaving, s.viewRollouts()
+	for id, gone := range s.departures.servers {
+		if _, registered := s.servers[id]; !registered {
+			s.view.withdrawn[id] = gone.born
+		}
+	}
 	for _, l := range s.lapsed {
 		s.view.Lapsed = append(s.view.Lapsed, l.member)
 	}
--- a/internal/fleet/roster/types.go
+++ b/internal/fleet/roster/types.go
@@ -127,6 +127,8 @@
 
 	replicas map[ident.ServiceID][]*Replica
 	servers  map[ident.ServerID]*Replica
+	// withdrawn holds the processes of backend servers that may get no more requests, by id.
+	withdrawn map[ident.ServerID]int64
 	// serving holds the members that serve callers and reach the backend servers, by zone, and
 	// usableCount is their number. While all are partitioned, all count.
 	serving     map[ident.Zone][]Member
@@ -147,6 +149,14 @@
 	return v.servers[id]
 }
 
+// IsWithdrawn reports whether this VM knows that a process of a backend server may get no more
+// requests: it drains, its zone is out of service, or its registration was removed a short time
+// ago. It is false for processes that this VM does not know.
+func (v *View) IsWithdrawn(id ident.ServerID, born int64) bool {
+	withdrawn, ok := v.withdrawn[id]
+	return ok && withdrawn == born
+}
+
 // ServingIn returns the members of a zone that serve callers and reach the backend servers.
 // The slice must not be changed.
 func (v *View) ServingIn(zone ident.Zone) []Member {
@@ -174,6 +184,8 @@
 		replicas: map[ident.ServiceID][]*Replica{},
 		servers:  make(map[ident.ServerID]*Replica, len(replicas)),
 		serving:  map[ident.Zone][]Member{},
+
+		withdrawn: map[ident.ServerID]int64{},
 	}
 	var servingMembers []Member
 	for _, m := range members {
@@ -189,6 +201,7 @@
 	v.ShareCount = max(TargetServingCount(table), v.ServingCount)
 	for _, r := range replicas {
 		if r.Draining || zonesOut.Has(r.Zone) {
+			v.withdrawn[r.ID] = r.Born
 			continue
 		}
 		v.replicas[r.Service] = append(v.replicas[r.Service], r)
--- a/internal/owner/pool/pool.go
+++ b/internal/owner/pool/pool.go
@@ -146,6 +146,13 @@
 	}
 }
 
+// Reject ends an attempt that is not sent. done is called before it returns.
+func Reject(reason string, done func(Result)) *Call {
+	call := &Call{done: done}
+	call.finish(Result{Outcome: Unsent, Reason: reason})
+	return call
+}
+
 // rejectUnsendable ends an attempt whose deadline has passed, for example because the VM
 // was suspended, or whose backend server leaves or asked for a backoff. It reports whether
 // it ended the attempt.
