Keep missing registrations only after an outage of the store

Cause: any failed call counted as an outage of the store, after which a missing registration is kept for 2.3 s, since it may have lapsed meanwhile. A watch on a silent connection fails after up to 2.7 s.

Fix: a failure counts as an outage if a call that began after it was noticed fails, too, or no call is answered for 2.4 s more. The first call on a new connection is answered where only connections are silent. Registrations lapse after an outage of 2.4 s at the earliest, in which calls fail again. Where the store answers nothing for 2.4 to about 3 s, a server that lapsed may be missing until it is back, at most 2 s later.

--- a/internal/core/tier/rollout.go
+++ b/internal/core/tier/rollout.go
@@ -141,11 +141,12 @@
 		}
 		w.Others = []depot.KeyValue{{Key: statusKey, Value: status}}
 	}
+	begun := time.Now()
 	position, err := t.adapter.Depot.Put(ctx, w)
 	if errors.Is(err, depot.ErrConflict) {
 		return err
 	}
-	t.follower.ReportCall(ctx, err)
+	t.follower.ReportCall(ctx, begun, err)
 	if err == nil {
 		t.follower.RecordOwnWrite(ctx, depot.Item{Key: key, Value: value, Revision: position})
 	}
--- a/internal/fleet/roster/follower.go
+++ b/internal/fleet/roster/follower.go
@@ -271,9 +271,10 @@
 	}
 }
 
-// ReportCall records the outcome of a call to the store that another component made.
-func (f *Follower) ReportCall(ctx context.Context, err error) {
-	f.send(ctx, update{err: err})
+// ReportCall records the outcome of a call to the store that another component made. The call
+// began at begun.
+func (f *Follower) ReportCall(ctx context.Context, begun time.Time, err error) {
+	f.send(ctx, update{start: callStart{at: begun}, err: err})
 }
 
 // Run follows the store until ctx is done.
@@ -316,7 +317,7 @@
 		return
 	}
 	if u.err != nil && !errors.Is(u.err, depot.ErrCompacted) && !errors.Is(u.err, depot.ErrNoLease) {
-		f.state.StoreFailed(now, u.err.Error())
+		f.state.StoreFailed(now, u.start.at, u.err.Error())
 		return
 	}
 	f.state.StoreAnswered(now)
--- a/internal/fleet/roster/readloop.go
+++ b/internal/fleet/roster/readloop.go
@@ -63,9 +63,10 @@
 // and others serve, it continues to stand by without a read of all keys: after a power
 // failure of the whole fleet, the serving VMs need the store's capacity.
 func (f *Follower) resumeStandby(ctx context.Context, r *readProgress) {
+	start := f.newCallStart()
 	batch, err := f.readPrefix(ctx, PrefixMembers, r.timeout, true)
 	if err != nil {
-		f.handleFailedRead(ctx, r, err)
+		f.handleFailedRead(ctx, r, start, err)
 		return
 	}
 	stoodBy, othersServe := false, false
@@ -87,7 +88,7 @@
 	start, scope := f.newCallStart(), f.nextScope(r.stale)
 	batch, err := f.readPrefix(ctx, scope.prefix, r.timeout, r.stale)
 	if err != nil {
-		f.handleFailedRead(ctx, r, err)
+		f.handleFailedRead(ctx, r, start, err)
 		return
 	}
 	r.timeout, r.failures = minReadTimeout, 0
@@ -101,9 +102,9 @@
 
 // handleFailedRead records a failed read. While there is no configuration, it asks other
 // VMs for a snapshot.
-func (f *Follower) handleFailedRead(ctx context.Context, r *readProgress, err error) {
+func (f *Follower) handleFailedRead(ctx context.Context, r *readProgress, start callStart, err error) {
 	r.timeout = min(2*r.timeout, maxReadTimeout)
-	f.handleFailedCall(ctx, r, err)
+	f.handleFailedCall(ctx, r, start, err)
 	if f.View().Table == nil && !r.peerAnswered {
 		r.peerAnswered = f.adoptPeerSnapshot(ctx)
 		// A stale read may be older than the snapshot.
@@ -173,7 +174,7 @@
 			// Another stale read might again be older than the start of the history.
 			r.loaded, r.stale = false, false
 		}
-		f.handleFailedCall(ctx, r, err)
+		f.handleFailedCall(ctx, r, start, err)
 		return
 	}
 	r.failures = 0
@@ -192,8 +193,8 @@
 
 // handleFailedCall records a failed call, and pauses from the second consecutive one on. While
 // the VM stands by, the pause doubles with each failure.
-func (f *Follower) handleFailedCall(ctx context.Context, r *readProgress, err error) {
-	f.send(ctx, update{err: err})
+func (f *Follower) handleFailedCall(ctx context.Context, r *readProgress, start callStart, err error) {
+	f.send(ctx, update{start: start, err: err})
 	if r.failures++; r.failures <= 1 {
 		return
 	}
--- a/internal/fleet/roster/registrar.go
+++ b/internal/fleet/roster/registrar.go
@@ -271,6 +271,7 @@
 // register writes the registration under lease, or under a new one if lease is the zero value, and
 // returns the lease.
 func (r *Registrar) register(ctx context.Context, lease depot.Lease, member Member) (depot.Lease, error) {
+	begun := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var err error
@@ -280,7 +281,7 @@
 	if err == nil {
 		err = r.put(ctx, lease, member)
 	}
-	r.follower.ReportCall(ctx, err)
+	r.follower.ReportCall(ctx, begun, err)
 	if err != nil {
 		return depot.Lease{}, err
 	}
@@ -310,10 +311,11 @@
 }
 
 func (r *Registrar) renew(ctx context.Context, lease depot.Lease) error {
+	begun := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := r.depot.Renew(ctx, lease)
-	r.follower.ReportCall(ctx, err)
+	r.follower.ReportCall(ctx, begun, err)
 	if err != nil {
 		r.events.Sample("renewal_failed", string(r.self), err.Error())
 	}
--- a/internal/fleet/roster/state.go
+++ b/internal/fleet/roster/state.go
@@ -42,6 +42,9 @@
 	// reappear. The platform says that registrations which lapsed during the outage are
 	// back after about 2 s; the delay of a watch comes on top.
 	storeReturnGrace = 2300 * time.Millisecond
+	// lapseTime is the length of an outage in which registrations may lapse: they do after three
+	// heartbeats of 1.2 s without the store, the first of which may come just before it.
+	lapseTime = 2400 * time.Millisecond
 	// memberLapseGrace is how long a VM is kept after its registration lapsed, so that a
 	// lost lease alone doesn't change the address lists.
 	memberLapseGrace = 700 * time.Millisecond
@@ -78,6 +81,10 @@
 	// in one line, since a large fleet has thousands of registrations.
 	allKeysRead bool
 	storeDown   bool
+	// failedSince is when the first failure of a call since the latest answer was noticed, and
+	// outage is set once it can't be due to connections that are silent.
+	failedSince time.Time
+	outage      bool
 	// graceUntil is the end of the period in which missing registrations may reappear.
 	graceUntil time.Time
 	view       *View
@@ -112,13 +119,15 @@
 	return s
 }
 
-// StoreFailed records that a call to the store failed.
-func (s *State) StoreFailed(now time.Time, reason string) {
+// StoreFailed records that a call to the store, which began at begun, failed. Calls on connections
+// that have become silent fail, too, while others are answered, and registrations don't lapse.
+func (s *State) StoreFailed(now, begun time.Time, reason string) {
 	if !s.storeDown {
 		s.events.Record("store_lost", "store", reason)
+		s.failedSince = now
 	}
 	s.storeDown = true
-	s.graceUntil = now.Add(storeReturnGrace)
+	s.outage = s.outage || begun.After(s.failedSince)
 }
 
 // IsStoreDown reports whether the last call to the store failed.
@@ -129,10 +138,13 @@
 // StoreAnswered records that the store answered a call.
 func (s *State) StoreAnswered(now time.Time) {
 	if s.storeDown {
-		s.events.Record("store_regained", "store", "a call was answered")
+		s.outage = s.outage || now.Sub(s.failedSince) >= lapseTime
+		s.events.Record("store_regained", "store", "a call was answered", slog.Bool("outage", s.outage), slog.Duration("after", now.Sub(s.failedSince)))
+	}
+	if s.outage {
 		s.graceUntil = now.Add(storeReturnGrace)
 	}
-	s.storeDown = false
+	s.storeDown, s.outage = false, false
 }
 
 // Load replaces everything known about the keys that begin with prefix by batch, a read
--- a/internal/fleet/roster/state_test.go
+++ b/internal/fleet/roster/state_test.go
@@ -112,7 +112,7 @@
 func TestServerLapsedDuringAnOutageHasAGracePeriod(t *testing.T) {
 	state := newStateUnderTest()
 	state.apply(start, state.put("server:i-1", registered()), state.put("server:i-2", registered()))
-	state.StoreFailed(start, "no answer")
+	state.StoreFailed(start, start, "no answer")
 	back := start.Add(30 * time.Second)
 	state.Load(back, "", depot.Batch{Revision: state.revision})
 	require.Len(t, state.ids(), 2)
@@ -121,6 +121,48 @@
 	require.Equal(t, []ident.ServerID{"i-2"}, state.ids())
 }
 
+// Guards against a server that is used for seconds after its removal because one call timed out on a
+// connection that had become silent, and against a server that lapsed during an outage and is gone
+// at once.
+func TestOnlyOutagesHaveAGracePeriod(t *testing.T) {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	const none = "no answer"
+	for name, test := range map[string]struct {
+		fail  func(state *stateUnderTest)
+		keeps bool
+	}{
+		"one call": {func(s *stateUnderTest) { s.StoreFailed(at(2700), at(0), none) }, false},
+		"two calls at once": {func(s *stateUnderTest) {
+			s.StoreFailed(at(1000), at(0), none)
+			s.StoreFailed(at(2700), at(900), none)
+		}, false},
+		"answered in between": {func(s *stateUnderTest) {
+			s.StoreFailed(at(1000), at(0), none)
+			s.StoreAnswered(at(1100))
+			s.StoreFailed(at(2000), at(1200), none)
+		}, false},
+		"a call after a failure": {func(s *stateUnderTest) {
+			s.StoreFailed(at(1000), at(0), none)
+			s.StoreFailed(at(2000), at(1100), none)
+		}, true},
+		"refusals": {func(s *stateUnderTest) {
+			s.StoreFailed(at(1), at(0), none)
+			s.StoreFailed(at(3), at(2), none)
+		}, true},
+		"no call for long": {func(s *stateUnderTest) { s.StoreFailed(at(100), at(0), none) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			state := newStateUnderTest()
+			state.apply(start, state.put("server:i-1", registered()))
+			test.fail(state)
+			state.apply(at(2800), state.del("server:i-1"))
+			require.Equal(t, test.keeps, len(state.ids()) == 1)
+			state.RemoveExpired(at(2800 + 2300))
+			require.Empty(t, state.ids())
+		})
+	}
+}
+
 func TestOutdatedRegistrationsAreIgnored(t *testing.T) {
 	state := newStateUnderTest()
 	s := registered()
