--- a/internal/base/reply/checker.go
+++ b/internal/base/reply/checker.go
@@ -343,6 +343,16 @@
 	return true
 }
 
+// IsName reports whether name has the syntax of the name of a field.
+func IsName(name []byte) bool {
+	for _, b := range name {
+		if !isToken(b) {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
 func toLower(b byte) byte {
 	if b >= 'A' && b <= 'Z' {
 		return b + 'a' - 'A'
@@ -377,16 +387,6 @@
 	texts = bytesThat(func(b byte) bool { return b >= ' ' && b != 0x7f || b == '\t' })
 )
 
-// IsName reports whether a name of a field has the syntax of one.
-func IsName(name []byte) bool {
-	for _, b := range name {
-		if !tokens[b] {
-			return false
-		}
-	}
-	return len(name) > 0
-}
-
 func bytesThat(match func(b byte) bool) (bytes [256]bool) {
 	for b := range bytes {
 		bytes[b] = match(byte(b))
