--- a/internal/lab/depsrv/store.go
+++ b/internal/lab/depsrv/store.go
@@ -122,6 +122,19 @@
 	return keys
 }
 
+// Items returns all items in ascending order of their keys. No fault affects it.
+func (s *Store) Items() []depot.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	items := make([]depot.Item, 0, len(s.items))
+	for _, one := range s.items {
+		items = append(items, one.item)
+	}
+	slices.SortFunc(items, func(a, b depot.Item) int { return strings.Compare(a.Key, b.Key) })
+	return items
+}
+
 // Value returns the value of a key, or nil if there is none. No fault affects it.
 func (s *Store) Value(key string) []byte {
 	s.mu.Lock()
