Close idle connections in a test when its client can see it

Cause: the test waited until the server counts the connection as closed, which it does before it closes it, so that the next action may still be written to it.

Change: the test waits for the close itself, and the server closes after 300 ms.

--- a/internal/owner/client/client_test.go
+++ b/internal/owner/client/client_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -239,11 +240,38 @@
 	require.Equal(t, client.OutcomeUnsent, serverClient.Do(request(msgs.KindAction), allow).Outcome)
 }
 
+// closeCounter counts the accepted connections that are not closed yet.
+type closeCounter struct {
+	net.Listener
+	open atomic.Int32
+}
+
+func (c *closeCounter) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c.open.Add(1)
+	return &countedConn{Conn: conn, ended: sync.OnceFunc(func() { c.open.Add(-1) })}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	ended func()
+}
+
+// Close returns once the client can see that the connection is closed.
+func (c *countedConn) Close() error {
+	defer c.ended()
+	return c.Conn.Close()
+}
+
 func TestIdleConnectionClosedByServerIsReplaced(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	listener := &closeCounter{Listener: tcp}
 	server := &fasthttp.Server{
-		IdleTimeout: 20 * time.Millisecond, Logger: discardLogger{},
+		IdleTimeout: 300 * time.Millisecond, Logger: discardLogger{},
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			ctx.Response.Header.Set(bknd.HeaderBoot, "boot-1")
 			if string(ctx.Path()) == bknd.PathHello {
@@ -262,7 +290,7 @@
 	for range 3 {
 		require.Equal(t, msgs.StatusOK, do(t, serverClient, request(msgs.KindAction), allow).Status)
 		require.Equal(t, 1, d.OpenConns())
-		require.Eventually(t, func() bool { return server.GetOpenConnectionsCount() == 0 }, testWait, time.Millisecond)
+		require.Eventually(t, func() bool { return listener.open.Load() == 0 }, testWait, time.Millisecond)
 	}
 	serverClient.Close()
 	require.Zero(t, d.OpenConns())
