--- a/internal/fleet/roster/registrar.go
+++ b/internal/fleet/roster/registrar.go
@@ -119,10 +119,8 @@
 func (r *Registrar) RecordMissed(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := r.tenure
-	r.tenure.recordMissed(at)
-	if !before.missedAt.After(before.registeredAt) && at.After(before.registeredAt) && r.serving.Load() {
-		r.events.Record("vm_missed", string(r.self), "other VMs divide the limits without this one", slog.Duration("registered", at.Sub(before.registeredAt)))
+	if r.tenure.recordMissed(at) {
+		r.events.Record("vm_missed", string(r.self), "other VMs divide the limits without this one")
 	}
 }
 
--- a/internal/fleet/roster/tenure.go
+++ b/internal/fleet/roster/tenure.go
@@ -27,11 +27,18 @@
 }
 
 // recordMissed records that another VM's view, which had all changes up to at, lacks the
-// registration.
-func (t *tenure) recordMissed(at time.Time) {
+// registration. It reports whether that ends the tenure.
+func (t *tenure) recordMissed(at time.Time) (ended bool) {
+	before := t.isMissed()
 	if at.After(t.missedAt) {
 		t.missedAt = at
 	}
+	return !t.registeredAt.IsZero() && !before && t.isMissed()
+}
+
+// isMissed reports whether another VM's view lacks the registration.
+func (t *tenure) isMissed() bool {
+	return t.missedAt.After(t.registeredAt)
 }
 
 // ownsShare reports whether this VM may use its part of what is divided. Where more VMs serve than
@@ -39,7 +46,7 @@
 // others leave a part to it.
 func (t *tenure) ownsShare(now time.Time, view *View) bool {
 	switch {
-	case t.registeredAt.IsZero(), t.missedAt.After(t.registeredAt):
+	case t.registeredAt.IsZero(), t.isMissed():
 		return false
 	case now.Sub(t.registeredAt) < joinTime:
 		return view.ServingCount <= TargetServingCount(view.Table)
