--- a/internal/base/reply/checker.go
+++ b/internal/base/reply/checker.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"strings"
+
+	"github.com/valyala/fasthttp"
 )
 
 // coding is the transfer coding of bodies in chunks.
@@ -318,22 +320,17 @@
 
 // endHead ends a head, and expects what its status and fields announce.
 func (c *checker) endHead() (valid bool) {
-	const (
-		switchingProtocols = 101
-		noContent          = 204
-		notModified        = 304
-	)
 	c.heads++
 	switch {
 	case c.hasCoding && (c.hasLength || c.isHTTP10):
 		return false
 	case c.status < 200:
-		valid = c.status != switchingProtocols && c.heads <= maxInterim
+		valid = c.status != fasthttp.StatusSwitchingProtocols && c.heads <= maxInterim
 		*c = checker{noBody: c.noBody, heads: c.heads}
 		return valid
-	case c.status == noContent:
+	case c.status == fasthttp.StatusNoContent:
 		return !c.hasCoding && c.length == 0
-	case c.noBody || c.status == notModified:
+	case c.noBody || c.status == fasthttp.StatusNotModified:
 		return true
 	case c.hasCoding:
 		c.state, c.inChunks = chunkSize, true
--- a/internal/fleet/beats/heartbeat.go
+++ b/internal/fleet/beats/heartbeat.go
@@ -406,6 +406,10 @@
 // tellLapsed tells the VMs whose registration has lapsed in the view of this VM: one that the store
 // turns away can't see that others take its place.
 func (h *Heartbeater) tellLapsed() {
+	if len(h.deps.View().Lapsed) == 0 {
+		return
+	}
+	// The age is read before the view, so that the view is not older than it says.
 	age, known := h.deps.ViewAge(time.Now())
 	if !known {
 		return
--- a/internal/fleet/roster/stale_test.go
+++ b/internal/fleet/roster/stale_test.go
@@ -58,7 +58,7 @@
 	return store
 }
 
-// knowledge is what a view says of other VMs' work.
+// knowledge is what a view says of the fleet.
 type knowledge struct {
 	Version  ident.Version
 	ZonesOut []ident.Zone
