Do not pass on headers that a Connection header in any case or line lists

Callers got the hop-by-hop headers of a backend server, and backend servers those of callers, if the server or the caller named them in 'connection' instead of 'Connection' (responses), or in a second Connection line (both ways).

Cause: the gate looked up the one line with the exact name in a head whose names are not normalized. Names are case-insensitive and lists may span lines (RFC 9110, 5.1 and 5.3). Both directions now collect the names from all lines; the function that did so for one line is gone.

Evidence: TestHeadersListedByConnectionAreNotPassedOn failed before in the response (X-One passed on). Found by tracing the failed input of FuzzAnswer, whose field name is in lower case.

--- a/internal/front/gate/gate_test.go
+++ b/internal/front/gate/gate_test.go
@@ -137,6 +137,26 @@
 	require.EqualValues(t, "a", request.Service)
 }
 
+// The names of header fields are case-insensitive, and a field may be repeated.
+func TestHeadersListedByConnectionAreNotPassedOn(t *testing.T) {
+	fake := newFakeTier(t)
+	fake.answer = func(runner.Request) runner.Answer {
+		response := fasthttp.AcquireResponse()
+		response.Header.DisableNormalizing()
+		for _, field := range [][2]string{{"connection", "X-One"}, {"Connection", "x-two, x-three"}, {"X-One", "1"}, {"x-Two", "2"}, {"X-Three", "3"}, {"X-Four", "4"}} {
+			response.Header.Add(field[0], field[1])
+		}
+		return runner.Answer{Result: pool.Result{Response: response}}
+	}
+	response := send(t, newGate(fake), "GET /one/x HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: r1\r\n"+
+		"connection: X-One\r\nConnection: x-two, x-three\r\nX-One: 1\r\nx-Two: 2\r\nX-Three: 3\r\nX-Four: 4\r\n\r\n")
+	require.Empty(t, string(response.Header.Peek("X-One")))
+	require.Empty(t, string(response.Header.Peek("x-Two")))
+	require.Empty(t, string(response.Header.Peek("X-Three")))
+	require.Equal(t, "4", string(response.Header.Peek("X-Four")))
+	require.Equal(t, "GET /one/x HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: r1\r\nX-Four: 4\r\n", string((<-fake.requests).Message.Head))
+}
+
 // The fault is the request's, so that it has a status of its own.
 func TestQuarantinedRequestIsToldFromOtherRefusals(t *testing.T) {
 	fake := newFakeTier(t)
--- a/internal/front/gate/message.go
+++ b/internal/front/gate/message.go
@@ -127,7 +127,7 @@
 	head := make([]byte, 0, 512)
 	head = append(append(head, header.Method()...), ' ')
 	head = append(append(head, header.RequestURI()...), " HTTP/1.1\r\n"...)
-	listed := connectionHeaders(header)
+	listed := connectionHeaders(header.All())
 	for key, value := range header.All() {
 		name := strings.ToLower(strings.TrimSpace(string(key)))
 		if hopByHopHeaders.Has(name) || listed.Has(name) || dropped.Has(name) {
@@ -152,20 +152,19 @@
 	return header.IsPost() || header.IsPut() || header.IsPatch()
 }
 
-// connectionHeaders returns the names, in lower case, that the Connection header lists.
-func connectionHeaders(header *fasthttp.RequestHeader) coll.Set[string] {
-	value := findHeader(header, fasthttp.HeaderConnection)
-	if len(value) == 0 {
-		return nil
-	}
-	return splitNames(string(value))
-}
-
-// splitNames splits a comma-separated list of names and converts them to lower case.
-func splitNames(value string) coll.Set[string] {
-	names := coll.NewSet[string]()
-	for _, name := range strings.Split(value, ",") {
-		names.Add(strings.ToLower(strings.TrimSpace(name)))
+// connectionHeaders returns the names, in lower case, that the Connection headers list. Their
+// headers concern this connection only.
+func connectionHeaders(headers iter.Seq2[[]byte, []byte]) (names coll.Set[string]) {
+	for name, value := range headers {
+		if !bytes.EqualFold(name, []byte(fasthttp.HeaderConnection)) {
+			continue
+		}
+		if names == nil {
+			names = coll.NewSet[string]()
+		}
+		for listed := range strings.SplitSeq(string(value), ",") {
+			names.Add(strings.ToLower(strings.TrimSpace(listed)))
+		}
 	}
 	return names
 }
@@ -202,10 +201,10 @@
 func copyResponse(ctx *fasthttp.RequestCtx, result *pool.Result) {
 	from := result.Response
 	ctx.SetStatusCode(from.StatusCode())
-	drop := splitNames(string(from.Header.Peek(fasthttp.HeaderConnection)))
+	listed := connectionHeaders(from.Header.All())
 	for key, value := range from.Header.All() {
 		name := strings.ToLower(string(key))
-		if hopByHopHeaders.Has(name) || drop.Has(name) {
+		if hopByHopHeaders.Has(name) || listed.Has(name) {
 			continue
 		}
 		ctx.Response.Header.AddBytesKV(key, value)
