Keep a decided roll-out whose order the store lost

Callers' requests reached servers of a version after its roll-out was rolled back, if the store had come back from an older copy without the order.

Operators stop the servers of the losing version some seconds after they read the result; until then all versions were used alike.

Now an order that a copy of the store lacks stays in force while its roll-out is decided and servers of a losing version are registered. Operators end it as before: by another order, or by deleting one that the store holds. An order without a decision is withdrawn after the same time as before.

Evidence: TestLostOrderIsKeptUntilLosingServersAreGone failed before in the four cases that keep the order.

--- a/internal/fleet/roll/roll.go
+++ b/internal/fleet/roll/roll.go
@@ -55,6 +55,15 @@
 
 func (p Phase) usesOthersOnly() bool { return p == DrainingNew || p == RolledBack }
 
+// Loses reports whether the phase keeps requests from servers of a version, where target is the new
+// version of the roll-out.
+func (p Phase) Loses(version, target string) bool {
+	if version == target {
+		return p.usesOthersOnly()
+	}
+	return p.usesTargetOnly()
+}
+
 // Record is the state of a roll-out in the store.
 type Record struct {
 	Order
--- a/internal/fleet/roster/rollouts.go
+++ b/internal/fleet/roster/rollouts.go
@@ -20,8 +20,8 @@
 }
 
 // rollout is what the store holds about the roll-out of a service. order is nil if there is only
-// a record. If removeAt is not zero, the key of the order is missing, and the order is
-// withdrawn at that time unless the key reappears.
+// a record. If removeAt is not zero, a copy of the store lacks the key of the order, and the order is
+// withdrawn at that time unless the key reappears or servers of a losing version are left.
 type rollout struct {
 	order    *roll.Order
 	orderKey string
@@ -124,25 +124,38 @@
 			}
 		}
 		switch {
-		case r.order == nil || !missing(r.orderKey):
+		case r.order == nil || !missing(r.orderKey) || !r.removeAt.IsZero():
 		case !now.Before(s.eraGraceUntil):
 			s.withdrawOrder(service)
-		case r.removeAt.IsZero():
-			r.removeAt = s.eraGraceUntil
 		default:
+			r.removeAt = s.eraGraceUntil
 		}
 	}
 }
 
-// removeExpiredOrders withdraws the orders whose grace period is over.
+// removeExpiredOrders withdraws the orders whose grace period is over. The result of a roll-out that
+// was decided meanwhile holds until operators have stopped the servers of the losing version.
 func (s *State) removeExpiredOrders(now time.Time) {
 	for service, r := range s.rollouts {
-		if !r.removeAt.IsZero() && !now.Before(r.removeAt) {
+		if !r.removeAt.IsZero() && !now.Before(r.removeAt) && !s.hasLosingServers(service, r) {
 			s.withdrawOrder(service)
 		}
 	}
 }
 
+// hasLosingServers reports whether a roll-out is decided and servers of a losing version are left.
+func (s *State) hasLosingServers(service ident.ServiceID, r *rollout) bool {
+	if r.record == nil || !r.record.IsOf(r.order) {
+		return false
+	}
+	for _, server := range s.servers {
+		if server.value.Service == service && r.record.Phase.Loses(server.value.Version, r.order.Version) {
+			return true
+		}
+	}
+	return false
+}
+
 // viewRollouts returns the roll-outs that are ordered, or nil if there are none.
 func (s *State) viewRollouts() map[ident.ServiceID]roll.Rollout {
 	var all map[ident.ServiceID]roll.Rollout
--- a/internal/fleet/roster/rollouts_test.go
+++ b/internal/fleet/roster/rollouts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -60,6 +61,47 @@
 	require.False(t, ok)
 }
 
+// Guards against requests to a version that was rolled back: operators stop its servers after they read
+// the result, which may be written while the store, back from an older copy, lacks the order.
+func TestLostOrderIsKeptUntilLosingServersAreGone(t *testing.T) {
+	for _, test := range []struct {
+		phase  roll.Phase
+		losing string
+		kept   bool
+	}{
+		{roll.RolledBack, "v2", true},
+		{roll.DrainingNew, "v2", true},
+		{roll.Completed, "v1", true},
+		{roll.DrainingOld, "v1", true},
+		{roll.RolledBack, "v1", false},
+		{roll.Completed, "v2", false},
+		{roll.Exposing, "v2", false},
+		{roll.Moving, "v1", false},
+	} {
+		t.Run(fmt.Sprint(test.phase, " with servers of ", test.losing), func(t *testing.T) {
+			state := newLoadedState(start)
+			server := roster.Server{Service: "desk", Address: "10.0.0.9:80", Zone: "vantaa", Slots: 2, Version: test.losing}
+			state.apply(start, state.put(orderKey, order), state.put("server:i-9", server))
+			r, _ := state.rolloutOf()
+			items := []depot.Item{state.put("server:i-9", server)}
+			state.loadCopy(t, start, items...)
+			items = append(items, state.put(roster.RollKey("desk"), roll.Record{Order: r.Order, Phase: test.phase, Seq: 3}))
+			state.apply(start, items[1])
+
+			later := start.Add(time.Minute)
+			state.RemoveExpired(later)
+			_, ok := state.rolloutOf()
+			require.Equal(t, test.kept, ok)
+			state.Load(later, "", depot.Batch{Items: items, Revision: state.revision})
+			_, ok = state.rolloutOf()
+			require.Equal(t, test.kept, ok, "after another read without the order")
+			state.apply(later, state.del("server:i-9"))
+			_, ok = state.rolloutOf()
+			require.False(t, ok)
+		})
+	}
+}
+
 // An older copy of the store must not take a roll-out back to an earlier stage: a version that was found
 // to be bad would get requests again.
 func TestOlderCopyTakesNoStageBack(t *testing.T) {
