Roll a version back that turns bad while the others drain

A version that is bad only with all requests, or that turned bad late in a short roll-out, was completed although its responses showed it, and operators stop the servers of the other versions then.

Cause: draining_old was not left any more. Now the responses are compared while the other versions drain, and a last time before the result is written; a version that is bad by the same test as in the stages before goes to draining_new if servers of the others are registered. draining_new is still not left.

Evidence: TestVersionThatTurnsBadWhileTheOthersDrainIsRolledBack/bad failed before.

--- a/internal/fleet/roll/decider.go
+++ b/internal/fleet/roll/decider.go
@@ -100,7 +100,9 @@
 	phaseSince time.Duration
 	sources    map[processID]*source
 	markedAt   time.Duration
-	growth     growth
+	// judgedAt is when the versions were last compared.
+	judgedAt time.Duration
+	growth   growth
 	// hadOthers is set once there were servers of other versions.
 	hadOthers bool
 	// halted is why the new version may not get requests any more, before that is stored.
@@ -219,14 +221,20 @@
 		return Exposing, "the order was read"
 	}
 	switch record.Phase {
-	case DrainingOld, DrainingNew:
+	case DrainingNew:
 		if !d.isDrained(in, record) {
 			return "", ""
 		}
-		if record.Phase == DrainingOld {
-			return Completed, record.Reason
-		}
 		return RolledBack, record.Reason
+	case DrainingOld:
+		drained := d.isDrained(in, record)
+		if reason := d.reconsider(in, drained); reason != "" {
+			return DrainingNew, reason
+		}
+		if !drained {
+			return "", ""
+		}
+		return Completed, record.Reason
 	case Exposing, Moving:
 		if d.halted != "" {
 			return DrainingNew, d.halted
@@ -237,21 +245,59 @@
 	}
 }
 
-// judgeVersion decides from the responses whether the share of the new version grows or ends.
-func (d *Decider) judgeVersion(in Input, record *Record) (Phase, string) {
+// reconsider returns why a version that gets all requests has turned bad, or "". Once the roll-out is
+// completed, operators stop the servers of the other versions. A doubt from before that stage, such as
+// one that came up while the stage was being written, doesn't count.
+func (d *Decider) reconsider(in Input, isLast bool) string {
+	isDue := isLast || in.Now-d.judgedAt >= d.bounds.interval(d.members)/2
+	if in.Others == 0 || !isDue {
+		return ""
+	}
+	v := d.judge(in.Now)
+	if bad := v.bad(); bad != nil {
+		return bad.describe()
+	}
+	return ""
+}
+
+// verdicts are the judgements of the new version by all responses, by those since the share last
+// grew, and by the recent ones.
+type verdicts struct {
+	whole, grown, late verdict
+}
+
+// judge compares the versions by what all VMs have reported.
+func (d *Decider) judge(now time.Duration) verdicts {
+	d.judgedAt = now
 	all := d.collect(func(*source) map[Bucket]Counts { return nil })
 	total := sumOf(all)
-	whole := judge(all, total, d.bounds.Share*exposingShare)
-	late := judge(d.collect(func(s *source) map[Bucket]Counts { return s.older }), total, 0)
-	grown := verdict{}
+	v := verdicts{
+		whole: judge(all, total, d.bounds.Share*exposingShare),
+		late:  judge(d.collect(func(s *source) map[Bucket]Counts { return s.older }), total, 0),
+	}
 	if d.growth.begun {
-		grown = judge(d.collect(func(s *source) map[Bucket]Counts { return s.grown }), total, 0)
+		v.grown = judge(d.collect(func(s *source) map[Bucket]Counts { return s.grown }), total, 0)
 	}
-	for _, v := range []*verdict{&whole, &grown, &late} {
-		if v.bad {
-			return DrainingNew, v.describe()
+	return v
+}
+
+// bad returns the first judgement by which the version is bad, or nil.
+func (v *verdicts) bad() *verdict {
+	for _, one := range []*verdict{&v.whole, &v.grown, &v.late} {
+		if one.bad {
+			return one
 		}
 	}
+	return nil
+}
+
+// judgeVersion decides from the responses whether the share of the new version grows or ends.
+func (d *Decider) judgeVersion(in Input, record *Record) (Phase, string) {
+	v := d.judge(in.Now)
+	if bad := v.bad(); bad != nil {
+		return DrainingNew, bad.describe()
+	}
+	whole, grown, late := v.whole, v.grown, v.late
 	if !d.isInformed(in) {
 		return "", ""
 	}
--- a/internal/fleet/roll/member_test.go
+++ b/internal/fleet/roll/member_test.go
@@ -240,6 +240,30 @@
 	}
 }
 
+// Guards against the completion of a version that turns bad once it gets all requests: operators then
+// stop the servers of the other versions.
+func TestVersionThatTurnsBadWhileTheOthersDrainIsRolledBack(t *testing.T) {
+	for name, test := range map[string]struct {
+		failed, others int
+		want           roll.Phase
+	}{
+		"bad": {12, 1, roll.DrainingNew}, "good": {1, 1, roll.Completed}, "bad, without other servers": {12, 0, roll.Completed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := newSoleVM()
+			v.order("v2", 1)
+			r := v.rollouts[service]
+			r.Record, r.Revision = &roll.Record{Order: r.Order, Phase: roll.DrainingOld, Seq: 3, ElapsedMillis: 50_000}, 9
+			v.rollouts[service], v.others = r, test.others
+			v.counts = map[roll.Bucket]roll.Counts{{Route: "a"}: {Target: tallyOf(60, 10*time.Millisecond, test.failed), Others: tallyOf(300, 10*time.Millisecond, 1)}}
+			v.step(time.Second)
+			require.NotEmpty(t, v.writes)
+			require.Equal(t, test.want, v.writes[0].Record.Phase)
+			require.Equal(t, test.want == roll.Completed, v.writes[0].HasStatus)
+		})
+	}
+}
+
 // A VM that takes over must not judge a version before the others have reported.
 func TestSuccessorWaitsForReports(t *testing.T) {
 	v := newSoleVM()
