--- a/internal/fleet/roll/decider.go
+++ b/internal/fleet/roll/decider.go
@@ -259,7 +259,8 @@
 
 // reconsider returns why a version that gets all requests has turned bad, or "". Once the roll-out is
 // completed, operators stop the servers of the other versions. A doubt from before that stage, such as
-// one that came up while the stage was being written, doesn't count.
+// one that came up while the stage was being written, doesn't count. isLast is set if the roll-out is
+// completed otherwise; else the versions are compared twice between two reports of a VM.
 func (d *Decider) reconsider(in Input, isLast bool) string {
 	isDue := isLast || in.Now-d.judgedAt >= d.bounds.interval(d.members)/2
 	if in.Others == 0 || !isDue {
--- a/internal/fleet/roll/period.go
+++ b/internal/fleet/roll/period.go
@@ -42,8 +42,8 @@
 	return sum
 }
 
-// judge tells how good the new version is on each route. What only one VM sees may be its link. share is the part
-// of the requests that the new version should have got.
+// judge tells how good the new version is on each route. What only one VM sees may be its link. share
+// is the part of the requests that the new version should have got.
 func (p *period) judge(share float64) verdict {
 	v := verdict{sufficient: true}
 	for _, route := range slices.Sorted(maps.Keys(p.fleet)) {
