Say what a period of a roll-out is where it is declared

windowTime described windows of 5 s that the code doesn't have any more: it is the longest period, since one also ends when the share changes. The comment of period said that each is compared with itself; it is compared with all responses so far unless the others are worse than usual in it. A local variable named now held responses.

--- a/internal/fleet/roll/decider.go
+++ b/internal/fleet/roll/decider.go
@@ -26,9 +26,9 @@
 	// aloneTime is the time after which a version is used that was the only one all the time. Until
 	// then, registrations of the others may be missing.
 	aloneTime = 3 * time.Second
-	// windowTime is the time after which the responses begin to count as recent anew. Recent
-	// ones are 1 to 2 times as old. A version that turns bad late is noticed by them.
-	windowTime = 5 * time.Second
+	// periodTime is the longest period in which responses are compared. Recent ones are those of the
+	// present period and the one before. A version that turns bad late is noticed by them.
+	periodTime = 5 * time.Second
 	// settleTime is the time between the last acknowledgement and the final status. Backend
 	// servers notice within half a second that a cancelled request has no caller.
 	settleTime = 600 * time.Millisecond
@@ -158,7 +158,7 @@
 // Decide returns what is to be done now.
 func (d *Decider) Decide(in Input) Decision {
 	d.enter(in)
-	if in.Now-d.closedAt >= windowTime {
+	if in.Now-d.closedAt >= periodTime {
 		d.closePeriod(in.Now)
 	}
 	record := in.Rollout.current()
--- a/internal/fleet/roll/evidence.go
+++ b/internal/fleet/roll/evidence.go
@@ -161,8 +161,8 @@
 			usual = &zone
 		}
 		reference := usual
-		if now := periodRoutes[bucket.Route]; now.isWorseThan(totalRoutes[bucket.Route]) {
-			reference = now
+		if recent := periodRoutes[bucket.Route]; recent.isWorseThan(totalRoutes[bucket.Route]) {
+			reference = recent
 			if c.Others.total() >= minReference {
 				reference = &c.Others
 			}
--- a/internal/fleet/roll/growth.go
+++ b/internal/fleet/roll/growth.go
@@ -138,7 +138,7 @@
 	if g.proven {
 		return share
 	}
-	rate := max(float64(g.target+g.others)/max((now-d.began).Seconds(), 1), float64(g.recent)/max(now-d.recentSince, windowTime).Seconds())
+	rate := max(float64(g.target+g.others)/max((now-d.began).Seconds(), 1), float64(g.recent)/max(now-d.recentSince, periodTime).Seconds())
 	ahead := rate * lagIntervals * d.bounds.interval(d.members).Seconds()
 	room := d.bounds.Share*(float64(g.target+g.others)+ahead) + slackPart*d.bounds.Slack - float64(g.target)
 	if !g.held && share*ahead > room {
--- a/internal/fleet/roll/period.go
+++ b/internal/fleet/roll/period.go
@@ -7,8 +7,8 @@
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 )
 
-// period holds the comparisons of the responses in one or more periods of time. Rates of bad responses
-// and shares of the versions change with time, so that each period is compared with itself.
+// period holds the comparisons of the responses in one or more periods of time. They are made for each
+// period and added up, since rates of bad responses and shares of the versions change with time.
 type period struct {
 	fleet comparisons
 	byVM  map[ident.VMID]comparisons
