--- a/internal/base/reply/reply_test.go
+++ b/internal/base/reply/reply_test.go
@@ -90,11 +90,13 @@
 // Guards against responses that are not valid and that are read as an answer, with a line passed on
 // or with another body than the sender's.
 func TestInvalidResponsesAreRejected(t *testing.T) {
-	for name, data := range faulty.Responses("A: b\r\n", "body") {
-		t.Run(name, func(t *testing.T) {
-			require.Error(t, read([]byte(data), &fasthttp.Response{}, unlimited))
-			require.Error(t, readChecked([]byte(data), &fasthttp.Response{}))
-		})
+	for _, responses := range []map[string]string{faulty.Responses("A: b\r\n", "body"), faulty.Heads("A: b\r\n", "body"), faulty.LongBodies("A: b\r\n")} {
+		for name, data := range responses {
+			t.Run(name, func(t *testing.T) {
+				require.Error(t, read([]byte(data), &fasthttp.Response{}, unlimited))
+				require.Error(t, readChecked([]byte(data), &fasthttp.Response{}))
+			})
+		}
 	}
 }
 
--- a/internal/lab/faulty/faulty.go
+++ b/internal/lab/faulty/faulty.go
@@ -3,14 +3,11 @@
 package faulty
 
 import (
-	"bufio"
 	"fmt"
-	"net"
 	"strconv"
 	"strings"
-	"testing"
 
-	"github.com/stretchr/testify/require"
+	"github.com/samphirestair/samphirestair/internal/base/budget"
 )
 
 const (
@@ -138,6 +135,50 @@
 	return responses
 }
 
+// Heads returns responses with each byte that no name may contain, at three positions of a name,
+// and with each status of three digits outside the protocol, by name. headers and body are as in
+// Responses.
+func Heads(headers, body string) map[string]string {
+	rest := headers + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	responses := map[string]string{}
+	for b := range 256 {
+		if b == ':' || strings.IndexByte(tokenBytes, byte(b)) >= 0 {
+			continue
+		}
+		invalid := string([]byte{byte(b)})
+		for position, name := range map[string]string{"first in": invalid + "X-Trace", "within": "X" + invalid + "Trace", "last in": "X-Trace" + invalid} {
+			responses[fmt.Sprintf("byte %#02x %s a name", b, position)] = ok + name + ": 1\r\n" + rest
+		}
+	}
+	for status := range 1000 {
+		if status < 100 || status >= 600 {
+			responses[fmt.Sprintf("status %03d", status)] = fmt.Sprintf("HTTP/1.1 %03d OK\r\n", status) + rest
+		}
+	}
+	return responses
+}
+
+// tokenBytes are the bytes that a name may contain.
+const tokenBytes = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
+// LongBodies returns invalid responses by name whose fault comes after more of the body than
+// readers keep in pooled memory. headers are as in Responses.
+func LongBodies(headers string) map[string]string {
+	const size = 2 * budget.SmallSize
+	long := strings.Repeat("x", size)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", size, long)
+	responses := map[string]string{
+		"long chunk without CRLF":  ok + headers + chunked + fmt.Sprintf("%x\r\n%s", size, long) + "0\r\n\r\n",
+		"no size after a chunk":    ok + headers + chunked + chunk + "\r\n" + chunk + "0\r\n\r\n",
+		"long chunk, no CR at end": ok + headers + chunked + chunk + "0\n\n",
+	}
+	for name, line := range fields {
+		responses["long, first "+name] = ok + line + headers + fmt.Sprintf("Content-Length: %d\r\n\r\n", size) + long
+		responses["long, trailer "+name] = ok + headers + chunked + chunk + "0\r\n" + line + "\r\n"
+	}
+	return responses
+}
+
 // Sound returns valid responses by name, with the given header lines and a body that reads "body"
 // unless the status allows none.
 func Sound(headers string) map[string]string {
@@ -199,56 +240,3 @@
 	}
 	return responses
 }
-
-// Serve starts a server on loopback that answers each request with what answer returns for its
-// head, and returns its address. closed gets a value for each connection that the other
-// side closes.
-func Serve(t testing.TB, answer func(head string) string) (address string, closed <-chan struct{}) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	ended := make(chan struct{}, 1000)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				serve(conn, answer)
-				ended <- struct{}{}
-			}()
-		}
-	}()
-	return listener.Addr().String(), ended
-}
-
-// serve answers requests until the other side closes the connection.
-func serve(conn net.Conn, answer func(head string) string) {
-	defer func() { _ = conn.Close() }()
-	reader := bufio.NewReader(conn)
-	for {
-		var head strings.Builder
-		length := 0
-		for {
-			line, err := reader.ReadString('\n')
-			if err != nil {
-				return
-			}
-			if line == "\r\n" {
-				break
-			}
-			head.WriteString(line)
-			if name, value, _ := strings.Cut(line, ":"); strings.EqualFold(name, "Content-Length") {
-				length, _ = strconv.Atoi(strings.TrimSpace(value))
-			}
-		}
-		if _, err := reader.Discard(length); err != nil {
-			return
-		}
-		if _, err := conn.Write([]byte(answer(head.String()))); err != nil {
-			return
-		}
-	}
-}
