Check the headers and signatures that other VMs report

What callers saw: a VM that asks another one to run a request, or to send the attempts of a search, passes on the headers or the signatures that the other VM reports. While the fleet is updated, that VM may run an earlier version, which accepts names with spaces and control bytes from a backend server; the line then reaches callers through a VM that rejects it itself.

Cause: of what other VMs report, only the status was checked. Names, values and signatures are in the body of their answers, where the check of the connection does not see them.

Fix: the reader of detours rejects answers with a name or value that no field may have, and the reader of reports marks outcomes with such a signature as broken, together with those whose records are merged with theirs. Both count as requests that may have run.

Evidence: TestAnswersWithInvalidHeadersAreNotPassedOn and TestOutcomesWithInvalidSignatureAreBroken fail before (answered as a success; records kept) and pass now, with all tests of both packages, also under the race detector. What the earlier version has changed into a valid answer (a folded line joined, a space before the colon dropped, a body cut elsewhere) still comes through: the VM that reads its report can't tell.

--- a/internal/base/reply/checker.go
+++ b/internal/base/reply/checker.go
@@ -350,6 +350,16 @@
 	return len(name) > 0
 }
 
+// IsValue reports whether value has the syntax of the value of a field, with any space around it.
+func IsValue[T []byte | string](value T) bool {
+	for i := range len(value) {
+		if !isText(value[i]) {
+			return false
+		}
+	}
+	return true
+}
+
 func toLower(b byte) byte {
 	if b >= 'A' && b <= 'Z' {
 		return b + 'a' - 'A'
--- a/internal/link/deleg/client.go
+++ b/internal/link/deleg/client.go
@@ -133,7 +133,7 @@
 		if err := report.DecodeMsg(in); err != nil {
 			return errors.CombineErrors(errors.Wrap(err, "deleg: read report"), resp.CloseBodyStream())
 		}
-		rejectInvalidStatuses(report)
+		rejectInvalidAnswers(report)
 		remaining -= len(report.Outcomes)
 		onReport(report)
 		if pending.cancelled.Load() && remaining > 0 {
@@ -147,14 +147,38 @@
 	return errors.Wrap(resp.CloseBodyStream(), "deleg: close report stream")
 }
 
-// rejectInvalidStatuses marks outcomes that are reported as answered without a valid status as
-// broken.
-func rejectInvalidStatuses(report *Report) {
+// rejectInvalidAnswers marks outcomes that are reported as answered without a valid status and
+// signature as broken. A delegate of an earlier version may have accepted such an answer. If its
+// records are merged with others, the outcomes of these are marked, too.
+func rejectInvalidAnswers(report *Report) {
+	spoilt := false
 	for i := range report.Outcomes {
-		if o := &report.Outcomes[i]; pool.Outcome(o.Fate) == pool.Answered && !reply.IsValidStatus(int(o.Status)) {
-			o.Fate, o.Records, o.Reason = uint8(pool.Broken), nil, "answer without a valid status"
+		o := &report.Outcomes[i]
+		if pool.Outcome(o.Fate) != pool.Answered || reply.IsValidStatus(int(o.Status)) && reply.IsValue(o.Signature) {
+			continue
 		}
+		spoilt = spoilt || o.isMerged()
+		o.reject("answer without a valid status or signature")
 	}
+	if !spoilt {
+		return
+	}
+	report.Records = nil
+	for i := range report.Outcomes {
+		if o := &report.Outcomes[i]; o.isMerged() {
+			o.reject("merged with an invalid answer")
+		}
+	}
+}
+
+// isMerged reports whether the records of an answer are among Report.Records.
+func (o *Outcome) isMerged() bool {
+	return pool.Outcome(o.Fate) == pool.Answered && o.Status >= 200 && o.Status < 300 && o.Signature != "" && !o.Alone
+}
+
+// reject marks an outcome as broken.
+func (o *Outcome) reject(reason string) {
+	o.Fate, o.Records, o.Reason = uint8(pool.Broken), nil, reason
 }
 
 // fateOfError returns pool.Unsent if the failed order certainly did not reach the
--- a/internal/link/deleg/status_test.go
+++ b/internal/link/deleg/status_test.go
@@ -45,12 +45,41 @@
 	}
 }
 
+// Guards against a signature that no header may hold, which a delegate of an earlier version may have
+// got from a backend server, and which is passed on to the caller. The records of that answer can't
+// be told from those merged with them.
+func TestOutcomesWithInvalidSignatureAreBroken(t *testing.T) {
+	for _, signature := range []string{"s\x01", "s\r\nX-Trace: 1", "\x7f"} {
+		report := &deleg.Report{Records: record("r"), Outcomes: []deleg.Outcome{
+			{Seq: 0, Status: 200, Signature: "first"}, {Seq: 1, Status: 200, Signature: signature}, {Seq: 2, Status: 200, Signature: "last", Alone: true, Records: record("z")},
+		}}
+		body := encode(t, report)
+		address, _ := faulty.Serve(t, func(string) string {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		})
+		recorder := &callbackRecorder{ended: make(chan error, 1)}
+		deleg.NewClient().Send(address, newOrder("a", "b", "c"), recorder.onReport, recorder.onEnd)
+		require.NoError(t, <-recorder.ended)
+		require.Len(t, recorder.reports, 1)
+		got := recorder.reports[0]
+		require.Empty(t, got.Records)
+		require.Equal(t, uint8(pool.Broken), got.Outcomes[0].Fate, "%q", signature)
+		require.Equal(t, uint8(pool.Broken), got.Outcomes[1].Fate, "%q", signature)
+		require.Equal(t, report.Outcomes[2], got.Outcomes[2])
+	}
+}
+
 // encodeReport returns a report of one outcome.
 func encodeReport(t *testing.T, outcome deleg.Outcome) string {
+	t.Helper()
+	return encode(t, &deleg.Report{Outcomes: []deleg.Outcome{outcome}})
+}
+
+func encode(t *testing.T, report *deleg.Report) string {
 	t.Helper()
 	var body bytes.Buffer
 	w := msgp.NewWriter(&body)
-	require.NoError(t, (&deleg.Report{Outcomes: []deleg.Outcome{outcome}}).EncodeMsg(w))
+	require.NoError(t, report.EncodeMsg(w))
 	require.NoError(t, w.Flush())
 	return body.String()
 }
--- a/internal/link/detour/runner_test.go
+++ b/internal/link/detour/runner_test.go
@@ -333,3 +333,28 @@
 		require.Nil(t, answer.Result.Response)
 	}
 }
+
+// Guards against the answer of another VM with a header that is not valid, which a VM of an earlier
+// version may have got from a backend server, and which is passed on to the caller.
+func TestAnswersWithInvalidHeadersAreNotPassedOn(t *testing.T) {
+	for _, header := range []detour.Header{
+		{},
+		{Name: []byte("X Trace")},
+		{Name: []byte("X-Trace ")},
+		{Name: []byte("X\x01Trace")},
+		{Name: []byte("X-Trace:")},
+		{Name: []byte("X\r\nTrace")},
+		{Name: []byte("X-Trace"), Value: []byte("a\x01")},
+		{Name: []byte("X-Trace"), Value: []byte("a\r\nX-Other: b")},
+		{Name: []byte("X-Trace"), Value: []byte("\x7f")},
+	} {
+		encoded, err := (&detour.Answer{Status: 200, Version: 1, Headers: []detour.Header{{Name: []byte("A"), Value: []byte("b")}, header}}).MarshalMsg(nil)
+		require.NoError(t, err)
+		p := newPeer(t, "b", func(ctx *fasthttp.RequestCtx, _ *detour.Order) { ctx.SetBody(encoded) })
+		s := newSite(t, 1, p)
+		s.partition(0)
+		answer := s.Run(request(lookup, "r"))
+		require.Equal(t, relay.Failed, answer.Verdict, "%q", header)
+		require.Nil(t, answer.Result.Response)
+	}
+}
--- a/internal/link/detour/server.go
+++ b/internal/link/detour/server.go
@@ -49,7 +49,8 @@
 }
 
 // unwrap replaces the answer of another VM by that for the caller, and returns the version of
-// the configuration with which the request ran, and Answer.Unsent.
+// the configuration with which the request ran, and Answer.Unsent. It checks what the other VM got
+// from a backend server again, since that VM may run an earlier version.
 func unwrap(response *fasthttp.Response) (version ident.Version, unsent bool, err error) {
 	var answer Answer
 	if _, err := answer.UnmarshalMsg(response.Body()); err != nil {
@@ -58,6 +59,11 @@
 	if !reply.IsValidStatus(int(answer.Status)) {
 		return 0, false, errors.Newf("detour: answer with status %d", answer.Status)
 	}
+	for _, h := range answer.Headers {
+		if !reply.IsName(h.Name) || !reply.IsValue(h.Value) {
+			return 0, false, errors.Newf("detour: answer with an invalid header %q: %q", h.Name, h.Value)
+		}
+	}
 	response.Reset()
 	response.Header.DisableNormalizing()
 	response.SetStatusCode(int(answer.Status))
