Let the load tool and the watcher reject invalid responses

What was seen: samphirelab load counted an invalid response of a VM as the answer to a request, and took addresses from one; samphirelab watch recorded the serial in one.

Cause: both read with the HTTP library alone, which accepts them.

Fix: their connections are those of package reply, as in the other clients. An attempt with an invalid response counts as cut, and the next address is tried; the idempotency key of an action keeps it from running twice.

--- a/internal/lab/load/sender.go
+++ b/internal/lab/load/sender.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/samphirestair/samphirestair/internal/base/reply"
 	"github.com/samphirestair/samphirestair/internal/lab/trace"
 )
 
@@ -49,6 +50,8 @@
 	return &sender{http: newHTTP(), deadline: options.Deadline, grace: options.Grace}
 }
 
+// newHTTP returns a client whose connections end with an invalid response, which counts as a lost
+// connection.
 func newHTTP() *fasthttp.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &fasthttp.Client{
@@ -60,7 +63,7 @@
 			if err != nil {
 				return nil, errors.Wrapf(errDial, "%v", err)
 			}
-			return conn, nil
+			return reply.NewConn(conn), nil
 		},
 		RetryIfErr: func(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false },
 	}
--- a/internal/lab/watch/watch.go
+++ b/internal/lab/watch/watch.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,7 @@
 	"github.com/samphirestair/samphirestair/internal/base/coll"
 	"github.com/samphirestair/samphirestair/internal/base/ident"
 	"github.com/samphirestair/samphirestair/internal/lab/trace"
+	"github.com/samphirestair/samphirestair/internal/plat/httpc"
 )
 
 // Defaults of Options.
@@ -57,7 +59,7 @@
 // the process is polled again after the interval.
 func Run(ctx context.Context, options Options) {
 	options = options.withDefaults()
-	client := &fasthttp.Client{}
+	client := &fasthttp.Client{Dial: func(address string) (net.Conn, error) { return httpc.Dial(address, options.Timeout) }}
 	defer client.CloseIdleConnections()
 	var group conc.WaitGroup
 	for _, target := range options.Targets {
