Take only refusals for the promise that a call was not executed

Cause: any status but a success counted as a refusal.

Fix: reply.IsRefusal names the statuses that promise it, those of the sender's faults (4xx) and 503, which are all that VMs refuse with.

--- a/internal/base/reply/conn.go
+++ b/internal/base/reply/conn.go
@@ -4,6 +4,7 @@
 	"net"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 )
 
 // ErrInvalid is returned for what is not a response of the protocol. Nothing is known of the
@@ -16,6 +17,12 @@
 	return status >= 200 && status <= 599
 }
 
+// IsRefusal reports whether a status says that a request was not executed: that the sender was at
+// fault, or that the service is unavailable. After any other status than a success it may have run.
+func IsRefusal(status int) bool {
+	return status >= 400 && status <= 499 || status == fasthttp.StatusServiceUnavailable
+}
+
 // Conn is a connection of an HTTP client that sends one request at a time. It fails and is
 // closed when it gets what is not a valid response, which the HTTP library might accept. Reads and
 // writes must not be concurrent.
--- a/internal/link/deleg/client.go
+++ b/internal/link/deleg/client.go
@@ -118,8 +118,11 @@
 	if err := c.hosts.Host(address).Do(req, resp); err != nil {
 		return fateOfError(err), errors.Wrap(err, "deleg: send order")
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return pool.Unsent, errors.Newf("deleg: delegate refused the order with status %d", resp.StatusCode())
+	switch status := resp.StatusCode(); {
+	case reply.IsRefusal(status):
+		return pool.Unsent, errors.Newf("deleg: delegate refused the order with status %d", status)
+	case status != fasthttp.StatusOK:
+		return pool.Broken, errors.CombineErrors(errors.Newf("deleg: status %d", status), resp.CloseBodyStream())
 	}
 	return pool.Broken, readReports(resp, len(order.Sends), pending, onReport)
 }
--- a/internal/link/deleg/status_test.go
+++ b/internal/link/deleg/status_test.go
@@ -28,6 +28,17 @@
 	}
 }
 
+// Guards against a status that delegates never send and that passes for a refusal.
+func TestOnlyRefusalsMeanThatAnOrderWasNotExecuted(t *testing.T) {
+	for status, fate := range map[string]pool.Outcome{"204": pool.Broken, "302": pool.Broken, "500": pool.Broken, "502": pool.Broken, "400": pool.Unsent, "503": pool.Unsent} {
+		address, _ := faulty.Serve(t, func(string) string { return "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n" })
+		recorder := &callbackRecorder{ended: make(chan error, 1)}
+		deleg.NewClient().Send(address, newOrder("a"), recorder.onReport, recorder.onEnd)
+		require.Error(t, <-recorder.ended, status)
+		require.Equal(t, fate, recorder.fate, status)
+	}
+}
+
 // Guards against an outcome that a delegate reports as answered without a valid status.
 func TestOutcomesWithoutValidStatusAreBroken(t *testing.T) {
 	for _, status := range []uint16{0, 1, 99, 101, 600, 1000} {
--- a/internal/link/mesh/outbox.go
+++ b/internal/link/mesh/outbox.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/samphirestair/samphirestair/internal/base/ident"
+	"github.com/samphirestair/samphirestair/internal/base/reply"
 	"github.com/samphirestair/samphirestair/internal/fleet/view"
 	"github.com/samphirestair/samphirestair/internal/link/msgs"
 	"github.com/samphirestair/samphirestair/internal/plat/httpc"
@@ -139,7 +140,7 @@
 		return !isDialFailure(err), errors.Wrap(err, "mesh: transfer batch")
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return false, errors.Wrapf(errStatus, "status %d", resp.StatusCode())
+		return !reply.IsRefusal(resp.StatusCode()), errors.Wrapf(errStatus, "status %d", resp.StatusCode())
 	}
 	return true, nil
 }
