--- a/internal/lab/faulty/faulty.go
+++ b/internal/lab/faulty/faulty.go
@@ -161,8 +161,8 @@
 // tokenBytes are the bytes that a name may contain.
 const tokenBytes = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
 
-// LongBodies returns invalid responses by name whose fault comes after more of the body than
-// readers keep in pooled memory. headers are as in Responses.
+// LongBodies returns invalid responses by name with bodies that are longer than those that readers
+// keep in pooled memory. The fault is in the head or after the body. headers are as in Responses.
 func LongBodies(headers string) map[string]string {
 	const size = 2 * budget.SmallSize
 	long := strings.Repeat("x", size)
--- a/internal/plat/httpc/hosts.go
+++ b/internal/plat/httpc/hosts.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// Dial opens a connection that fails on what is not a response with a valid status, which the
-// HTTP library would accept. It fails with ErrNotSent.
+// Dial opens a connection that fails on what is not a valid response, which the HTTP library might
+// accept. It fails with ErrNotSent.
 func Dial(address string, timeout time.Duration) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", address, timeout)
 	if err != nil {
